--- /dev/null
+++ b/src/base/Metrics.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace prometheus {
+class Registry;
+}
+
+namespace anvildoor {
+
+/** The histograms and counters of one process, per workspace and class. Thread-safe. */
+class metrics
+{
+public:
+  metrics();
+  ~metrics();
+  metrics(const metrics&) = delete;
+  metrics& operator=(const metrics&) = delete;
+
+  /** Observes aSeconds in the histogram aName for a workspace and class. */
+  void Observe(const std::string& aName,
+               const std::string& aWorkspace,
+               const std::string& aClass,
+               double aSeconds);
+
+  /** Adds one to the counter aName with one label. */
+  void Count(const std::string& aName,
+             const std::string& aLabel,
+             const std::string& aValue);
+
+  /** Sets the gauge aName. */
+  void Set(const std::string& aName, double aValue);
+
+  /** Returns everything in the Prometheus text format. */
+  std::string Text() const;
+
+private:
+  std::mutex mMutex;
+  std::shared_ptr<prometheus::Registry> mRegistry;
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/config/ConfigController.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "base/EventLog.h"
+#include "config/FleetConfig.h"
+#include "store/StoreClient.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace anvildoor {
+
+using shared_config = std::shared_ptr<const fleet_config>;
+
+/** Decides whether a new configuration's guarantees fit the fleet. */
+using config_check = std::function<status(const fleet_config&)>;
+
+/**
+ * Keeps the configuration in force in this process. A change is accepted when, and
+ * only when, the conditional write of the head key took effect; versions only rise.
+ * All methods are thread-safe.
+ */
+class config_controller
+{
+public:
+  using change_done = std::function<void(result<shared_config>)>;
+  using listener = std::function<void(const shared_config&)>;
+
+  /** The references must outlive the controller. aCheck may be empty. */
+  config_controller(event_loop& aLoop,
+                    store_client& aStore,
+                    event_log& aLog,
+                    config_check aCheck);
+
+  /** Calls aListener after each adoption. Call before Start. */
+  void AddListener(listener aListener);
+
+  /** Reads the head key and goes on trying until a configuration is known. */
+  void Start();
+
+  /** Watches the head key while aWatching holds; one VM per data centre does. */
+  void SetWatching(bool aWatching);
+
+  /**
+   * Applies a change to the head key. Errors: kInvalid with the field as peer,
+   * kConflict with the version found, kUnavailable when it was not accepted, and
+   * kUnknownEffect when that could not be found out.
+   */
+  void Change(const config_change& aChange, change_done aDone);
+
+  /** Adopts aConfig if it is newer; returns whether it was. */
+  bool Adopt(const fleet_config& aConfig);
+
+  /** Returns the configuration in force, or null before the first one. */
+  shared_config Current() const;
+
+  /** Returns the version in force, 0 before the first one. */
+  uint64_t Version() const;
+
+  /** Returns whether a configuration is known, be it the empty first one. */
+  bool IsReady() const { return Current() != nullptr; }
+
+  /** Returns the patch that leads from aFrom to the current one, "" if not kept. */
+  std::string PatchFrom(uint64_t aFrom) const;
+
+private:
+  struct change_run;
+
+  void ReadHead();
+  void Watch();
+  void TryChange(const std::shared_ptr<change_run>& aRun);
+  void WriteChange(const std::shared_ptr<change_run>& aRun,
+                   const std::optional<store_value>& aHead);
+  void OnWritten(const std::shared_ptr<change_run>& aRun,
+                 const fleet_config& aNext,
+                 const result<uint64_t>& aAnswer);
+  void AdoptHead(const std::optional<store_value>& aHead);
+
+  event_loop& mLoop;
+  store_client& mStore;
+  event_log& mLog;
+  config_check mCheck;
+  std::vector<listener> mListeners;
+  mutable std::mutex mMutex;
+  shared_config mCurrent;
+  shared_config mPrevious;
+  uint64_t mHeadRevision = 0;
+  bool mWatching = false;
+  bool mWatchPending = false;
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/config/Settings.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "base/Error.h"
+#include "base/EventLoop.h"
+
+#include <string>
+#include <vector>
+
+namespace anvildoor {
+
+/** The settings of one anvildoord process, from its INI file. */
+struct daemon_settings
+{
+  std::string mVm;
+  std::string mDataCentre;
+  std::string mListenHttp;     ///< IP:port for callers and operators.
+  std::string mListenPeer;     ///< IP:port for other entry VMs.
+  std::string mStore;          ///< IP:port of the platform's store.
+  std::string mVmList;         ///< IP:port of the platform's list of machines.
+  std::string mOperatorTokens; ///< SHA-256 digests, separated by commas.
+  std::string mPeerSecret;
+  int64_t mThreads = 2;
+  int64_t mBodyLimitBytes = 65'536;
+  int64_t mConnections = 2'048;
+  duration mReadTimeout{ 5'000 };
+  duration mIdleTimeout{ 60'000 };
+  duration mVmListPeriod{ 1'000 };
+  duration mDrainGrace{ 30'000 };
+  duration mDrainSettle{ 1'000 };
+
+  auto operator<=>(const daemon_settings&) const = default;
+};
+
+/** One setting as the operators' page lists it. */
+struct setting_help
+{
+  std::string mSection;
+  std::string mKey;
+  std::string mExpected;
+  std::string mDefault; ///< "" means that it has to be given.
+
+  auto operator<=>(const setting_help&) const = default;
+};
+
+/**
+ * Parses the text of a settings file. Errors (kInvalid) name aFile, section, key and
+ * what was expected. Thread-safe.
+ */
+result<daemon_settings> ParseSettings(const std::string& aFile,
+                                      const std::string& aText);
+
+/** Reads and parses a file; kNotFound if it cannot be read. Thread-safe. */
+result<daemon_settings> LoadSettings(const std::string& aFile);
+
+/** Returns every setting with what is expected of it. Thread-safe. */
+std::vector<setting_help> DescribeSettings();
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/daemon/Daemon.cpp
@@ -0,0 +1,180 @@
+#include "daemon/Daemon.h"
+
+#include "base/Hash.h"
+#include "daemon/Node.h"
+#include "daemon/TbbLoop.h"
+#include "http/HttpServer.h"
+#include "http/HttpUpstreams.h"
+#include "rpc/GrpcPeers.h"
+#include "rpc/GrpcPlatform.h"
+#include "rpc/GrpcStore.h"
+
+#include <csignal>
+#include <pthread.h>
+#include <sstream>
+
+namespace anvildoor {
+
+namespace {
+
+constexpr long kPollNanoseconds = 50'000'000;
+
+std::set<std::string> SplitDigests(const std::string& aText)
+{
+  std::set<std::string> digests;
+  std::istringstream stream(aText);
+  std::string digest;
+  while (std::getline(stream, digest, ',')) {
+    digests.insert(digest);
+  }
+  return digests;
+}
+
+sigset_t StopSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+/** Waits for a stop signal for a moment; returns whether one came. */
+bool SignalCame(const sigset_t& aSignals)
+{
+  const timespec pause{ 0, kPollNanoseconds };
+  return sigtimedwait(&aSignals, nullptr, &pause) > 0;
+}
+
+} // namespace
+
+/** Everything that one process consists of, in the order of its construction. */
+class daemon_process
+{
+public:
+  explicit daemon_process(const daemon_settings& aSettings)
+    : mSettings(aSettings)
+    , mLoop(static_cast<int>(aSettings.mThreads))
+    , mStore(mLoop, aSettings.mStore)
+    , mVmList(mLoop, aSettings.mVmList)
+    , mWorkers(mLoop, [this](const std::string& aWorker) { return AddressOf(aWorker); })
+    , mPeers(mLoop, aSettings.mPeerSecret)
+    , mUpstreams(mLoop)
+    , mNode({ mLoop, mStore, mVmList, mWorkers, mPeers, mUpstreams, mLog },
+            NodeSettings(aSettings, mLoop.Now()))
+    , mPeerServer(mNode, aSettings.mPeerSecret)
+    , mHttp([this](const api_call& aCall,
+                   api_done aDone) { mNode.Serve(aCall, std::move(aDone)); },
+            HttpLimits(aSettings))
+  {
+  }
+
+  status Run()
+  {
+    const auto signals = StopSignals();
+    if (auto listening = mPeerServer.Listen(mSettings.mListenPeer); !listening) {
+      return listening;
+    }
+    mNode.Start();
+    if (auto listening = mHttp.Listen(mSettings.mListenHttp); !listening) {
+      Stop();
+      return listening;
+    }
+    mLog.Write(log_event("started")
+                 .Add("vm", mSettings.mVm)
+                 .Add("data_centre", mSettings.mDataCentre)
+                 .Add("http", mSettings.mListenHttp)
+                 .Add("peer", mSettings.mListenPeer));
+    while (!SignalCame(signals) && !mNode.IsDraining()) {
+    }
+    Drain(signals);
+    Stop();
+    return {};
+  }
+
+private:
+  static node_settings NodeSettings(const daemon_settings& aSettings, time_point aNow)
+  {
+    node_settings settings;
+    // The start time tells this process from earlier ones under the same name.
+    const auto incarnation = static_cast<uint64_t>(aNow.count());
+    settings.mIdentity = {
+      aSettings.mVm, incarnation, aSettings.mDataCentre, aSettings.mListenPeer
+    };
+    settings.mOperatorTokenHashes = SplitDigests(aSettings.mOperatorTokens);
+    settings.mVmListPeriod = aSettings.mVmListPeriod;
+    settings.mSeed = HashOf(aSettings.mVm) ^ incarnation;
+    return settings;
+  }
+
+  static http_limits HttpLimits(const daemon_settings& aSettings)
+  {
+    return { static_cast<size_t>(aSettings.mBodyLimitBytes),
+             aSettings.mReadTimeout,
+             aSettings.mIdleTimeout,
+             static_cast<size_t>(aSettings.mConnections) };
+  }
+
+  std::string AddressOf(const std::string& aWorker) const
+  {
+    return mNode.AddressOfWorker(aWorker);
+  }
+
+  /** The balancer goes on sending for a moment, so the listener stays open for it. */
+  void Drain(const sigset_t& aSignals)
+  {
+    if (!mNode.IsDraining()) {
+      mNode.BeginDrain();
+    }
+    const auto begun = mLoop.Now();
+    bool accepting = true;
+    for (;;) {
+      SignalCame(aSignals);
+      const duration spent = mLoop.Now() - begun;
+      if (accepting && spent >= mSettings.mDrainSettle) {
+        mHttp.StopAccepting();
+        accepting = false;
+      }
+      const bool quiet = !accepting && mNode.IsDrained() && mHttp.Active() == 0;
+      if (quiet || spent >= mSettings.mDrainGrace) {
+        mLog.Write(log_event("drained")
+                     .Add("ms", spent.count())
+                     .Add("complete", quiet ? "yes" : "no"));
+        return;
+      }
+    }
+  }
+
+  void Stop()
+  {
+    mPeerServer.Shutdown(duration(500));
+    mHttp.Stop();
+    mUpstreams.Stop();
+    mLoop.Stop();
+  }
+
+  daemon_settings mSettings;
+  glog_event_log mLog;
+  tbb_loop mLoop;
+  grpc_store mStore;
+  grpc_vm_list mVmList;
+  grpc_workers mWorkers;
+  grpc_peers mPeers;
+  http_upstreams mUpstreams;
+  node mNode;
+  grpc_peer_server mPeerServer;
+  http_server mHttp;
+};
+
+status RunDaemon(const daemon_settings& aSettings)
+{
+  // Blocked before any thread starts, so that only the main thread takes them.
+  const auto signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  // Never destroyed: gRPC may deliver answers to it until the process has ended.
+  auto* process = new daemon_process(aSettings);
+  return process->Run();
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/daemon/InForceWait.cpp
@@ -0,0 +1,120 @@
+#include "daemon/NodeApi.h"
+
+#include <algorithm>
+
+namespace anvildoor {
+
+namespace {
+
+constexpr duration kBound{ 4'000 };
+constexpr duration kAskPause{ 100 };
+
+constexpr const char* kInForce = "in_force";
+constexpr const char* kPending = "not_yet";
+constexpr const char* kUnreachable = "unreachable";
+
+} // namespace
+
+in_force_wait::in_force_wait(event_loop& aLoop,
+                             peer_port& aPeers,
+                             membership& aMembers,
+                             const vm_directory& aDirectory,
+                             uint64_t aVersion,
+                             done aDone)
+  : mLoop(aLoop)
+  , mPeers(aPeers)
+  , mMembers(aMembers)
+  , mDirectory(aDirectory)
+  , mVersion(aVersion)
+  , mDone(std::move(aDone))
+  , mDeadline(aLoop.Now() + kBound)
+{
+}
+
+void in_force_wait::Run()
+{
+  {
+    std::lock_guard lock(mMutex);
+    mState[mMembers.Identity().mDataCentre] = kPending;
+    for (const auto& name : mDirectory.DataCentres()) {
+      mState[name] = name == mMembers.Identity().mDataCentre ? kPending : kUnreachable;
+    }
+  }
+  AskAll();
+}
+
+void in_force_wait::AskAll()
+{
+  std::vector<std::string> open;
+  {
+    std::lock_guard lock(mMutex);
+    if (mFinished) {
+      return;
+    }
+    for (const auto& [name, state] : mState) {
+      if (state != kInForce) {
+        open.push_back(name);
+      }
+    }
+  }
+  for (const auto& name : open) {
+    if (name == mMembers.Identity().mDataCentre) {
+      OnVersion(name, mMembers.VersionInForce());
+    } else {
+      Ask(name);
+    }
+  }
+  FinishIfDone();
+  mLoop.RunAfter(kAskPause, [self = shared_from_this()] { self->AskAll(); });
+}
+
+void in_force_wait::Ask(const std::string& aDataCentre)
+{
+  auto vms = mDirectory.List(vm_kind::kEntry, aDataCentre);
+  std::erase_if(vms, [](const auto& aVm) { return aVm.mLeaving; });
+  if (vms.empty()) {
+    return;
+  }
+  size_t turn = 0;
+  {
+    std::lock_guard lock(mMutex);
+    turn = mAsked[aDataCentre]++;
+  }
+  // A VM in the lagging list may be gone, so each question goes to the next one.
+  mPeers.VersionInForce(
+    vms[turn % vms.size()].mAddress,
+    [self = shared_from_this(), aDataCentre](const result<uint64_t>& aAnswer) {
+      self->OnVersion(aDataCentre, aAnswer);
+      self->FinishIfDone();
+    });
+}
+
+void in_force_wait::OnVersion(const std::string& aDataCentre,
+                              const result<uint64_t>& aAnswer)
+{
+  std::lock_guard lock(mMutex);
+  auto& state = mState[aDataCentre];
+  if (state == kInForce || !aAnswer) {
+    return;
+  }
+  state = *aAnswer >= mVersion ? kInForce : kPending;
+}
+
+void in_force_wait::FinishIfDone()
+{
+  std::map<std::string, std::string> state;
+  {
+    std::lock_guard lock(mMutex);
+    const bool all = std::all_of(mState.begin(), mState.end(), [](const auto& aItem) {
+      return aItem.second == kInForce;
+    });
+    if (mFinished || (!all && mLoop.Now() < mDeadline)) {
+      return;
+    }
+    mFinished = true;
+    state = mState;
+  }
+  mDone(state);
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/daemon/Node.cpp
@@ -0,0 +1,354 @@
+#include "daemon/Node.h"
+
+#include "base/Hash.h"
+#include "daemon/NodeApi.h"
+#include "planner/Planner.h"
+#include "routing/ClaimFilter.h"
+#include "routing/DeadlineFilter.h"
+
+#include <algorithm>
+
+namespace anvildoor {
+
+namespace {
+
+constexpr duration kWatcherPeriod{ 1'000 };
+
+std::string StorePrefix(const vm_identity& aIdentity)
+{
+  return "dc/" + aIdentity.mDataCentre;
+}
+
+std::string OwnerName(const vm_identity& aIdentity)
+{
+  return aIdentity.mDataCentre + "/" + aIdentity.mVm + "/" +
+         std::to_string(aIdentity.mIncarnation);
+}
+
+} // namespace
+
+node::node(const node_ports& aPorts, const node_settings& aSettings)
+  : mPorts(aPorts)
+  , mSettings(aSettings)
+  , mDirectory(aPorts.mLoop, aPorts.mVmList, aSettings.mIdentity.mDataCentre)
+  , mMembership(aPorts.mLoop,
+                aPorts.mPeers,
+                mDirectory,
+                aPorts.mLog,
+                aSettings.mIdentity)
+  , mBroken(aPorts.mLoop)
+  , mJournal(aPorts.mLoop, aPorts.mStore, aPorts.mLog, StorePrefix(aSettings.mIdentity))
+  , mLease(aPorts.mLoop,
+           aPorts.mStore,
+           aPorts.mLog,
+           StorePrefix(aSettings.mIdentity),
+           OwnerName(aSettings.mIdentity),
+           lease_policy{})
+  , mScheduler({ aPorts.mLoop,
+                 aPorts.mWorkers,
+                 mJournal,
+                 mConfig,
+                 mBroken,
+                 aPorts.mLog,
+                 mMetrics,
+                 aSettings.mIdentity.mDataCentre,
+                 [this] { return mLease.HeldEpoch(); },
+                 [this] {
+                   LearnEpoch(mLease.HeldEpoch());
+                   mMembership.Announce();
+                 } },
+               std::make_unique<planner>())
+  , mConfig(
+      aPorts.mLoop,
+      aPorts.mStore,
+      aPorts.mLog,
+      [this](const fleet_config& aConfig) { return mScheduler.CheckConfig(aConfig); })
+  , mSessions(aPorts.mLoop, aPorts.mWorkers, mBroken, aPorts.mLog, session_policy{})
+  , mPool(aPorts.mLoop, aPorts.mLog, aSettings.mSeed)
+  , mClaims(aPorts.mLoop, aPorts.mStore, aPorts.mLog, OwnerName(aSettings.mIdentity))
+  , mJobHome(aPorts.mLoop, aPorts.mStore, aSettings.mIdentity.mDataCentre)
+  , mTokens(aSettings.mOperatorTokenHashes)
+{
+  auto dispatch = std::make_unique<dispatch_filter>(
+    aPorts.mLoop, mPool, aPorts.mUpstreams, aPorts.mLog, mMetrics);
+  mDispatch = dispatch.get();
+  std::vector<std::unique_ptr<request_filter>> filters;
+  filters.push_back(std::make_unique<deadline_filter>(aPorts.mLoop));
+  filters.push_back(std::make_unique<admission_filter>(
+    aPorts.mLoop, mConfig, mMetrics, [this] { return mMembership.LiveVms().size(); }));
+  filters.push_back(std::make_unique<claim_filter>(
+    aPorts.mLoop, mClaims, [this](const std::string& aOwner) {
+      return IsOwnerGone(aOwner);
+    }));
+  filters.push_back(std::move(dispatch));
+  mChain = std::make_unique<filter_chain>(std::move(filters));
+  mApi = std::make_unique<node_api>(*this);
+}
+
+node::~node() = default;
+
+void node::Start()
+{
+  mMembership.SetFiller([this](peer_state& aState) { FillState(aState); });
+  mMembership.AddStateListener([this](const peer_state& aState) { OnState(aState); });
+  mMembership.AddChangeListener([this] { OnMembersChanged(); });
+  mDirectory.AddListener([this] {
+    mScheduler.SetWorkers(
+      mDirectory.List(vm_kind::kWorker, mSettings.mIdentity.mDataCentre));
+    OnMembersChanged();
+  });
+  mConfig.AddListener([this](const shared_config&) { mMembership.Announce(); });
+  mLease.SetListener([this](uint64_t aEpoch) {
+    if (aEpoch != 0) {
+      mScheduler.Lead(aEpoch);
+    } else {
+      mScheduler.StepDown("the lease was lost");
+    }
+    RefreshWatcher();
+  });
+  mDirectory.Start(mSettings.mVmListPeriod);
+  mMembership.Start();
+  mConfig.Start();
+  mSessions.Start(
+    mSettings.mIdentity.mVm,
+    [this](const worker_statuses& aStatuses, std::function<void(bool)> aTaken) {
+      ReportToScheduler(aStatuses, std::move(aTaken));
+    });
+  mScheduler.Start();
+  mDispatch->Start();
+  mLease.Start([this] { return MayTryToLead(); });
+  RunEvery(mPorts.mLoop, kWatcherPeriod, [this] { RefreshWatcher(); });
+}
+
+// Membership and roles
+
+void node::FillState(peer_state& aState) const
+{
+  aState.mConfigVersion = mConfig.Version();
+  aState.mSchedulerEpoch = mEpoch;
+  if (mScheduler.IsLeading()) {
+    aState.mSchedulerEpoch = mLease.HeldEpoch();
+    aState.mSchedulerVm = mSettings.mIdentity.mVm;
+  }
+  aState.mBrokenAttempts = mBroken.List();
+  aState.mLeavingUpstreams = mPool.Leaving();
+}
+
+void node::OnState(const peer_state& aState)
+{
+  LearnEpoch(aState.mSchedulerEpoch);
+  mBroken.Merge(aState.mBrokenAttempts);
+  for (const auto& upstream : aState.mLeavingUpstreams) {
+    mPool.SetLeaving(upstream);
+  }
+  const bool newer = aState.mConfigVersion > mConfig.Version();
+  if (newer || !mConfig.IsReady()) {
+    PullConfig(aState.mAddress);
+  }
+}
+
+void node::PullConfig(const std::string& aAddress)
+{
+  const auto known = mConfig.Current();
+  mPorts.mPeers.PullConfig(aAddress,
+                           known ? known->mVersion : 0,
+                           [this, known](const result<config_transfer>& aAnswer) {
+                             if (!aAnswer || aAnswer->mText.empty()) {
+                               return;
+                             }
+                             const auto config = aAnswer->mIsPatch && known
+                                                   ? ApplyPatch(*known, aAnswer->mText)
+                                                   : ParseFleetConfig(aAnswer->mText);
+                             if (config) {
+                               mConfig.Adopt(*config);
+                             }
+                           });
+}
+
+void node::LearnEpoch(uint64_t aEpoch)
+{
+  uint64_t known = mEpoch;
+  while (known < aEpoch && !mEpoch.compare_exchange_weak(known, aEpoch)) {
+  }
+  mSessions.SetEpoch(mEpoch);
+}
+
+void node::OnMembersChanged()
+{
+  RefreshShare();
+  mPool.Update(mDirectory.List(vm_kind::kUpstream, mSettings.mIdentity.mDataCentre),
+               mSettings.mIdentity.mVm,
+               mMembership.LiveVms());
+  RefreshWatcher();
+}
+
+void node::RefreshShare()
+{
+  const auto live = mMembership.LiveVms();
+  std::set<std::string> share;
+  for (const auto& worker :
+       mDirectory.List(vm_kind::kWorker, mSettings.mIdentity.mDataCentre)) {
+    if (RendezvousOwner(worker.mId, live) == mSettings.mIdentity.mVm) {
+      share.insert(worker.mId);
+    }
+  }
+  mSessions.SetShare(share);
+}
+
+/** One VM per data centre watches the configuration: the scheduler, or the first. */
+void node::RefreshWatcher()
+{
+  const auto scheduler = mMembership.Scheduler();
+  const auto live = mMembership.LiveVms();
+  const std::string first = live.empty() ? std::string() : live.front();
+  const auto& watcher = scheduler ? scheduler->mVm : first;
+  mConfig.SetWatching(watcher == mSettings.mIdentity.mVm && !IsDraining());
+}
+
+bool node::MayTryToLead() const
+{
+  if (mMembership.IsLeaving() || mMembership.Scheduler()) {
+    return false;
+  }
+  const auto live = mMembership.LiveVms();
+  return !live.empty() && live.front() == mSettings.mIdentity.mVm;
+}
+
+bool node::IsOwnerGone(const std::string& aOwner) const
+{
+  const auto home = mSettings.mIdentity.mDataCentre + "/";
+  if (aOwner == OwnerName(mSettings.mIdentity) || aOwner.rfind(home, 0) != 0) {
+    return false; // Of other data centres' VMs nothing is known here.
+  }
+  const auto peers = mMembership.LivePeers();
+  return std::none_of(peers.begin(), peers.end(), [&](const auto& aPeer) {
+    return OwnerName({ aPeer.mVm, aPeer.mIncarnation, aPeer.mDataCentre, {} }) ==
+           aOwner;
+  });
+}
+
+std::string node::AddressOfWorker(const std::string& aWorker) const
+{
+  const auto found = mDirectory.Find(aWorker);
+  return found ? found->mAddress : std::string();
+}
+
+// Worker reports
+
+void node::ReportToScheduler(const worker_statuses& aStatuses,
+                             std::function<void(bool)> aTaken)
+{
+  const auto scheduler = mMembership.Scheduler();
+  if (!scheduler) {
+    mPorts.mLoop.Post([aTaken] { aTaken(false); });
+    return;
+  }
+  if (scheduler->mVm == mSettings.mIdentity.mVm) {
+    const bool taken = mScheduler.OnStatuses(aStatuses).has_value();
+    mPorts.mLoop.Post([aTaken, taken] { aTaken(taken); });
+    return;
+  }
+  mPorts.mPeers.Report(
+    scheduler->mAddress, aStatuses, [aTaken](const result<accepted>& aAnswer) {
+      aTaken(aAnswer.has_value());
+    });
+}
+
+result<accepted> node::OnPeerReport(const worker_statuses& aStatuses)
+{
+  const auto live = mMembership.LiveVms();
+  for (const auto& status : aStatuses.mStatuses) {
+    // A VM that is itself cut off must not have another's worker declared lost.
+    if (status.mLost && RendezvousOwner(status.mWorker, live) != aStatuses.mReporter) {
+      return Fail(error_code::kRefused,
+                  "report",
+                  aStatuses.mReporter,
+                  "not the session holder of " + status.mWorker);
+    }
+  }
+  return mScheduler.OnStatuses(aStatuses);
+}
+
+// The peers' side
+
+peer_state node::OnPeerHeartbeat(const peer_state& aState)
+{
+  return mMembership.OnHeartbeat(aState);
+}
+
+config_transfer node::OnPeerPullConfig(uint64_t aFrom)
+{
+  const auto current = mConfig.Current();
+  if (!current) {
+    return {};
+  }
+  const auto patch = aFrom == 0 ? std::string() : mConfig.PatchFrom(aFrom);
+  if (!patch.empty()) {
+    return { current->mVersion, true, patch };
+  }
+  return { current->mVersion, false, ToJsonText(*current) };
+}
+
+void node::OnPeerForward(const forwarded_call& aCall, port_done<forwarded_answer> aDone)
+{
+  api_call call;
+  call.mMethod = aCall.mMethod;
+  call.mTarget = aCall.mTarget;
+  call.mBody = aCall.mBody;
+  call.mToken = aCall.mToken;
+  call.mIdempotencyKey = aCall.mIdempotencyKey;
+  call.mForwarded = true;
+  Serve(call, [done = std::move(aDone)](const api_answer& aAnswer) {
+    done(forwarded_answer{ aAnswer.mStatus, aAnswer.mBody });
+  });
+}
+
+uint64_t node::OnPeerVersionInForce()
+{
+  return mMembership.VersionInForce();
+}
+
+// Calls
+
+void node::Serve(const api_call& aCall, api_done aDone)
+{
+  ++mInFlight;
+  mApi->Serve(aCall, [this, done = std::move(aDone)](const api_answer& aAnswer) {
+    done(aAnswer);
+    --mInFlight;
+  });
+}
+
+void node::RunRequest(const request_spec& aSpec, answer_done aDone)
+{
+  const auto id = OwnerName(mSettings.mIdentity) + "/" + std::to_string(++mRequests);
+  auto request = std::make_shared<active_request>(id, aSpec, mPorts.mLoop.Now());
+  mChain->Handle(request, std::move(aDone));
+}
+
+// Drain
+
+void node::BeginDrain()
+{
+  mPorts.mLog.Write(log_event("drain_begun").Add("vm", mSettings.mIdentity.mVm));
+  mMembership.SetLeaving();
+  mLease.Resign();
+  OnMembersChanged();
+}
+
+bool node::IsDraining() const
+{
+  return mMembership.IsLeaving();
+}
+
+bool node::IsDrained() const
+{
+  return IsDraining() && mInFlight == 0 && mDispatch->Waiting() == 0;
+}
+
+bool node::IsReady() const
+{
+  return mConfig.IsReady() && !IsDraining();
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/daemon/Node.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "base/EventLog.h"
+#include "base/Metrics.h"
+#include "config/ConfigController.h"
+#include "gang/BrokenAttempts.h"
+#include "gang/JobHome.h"
+#include "gang/JobJournal.h"
+#include "gang/Scheduler.h"
+#include "gang/WorkerSessions.h"
+#include "http/ApiSupport.h"
+#include "http/ApiTypes.h"
+#include "membership/Membership.h"
+#include "membership/SchedulerLease.h"
+#include "membership/VmDirectory.h"
+#include "routing/Admission.h"
+#include "routing/ClaimTable.h"
+#include "routing/DispatchFilter.h"
+#include "routing/RequestFilter.h"
+#include "routing/UpstreamPool.h"
+
+#include <atomic>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace anvildoor {
+
+/** The outside of an entry VM; everything must outlive the node. */
+struct node_ports
+{
+  event_loop& mLoop;
+  store_client& mStore;
+  vm_list_port& mVmList;
+  worker_port& mWorkers;
+  peer_port& mPeers;
+  upstream_port& mUpstreams;
+  event_log& mLog;
+};
+
+struct node_settings
+{
+  vm_identity mIdentity;
+  std::set<std::string> mOperatorTokenHashes;
+  duration mVmListPeriod{ 1'000 };
+  uint64_t mSeed = 1;
+
+  auto operator<=>(const node_settings&) const = default;
+};
+
+/**
+ * One entry VM: its controllers and filters, wired over their ports. All entry VMs are
+ * alike; the one that holds the lease also schedules. Thread-safe.
+ */
+class node : public peer_service
+{
+public:
+  node(const node_ports& aPorts, const node_settings& aSettings);
+  ~node() override;
+
+  /** Begins the periodic work. Call once. */
+  void Start();
+
+  /** Serves one call of a caller or operator. */
+  void Serve(const api_call& aCall, api_done aDone);
+
+  /** Takes no new role, hands the scheduler's over and tells the peers. */
+  void BeginDrain();
+
+  /** Returns whether a drain has begun and nothing is in flight any more. */
+  bool IsDrained() const;
+  bool IsDraining() const;
+
+  /** Returns whether it may take calls: a configuration is known, no drain. */
+  bool IsReady() const;
+
+  // The peers' side.
+  peer_state OnPeerHeartbeat(const peer_state& aState) override;
+  config_transfer OnPeerPullConfig(uint64_t aFrom) override;
+  void OnPeerForward(const forwarded_call& aCall,
+                     port_done<forwarded_answer> aDone) override;
+  result<accepted> OnPeerReport(const worker_statuses& aStatuses) override;
+  uint64_t OnPeerVersionInForce() override;
+
+  /** Returns the address of a worker of this data centre, "" if it is not listed. */
+  std::string AddressOfWorker(const std::string& aWorker) const;
+
+  scheduler& Scheduler() { return mScheduler; }
+  config_controller& Config() { return mConfig; }
+  membership& Members() { return mMembership; }
+  upstream_pool& Upstreams() { return mPool; }
+  metrics& Metrics() { return mMetrics; }
+
+private:
+  friend class node_api;
+
+  void FillState(peer_state& aState) const;
+  void OnState(const peer_state& aState);
+  void OnMembersChanged();
+  void RefreshShare();
+  void RefreshWatcher();
+  void PullConfig(const std::string& aAddress);
+  void ReportToScheduler(const worker_statuses& aStatuses,
+                         std::function<void(bool)> aTaken);
+  bool MayTryToLead() const;
+  void LearnEpoch(uint64_t aEpoch);
+  bool IsOwnerGone(const std::string& aOwner) const;
+  void RunRequest(const request_spec& aSpec, answer_done aDone);
+
+  node_ports mPorts;
+  node_settings mSettings;
+  metrics mMetrics;
+  vm_directory mDirectory;
+  membership mMembership;
+  broken_attempts mBroken;
+  job_journal mJournal;
+  scheduler_lease mLease;
+  scheduler mScheduler;
+  config_controller mConfig;
+  worker_sessions mSessions;
+  upstream_pool mPool;
+  claim_table mClaims;
+  job_home mJobHome;
+  token_check mTokens;
+  dispatch_filter* mDispatch = nullptr;
+  std::unique_ptr<filter_chain> mChain;
+  std::unique_ptr<class node_api> mApi;
+  std::atomic<uint64_t> mEpoch{ 0 };
+  std::atomic<uint64_t> mRequests{ 0 };
+  std::atomic<int64_t> mInFlight{ 0 };
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/gang/GangRun.cpp
@@ -0,0 +1,412 @@
+#include "gang/GangRun.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace anvildoor {
+
+const char* ToString(gang_phase aPhase)
+{
+  switch (aPhase) {
+    case gang_phase::kPreparing:
+      return "preparing";
+    case gang_phase::kCommitting:
+      return "committing";
+    case gang_phase::kActive:
+      return "active";
+    case gang_phase::kStopping:
+      return "stopping";
+    case gang_phase::kEnded:
+      return "ended";
+  }
+  return "ended";
+}
+
+gang_run::gang_run(std::string aAttempt,
+                   const placement& aPlacement,
+                   const gang_limits& aLimits,
+                   time_point aNow)
+  : mAttempt(std::move(aAttempt))
+  , mLimits(aLimits)
+  , mPhaseSince(aNow)
+{
+  assert(!aPlacement.empty());
+  for (const auto& part : aPlacement) {
+    mMembers.push_back({ part.mWorker, progress::kIdle, false, false, {}, aNow });
+  }
+}
+
+gang_run gang_run::Make(std::string aAttempt,
+                        const placement& aPlacement,
+                        const gang_limits& aLimits,
+                        time_point aNow)
+{
+  return { std::move(aAttempt), aPlacement, aLimits, aNow };
+}
+
+gang_run gang_run::Resume(std::string aAttempt,
+                          const placement& aPlacement,
+                          const gang_limits& aLimits,
+                          time_point aNow)
+{
+  gang_run run(std::move(aAttempt), aPlacement, aLimits, aNow);
+  run.mPhase = gang_phase::kActive;
+  run.mCommitted = true;
+  for (auto& item : run.mMembers) {
+    item.mProgress = progress::kUnknown;
+    item.mMayHaveRun = true;
+  }
+  return run;
+}
+
+gang_run::member* gang_run::Find(const std::string& aWorker)
+{
+  for (auto& item : mMembers) {
+    if (item.mWorker == aWorker) {
+      return &item;
+    }
+  }
+  return nullptr;
+}
+
+bool gang_run::IsEnded(const member& aMember)
+{
+  return aMember.mProgress == progress::kCompleted ||
+         aMember.mProgress == progress::kFailed ||
+         aMember.mProgress == progress::kStopped ||
+         aMember.mProgress == progress::kNeverRan;
+}
+
+bool gang_run::All(bool (*aPredicate)(const member&)) const
+{
+  return std::all_of(mMembers.begin(), mMembers.end(), aPredicate);
+}
+
+bool gang_run::IsWhole() const
+{
+  return All([](const member& aMember) {
+    return aMember.mProgress == progress::kRunning ||
+           aMember.mProgress == progress::kCompleted;
+  });
+}
+
+bool gang_run::MayHaveRun() const
+{
+  return std::any_of(mMembers.begin(), mMembers.end(), [](const member& aMember) {
+    return aMember.mMayHaveRun;
+  });
+}
+
+std::vector<std::string> gang_run::Workers() const
+{
+  std::vector<std::string> workers;
+  for (const auto& item : mMembers) {
+    workers.push_back(item.mWorker);
+  }
+  return workers;
+}
+
+gang_outcome gang_run::Outcome() const
+{
+  if (mPhase != gang_phase::kEnded) {
+    return gang_outcome::kNone;
+  }
+  const auto isCompleted = [](const member& aMember) {
+    return aMember.mProgress == progress::kCompleted;
+  };
+  if (All(isCompleted)) {
+    return gang_outcome::kCompleted;
+  }
+  if (!mFailedWorker.empty()) {
+    return gang_outcome::kFailed;
+  }
+  return MayHaveRun() ? gang_outcome::kBroken : gang_outcome::kNeverRan;
+}
+
+gang_run::actions gang_run::Begin()
+{
+  return CallDue(mPhaseSince);
+}
+
+gang_run::actions gang_run::OnPrepared(const std::string& aWorker,
+                                       const result<accepted>& aAnswer,
+                                       time_point aNow)
+{
+  auto* item = Find(aWorker);
+  if (item == nullptr) {
+    return {};
+  }
+  item->mCalling = false;
+  if (mPhase == gang_phase::kPreparing) {
+    if (aAnswer) {
+      item->mProgress = progress::kPrepared;
+      item->mPrepared = *aAnswer;
+    } else if (aAnswer.error().mCode == error_code::kRefused) {
+      // A gang that is still stopping may hold the capacity.
+      item->mNextTry = aNow + mLimits.mRetry;
+    } else {
+      mUnreachableWorker = aWorker;
+      EnterStopping(aNow);
+    }
+  }
+  return Evaluate(aNow);
+}
+
+gang_run::actions gang_run::OnCommitted(time_point aNow)
+{
+  if (mPhase != gang_phase::kCommitting) {
+    return {};
+  }
+  mPhase = gang_phase::kActive;
+  mPhaseSince = aNow;
+  mCommitted = true;
+  return Evaluate(aNow);
+}
+
+gang_run::actions gang_run::OnReleased(const std::string& aWorker,
+                                       const result<accepted>& aAnswer,
+                                       time_point aNow)
+{
+  auto* item = Find(aWorker);
+  if (item == nullptr) {
+    return {};
+  }
+  item->mCalling = false;
+  if (aAnswer) {
+    if (item->mProgress == progress::kPrepared) {
+      item->mProgress = progress::kRunning;
+    }
+  } else if (aAnswer.error().mCode == error_code::kNotFound) {
+    if (item->mProgress == progress::kPrepared) {
+      // Either the hold lapsed, or an earlier release was lost and the run has ended.
+      item->mProgress = progress::kUnknown;
+    }
+  } else {
+    item->mNextTry = aNow + mLimits.mRetry;
+  }
+  return Evaluate(aNow);
+}
+
+gang_run::actions gang_run::OnStopped(const std::string& aWorker,
+                                      const result<member_report>& aAnswer,
+                                      time_point aNow)
+{
+  auto* item = Find(aWorker);
+  if (item == nullptr) {
+    return {};
+  }
+  item->mCalling = false;
+  if (aAnswer) {
+    Learn(*item, *aAnswer);
+  } else {
+    item->mNextTry = aNow + mLimits.mRetry;
+  }
+  return Evaluate(aNow);
+}
+
+void gang_run::Learn(member& aMember, const member_report& aReport)
+{
+  if (IsEnded(aMember)) {
+    return;
+  }
+  switch (aReport.mState) {
+    case member_state::kPrepared:
+      // An older report must not undo what a release has told.
+      if (aMember.mProgress != progress::kRunning) {
+        aMember.mProgress = progress::kPrepared;
+      }
+      return;
+    case member_state::kRunning:
+      aMember.mProgress = progress::kRunning;
+      break;
+    case member_state::kCompleted:
+      aMember.mProgress = progress::kCompleted;
+      break;
+    case member_state::kFailed:
+      aMember.mProgress = progress::kFailed;
+      if (mFailedWorker.empty()) {
+        mFailedWorker = aMember.mWorker;
+        mFailedReason = aReport.mReason;
+      }
+      break;
+    case member_state::kStopped:
+      aMember.mProgress = progress::kStopped;
+      break;
+    case member_state::kNeverRan:
+      // A restarted worker remembers nothing; then a release that was sent counts.
+      aMember.mProgress = progress::kNeverRan;
+      aMember.mMayHaveRun = aMember.mMayHaveRun && !aReport.mKnown;
+      return;
+  }
+  aMember.mMayHaveRun = true;
+  if (!aReport.mResult.empty()) {
+    mResult = aReport.mResult;
+  }
+  if (!aReport.mCheckpoint.empty()) {
+    mCheckpoint = aReport.mCheckpoint;
+  }
+}
+
+gang_run::actions gang_run::OnReport(const std::string& aWorker,
+                                     const member_report& aReport,
+                                     time_point aNow)
+{
+  auto* item = Find(aWorker);
+  if (item == nullptr || aReport.mAttempt != mAttempt) {
+    return {};
+  }
+  const bool beforeCommit =
+    mPhase == gang_phase::kPreparing || mPhase == gang_phase::kCommitting;
+  if (beforeCommit && aReport.mState == member_state::kPrepared) {
+    return {}; // The answer to the prepare call settles it.
+  }
+  Learn(*item, aReport);
+  return Evaluate(aNow);
+}
+
+gang_run::actions gang_run::OnMissing(const std::string& aWorker,
+                                      const renew_reply& aList,
+                                      time_point aNow)
+{
+  auto* item = Find(aWorker);
+  const bool beforePrepared =
+    item != nullptr && !mCommitted && item->mProgress == progress::kIdle;
+  if (item == nullptr || IsEnded(*item) || beforePrepared) {
+    return {};
+  }
+  if (accepted{ aList.mIncarnation, aList.mSequence } < item->mPrepared) {
+    return {};
+  }
+  item->mProgress = progress::kStopped;
+  return Evaluate(aNow);
+}
+
+gang_run::actions gang_run::OnWorkerLost(const std::string& aWorker, time_point aNow)
+{
+  auto* item = Find(aWorker);
+  if (item == nullptr || IsEnded(*item)) {
+    return {};
+  }
+  item->mProgress = progress::kStopped;
+  return Evaluate(aNow);
+}
+
+gang_run::actions gang_run::RequestStop(time_point aNow)
+{
+  if (mPhase != gang_phase::kStopping && mPhase != gang_phase::kEnded) {
+    EnterStopping(aNow);
+  }
+  return Evaluate(aNow);
+}
+
+void gang_run::EnterStopping(time_point aNow)
+{
+  mPhase = gang_phase::kStopping;
+  mPhaseSince = aNow;
+  for (auto& item : mMembers) {
+    item.mNextTry = aNow;
+  }
+}
+
+gang_run::actions gang_run::OnTick(time_point aNow)
+{
+  const bool prepareOverdue =
+    (mPhase == gang_phase::kPreparing || mPhase == gang_phase::kCommitting) &&
+    aNow - mPhaseSince >= mLimits.mPrepare;
+  if (prepareOverdue || (mPhase == gang_phase::kActive && IsOverdue(aNow))) {
+    EnterStopping(aNow);
+  }
+  return Evaluate(aNow);
+}
+
+bool gang_run::IsOverdue(time_point aNow) const
+{
+  const duration passed = aNow - mPhaseSince;
+  return std::any_of(mMembers.begin(), mMembers.end(), [&](const member& aMember) {
+    return (aMember.mProgress == progress::kPrepared && passed >= mLimits.mRelease) ||
+           (aMember.mProgress == progress::kUnknown && passed >= mLimits.mUnknown);
+  });
+}
+
+gang_run::actions gang_run::Evaluate(time_point aNow)
+{
+  if (mPhase == gang_phase::kPreparing) {
+    const auto isPrepared = [](const member& aMember) {
+      return aMember.mProgress == progress::kPrepared;
+    };
+    if (std::any_of(mMembers.begin(), mMembers.end(), IsEnded)) {
+      EnterStopping(aNow);
+    } else if (All(isPrepared)) {
+      mPhase = gang_phase::kCommitting;
+      return { { gang_action_kind::kCommit, {} } };
+    }
+  } else if (mPhase == gang_phase::kCommitting) {
+    if (std::any_of(mMembers.begin(), mMembers.end(), IsEnded)) {
+      EnterStopping(aNow);
+    }
+  }
+  if (mPhase == gang_phase::kActive) {
+    return EvaluateActive(aNow);
+  }
+  if (mPhase == gang_phase::kStopping && All(IsEnded)) {
+    mPhase = gang_phase::kEnded;
+    return { { gang_action_kind::kEnded, {} } };
+  }
+  return CallDue(aNow);
+}
+
+gang_run::actions gang_run::EvaluateActive(time_point aNow)
+{
+  const auto isCompleted = [](const member& aMember) {
+    return aMember.mProgress == progress::kCompleted;
+  };
+  if (All(isCompleted)) {
+    mPhase = gang_phase::kEnded;
+    return { { gang_action_kind::kEnded, {} } };
+  }
+  const bool broken =
+    std::any_of(mMembers.begin(), mMembers.end(), [](const member& aMember) {
+      return IsEnded(aMember) && aMember.mProgress != progress::kCompleted;
+    });
+  if (broken) {
+    EnterStopping(aNow);
+    if (All(IsEnded)) {
+      mPhase = gang_phase::kEnded;
+      return { { gang_action_kind::kEnded, {} } };
+    }
+  }
+  return CallDue(aNow);
+}
+
+std::optional<gang_action_kind> gang_run::DueAction(const member& aMember) const
+{
+  if (mPhase == gang_phase::kPreparing && aMember.mProgress == progress::kIdle) {
+    return gang_action_kind::kPrepare;
+  }
+  if (mPhase == gang_phase::kActive && aMember.mProgress == progress::kPrepared) {
+    return gang_action_kind::kRelease;
+  }
+  if (mPhase == gang_phase::kStopping && !IsEnded(aMember)) {
+    return gang_action_kind::kStop;
+  }
+  return std::nullopt;
+}
+
+gang_run::actions gang_run::CallDue(time_point aNow)
+{
+  actions due;
+  for (auto& item : mMembers) {
+    const auto action = DueAction(item);
+    if (!action || item.mCalling || item.mNextTry > aNow) {
+      continue;
+    }
+    item.mCalling = true;
+    if (*action == gang_action_kind::kRelease) {
+      item.mMayHaveRun = true;
+    }
+    due.push_back({ *action, item.mWorker });
+  }
+  return due;
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/gang/JobHome.cpp
@@ -0,0 +1,46 @@
+#include "gang/JobHome.h"
+
+namespace anvildoor {
+
+namespace {
+
+constexpr settle_policy kPolicy{ duration(1'500), duration(100) };
+
+} // namespace
+
+job_home::job_home(event_loop& aLoop, store_client& aStore, std::string aDataCentre)
+  : mLoop(aLoop)
+  , mStore(aStore)
+  , mDataCentre(std::move(aDataCentre))
+{
+}
+
+void job_home::Claim(const std::string& aJob, home_done aDone)
+{
+  const store_write write{ "homes/" + aJob, mDataCentre, 0, 0 };
+  SettledCas(
+    mLoop,
+    mStore,
+    write,
+    kPolicy,
+    [this, write, done = std::move(aDone)](const result<uint64_t>& aAnswer) {
+      if (aAnswer) {
+        done(mDataCentre);
+        return;
+      }
+      if (aAnswer.error().mCode != error_code::kConflict) {
+        done(tl::unexpected<error>(aAnswer.error()));
+        return;
+      }
+      mStore.Get(write.mKey, [done](const result<std::optional<store_value>>& aFound) {
+        if (!aFound || !*aFound) {
+          done(Fail(
+            error_code::kUnavailable, "job.home", "store", "the key cannot be read"));
+          return;
+        }
+        done((*aFound)->mValue);
+      });
+    });
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/gang/JobJournal.cpp
@@ -0,0 +1,344 @@
+#include "gang/JobJournal.h"
+
+#include "base/Hash.h"
+#include "store/SettledCas.h"
+
+#include <cstdlib>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+namespace anvildoor {
+
+namespace {
+
+constexpr duration kRetryPause{ 250 };
+constexpr settle_policy kWritePolicy{ duration(3'000), duration(100) };
+
+/** Returns the epoch in the commit id of an encoded bucket, 0 if there is none. */
+uint64_t EpochOfBucket(const std::string& aText)
+{
+  const auto bucket = nlohmann::json::parse(aText, nullptr, false);
+  if (!bucket.is_object() || !bucket.contains("commit")) {
+    return 0;
+  }
+  return std::strtoull(bucket["commit"].get<std::string>().c_str(), nullptr, 10);
+}
+
+status Fenced()
+{
+  return Fail(
+    error_code::kFenced, "journal.record", "store", "another owner took over");
+}
+
+} // namespace
+
+/** One takeover: all buckets are read and rewritten before it succeeds. */
+struct job_journal::takeover
+{
+  uint64_t mEpoch = 0;
+  uint64_t mGeneration = 0;
+  size_t mLeft = kBuckets;
+  bool mFailed = false;
+  std::array<bucket, kBuckets> mBuckets;
+  load_done mDone;
+};
+
+job_journal::job_journal(event_loop& aLoop,
+                         store_client& aStore,
+                         event_log& aLog,
+                         std::string aPrefix)
+  : mLoop(aLoop)
+  , mStore(aStore)
+  , mLog(aLog)
+  , mPrefix(std::move(aPrefix))
+{
+}
+
+size_t job_journal::BucketOf(const std::string& aJob)
+{
+  return HashOf(aJob) % kBuckets;
+}
+
+std::string job_journal::KeyOf(size_t aBucket) const
+{
+  return mPrefix + "/jobs/" + std::to_string(aBucket);
+}
+
+std::string job_journal::NextCommitId()
+{
+  return std::to_string(mEpoch) + "." + std::to_string(++mCommits);
+}
+
+void job_journal::TakeOver(uint64_t aEpoch, load_done aDone)
+{
+  auto run = std::make_shared<takeover>();
+  run->mEpoch = aEpoch;
+  run->mDone = std::move(aDone);
+  {
+    std::lock_guard lock(mMutex);
+    mOwned = false;
+    mEpoch = aEpoch;
+    run->mGeneration = ++mGeneration;
+  }
+  for (size_t i = 0; i < kBuckets; ++i) {
+    TakeBucket(run, i);
+  }
+}
+
+void job_journal::TakeBucket(const std::shared_ptr<takeover>& aRun, size_t aBucket)
+{
+  mStore.Get(KeyOf(aBucket),
+             [this, aRun, aBucket](result<std::optional<store_value>> aAnswer) {
+               if (!aAnswer) {
+                 FinishBucket(aRun, tl::unexpected<error>(aAnswer.error()));
+                 return;
+               }
+               RewriteBucket(aRun, aBucket, *aAnswer);
+             });
+}
+
+void job_journal::RewriteBucket(const std::shared_ptr<takeover>& aRun,
+                                size_t aBucket,
+                                const std::optional<store_value>& aFound)
+{
+  auto& target = aRun->mBuckets[aBucket];
+  if (aFound) {
+    auto decoded = DecodeBucket(aFound->mValue);
+    if (!decoded) {
+      FinishBucket(aRun, tl::unexpected<error>(decoded.error()));
+      return;
+    }
+    target.mRecords = std::move(*decoded);
+  }
+  std::string commit;
+  {
+    std::lock_guard lock(mMutex);
+    commit = NextCommitId();
+  }
+  const store_write write{ KeyOf(aBucket),
+                           EncodeBucket(target.mRecords, commit),
+                           aFound ? aFound->mVersion : 0,
+                           0 };
+  SettledCas(mLoop,
+             mStore,
+             write,
+             kWritePolicy,
+             [this, aRun, aBucket](result<uint64_t> aAnswer) {
+               if (!aAnswer) {
+                 FinishBucket(aRun, tl::unexpected<error>(aAnswer.error()));
+                 return;
+               }
+               aRun->mBuckets[aBucket].mVersion = *aAnswer;
+               FinishBucket(aRun, {});
+             });
+}
+
+void job_journal::FinishBucket(const std::shared_ptr<takeover>& aRun, status aStatus)
+{
+  std::map<std::string, job_record> records;
+  {
+    std::lock_guard lock(mMutex);
+    --aRun->mLeft;
+    const bool first = !aRun->mFailed;
+    aRun->mFailed = aRun->mFailed || !aStatus;
+    if (aRun->mFailed) {
+      if (!first) {
+        return;
+      }
+    } else if (aRun->mLeft > 0) {
+      return;
+    } else if (aRun->mGeneration != mGeneration) {
+      aStatus = Fenced();
+    } else {
+      mBuckets = std::move(aRun->mBuckets);
+      mOwned = true;
+      for (const auto& item : mBuckets) {
+        records.insert(item.mRecords.begin(), item.mRecords.end());
+      }
+    }
+  }
+  if (!aStatus) {
+    aRun->mDone(tl::unexpected<error>(aStatus.error()));
+    return;
+  }
+  aRun->mDone(std::move(records));
+}
+
+void job_journal::Record(const job_record& aRecord, record_done aDone)
+{
+  const size_t index = BucketOf(aRecord.mId);
+  {
+    std::lock_guard lock(mMutex);
+    if (!mOwned) {
+      mLoop.Post([done = std::move(aDone)] { done(Fenced()); });
+      return;
+    }
+    auto& target = mBuckets[index];
+    target.mRecords.insert_or_assign(aRecord.mId, aRecord);
+    target.mPending.push_back(std::move(aDone));
+    ++mRecorded;
+    if (target.mWriting) {
+      return;
+    }
+    target.mWriting = true;
+  }
+  // Posted, so that records made in the same step share the write.
+  mLoop.Post([this, index] { WriteBucket(index); });
+}
+
+void job_journal::WriteBucket(size_t aBucket)
+{
+  store_write write;
+  uint64_t generation = 0;
+  {
+    std::lock_guard lock(mMutex);
+    auto& target = mBuckets[aBucket];
+    if (!mOwned) {
+      return;
+    }
+    for (auto& done : target.mPending) {
+      target.mInFlight.push_back(std::move(done));
+    }
+    target.mPending.clear();
+    write = {
+      KeyOf(aBucket), EncodeBucket(target.mRecords, NextCommitId()), target.mVersion, 0
+    };
+    generation = mGeneration;
+    ++mWrites;
+  }
+  SettledCas(mLoop,
+             mStore,
+             write,
+             kWritePolicy,
+             [this, aBucket, generation](result<uint64_t> aAnswer) {
+               OnWritten(aBucket, generation, aAnswer);
+             });
+}
+
+void job_journal::OnWritten(size_t aBucket,
+                            uint64_t aGeneration,
+                            const result<uint64_t>& aAnswer)
+{
+  std::vector<record_done> answered;
+  bool again = false;
+  {
+    std::lock_guard lock(mMutex);
+    if (aGeneration != mGeneration) {
+      return;
+    }
+    auto& target = mBuckets[aBucket];
+    if (aAnswer) {
+      answered.swap(target.mInFlight);
+      target.mVersion = *aAnswer;
+      again = !target.mPending.empty();
+      target.mWriting = again;
+    }
+  }
+  if (!aAnswer) {
+    OnWriteFailed(aBucket, aGeneration, aAnswer.error());
+    return;
+  }
+  for (const auto& done : answered) {
+    done({});
+  }
+  if (again) {
+    WriteBucket(aBucket);
+  }
+}
+
+void job_journal::OnWriteFailed(size_t aBucket,
+                                uint64_t aGeneration,
+                                const error& aError)
+{
+  mLog.Write(log_event("journal_write_failed").Add("error", Describe(aError)));
+  if (aError.mCode == error_code::kConflict) {
+    CheckOwner(aBucket, aGeneration);
+    return;
+  }
+  mLoop.RunAfter(kRetryPause, [this, aBucket, aGeneration] {
+    {
+      std::lock_guard lock(mMutex);
+      if (aGeneration != mGeneration) {
+        return;
+      }
+    }
+    WriteBucket(aBucket);
+  });
+}
+
+/** The conflict may be with an earlier write of our own whose answer was lost. */
+void job_journal::CheckOwner(size_t aBucket, uint64_t aGeneration)
+{
+  mStore.Get(KeyOf(aBucket),
+             [this, aBucket, aGeneration](result<std::optional<store_value>> aAnswer) {
+               if (!aAnswer || !*aAnswer) {
+                 OnWriteFailed(
+                   aBucket,
+                   aGeneration,
+                   error{ error_code::kUnavailable, "journal.check", "store", "" });
+                 return;
+               }
+               {
+                 std::lock_guard lock(mMutex);
+                 if (aGeneration != mGeneration) {
+                   return;
+                 }
+                 if (EpochOfBucket((*aAnswer)->mValue) == mEpoch) {
+                   mBuckets[aBucket].mVersion = (*aAnswer)->mVersion;
+                 } else {
+                   mOwned = false;
+                 }
+               }
+               if (IsOwned()) {
+                 WriteBucket(aBucket);
+               } else {
+                 Release();
+               }
+             });
+}
+
+bool job_journal::IsOwned() const
+{
+  std::lock_guard lock(mMutex);
+  return mOwned;
+}
+
+void job_journal::Forget(time_point aBefore)
+{
+  std::lock_guard lock(mMutex);
+  for (auto& item : mBuckets) {
+    std::erase_if(item.mRecords, [aBefore](const auto& aEntry) {
+      return IsFinal(aEntry.second.mState) && aEntry.second.mEnded < aBefore;
+    });
+  }
+}
+
+void job_journal::Release()
+{
+  std::vector<record_done> dropped;
+  {
+    std::lock_guard lock(mMutex);
+    mOwned = false;
+    ++mGeneration;
+    for (auto& item : mBuckets) {
+      for (auto* list : { &item.mInFlight, &item.mPending }) {
+        for (auto& done : *list) {
+          dropped.push_back(std::move(done));
+        }
+        list->clear();
+      }
+      item.mWriting = false;
+    }
+  }
+  for (auto& done : dropped) {
+    mLoop.Post([item = std::move(done)] { item(Fenced()); });
+  }
+}
+
+std::pair<uint64_t, uint64_t> job_journal::WritesAndRecords() const
+{
+  std::lock_guard lock(mMutex);
+  return { mWrites, mRecorded };
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/gang/Scheduler.cpp
@@ -0,0 +1,452 @@
+#include "gang/Scheduler.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace anvildoor {
+
+namespace {
+
+constexpr duration kTickPeriod{ 100 };
+constexpr duration kForgetPeriod = std::chrono::minutes(10);
+constexpr duration kKeepEnded = std::chrono::hours(24);
+constexpr duration kSubmitTimeout{ 3'000 };
+constexpr duration kTakeoverRetry{ 500 };
+
+tl::unexpected<error> NotLeading()
+{
+  return Fail(error_code::kUnavailable, "scheduler", "", "no scheduler at this VM");
+}
+
+bool CanHold(const fleet_view& aFleet, const gang_shape& aShape)
+{
+  int64_t best = 0;
+  int64_t total = 0;
+  for (const auto& rack : aFleet.Racks()) {
+    int64_t inRack = 0;
+    for (const size_t worker : rack) {
+      inRack +=
+        CountFitting(aShape.mPerTask, aFleet.At(worker).mCapacity, aShape.mTasks);
+    }
+    best = std::max(best, inRack);
+    total += inRack;
+  }
+  return (aShape.mAdjacency == adjacency::kRack ? best : total) >= aShape.mTasks;
+}
+
+} // namespace
+
+scheduler::scheduler(const scheduler_context& aContext,
+                     std::unique_ptr<placement_policy> aPolicy)
+  : mContext(aContext)
+  , mPolicy(std::move(aPolicy))
+  , mQuarantine(0, fleet_defaults{}.mQuarantineSharePercent)
+{
+}
+
+scheduler::~scheduler() = default;
+
+template<typename T>
+void scheduler::Post(done<T> aDone, result<T> aAnswer) const
+{
+  mContext.mLoop.Post(
+    [call = std::move(aDone), answer = std::move(aAnswer)] { call(answer); });
+}
+
+void scheduler::Start()
+{
+  RunEvery(mContext.mLoop, kTickPeriod, [this] { Tick(); });
+  RunEvery(mContext.mLoop, kForgetPeriod, [this] {
+    const auto before = mContext.mLoop.Now() - kKeepEnded;
+    mContext.mJournal.Forget(before);
+    std::lock_guard lock(mMutex);
+    std::erase_if(mJobs, [before](const auto& aItem) {
+      const auto& record = aItem.second.mRecord;
+      return IsFinal(record.mState) && aItem.second.mDurable && record.mEnded < before;
+    });
+  });
+}
+
+bool scheduler::MayAct() const
+{
+  return mEpoch != 0 && mContext.mHeldEpoch() == mEpoch;
+}
+
+bool scheduler::IsLeading() const
+{
+  std::lock_guard lock(mMutex);
+  return mLeading && MayAct();
+}
+
+void scheduler::Lead(uint64_t aEpoch)
+{
+  {
+    std::lock_guard lock(mMutex);
+    mEpoch = aEpoch;
+    mLeading = false;
+    mAttemptCounter = 0;
+    for (auto& [id, entry] : mWorkers) {
+      entry.mReported = false;
+      entry.mLost = false;
+      entry.mSequence = 0;
+    }
+  }
+  mContext.mJournal.TakeOver(
+    aEpoch, [this, aEpoch](result<std::map<std::string, job_record>> aRecords) {
+      OnLoaded(aEpoch, std::move(aRecords));
+    });
+}
+
+void scheduler::OnLoaded(uint64_t aEpoch,
+                         result<std::map<std::string, job_record>> aRecords)
+{
+  std::lock_guard lock(mMutex);
+  if (aEpoch != mEpoch || !MayAct()) {
+    return;
+  }
+  if (!aRecords) {
+    mContext.mLog.Write(
+      log_event("takeover_failed").Add("error", Describe(aRecords.error())));
+    mContext.mLoop.RunAfter(kTakeoverRetry, [this, aEpoch] {
+      if (mContext.mHeldEpoch() == aEpoch) {
+        Lead(aEpoch);
+      }
+    });
+    return;
+  }
+  for (const auto& [id, record] : *aRecords) {
+    TakeUp(record);
+  }
+  mLeading = true;
+  mContext.mLog.Write(log_event("scheduler_leading")
+                        .Add("data_centre", mContext.mDataCentre)
+                        .Add("epoch", static_cast<int64_t>(aEpoch))
+                        .Add("jobs", static_cast<int64_t>(mJobs.size())));
+  RequestPlan();
+  mContext.mLoop.Post(mContext.mOnLeading);
+}
+
+void scheduler::TakeUp(const job_record& aRecord)
+{
+  auto& entry = mJobs[aRecord.mId];
+  entry.mRecord = aRecord;
+  entry.mDurable = true;
+  if (aRecord.mState == job_state::kStarting || aRecord.mState == job_state::kRunning) {
+    entry.mRun = gang_run::Resume(
+      aRecord.mAttempt, aRecord.mPlacement, gang_limits{}, mContext.mLoop.Now());
+    mJobOfAttempt[aRecord.mAttempt] = aRecord.mId;
+    Note(entry, "taken over while running");
+  }
+}
+
+void scheduler::StepDown(const std::string& aReason)
+{
+  {
+    std::lock_guard lock(mMutex);
+    if (mEpoch == 0) {
+      return;
+    }
+    mContext.mLog.Write(log_event("scheduler_stepped_down")
+                          .Add("epoch", static_cast<int64_t>(mEpoch))
+                          .Add("reason", aReason));
+    mEpoch = 0;
+    mLeading = false;
+    DropAll();
+  }
+  mContext.mJournal.Release();
+}
+
+void scheduler::DropAll()
+{
+  for (auto& [id, entry] : mJobs) {
+    const auto lost = Fail(error_code::kUnknownEffect,
+                           "scheduler",
+                           "",
+                           "the scheduler moved; ask again for job " + id);
+    for (auto& waiter : entry.mWaiters) {
+      Post<job_record>(std::move(waiter), lost);
+    }
+    for (auto& cancel : entry.mCancels) {
+      Post<cancel_answer>(std::move(cancel), lost);
+    }
+  }
+  mJobs.clear();
+  mJobOfAttempt.clear();
+}
+
+void scheduler::SetWorkers(const std::vector<vm_record>& aWorkers)
+{
+  std::lock_guard lock(mMutex);
+  std::set<std::string> listed;
+  for (const auto& record : aWorkers) {
+    listed.insert(record.mId);
+    mWorkers[record.mId].mRecord = record;
+  }
+  for (auto& [id, entry] : mWorkers) {
+    if (listed.count(id) == 0) {
+      entry.mRecord.mLeaving = true;
+    }
+  }
+  const auto config = mContext.mConfig.Current();
+  const auto share = config ? config->mDefaults.mQuarantineSharePercent
+                            : fleet_defaults{}.mQuarantineSharePercent;
+  mQuarantine.SetBounds(mWorkers.size(), share);
+  RequestPlan();
+}
+
+// Submission, cancellation, queries
+
+status scheduler::Validate(const job_spec& aSpec) const
+{
+  const auto config = mContext.mConfig.Current();
+  if (!config || config->mWorkspaces.count(aSpec.mWorkspace) == 0) {
+    return Fail(error_code::kNotFound, "job.submit", "workspace", "unknown workspace");
+  }
+  if (CountQueued(aSpec.mWorkspace) >=
+      static_cast<size_t>(config->DefaultsFor(aSpec.mWorkspace).mQueuedJobs)) {
+    return Fail(error_code::kExhausted,
+                "job.submit",
+                "workspace",
+                "the workspace has its limit of waiting jobs");
+  }
+  if (mWorkers.empty()) {
+    return Fail(error_code::kUnavailable,
+                "job.submit",
+                "",
+                "no worker of this site is known yet");
+  }
+  if (!CanHold(FleetView(), aSpec.mShape)) {
+    return Fail(error_code::kInvalid,
+                "job.submit",
+                "tasks",
+                "no part of the fleet is large enough for this gang, even when empty");
+  }
+  return ValidateGuarantee(aSpec);
+}
+
+status scheduler::ValidateGuarantee(const job_spec& aSpec) const
+{
+  if (aSpec.mIdempotent) {
+    return {};
+  }
+  const auto config = mContext.mConfig.Current();
+  const auto& workspace = config->mWorkspaces.at(aSpec.mWorkspace);
+  const bool fits = std::any_of(
+    workspace.mGuarantees.begin(), workspace.mGuarantees.end(), [&](const auto& aItem) {
+      const bool adjacent = aSpec.mShape.mAdjacency == adjacency::kAny ||
+                            aItem.mShape.mAdjacency == adjacency::kRack;
+      return adjacent && aSpec.mShape.mTasks <= aItem.mShape.mTasks &&
+             FitsIn(aSpec.mShape.mPerTask, aItem.mShape.mPerTask);
+    });
+  if (!fits) {
+    return Fail(error_code::kInvalid,
+                "job.submit",
+                "idempotent",
+                "a job that must not be restarted has to fit a guarantee of its "
+                "workspace, since it cannot run on borrowed capacity");
+  }
+  return {};
+}
+
+size_t scheduler::CountQueued(const std::string& aWorkspace) const
+{
+  return static_cast<size_t>(
+    std::count_if(mJobs.begin(), mJobs.end(), [&](const auto& aItem) {
+      const auto& record = aItem.second.mRecord;
+      return record.mState == job_state::kQueued &&
+             record.mSpec.mWorkspace == aWorkspace;
+    }));
+}
+
+void scheduler::Submit(const std::string& aId,
+                       const job_spec& aSpec,
+                       done<job_record> aDone)
+{
+  std::lock_guard lock(mMutex);
+  if (!mLeading || !MayAct()) {
+    Post<job_record>(std::move(aDone), NotLeading());
+    return;
+  }
+  const auto found = mJobs.find(aId);
+  if (found != mJobs.end() && found->second.mRecord.mSpec != aSpec) {
+    Post<job_record>(std::move(aDone),
+                     Fail(error_code::kConflict,
+                          "job.submit",
+                          "Idempotency-Key",
+                          "used for another job"));
+    return;
+  }
+  if (found != mJobs.end() && found->second.mDurable) {
+    Post<job_record>(std::move(aDone), Shown(found->second));
+    return;
+  }
+  if (found == mJobs.end()) {
+    if (auto valid = Validate(aSpec); !valid) {
+      Post<job_record>(std::move(aDone), tl::unexpected<error>(valid.error()));
+      return;
+    }
+  }
+  auto& entry = mJobs[aId];
+  entry.mRecord.mId = aId;
+  entry.mRecord.mSpec = aSpec;
+  entry.mRecord.mSubmitted = mContext.mLoop.Now();
+  auto answered = std::make_shared<bool>(false);
+  Record(entry, [this, aDone, answered](job_entry& aJob) {
+    aJob.mDurable = true;
+    mContext.mLog.Write(log_event("job_accepted")
+                          .Add("job", aJob.mRecord.mId)
+                          .Add("workspace", aJob.mRecord.mSpec.mWorkspace)
+                          .Add("class", ToString(aJob.mRecord.mSpec.mClass))
+                          .Add("tasks", aJob.mRecord.mSpec.mShape.mTasks));
+    if (!std::exchange(*answered, true)) {
+      Post<job_record>(aDone, Shown(aJob));
+    }
+    RequestPlan();
+  });
+  mContext.mLoop.RunAfter(kSubmitTimeout, [this, aId, aDone, answered] {
+    std::lock_guard inner(mMutex);
+    if (!std::exchange(*answered, true)) {
+      Post<job_record>(aDone,
+                       Fail(error_code::kUnknownEffect,
+                            "job.submit",
+                            "store",
+                            "not yet durable; repeat with the same key"));
+    }
+  });
+}
+
+void scheduler::Cancel(const std::string& aId, done<cancel_answer> aDone)
+{
+  std::lock_guard lock(mMutex);
+  if (!mLeading || !MayAct()) {
+    Post<cancel_answer>(std::move(aDone), NotLeading());
+    return;
+  }
+  const auto found = mJobs.find(aId);
+  if (found == mJobs.end()) {
+    Post<cancel_answer>(std::move(aDone),
+                        Fail(error_code::kNotFound, "job.cancel", aId, "unknown job"));
+    return;
+  }
+  auto& entry = found->second;
+  if (IsFinal(entry.mRecord.mState) && !entry.mRecording) {
+    const bool ran = entry.mRecord.mAttempts > 0;
+    const bool cancelled = entry.mRecord.mState == job_state::kCancelled;
+    const std::string outcome = !cancelled ? ToString(entry.mRecord.mState)
+                                : ran      ? "stopped"
+                                           : "not_run";
+    Post<cancel_answer>(std::move(aDone), cancel_answer{ Shown(entry), outcome });
+    return;
+  }
+  entry.mCancels.push_back(std::move(aDone));
+  if (entry.mRecording) {
+    return;
+  }
+  Note(entry, "cancelled by the caller");
+  if (entry.mRun) {
+    StopGang(entry, stop_goal::kCancel, duration::zero());
+  } else {
+    Finish(entry, job_state::kCancelled, "cancelled by the caller");
+  }
+}
+
+void scheduler::Wait(const std::string& aId, duration aWait, done<job_record> aDone)
+{
+  std::lock_guard lock(mMutex);
+  if (!mLeading || !MayAct()) {
+    Post<job_record>(std::move(aDone), NotLeading());
+    return;
+  }
+  const auto found = mJobs.find(aId);
+  if (found == mJobs.end() || !found->second.mDurable) {
+    Post<job_record>(std::move(aDone),
+                     Fail(error_code::kNotFound, "job.get", aId, "unknown job"));
+    return;
+  }
+  auto& entry = found->second;
+  const bool ended = IsFinal(entry.mRecord.mState) && !entry.mRecording;
+  if (ended || aWait.count() <= 0) {
+    Post<job_record>(std::move(aDone), Shown(entry));
+    return;
+  }
+  auto answered = std::make_shared<bool>(false);
+  entry.mWaiters.push_back([answered, aDone](const result<job_record>& aAnswer) {
+    if (!std::exchange(*answered, true)) {
+      aDone(aAnswer);
+    }
+  });
+  mContext.mLoop.RunAfter(
+    aWait, [this, aId, waiter = entry.mWaiters.back()] { waiter(Find(aId)); });
+}
+
+result<job_record> scheduler::Find(const std::string& aId) const
+{
+  std::lock_guard lock(mMutex);
+  if (!mLeading) {
+    return NotLeading();
+  }
+  const auto found = mJobs.find(aId);
+  if (found == mJobs.end() || !found->second.mDurable) {
+    return Fail(error_code::kNotFound, "job.get", aId, "unknown job");
+  }
+  return Shown(found->second);
+}
+
+job_record scheduler::Shown(const job_entry& aJob) const
+{
+  job_record shown = aJob.mRecord;
+  if (aJob.mRecording) {
+    shown.mState = shown.mAttempts > 0 ? job_state::kRunning : job_state::kQueued;
+  } else if (aJob.mRun) {
+    const bool whole =
+      aJob.mRun->Phase() == gang_phase::kActive && aJob.mRun->IsWhole();
+    shown.mState = whole ? job_state::kRunning : job_state::kStarting;
+  }
+  return shown;
+}
+
+void scheduler::Note(job_entry& aJob, const std::string& aText)
+{
+  constexpr size_t kKept = 20;
+  const auto at = std::to_string(mContext.mLoop.Now().count());
+  aJob.mHistory.push_back(at + " " + aText);
+  if (aJob.mHistory.size() > kKept) {
+    aJob.mHistory.erase(aJob.mHistory.begin());
+  }
+}
+
+void scheduler::WithJob(const std::string& aJob,
+                        const std::function<void(job_entry&)>& aBody)
+{
+  std::lock_guard lock(mMutex);
+  const auto found = mJobs.find(aJob);
+  if (found != mJobs.end() && mEpoch != 0) {
+    aBody(found->second);
+  }
+}
+
+void scheduler::WithRun(const std::string& aJob,
+                        const std::string& aAttempt,
+                        const std::function<void(job_entry&)>& aBody)
+{
+  WithJob(aJob, [&](job_entry& aEntry) {
+    if (aEntry.mRun && aEntry.mRun->Attempt() == aAttempt) {
+      aBody(aEntry);
+    }
+  });
+}
+
+void scheduler::Record(job_entry& aJob, std::function<void(job_entry&)> aDurable)
+{
+  const auto id = aJob.mRecord.mId;
+  mContext.mJournal.Record(
+    aJob.mRecord, [this, id, body = std::move(aDurable)](const status& aStatus) {
+      if (!aStatus) {
+        StepDown(Describe(aStatus.error()));
+        return;
+      }
+      WithJob(id, body);
+    });
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/gang/Scheduler.h
@@ -0,0 +1,213 @@
+#pragma once
+
+#include "base/EventLog.h"
+#include "base/Metrics.h"
+#include "config/ConfigController.h"
+#include "gang/BrokenAttempts.h"
+#include "gang/GangRun.h"
+#include "gang/JobJournal.h"
+#include "gang/JobRecord.h"
+#include "membership/PeerPort.h"
+#include "membership/VmDirectory.h"
+#include "planner/Estimator.h"
+#include "planner/PlacementPolicy.h"
+#include "planner/Quarantine.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace anvildoor {
+
+/** What a scheduler works with; everything must outlive it. */
+struct scheduler_context
+{
+  event_loop& mLoop;
+  worker_port& mWorkers;
+  job_journal& mJournal;
+  config_controller& mConfig;
+  broken_attempts& mBroken;
+  event_log& mLog;
+  metrics& mMetrics;
+  std::string mDataCentre;
+  std::function<uint64_t()> mHeldEpoch; ///< 0 unless the lease is certainly held.
+  std::function<void()> mOnLeading;     ///< Called once a takeover is complete.
+};
+
+/** What became of a cancelled job. */
+struct cancel_answer
+{
+  job_record mRecord;
+  std::string mOutcome; ///< "not_run", "stopped", or the state it had ended in.
+
+  auto operator<=>(const cancel_answer&) const = default;
+};
+
+/**
+ * The scheduler of one data centre, active while this process holds the lease. It
+ * decides with a placement_policy, drives gangs through prepare, commit and release,
+ * and records in the journal what must last. Thread-safe.
+ */
+class scheduler
+{
+public:
+  template<typename T>
+  using done = std::function<void(result<T>)>;
+
+  scheduler(const scheduler_context& aContext,
+            std::unique_ptr<placement_policy> aPolicy);
+  ~scheduler();
+
+  /** Begins the periodic work. Call once. */
+  void Start();
+
+  /** Takes over under aEpoch: reads the journal and waits for the workers' reports. */
+  void Lead(uint64_t aEpoch);
+
+  /** Gives up; running gangs go on and their records stay. */
+  void StepDown(const std::string& aReason);
+
+  /** Returns whether it has taken over and still holds the lease. */
+  bool IsLeading() const;
+
+  /** Follows the platform's list of workers. */
+  void SetWorkers(const std::vector<vm_record>& aWorkers);
+
+  /** Takes in what a session holder reports; kFenced if it is meant for another. */
+  result<accepted> OnStatuses(const worker_statuses& aStatuses);
+
+  /**
+   * Accepts a job under aId. A repeat with the same id and specification answers with
+   * the job as it is. Errors: kInvalid with the field as peer, kConflict for another
+   * specification, kExhausted over the queue's limit, kUnavailable when it was not
+   * accepted, kUnknownEffect when it may have been.
+   */
+  void Submit(const std::string& aId, const job_spec& aSpec, done<job_record> aDone);
+
+  /** Cancels a job; a job that has ended stays as it is. */
+  void Cancel(const std::string& aId, done<cancel_answer> aDone);
+
+  /** Answers once the job has ended, or with its state after aWait. */
+  void Wait(const std::string& aId, duration aWait, done<job_record> aDone);
+
+  /** Returns a job as it is now; kNotFound if it is unknown. */
+  result<job_record> Find(const std::string& aId) const;
+
+  /** Returns the JSON text that explains why a job waits or where it went. */
+  result<std::string> Explain(const std::string& aId) const;
+
+  /** Returns the JSON text of racks, workers, guarantees and fragmentation. */
+  std::string FleetJson() const;
+
+  /** Checks that the guarantees of aConfig fit the workers. */
+  status CheckConfig(const fleet_config& aConfig) const;
+
+private:
+  struct worker_entry
+  {
+    vm_record mRecord;
+    bool mReported = false; ///< A full report of this epoch has arrived.
+    bool mLost = false;
+    uint64_t mIncarnation = 0;
+    uint64_t mSequence = 0;
+    time_point mSuspectUntil{};
+  };
+
+  /** What is to become of a gang that is being stopped. */
+  enum class stop_goal
+  {
+    kNone,
+    kRequeue,
+    kCancel,
+  };
+
+  struct job_entry
+  {
+    job_record mRecord;
+    bool mDurable = false;
+    std::optional<gang_run> mRun;
+    std::set<std::string> mVictims; ///< Stopping gangs that the start waits for.
+    start_decision mStart;
+    stop_goal mGoal = stop_goal::kNone;
+    duration mGrace{};
+    time_point mNotBefore{};
+    int64_t mFailures = 0;
+    bool mRecording = false; ///< The end of the run is being recorded.
+    std::string mWaitReason;
+    std::vector<std::string> mHistory;
+    std::vector<done<job_record>> mWaiters;
+    std::vector<done<cancel_answer>> mCancels;
+  };
+  using job_map = std::map<std::string, job_entry>;
+
+  // Taking over and stepping down.
+  void OnLoaded(uint64_t aEpoch, result<std::map<std::string, job_record>> aRecords);
+  void TakeUp(const job_record& aRecord);
+  bool MayAct() const;
+  void DropAll();
+
+  // Planning.
+  void RequestPlan();
+  void Plan();
+  void PlanLocked();
+  fleet_view FleetView() const;
+  std::vector<running_gang> RunningGangs() const;
+  std::vector<waiting_job> WaitingJobs() const;
+  void ApplyStart(const start_decision& aStart);
+  void StartWhenClear(job_entry& aJob);
+
+  // Gangs.
+  void Perform(job_entry& aJob, const gang_run::actions& aActions);
+  void CallPrepare(job_entry& aJob, const std::string& aWorker);
+  void CallRelease(job_entry& aJob, const std::string& aWorker);
+  void CallStop(job_entry& aJob, const std::string& aWorker);
+  void StopStray(const std::string& aWorker, const std::string& aAttempt);
+  void RecordCommit(job_entry& aJob);
+  void OnGangEnded(job_entry& aJob);
+  void EndAttempt(job_entry& aJob, const gang_run& aRun);
+  void OnTaskFailed(job_entry& aJob, const gang_run& aRun);
+  void Requeue(job_entry& aJob, const std::string& aReason);
+  void Finish(job_entry& aJob, job_state aState, const std::string& aReason);
+  void OnFinished(job_entry& aJob);
+  void ForgetMembers(const job_entry& aJob);
+  void ReleaseVictimsOf(const std::string& aJob);
+  void StopGang(job_entry& aJob, stop_goal aGoal, duration aGrace);
+  void TakeStatus(const worker_status& aStatus);
+  void TakeMembers(const worker_status& aStatus);
+  void Tick();
+
+  /** Runs aBody under the lock if the job still has this attempt. */
+  void WithRun(const std::string& aJob,
+               const std::string& aAttempt,
+               const std::function<void(job_entry&)>& aBody);
+  void WithJob(const std::string& aJob, const std::function<void(job_entry&)>& aBody);
+  void Record(job_entry& aJob, std::function<void(job_entry&)> aDurable);
+  void AnswerWaiters(job_entry& aJob);
+  status Validate(const job_spec& aSpec) const;
+  status ValidateGuarantee(const job_spec& aSpec) const;
+  size_t CountQueued(const std::string& aWorkspace) const;
+  void Note(job_entry& aJob, const std::string& aText);
+  job_record Shown(const job_entry& aJob) const;
+  template<typename T>
+  void Post(done<T> aDone, result<T> aAnswer) const;
+
+  scheduler_context mContext;
+  std::unique_ptr<placement_policy> mPolicy;
+  mutable std::mutex mMutex;
+  uint64_t mEpoch = 0;
+  bool mLeading = false;
+  uint64_t mAttemptCounter = 0;
+  std::map<std::string, worker_entry> mWorkers;
+  job_map mJobs;
+  std::map<std::string, std::string> mJobOfAttempt;
+  run_time_estimator mEstimator;
+  quarantine mQuarantine;
+  bool mPlanRequested = false;
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/gang/SchedulerGangs.cpp
@@ -0,0 +1,430 @@
+#include "gang/Scheduler.h"
+
+#include <algorithm>
+
+namespace anvildoor {
+
+namespace {
+
+constexpr duration kHold{ 12'000 };
+constexpr duration kRequeuePause{ 200 };
+constexpr duration kSuspectSpan{ 5'000 };
+constexpr duration kVictimPatience{ 5'000 };
+constexpr duration kPlanPeriod{ 1'000 };
+constexpr double kMsPerSecond = 1000.0;
+
+double Seconds(duration aSpan)
+{
+  return static_cast<double>(aSpan.count()) / kMsPerSecond;
+}
+
+} // namespace
+
+void scheduler::Tick()
+{
+  std::lock_guard lock(mMutex);
+  if (mEpoch == 0 || !MayAct()) {
+    return;
+  }
+  const auto now = mContext.mLoop.Now();
+  std::vector<std::string> running;
+  bool waiting = false;
+  for (const auto& [id, entry] : mJobs) {
+    if (entry.mRun) {
+      running.push_back(id);
+    }
+    waiting = waiting || entry.mRecord.mState == job_state::kQueued;
+  }
+  for (const auto& id : running) {
+    auto& entry = mJobs[id];
+    const bool patient =
+      !entry.mVictims.empty() && now - entry.mRecord.mStarted < kVictimPatience;
+    if (entry.mRun && !patient) {
+      Perform(entry, entry.mRun->OnTick(now));
+    }
+  }
+  if (waiting && now.count() % kPlanPeriod.count() < kPlanPeriod.count() / 5) {
+    RequestPlan();
+  }
+}
+
+void scheduler::Perform(job_entry& aJob, const gang_run::actions& aActions)
+{
+  if (!MayAct()) {
+    return;
+  }
+  for (const auto& action : aActions) {
+    switch (action.mKind) {
+      case gang_action_kind::kPrepare:
+        CallPrepare(aJob, action.mWorker);
+        break;
+      case gang_action_kind::kCommit:
+        RecordCommit(aJob);
+        break;
+      case gang_action_kind::kRelease:
+        CallRelease(aJob, action.mWorker);
+        break;
+      case gang_action_kind::kStop:
+        CallStop(aJob, action.mWorker);
+        break;
+      case gang_action_kind::kEnded:
+        OnGangEnded(aJob);
+        break;
+    }
+  }
+}
+
+void scheduler::CallPrepare(job_entry& aJob, const std::string& aWorker)
+{
+  const auto& record = aJob.mRecord;
+  prepare_request request;
+  request.mEpoch = mEpoch;
+  request.mAttempt = aJob.mRun->Attempt();
+  request.mJob = record.mId;
+  request.mGangTasks = record.mSpec.mShape.mTasks;
+  request.mPerTask = record.mSpec.mShape.mPerTask;
+  request.mPayload = record.mSpec.mPayload;
+  request.mCheckpoint = record.mCheckpoint;
+  request.mHold = kHold;
+  for (const auto& part : record.mPlacement) {
+    if (part.mWorker == aWorker) {
+      request.mTasks = part.mTasks;
+      break;
+    }
+    request.mFirstTask += part.mTasks;
+  }
+  mContext.mWorkers.Prepare(
+    aWorker,
+    request,
+    [this, job = record.mId, attempt = request.mAttempt, aWorker](
+      const result<accepted>& aAnswer) {
+      WithRun(job, attempt, [&](job_entry& aEntry) {
+        Perform(aEntry,
+                aEntry.mRun->OnPrepared(aWorker, aAnswer, mContext.mLoop.Now()));
+      });
+    });
+}
+
+void scheduler::CallRelease(job_entry& aJob, const std::string& aWorker)
+{
+  const auto attempt = aJob.mRun->Attempt();
+  mContext.mWorkers.Release(
+    aWorker,
+    mEpoch,
+    attempt,
+    [this, job = aJob.mRecord.mId, attempt, aWorker](const result<accepted>& aAnswer) {
+      WithRun(job, attempt, [&](job_entry& aEntry) {
+        Perform(aEntry,
+                aEntry.mRun->OnReleased(aWorker, aAnswer, mContext.mLoop.Now()));
+      });
+    });
+}
+
+void scheduler::CallStop(job_entry& aJob, const std::string& aWorker)
+{
+  const auto attempt = aJob.mRun->Attempt();
+  const stop_request request{ mEpoch, attempt, aJob.mGrace };
+  mContext.mWorkers.Stop(
+    aWorker,
+    request,
+    [this, job = aJob.mRecord.mId, attempt, aWorker](
+      const result<member_report>& aAnswer) {
+      WithRun(job, attempt, [&](job_entry& aEntry) {
+        Perform(aEntry, aEntry.mRun->OnStopped(aWorker, aAnswer, mContext.mLoop.Now()));
+      });
+    });
+}
+
+/** Ends what a former scheduler left behind, or what is no longer of interest. */
+void scheduler::StopStray(const std::string& aWorker, const std::string& aAttempt)
+{
+  mContext.mWorkers.Stop(aWorker,
+                         { mEpoch, aAttempt, duration::zero() },
+                         [](const result<member_report>&) {});
+}
+
+void scheduler::RecordCommit(job_entry& aJob)
+{
+  auto& record = aJob.mRecord;
+  const auto attempt = aJob.mRun->Attempt();
+  record.mState = job_state::kStarting;
+  record.mAttempt = attempt;
+  ++record.mAttempts;
+  Record(aJob, [this, attempt](job_entry& aEntry) {
+    if (!aEntry.mRun || aEntry.mRun->Attempt() != attempt) {
+      return;
+    }
+    const auto& spec = aEntry.mRecord.mSpec;
+    const auto now = mContext.mLoop.Now();
+    mContext.mMetrics.Observe("job_wait_seconds",
+                              spec.mWorkspace,
+                              ToString(spec.mClass),
+                              Seconds(now - aEntry.mRecord.mSubmitted));
+    mContext.mLog.Write(log_event("gang_committed")
+                          .Add("job", aEntry.mRecord.mId)
+                          .Add("attempt", attempt));
+    Note(aEntry, "committed as attempt " + attempt);
+    Perform(aEntry, aEntry.mRun->OnCommitted(now));
+  });
+}
+
+void scheduler::StopGang(job_entry& aJob, stop_goal aGoal, duration aGrace)
+{
+  // A cancellation outweighs a reclaim that is already under way.
+  if (aJob.mGoal != stop_goal::kCancel) {
+    aJob.mGoal = aGoal;
+  }
+  aJob.mGrace = aJob.mRecord.mSpec.mCheckpointable ? aGrace : duration::zero();
+  Perform(aJob, aJob.mRun->RequestStop(mContext.mLoop.Now()));
+}
+
+void scheduler::OnGangEnded(job_entry& aJob)
+{
+  const gang_run run = *aJob.mRun;
+  const auto id = aJob.mRecord.mId;
+  mJobOfAttempt.erase(run.Attempt());
+  aJob.mRun.reset();
+  aJob.mVictims.clear();
+  if (run.Outcome() != gang_outcome::kCompleted) {
+    mContext.mBroken.Add(run.Attempt());
+  }
+  EndAttempt(aJob, run);
+  ReleaseVictimsOf(id);
+  RequestPlan();
+}
+
+void scheduler::EndAttempt(job_entry& aJob, const gang_run& aRun)
+{
+  auto& record = aJob.mRecord;
+  if (!aRun.Checkpoint().empty()) {
+    record.mCheckpoint = aRun.Checkpoint();
+  }
+  const bool committed = record.mAttempt == aRun.Attempt();
+  if (aRun.Outcome() == gang_outcome::kNeverRan && committed) {
+    --record.mAttempts;
+    record.mAttempt.clear();
+  }
+  if (aRun.Outcome() == gang_outcome::kCompleted) {
+    record.mResult = aRun.Result();
+    for (const auto& worker : aRun.Workers()) {
+      mQuarantine.OnSuccess(worker);
+    }
+    Finish(aJob, job_state::kCompleted, "");
+  } else if (aJob.mGoal == stop_goal::kCancel) {
+    Finish(aJob, job_state::kCancelled, "cancelled by the caller");
+  } else if (aRun.Outcome() == gang_outcome::kNeverRan) {
+    const auto& worker = aRun.UnreachableWorker();
+    if (!worker.empty()) {
+      mWorkers[worker].mSuspectUntil = mContext.mLoop.Now() + kSuspectSpan;
+    }
+    Requeue(aJob, worker.empty() ? "not started" : "worker did not answer: " + worker);
+  } else if (aRun.Outcome() == gang_outcome::kFailed) {
+    OnTaskFailed(aJob, aRun);
+  } else if (!record.mSpec.mIdempotent) {
+    Finish(aJob,
+           job_state::kFailed,
+           "a member was lost; the job may have run in part and must not run twice");
+  } else {
+    Requeue(aJob,
+            aJob.mGoal == stop_goal::kRequeue ? "its borrowed capacity was reclaimed"
+                                              : "a member was lost");
+  }
+}
+
+void scheduler::OnTaskFailed(job_entry& aJob, const gang_run& aRun)
+{
+  const auto& record = aJob.mRecord;
+  const auto now = mContext.mLoop.Now();
+  const auto verdict = mQuarantine.OnFailure(record.mId, aRun.FailedWorker(), now);
+  const auto reason = aRun.FailedReason() + " on " + aRun.FailedWorker();
+  if (!mQuarantine.IsUsable(aRun.FailedWorker(), now)) {
+    mContext.mLog.Write(
+      log_event("worker_quarantined").Add("worker", aRun.FailedWorker()));
+  }
+  ++aJob.mFailures;
+  const auto limit =
+    mContext.mConfig.Current()->DefaultsFor(record.mSpec.mWorkspace).mJobAttempts;
+  if (!record.mSpec.mIdempotent) {
+    Finish(aJob, job_state::kFailed, reason);
+  } else if (verdict == failure_verdict::kEndJob) {
+    Finish(aJob, job_state::kFailed, "it fails on every worker, last: " + reason);
+  } else if (aJob.mFailures >= limit) {
+    Finish(aJob, job_state::kFailed, "its attempts are used up, last: " + reason);
+  } else {
+    Requeue(aJob, reason);
+  }
+}
+
+void scheduler::Requeue(job_entry& aJob, const std::string& aReason)
+{
+  auto& record = aJob.mRecord;
+  const bool recorded = record.mState != job_state::kQueued;
+  record.mState = job_state::kQueued;
+  record.mPlacement.clear();
+  record.mGuaranteed.reset();
+  record.mReason = aReason;
+  aJob.mGoal = stop_goal::kNone;
+  aJob.mNotBefore = mContext.mLoop.Now() + kRequeuePause;
+  mContext.mLoop.RunAfter(kRequeuePause, [this] {
+    std::lock_guard lock(mMutex);
+    RequestPlan();
+  });
+  Note(aJob, "queued again: " + aReason);
+  mContext.mLog.Write(
+    log_event("job_requeued").Add("job", record.mId).Add("reason", aReason));
+  if (recorded) {
+    Record(aJob, [](job_entry&) {});
+  }
+}
+
+void scheduler::Finish(job_entry& aJob, job_state aState, const std::string& aReason)
+{
+  auto& record = aJob.mRecord;
+  record.mState = aState;
+  record.mReason = aReason;
+  record.mEnded = mContext.mLoop.Now();
+  aJob.mRecording = true;
+  Record(aJob, [this](job_entry& aEntry) {
+    aEntry.mRecording = false;
+    OnFinished(aEntry);
+  });
+}
+
+void scheduler::OnFinished(job_entry& aJob)
+{
+  const auto& record = aJob.mRecord;
+  const auto& spec = record.mSpec;
+  mContext.mLog.Write(log_event("job_ended")
+                        .Add("job", record.mId)
+                        .Add("state", ToString(record.mState))
+                        .Add("reason", record.mReason));
+  mContext.mMetrics.Observe("job_completion_seconds",
+                            spec.mWorkspace,
+                            ToString(spec.mClass),
+                            Seconds(record.mEnded - record.mSubmitted));
+  mContext.mMetrics.Count("jobs_ended_total", "state", ToString(record.mState));
+  if (record.mState == job_state::kCompleted) {
+    mEstimator.Learn(spec.mWorkspace,
+                     spec.mClass,
+                     std::chrono::seconds(spec.mExpectedSeconds),
+                     record.mEnded - record.mStarted);
+  }
+  mQuarantine.ForgetJob(record.mId);
+  Note(aJob, std::string("ended: ") + ToString(record.mState));
+  ForgetMembers(aJob);
+  AnswerWaiters(aJob);
+  RequestPlan();
+}
+
+void scheduler::ForgetMembers(const job_entry& aJob)
+{
+  for (const auto& part : aJob.mRecord.mPlacement) {
+    if (!aJob.mRecord.mAttempt.empty()) {
+      StopStray(part.mWorker, aJob.mRecord.mAttempt);
+    }
+  }
+}
+
+void scheduler::AnswerWaiters(job_entry& aJob)
+{
+  const auto shown = Shown(aJob);
+  for (auto& waiter : aJob.mWaiters) {
+    mContext.mLoop.Post([done = std::move(waiter), shown] { done(shown); });
+  }
+  aJob.mWaiters.clear();
+  const bool cancelled = shown.mState == job_state::kCancelled;
+  const std::string ran = shown.mAttempts > 0 ? "stopped" : "not_run";
+  const cancel_answer answer{ shown, cancelled ? ran : ToString(shown.mState) };
+  for (auto& cancel : aJob.mCancels) {
+    mContext.mLoop.Post([done = std::move(cancel), answer] { done(answer); });
+  }
+  aJob.mCancels.clear();
+}
+
+// Reports of the session holders
+
+result<accepted> scheduler::OnStatuses(const worker_statuses& aStatuses)
+{
+  std::lock_guard lock(mMutex);
+  if (aStatuses.mEpoch != mEpoch || !mLeading) {
+    return Fail(
+      error_code::kFenced, "report", mContext.mDataCentre, "not the scheduler");
+  }
+  for (const auto& status : aStatuses.mStatuses) {
+    TakeStatus(status);
+  }
+  RequestPlan();
+  return accepted{};
+}
+
+void scheduler::TakeStatus(const worker_status& aStatus)
+{
+  auto& entry = mWorkers[aStatus.mWorker];
+  if (aStatus.mLost) {
+    entry.mLost = true;
+    mContext.mLog.Write(log_event("worker_down").Add("worker", aStatus.mWorker));
+    std::vector<std::string> jobs;
+    for (const auto& [id, job] : mJobs) {
+      if (job.mRun) {
+        jobs.push_back(id);
+      }
+    }
+    for (const auto& id : jobs) {
+      auto& job = mJobs[id];
+      if (job.mRun) {
+        Perform(job, job.mRun->OnWorkerLost(aStatus.mWorker, mContext.mLoop.Now()));
+      }
+    }
+    return;
+  }
+  const auto& reply = aStatus.mReply;
+  const bool older = std::pair(reply.mIncarnation, reply.mSequence) <
+                     std::pair(entry.mIncarnation, entry.mSequence);
+  if (older) {
+    return;
+  }
+  entry.mIncarnation = reply.mIncarnation;
+  entry.mSequence = reply.mSequence;
+  if (reply.mFull) {
+    entry.mReported = true;
+    entry.mLost = false;
+  }
+  TakeMembers(aStatus);
+}
+
+void scheduler::TakeMembers(const worker_status& aStatus)
+{
+  const auto now = mContext.mLoop.Now();
+  std::set<std::string> listed;
+  for (const auto& member : aStatus.mReply.mMembers) {
+    listed.insert(member.mAttempt);
+    const auto job = mJobOfAttempt.find(member.mAttempt);
+    if (job == mJobOfAttempt.end()) {
+      const auto record = mJobs.find(member.mJob);
+      const bool ending = record != mJobs.end() && record->second.mRecording;
+      if (!ending) {
+        StopStray(aStatus.mWorker, member.mAttempt);
+      }
+      continue;
+    }
+    auto& entry = mJobs[job->second];
+    Perform(entry, entry.mRun->OnReport(aStatus.mWorker, member, now));
+  }
+  if (!aStatus.mReply.mFull) {
+    return;
+  }
+  std::vector<std::pair<std::string, std::string>> missing;
+  for (const auto& [attempt, job] : mJobOfAttempt) {
+    if (listed.count(attempt) == 0) {
+      missing.emplace_back(attempt, job);
+    }
+  }
+  for (const auto& [attempt, job] : missing) {
+    auto& entry = mJobs[job];
+    if (entry.mRun && entry.mRun->Attempt() == attempt) {
+      Perform(entry, entry.mRun->OnMissing(aStatus.mWorker, aStatus.mReply, now));
+    }
+  }
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/gang/WorkerModel.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "gang/WorkerPort.h"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace anvildoor {
+
+/** One start or end of a gang's tasks on a worker, as the worker saw it. */
+struct worker_event
+{
+  time_point mAt{};
+  std::string mWorker;
+  std::string mJob;
+  std::string mAttempt;
+  member_state mState = member_state::kPrepared;
+  int64_t mTasks = 0;
+  int64_t mGangTasks = 0;
+
+  auto operator<=>(const worker_event&) const = default;
+};
+
+/** Faults of one worker that tests and the stand-in switch on. */
+struct worker_faults
+{
+  bool mFailTasks = false;     ///< Every task fails soon after its release.
+  bool mRefuse = false;        ///< Every prepare is refused.
+  duration mReleaseDelay{ 0 }; ///< A release takes effect only after this.
+
+  auto operator<=>(const worker_faults&) const = default;
+};
+
+/**
+ * A stand-in for the platform's worker: holds, runs, checkpoints and stops tasks under
+ * leases and epochs. The payload {"run_ms":N,"fail":true,"result":"..."} says how a
+ * task behaves. Thread-safe.
+ */
+class worker_model
+{
+public:
+  using event_sink = std::function<void(const worker_event&)>;
+
+  /** aLoop must outlive the worker. aSink is called for each change of state. */
+  worker_model(event_loop& aLoop,
+               std::string aId,
+               const resources& aCapacity,
+               event_sink aSink);
+
+  result<accepted> Prepare(const prepare_request& aRequest);
+  result<accepted> Release(uint64_t aEpoch, const std::string& aAttempt);
+
+  /** Answers by aDone once the attempt has ended; at once if it already had. */
+  void Stop(const stop_request& aRequest, port_done<member_report> aDone);
+
+  result<renew_reply> Renew(const renew_request& aRequest);
+
+  /** Loses everything, as a restart does. */
+  void Restart();
+
+  void SetFaults(const worker_faults& aFaults);
+
+  const std::string& Id() const { return mId; }
+  const resources& Capacity() const { return mCapacity; }
+
+private:
+  struct held_attempt
+  {
+    prepare_request mRequest;
+    member_report mReport;
+    uint64_t mSequence = 0;
+    uint64_t mTimer = 0; ///< Identifies the timer that counts.
+    time_point mReleased{};
+    int64_t mDoneMs = 0;     ///< Run time kept in the checkpoint.
+    bool mForgotten = false; ///< Its end was asked for and need not be reported.
+    std::vector<port_done<member_report>> mWaiters;
+  };
+
+  bool IsFenced(uint64_t aEpoch);
+  resources Free() const;
+  void SetState(held_attempt& aAttempt,
+                member_state aState,
+                const std::string& aReason);
+  void Arm(held_attempt& aAttempt, duration aDelay);
+  void OnTimer(const std::string& aAttempt, uint64_t aTimer);
+  void EndRun(held_attempt& aAttempt);
+  void StopNow(held_attempt& aAttempt, bool aCheckpoint);
+  void CheckLease();
+  void BeginRun(held_attempt& aAttempt);
+
+  event_loop& mLoop;
+  std::string mId;
+  resources mCapacity;
+  event_sink mSink;
+  std::mutex mMutex;
+  std::map<std::string, held_attempt> mAttempts;
+  std::map<std::string, time_point> mTombstones;
+  worker_faults mFaults;
+  uint64_t mEpoch = 0;
+  uint64_t mIncarnation = 1;
+  uint64_t mSequence = 0;
+  uint64_t mTimers = 0;
+  time_point mLeaseUntil{};
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/gang/WorkerSessions.cpp
@@ -0,0 +1,284 @@
+#include "gang/WorkerSessions.h"
+
+#include "base/Hash.h"
+
+namespace anvildoor {
+
+namespace {
+
+constexpr duration kTickPeriod{ 250 };
+constexpr duration kGatherSpan{ 20 };
+
+bool IsActive(member_state aState)
+{
+  return aState == member_state::kPrepared || aState == member_state::kRunning;
+}
+
+/** Returns whether one member in this state breaks the rest of its gang. */
+bool BreaksGang(const member_report& aReport)
+{
+  return !aReport.mWhole && (aReport.mState == member_state::kFailed ||
+                             aReport.mState == member_state::kStopped ||
+                             aReport.mState == member_state::kNeverRan);
+}
+
+} // namespace
+
+worker_sessions::worker_sessions(event_loop& aLoop,
+                                 worker_port& aPort,
+                                 broken_attempts& aBroken,
+                                 event_log& aLog,
+                                 const session_policy& aPolicy)
+  : mLoop(aLoop)
+  , mPort(aPort)
+  , mBroken(aBroken)
+  , mLog(aLog)
+  , mPolicy(aPolicy)
+{
+}
+
+worker_sessions::shard& worker_sessions::ShardOf(const std::string& aWorker)
+{
+  return mShards[HashOf(aWorker) % kShards];
+}
+
+uint64_t worker_sessions::Epoch() const
+{
+  std::lock_guard lock(mMutex);
+  return mEpoch;
+}
+
+void worker_sessions::Start(const std::string& aVm, reporter aReporter)
+{
+  mVm = aVm;
+  mReporter = std::move(aReporter);
+  RunEvery(mLoop, kTickPeriod, [this] { Tick(); });
+}
+
+void worker_sessions::SetShare(const std::set<std::string>& aWorkers)
+{
+  const auto now = mLoop.Now();
+  for (auto& part : mShards) {
+    std::lock_guard lock(part.mMutex);
+    std::erase_if(part.mSessions, [&aWorkers](const auto& aItem) {
+      return aWorkers.count(aItem.first) == 0;
+    });
+  }
+  for (const auto& worker : aWorkers) {
+    auto& part = ShardOf(worker);
+    std::lock_guard lock(part.mMutex);
+    session fresh;
+    fresh.mWorker = worker;
+    fresh.mHeard = now;
+    // Spread over the period, so that a share does not renew in one burst.
+    fresh.mNext = now + duration(HashOf(worker) % mPolicy.mRenew.count() / 4);
+    part.mSessions.emplace(worker, std::move(fresh));
+  }
+}
+
+void worker_sessions::SetEpoch(uint64_t aEpoch)
+{
+  {
+    std::lock_guard lock(mMutex);
+    if (aEpoch <= mEpoch) {
+      return;
+    }
+    mEpoch = aEpoch;
+    mOutbox.clear();
+  }
+  for (auto& part : mShards) {
+    std::lock_guard lock(part.mMutex);
+    for (auto& [worker, item] : part.mSessions) {
+      item.mNext = mLoop.Now();
+    }
+  }
+  mLoop.Post([this] { Tick(); });
+}
+
+size_t worker_sessions::Count() const
+{
+  size_t count = 0;
+  for (const auto& part : mShards) {
+    std::lock_guard lock(part.mMutex);
+    count += part.mSessions.size();
+  }
+  return count;
+}
+
+void worker_sessions::Tick()
+{
+  struct due_renewal
+  {
+    std::string mWorker;
+    uint64_t mSince = 0;
+  };
+  const auto now = mLoop.Now();
+  const uint64_t epoch = Epoch();
+  std::vector<due_renewal> due;
+  std::vector<worker_status> lost;
+  for (auto& part : mShards) {
+    std::lock_guard lock(part.mMutex);
+    for (auto& [worker, item] : part.mSessions) {
+      const bool silent = now - item.mHeard >= mPolicy.mLease + mPolicy.mMargin;
+      if (silent && !item.mLost) {
+        MarkLost(item);
+      }
+      if (item.mLost && (!item.mLostTold || item.mToldEpoch != epoch)) {
+        lost.push_back({ worker, true, {} });
+      }
+      if (!item.mCalling && item.mNext <= now) {
+        item.mCalling = true;
+        item.mNext = now + mPolicy.mRenew;
+        due.push_back({ worker, item.mToldEpoch == epoch ? item.mToldSequence : 0 });
+      }
+    }
+  }
+  for (const auto& status : lost) {
+    Tell(epoch, status);
+  }
+  for (const auto& item : due) {
+    Renew(item.mWorker, epoch, item.mSince);
+  }
+}
+
+void worker_sessions::MarkLost(session& aSession)
+{
+  aSession.mLost = true;
+  aSession.mLostTold = false;
+  for (const auto& [attempt, whole] : aSession.mAttempts) {
+    if (!whole) {
+      mBroken.Add(attempt);
+    }
+  }
+  aSession.mAttempts.clear();
+  mLog.Write(log_event("worker_lost").Add("vm", mVm).Add("worker", aSession.mWorker));
+}
+
+void worker_sessions::Renew(const std::string& aWorker,
+                            uint64_t aEpoch,
+                            uint64_t aSince)
+{
+  const renew_request request{ aEpoch, aSince, mPolicy.mLease, mBroken.List() };
+  mPort.Renew(aWorker, request, [this, aWorker, aEpoch](result<renew_reply> aAnswer) {
+    OnRenewed(aWorker, aEpoch, aAnswer);
+  });
+}
+
+void worker_sessions::OnRenewed(const std::string& aWorker,
+                                uint64_t aEpoch,
+                                const result<renew_reply>& aAnswer)
+{
+  bool tell = false;
+  {
+    auto& part = ShardOf(aWorker);
+    std::lock_guard lock(part.mMutex);
+    const auto found = part.mSessions.find(aWorker);
+    if (found == part.mSessions.end()) {
+      return;
+    }
+    auto& item = found->second;
+    item.mCalling = false;
+    if (!aAnswer) {
+      return;
+    }
+    item.mHeard = mLoop.Now();
+    const bool restarted =
+      item.mIncarnation != 0 && item.mIncarnation != aAnswer->mIncarnation;
+    if (restarted) {
+      // The sequence numbers have begun anew: ask for everything at once.
+      item.mToldSequence = 0;
+      item.mToldEpoch = 0;
+      item.mNext = mLoop.Now();
+    }
+    TakeIn(item, *aAnswer);
+    const bool fullWanted = item.mToldEpoch != aEpoch || item.mLost;
+    tell =
+      (fullWanted && aAnswer->mFull) || (!fullWanted && !aAnswer->mMembers.empty());
+    if (item.mLost && !aAnswer->mFull) {
+      item.mToldSequence = 0;
+      item.mToldEpoch = 0;
+      item.mNext = mLoop.Now();
+    } else {
+      item.mLost = false;
+    }
+  }
+  if (tell) {
+    Tell(aEpoch, { aWorker, false, *aAnswer });
+  }
+}
+
+void worker_sessions::TakeIn(session& aSession, const renew_reply& aReply)
+{
+  aSession.mIncarnation = aReply.mIncarnation;
+  if (aReply.mFull) {
+    aSession.mAttempts.clear();
+  }
+  for (const auto& member : aReply.mMembers) {
+    if (IsActive(member.mState)) {
+      aSession.mAttempts[member.mAttempt] = member.mWhole;
+      continue;
+    }
+    aSession.mAttempts.erase(member.mAttempt);
+    if (BreaksGang(member)) {
+      mBroken.Add(member.mAttempt);
+    }
+  }
+}
+
+void worker_sessions::Tell(uint64_t aEpoch, const worker_status& aStatus)
+{
+  bool flush = false;
+  {
+    std::lock_guard lock(mMutex);
+    if (aEpoch != mEpoch || aEpoch == 0) {
+      return;
+    }
+    mOutbox.push_back(aStatus);
+    flush = !mFlushing;
+    mFlushing = true;
+  }
+  if (flush) {
+    // Changes of one moment travel in one message.
+    mLoop.RunAfter(kGatherSpan, [this] { Flush(); });
+  }
+}
+
+void worker_sessions::Flush()
+{
+  worker_statuses statuses;
+  {
+    std::lock_guard lock(mMutex);
+    mFlushing = false;
+    statuses = { mVm, mEpoch, std::move(mOutbox) };
+    mOutbox.clear();
+  }
+  if (statuses.mStatuses.empty()) {
+    return;
+  }
+  mReporter(statuses, [this, statuses](bool aTaken) { OnTold(statuses, aTaken); });
+}
+
+void worker_sessions::OnTold(const worker_statuses& aStatuses, bool aTaken)
+{
+  if (!aTaken || aStatuses.mEpoch != Epoch()) {
+    return; // The next renewal reads the same changes again.
+  }
+  for (const auto& status : aStatuses.mStatuses) {
+    auto& part = ShardOf(status.mWorker);
+    std::lock_guard lock(part.mMutex);
+    const auto found = part.mSessions.find(status.mWorker);
+    if (found == part.mSessions.end()) {
+      continue;
+    }
+    auto& item = found->second;
+    if (status.mLost) {
+      item.mLostTold = true;
+      item.mToldEpoch = aStatuses.mEpoch;
+    } else if (item.mIncarnation == status.mReply.mIncarnation) {
+      item.mToldSequence = status.mReply.mSequence;
+      item.mToldEpoch = aStatuses.mEpoch;
+    }
+  }
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/gang/WorkerSessions.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "base/EventLog.h"
+#include "gang/BrokenAttempts.h"
+#include "gang/WorkerPort.h"
+#include "membership/PeerPort.h"
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace anvildoor {
+
+/** Lease and renewal times of worker sessions. */
+struct session_policy
+{
+  duration mRenew{ 1'500 };
+  duration mLease{ 6'000 };
+  duration mMargin{ 1'000 }; ///< Added before a silent worker counts as lost.
+
+  auto operator<=>(const session_policy&) const = default;
+};
+
+/**
+ * The sessions with this VM's share of the workers: one renewal per worker and period
+ * carries every lease, and only changes go on to the scheduler. Works on without a
+ * scheduler and without the store. Thread-safe; sessions are held in shards.
+ */
+class worker_sessions
+{
+public:
+  /** Sends statuses to the scheduler; answers whether it took them. */
+  using reporter =
+    std::function<void(const worker_statuses&, std::function<void(bool)>)>;
+
+  /** The references must outlive the sessions. */
+  worker_sessions(event_loop& aLoop,
+                  worker_port& aPort,
+                  broken_attempts& aBroken,
+                  event_log& aLog,
+                  const session_policy& aPolicy);
+
+  /** Begins to renew. aVm names the reporter. */
+  void Start(const std::string& aVm, reporter aReporter);
+
+  /** Sets the workers whose sessions this VM holds. */
+  void SetShare(const std::set<std::string>& aWorkers);
+
+  /** Follows the scheduler; at a new epoch every worker is reported in full. */
+  void SetEpoch(uint64_t aEpoch);
+
+  /** Returns the number of sessions held. */
+  size_t Count() const;
+
+private:
+  struct session
+  {
+    std::string mWorker;
+    uint64_t mToldSequence = 0; ///< Reported to the scheduler of mToldEpoch.
+    uint64_t mToldEpoch = 0;
+    uint64_t mIncarnation = 0;
+    time_point mHeard{};
+    time_point mNext{};
+    bool mCalling = false;
+    bool mLost = false;
+    bool mLostTold = false;
+    std::map<std::string, bool> mAttempts; ///< Active ones, and whether whole here.
+  };
+  struct shard
+  {
+    mutable std::mutex mMutex;
+    std::map<std::string, session> mSessions;
+  };
+  static constexpr size_t kShards = 8;
+
+  shard& ShardOf(const std::string& aWorker);
+  uint64_t Epoch() const;
+  void Tick();
+  void Renew(const std::string& aWorker, uint64_t aEpoch, uint64_t aSince);
+  void OnRenewed(const std::string& aWorker,
+                 uint64_t aEpoch,
+                 const result<renew_reply>& aAnswer);
+  void TakeIn(session& aSession, const renew_reply& aReply);
+  void MarkLost(session& aSession);
+  void Tell(uint64_t aEpoch, const worker_status& aStatus);
+  void Flush();
+  void OnTold(const worker_statuses& aStatuses, bool aTaken);
+
+  event_loop& mLoop;
+  worker_port& mPort;
+  broken_attempts& mBroken;
+  event_log& mLog;
+  session_policy mPolicy;
+  std::string mVm;
+  reporter mReporter;
+  std::array<shard, kShards> mShards;
+  mutable std::mutex mMutex; ///< Guards the members below.
+  uint64_t mEpoch = 0;
+  std::vector<worker_status> mOutbox;
+  bool mFlushing = false;
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/http/ApiSupport.cpp
@@ -0,0 +1,151 @@
+#include "http/ApiSupport.h"
+
+#include "base/Hash.h"
+
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <openssl/crypto.h>
+#include <sstream>
+
+namespace anvildoor {
+
+namespace {
+
+constexpr duration kRetryAfter{ 1'000 };
+
+uint32_t StatusFor(const error& aError)
+{
+  switch (aError.mCode) {
+    case error_code::kInvalid:
+      return 422;
+    case error_code::kNotFound:
+      return 404;
+    case error_code::kConflict:
+      return 409;
+    case error_code::kUnavailable:
+    case error_code::kFenced:
+      return 503;
+    case error_code::kRefused:
+    case error_code::kExhausted:
+      return 429;
+    case error_code::kUnknownEffect:
+      return 504;
+  }
+  return 500;
+}
+
+const char* OutcomeFor(const error& aError)
+{
+  return aError.mCode == error_code::kUnknownEffect ? "unknown" : "not_run";
+}
+
+/** Compares in constant time, so that a token cannot be guessed digit by digit. */
+bool SameDigest(const std::string& aLeft, const std::string& aRight)
+{
+  return aLeft.size() == aRight.size() &&
+         CRYPTO_memcmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
+}
+
+} // namespace
+
+std::string api_path::At(size_t aIndex) const
+{
+  return aIndex < mSegments.size() ? mSegments[aIndex] : std::string();
+}
+
+api_path SplitTarget(const std::string& aTarget)
+{
+  api_path path;
+  const auto question = aTarget.find('?');
+  if (question != std::string::npos) {
+    path.mQuery = aTarget.substr(question + 1);
+  }
+  std::istringstream stream(aTarget.substr(0, question));
+  std::string segment;
+  while (std::getline(stream, segment, '/')) {
+    if (!segment.empty()) {
+      path.mSegments.push_back(segment);
+    }
+  }
+  return path;
+}
+
+result<int64_t> QueryNumber(const api_path& aPath,
+                            const std::string& aName,
+                            int64_t aDefault,
+                            int64_t aMax)
+{
+  std::istringstream stream(aPath.mQuery);
+  std::string item;
+  while (std::getline(stream, item, '&')) {
+    if (item.rfind(aName + "=", 0) != 0) {
+      continue;
+    }
+    const auto text = item.substr(aName.size() + 1);
+    char* end = nullptr;
+    const int64_t value = std::strtoll(text.c_str(), &end, 10);
+    if (text.empty() || *end != '\0' || value < 0 || value > aMax) {
+      return Fail(error_code::kInvalid,
+                  "query",
+                  aName,
+                  "expected a whole number from 0 to " + std::to_string(aMax));
+    }
+    return value;
+  }
+  return aDefault;
+}
+
+api_answer ErrorAnswer(const error& aError)
+{
+  const bool isField = aError.mCode == error_code::kInvalid;
+  const nlohmann::json body{ { "error", aError.mMessage },
+                             { "code", ToString(aError.mCode) },
+                             { "field", isField ? aError.mPeer : "" },
+                             { "step", aError.mStep },
+                             { "peer", isField ? "" : aError.mPeer },
+                             { "outcome", OutcomeFor(aError) } };
+  api_answer answer{ StatusFor(aError), body.dump() };
+  if (answer.mStatus == 503 || answer.mStatus == 429) {
+    answer.mRetryAfter = kRetryAfter;
+  }
+  return answer;
+}
+
+api_answer Refusal(uint32_t aStatus,
+                   const std::string& aError,
+                   const std::string& aField)
+{
+  const nlohmann::json body{ { "error", aError },
+                             { "field", aField },
+                             { "outcome", "not_run" } };
+  return { aStatus, body.dump() };
+}
+
+token_check::token_check(std::set<std::string> aOperatorHashes)
+  : mOperatorHashes(std::move(aOperatorHashes))
+{
+}
+
+bool token_check::IsOperator(const std::string& aToken) const
+{
+  const auto digest = Sha256Hex(aToken);
+  bool found = false;
+  for (const auto& hash : mOperatorHashes) {
+    found = SameDigest(hash, digest) || found;
+  }
+  return found && !aToken.empty();
+}
+
+bool token_check::MayActFor(const std::string& aToken,
+                            const std::string& aWorkspace,
+                            const fleet_config& aConfig) const
+{
+  if (IsOperator(aToken)) {
+    return true;
+  }
+  const auto found = aConfig.mWorkspaces.find(aWorkspace);
+  return found != aConfig.mWorkspaces.end() && !aToken.empty() &&
+         SameDigest(found->second.mTokenSha256, Sha256Hex(aToken));
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/http/HttpServer.cpp
@@ -0,0 +1,332 @@
+#include "http/HttpServer.h"
+
+#include "http/ApiSupport.h"
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/version.hpp>
+#include <optional>
+#include <thread>
+#include <vector>
+
+namespace anvildoor {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+constexpr int kIoThreads = 2;
+constexpr uint32_t kHeaderBytes = 16'384;
+constexpr int64_t kMsPerSecond = 1000;
+
+struct server_counts
+{
+  std::atomic<size_t> mActive{ 0 };
+  std::atomic<size_t> mConnections{ 0 };
+  std::atomic<bool> mStopping{ false };
+};
+
+std::string HeaderOf(const http::request<http::string_body>& aRequest,
+                     const char* aName)
+{
+  const auto found = aRequest.find(aName);
+  return found == aRequest.end() ? std::string() : std::string(found->value());
+}
+
+std::string BearerToken(const http::request<http::string_body>& aRequest)
+{
+  constexpr const char* kScheme = "Bearer ";
+  const auto value = HeaderOf(aRequest, "Authorization");
+  return value.rfind(kScheme, 0) == 0 ? value.substr(std::string(kScheme).size())
+                                      : std::string();
+}
+
+/** One connection: reads a call, has it served, writes the answer, and again. */
+class http_session : public std::enable_shared_from_this<http_session>
+{
+public:
+  http_session(tcp::socket aSocket,
+               const api_handler& aHandler,
+               const http_limits& aLimits,
+               std::shared_ptr<server_counts> aCounts)
+    : mStream(std::move(aSocket))
+    , mTimer(mStream.get_executor())
+    , mHandler(aHandler)
+    , mLimits(aLimits)
+    , mCounts(std::move(aCounts))
+  {
+    ++mCounts->mConnections;
+  }
+
+  ~http_session() { --mCounts->mConnections; }
+
+  void Start()
+  {
+    asio::dispatch(mStream.get_executor(),
+                   [self = shared_from_this()] { self->WaitForCall(); });
+  }
+
+private:
+  void WaitForCall()
+  {
+    if (mCounts->mStopping) {
+      return;
+    }
+    mParser.emplace();
+    mParser->body_limit(mLimits.mBodyBytes);
+    mParser->header_limit(kHeaderBytes);
+    mSlow = false;
+    Arm(mLimits.mIdleTimeout, false);
+    if (mBuffer.size() > 0) {
+      ReadCall();
+      return;
+    }
+    mStream.async_read_some(
+      mBuffer.prepare(kHeaderBytes),
+      [self = shared_from_this()](beast::error_code aError, size_t aBytes) {
+        self->mBuffer.commit(aBytes);
+        if (!aError) {
+          self->ReadCall();
+        }
+      });
+  }
+
+  void ReadCall()
+  {
+    Arm(mLimits.mReadTimeout, true);
+    http::async_read(mStream,
+                     mBuffer,
+                     *mParser,
+                     [self = shared_from_this()](beast::error_code aError, size_t) {
+                       self->OnRead(aError);
+                     });
+  }
+
+  void Arm(duration aSpan, bool aReading)
+  {
+    mTimer.expires_after(aSpan);
+    mTimer.async_wait([self = shared_from_this(), aReading](beast::error_code aError) {
+      if (!aError) {
+        self->mSlow = aReading;
+        self->mStream.cancel();
+      }
+    });
+  }
+
+  void OnRead(beast::error_code aError)
+  {
+    mTimer.cancel();
+    if (mSlow) {
+      Reject(408, "the call was not sent in time", "");
+    } else if (aError == http::error::body_limit) {
+      Reject(413, "the body is over the limit", "body");
+    } else if (aError == http::error::header_limit) {
+      Reject(431, "the headers are over the limit", "headers");
+    } else if (!aError) {
+      Serve();
+    } else if (aError.category() ==
+                 http::make_error_code(http::error::bad_method).category() &&
+               aError != http::error::end_of_stream) {
+      Reject(400, "malformed HTTP: " + aError.message(), "");
+    } else {
+      Close();
+    }
+  }
+
+  void Serve()
+  {
+    const auto request = mParser->release();
+    mKeepAlive = request.keep_alive();
+    mVersion = request.version();
+    api_call call;
+    call.mMethod = std::string(request.method_string());
+    call.mTarget = std::string(request.target());
+    call.mBody = request.body();
+    call.mToken = BearerToken(request);
+    call.mIdempotencyKey = HeaderOf(request, "Idempotency-Key");
+    call.mIfMatch = HeaderOf(request, "If-Match");
+    call.mRequestId = HeaderOf(request, "X-Request-Id");
+    ++mCounts->mActive;
+    mHandler(call, [self = shared_from_this()](const api_answer& aAnswer) {
+      asio::post(self->mStream.get_executor(),
+                 [self, aAnswer] { self->Write(aAnswer, true); });
+    });
+  }
+
+  void Reject(uint32_t aStatus, const std::string& aError, const std::string& aField)
+  {
+    mKeepAlive = false;
+    ++mCounts->mActive;
+    Write(Refusal(aStatus, aError, aField), false);
+  }
+
+  void Write(const api_answer& aAnswer, bool aMayKeepAlive)
+  {
+    mResponse = {};
+    mResponse.version(mVersion);
+    mResponse.result(aAnswer.mStatus);
+    mResponse.set(http::field::server, "anvildoor");
+    mResponse.set(http::field::content_type, aAnswer.mContentType);
+    if (aAnswer.mRetryAfter.count() > 0) {
+      const auto seconds =
+        (aAnswer.mRetryAfter.count() + kMsPerSecond - 1) / kMsPerSecond;
+      mResponse.set(http::field::retry_after, std::to_string(seconds));
+    }
+    if (aAnswer.mLeaving) {
+      mResponse.set("X-Leaving", "1");
+    }
+    mResponse.keep_alive(aMayKeepAlive && mKeepAlive && !mCounts->mStopping);
+    mResponse.body() = aAnswer.mBody;
+    mResponse.prepare_payload();
+    Arm(mLimits.mReadTimeout, false);
+    http::async_write(mStream,
+                      mResponse,
+                      [self = shared_from_this()](beast::error_code aError, size_t) {
+                        self->OnWritten(aError);
+                      });
+  }
+
+  void OnWritten(beast::error_code aError)
+  {
+    mTimer.cancel();
+    --mCounts->mActive;
+    if (aError || !mResponse.keep_alive()) {
+      Close();
+      return;
+    }
+    WaitForCall();
+  }
+
+  void Close()
+  {
+    beast::error_code ignored;
+    mStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
+  beast::tcp_stream mStream;
+  asio::steady_timer mTimer;
+  const api_handler& mHandler;
+  const http_limits& mLimits;
+  std::shared_ptr<server_counts> mCounts;
+  beast::flat_buffer mBuffer;
+  std::optional<http::request_parser<http::string_body>> mParser;
+  http::response<http::string_body> mResponse;
+  unsigned mVersion = 11;
+  bool mKeepAlive = true;
+  bool mSlow = false;
+};
+
+result<tcp::endpoint> ParseEndpoint(const std::string& aAddress)
+{
+  const auto colon = aAddress.rfind(':');
+  boost::system::error_code failure;
+  const auto ip = asio::ip::make_address(aAddress.substr(0, colon), failure);
+  if (colon == std::string::npos || failure) {
+    return Fail(error_code::kInvalid, "http.listen", aAddress, "expected IP:port");
+  }
+  const int port = std::atoi(aAddress.c_str() + colon + 1);
+  return tcp::endpoint(ip, static_cast<uint16_t>(port));
+}
+
+} // namespace
+
+struct http_server::state
+{
+  state(api_handler aHandler, const http_limits& aLimits)
+    : mHandler(std::move(aHandler))
+    , mLimits(aLimits)
+    , mAcceptor(mIo)
+    , mWork(asio::make_work_guard(mIo))
+  {
+  }
+
+  void Accept()
+  {
+    mAcceptor.async_accept(
+      asio::make_strand(mIo), [this](beast::error_code aError, tcp::socket aSocket) {
+        if (aError == asio::error::operation_aborted || !mAcceptor.is_open()) {
+          return;
+        }
+        if (!aError && mCounts->mConnections < mLimits.mConnections) {
+          std::make_shared<http_session>(std::move(aSocket), mHandler, mLimits, mCounts)
+            ->Start();
+        }
+        Accept();
+      });
+  }
+
+  asio::io_context mIo;
+  api_handler mHandler;
+  http_limits mLimits;
+  tcp::acceptor mAcceptor;
+  asio::executor_work_guard<asio::io_context::executor_type> mWork;
+  std::shared_ptr<server_counts> mCounts = std::make_shared<server_counts>();
+  std::vector<std::thread> mThreads;
+};
+
+http_server::http_server(api_handler aHandler, const http_limits& aLimits)
+  : mState(std::make_shared<state>(std::move(aHandler), aLimits))
+{
+}
+
+http_server::~http_server()
+{
+  Stop();
+}
+
+status http_server::Listen(const std::string& aAddress)
+{
+  const auto endpoint = ParseEndpoint(aAddress);
+  if (!endpoint) {
+    return tl::unexpected<error>(endpoint.error());
+  }
+  boost::system::error_code failure;
+  auto& acceptor = mState->mAcceptor;
+  acceptor.open(endpoint->protocol(), failure);
+  if (!failure) {
+    acceptor.set_option(asio::socket_base::reuse_address(true), failure);
+    acceptor.bind(*endpoint, failure);
+  }
+  if (!failure) {
+    acceptor.listen(asio::socket_base::max_listen_connections, failure);
+  }
+  if (failure) {
+    return Fail(error_code::kUnavailable, "http.listen", aAddress, failure.message());
+  }
+  mState->Accept();
+  for (int i = 0; i < kIoThreads; ++i) {
+    mState->mThreads.emplace_back([shared = mState] { shared->mIo.run(); });
+  }
+  return {};
+}
+
+void http_server::StopAccepting()
+{
+  mState->mCounts->mStopping = true;
+  asio::post(mState->mIo, [shared = mState] {
+    boost::system::error_code ignored;
+    shared->mAcceptor.close(ignored);
+  });
+}
+
+size_t http_server::Active() const
+{
+  return mState->mCounts->mActive;
+}
+
+void http_server::Stop()
+{
+  mState->mIo.stop();
+  for (auto& thread : mState->mThreads) {
+    if (thread.joinable()) {
+      thread.join();
+    }
+  }
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/membership/Membership.cpp
@@ -0,0 +1,232 @@
+#include "membership/Membership.h"
+
+#include <algorithm>
+#include <set>
+
+namespace anvildoor {
+
+namespace {
+
+constexpr duration kHeartbeatPeriod{ 1'000 };
+constexpr duration kPeerTimeout{ 3'500 };
+constexpr duration kForgetPeer{ 60'000 };
+
+} // namespace
+
+membership::membership(event_loop& aLoop,
+                       peer_port& aPort,
+                       vm_directory& aDirectory,
+                       event_log& aLog,
+                       vm_identity aIdentity)
+  : mLoop(aLoop)
+  , mPort(aPort)
+  , mDirectory(aDirectory)
+  , mLog(aLog)
+  , mIdentity(std::move(aIdentity))
+{
+}
+
+void membership::SetFiller(state_filler aFiller)
+{
+  mFiller = std::move(aFiller);
+}
+
+void membership::AddStateListener(state_listener aListener)
+{
+  mStateListeners.push_back(std::move(aListener));
+}
+
+void membership::AddChangeListener(change_listener aListener)
+{
+  mChangeListeners.push_back(std::move(aListener));
+}
+
+void membership::Start()
+{
+  RunEvery(mLoop, kHeartbeatPeriod, [this] { Beat(); });
+  Announce();
+}
+
+void membership::Announce()
+{
+  mLoop.Post([this] { Beat(); });
+}
+
+peer_state membership::OwnState() const
+{
+  peer_state state;
+  state.mVm = mIdentity.mVm;
+  state.mIncarnation = mIdentity.mIncarnation;
+  state.mDataCentre = mIdentity.mDataCentre;
+  state.mAddress = mIdentity.mAddress;
+  state.mLeaving = IsLeaving();
+  if (mFiller) {
+    mFiller(state);
+  }
+  return state;
+}
+
+void membership::Beat()
+{
+  std::set<std::string> addresses;
+  for (const auto& vm : mDirectory.List(vm_kind::kEntry, mIdentity.mDataCentre)) {
+    if (vm.mId != mIdentity.mVm) {
+      addresses.insert(vm.mAddress);
+    }
+  }
+  {
+    std::lock_guard lock(mMutex);
+    for (const auto& [id, item] : mPeers) {
+      addresses.insert(item.mState.mAddress);
+    }
+  }
+  const auto state = OwnState();
+  for (const auto& address : addresses) {
+    mPort.Heartbeat(address, state, [this](result<peer_state> aAnswer) {
+      if (aAnswer) {
+        TakeIn(*aAnswer);
+      }
+    });
+  }
+  NoteChanges();
+}
+
+peer_state membership::OnHeartbeat(const peer_state& aState)
+{
+  TakeIn(aState);
+  return OwnState();
+}
+
+void membership::TakeIn(const peer_state& aState)
+{
+  const bool foreign = aState.mVm == mIdentity.mVm || aState.mVm.empty() ||
+                       aState.mDataCentre != mIdentity.mDataCentre;
+  if (foreign) {
+    return;
+  }
+  {
+    std::lock_guard lock(mMutex);
+    auto& item = mPeers[aState.mVm];
+    // An answer of a process that was replaced meanwhile must not bring it back.
+    if (aState.mIncarnation < item.mState.mIncarnation) {
+      return;
+    }
+    item.mState = aState;
+    item.mHeard = mLoop.Now();
+  }
+  for (const auto& listener : mStateListeners) {
+    listener(aState);
+  }
+  NoteChanges();
+}
+
+bool membership::IsLive(const peer& aPeer) const
+{
+  return mLoop.Now() - aPeer.mHeard < kPeerTimeout;
+}
+
+void membership::NoteChanges()
+{
+  const auto live = LiveVms();
+  std::vector<std::string> gone;
+  std::vector<std::string> come;
+  {
+    std::lock_guard lock(mMutex);
+    std::set_difference(mLastLive.begin(),
+                        mLastLive.end(),
+                        live.begin(),
+                        live.end(),
+                        std::back_inserter(gone));
+    std::set_difference(live.begin(),
+                        live.end(),
+                        mLastLive.begin(),
+                        mLastLive.end(),
+                        std::back_inserter(come));
+    mLastLive = live;
+    std::erase_if(mPeers, [this](const auto& aItem) {
+      return mLoop.Now() - aItem.second.mHeard > kForgetPeer;
+    });
+  }
+  for (const auto& vm : gone) {
+    mLog.Write(log_event("peer_gone").Add("vm", mIdentity.mVm).Add("peer", vm));
+  }
+  for (const auto& vm : come) {
+    mLog.Write(log_event("peer_live").Add("vm", mIdentity.mVm).Add("peer", vm));
+  }
+  if (gone.empty() && come.empty()) {
+    return;
+  }
+  for (const auto& listener : mChangeListeners) {
+    listener();
+  }
+}
+
+void membership::SetLeaving()
+{
+  {
+    std::lock_guard lock(mMutex);
+    mLeaving = true;
+  }
+  Announce();
+}
+
+bool membership::IsLeaving() const
+{
+  std::lock_guard lock(mMutex);
+  return mLeaving;
+}
+
+std::vector<std::string> membership::LiveVms() const
+{
+  std::lock_guard lock(mMutex);
+  std::vector<std::string> live;
+  if (!mLeaving) {
+    live.push_back(mIdentity.mVm);
+  }
+  for (const auto& [id, item] : mPeers) {
+    if (IsLive(item) && !item.mState.mLeaving) {
+      live.push_back(id);
+    }
+  }
+  std::sort(live.begin(), live.end());
+  return live;
+}
+
+std::vector<peer_state> membership::LivePeers() const
+{
+  std::lock_guard lock(mMutex);
+  std::vector<peer_state> live;
+  for (const auto& [id, item] : mPeers) {
+    if (IsLive(item)) {
+      live.push_back(item.mState);
+    }
+  }
+  return live;
+}
+
+std::optional<scheduler_location> membership::Scheduler() const
+{
+  std::optional<scheduler_location> best;
+  const auto consider = [&best](const peer_state& aState) {
+    const bool claims = aState.mSchedulerEpoch > 0 && aState.mSchedulerVm == aState.mVm;
+    if (claims && (!best || best->mEpoch < aState.mSchedulerEpoch)) {
+      best = scheduler_location{ aState.mSchedulerEpoch, aState.mVm, aState.mAddress };
+    }
+  };
+  consider(OwnState());
+  for (const auto& state : LivePeers()) {
+    consider(state);
+  }
+  return best;
+}
+
+uint64_t membership::VersionInForce() const
+{
+  uint64_t lowest = OwnState().mConfigVersion;
+  for (const auto& state : LivePeers()) {
+    lowest = std::min(lowest, state.mConfigVersion);
+  }
+  return lowest;
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/membership/SchedulerLease.cpp
@@ -0,0 +1,227 @@
+#include "membership/SchedulerLease.h"
+
+#include "store/SettledCas.h"
+
+#include <cstdlib>
+
+namespace anvildoor {
+
+namespace {
+
+constexpr duration kTickPeriod{ 500 };
+
+} // namespace
+
+scheduler_lease::scheduler_lease(event_loop& aLoop,
+                                 store_client& aStore,
+                                 event_log& aLog,
+                                 std::string aPrefix,
+                                 std::string aOwner,
+                                 const lease_policy& aPolicy)
+  : mLoop(aLoop)
+  , mStore(aStore)
+  , mLog(aLog)
+  , mPrefix(std::move(aPrefix))
+  , mOwner(std::move(aOwner))
+  , mPolicy(aPolicy)
+{
+}
+
+void scheduler_lease::SetListener(listener aListener)
+{
+  mListener = std::move(aListener);
+}
+
+void scheduler_lease::Start(std::function<bool()> aMayTry)
+{
+  mMayTry = std::move(aMayTry);
+  RunEvery(mLoop, kTickPeriod, [this] { Tick(); });
+}
+
+uint64_t scheduler_lease::HeldEpoch() const
+{
+  std::lock_guard lock(mMutex);
+  return mLoop.Now() < mValidUntil ? mEpoch : 0;
+}
+
+void scheduler_lease::Tick()
+{
+  bool lapsed = false;
+  bool renew = false;
+  bool acquire = false;
+  {
+    std::lock_guard lock(mMutex);
+    const auto now = mLoop.Now();
+    lapsed = mEpoch != 0 && now >= mValidUntil;
+    renew = mEpoch != 0 && !lapsed && !mBusy && now >= mNextRenew;
+    acquire = mEpoch == 0 && !mBusy && !mResigned;
+    mBusy = mBusy || renew;
+  }
+  if (lapsed) {
+    Lose("the lease could not be renewed");
+  } else if (renew) {
+    Renew();
+  } else if (acquire && mMayTry()) {
+    {
+      std::lock_guard lock(mMutex);
+      mBusy = true;
+    }
+    Acquire();
+  }
+}
+
+void scheduler_lease::Acquire()
+{
+  mStore.Get(mPrefix + "/epoch", [this](result<std::optional<store_value>> aAnswer) {
+    if (!aAnswer) {
+      AbandonAcquire(aAnswer.error());
+      return;
+    }
+    const auto& found = *aAnswer;
+    const uint64_t epoch =
+      found ? std::strtoull(found->mValue.c_str(), nullptr, 10) : 0;
+    const uint64_t version = found ? found->mVersion : 0;
+    const auto sent = mLoop.Now();
+    mStore.GrantLease(mPolicy.mTtl,
+                      [this, epoch, version, sent](result<uint64_t> aLease) {
+                        if (!aLease) {
+                          AbandonAcquire(aLease.error());
+                          return;
+                        }
+                        {
+                          std::lock_guard lock(mMutex);
+                          mLease = *aLease;
+                        }
+                        TakeKey(epoch + 1, version, sent);
+                      });
+  });
+}
+
+void scheduler_lease::TakeKey(uint64_t aEpoch, uint64_t aEpochVersion, time_point aSent)
+{
+  // The epoch makes the value unique, so that a lost answer can be settled.
+  const store_write write{
+    mPrefix + "/scheduler", mOwner + "#" + std::to_string(aEpoch), 0, mLease
+  };
+  SettledCas(mLoop,
+             mStore,
+             write,
+             settle_policy{ mPolicy.mTtl / 2, duration(100) },
+             [this, aEpoch, aEpochVersion, aSent](result<uint64_t> aAnswer) {
+               if (!aAnswer) {
+                 AbandonAcquire(aAnswer.error());
+                 return;
+               }
+               {
+                 std::lock_guard lock(mMutex);
+                 mKeyVersion = *aAnswer;
+               }
+               RaiseEpoch(aEpoch, aEpochVersion, aSent);
+             });
+}
+
+void scheduler_lease::RaiseEpoch(uint64_t aEpoch,
+                                 uint64_t aEpochVersion,
+                                 time_point aSent)
+{
+  // Two processes never write the same epoch: only the holder of the key gets here, and
+  // a former holder's write fails on the version.
+  const store_write write{
+    mPrefix + "/epoch", std::to_string(aEpoch) + " " + mOwner, aEpochVersion, 0
+  };
+  SettledCas(mLoop,
+             mStore,
+             write,
+             settle_policy{ mPolicy.mTtl / 2, duration(100) },
+             [this, aEpoch, aSent](result<uint64_t> aAnswer) {
+               if (!aAnswer) {
+                 AbandonAcquire(aAnswer.error());
+                 return;
+               }
+               FinishAcquire(aEpoch, aSent);
+             });
+}
+
+void scheduler_lease::FinishAcquire(uint64_t aEpoch, time_point aSent)
+{
+  {
+    std::lock_guard lock(mMutex);
+    mBusy = false;
+    const auto validUntil = aSent + mPolicy.mTtl - mPolicy.mMargin;
+    if (mResigned || mLoop.Now() >= validUntil) {
+      return;
+    }
+    mEpoch = aEpoch;
+    mValidUntil = validUntil;
+    mNextRenew = aSent + mPolicy.mRenew;
+  }
+  mLog.Write(log_event("scheduler_lease_acquired")
+               .Add("owner", mOwner)
+               .Add("epoch", static_cast<int64_t>(aEpoch)));
+  mListener(aEpoch);
+}
+
+void scheduler_lease::AbandonAcquire(const error& aError)
+{
+  {
+    std::lock_guard lock(mMutex);
+    mBusy = false;
+  }
+  if (aError.mCode != error_code::kConflict) {
+    mLog.Write(
+      log_event("scheduler_lease_not_acquired").Add("error", Describe(aError)));
+  }
+}
+
+void scheduler_lease::Renew()
+{
+  const auto sent = mLoop.Now();
+  mStore.RenewLease(mLease, [this, sent](result<uint64_t> aAnswer) {
+    bool lost = false;
+    {
+      std::lock_guard lock(mMutex);
+      mBusy = false;
+      if (aAnswer) {
+        mValidUntil = sent + mPolicy.mTtl - mPolicy.mMargin;
+        mNextRenew = sent + mPolicy.mRenew;
+      } else {
+        lost = aAnswer.error().mCode == error_code::kNotFound && mEpoch != 0;
+      }
+    }
+    if (lost) {
+      Lose("the store let the lease lapse");
+    }
+  });
+}
+
+void scheduler_lease::Lose(const char* aReason)
+{
+  {
+    std::lock_guard lock(mMutex);
+    if (mEpoch == 0) {
+      return;
+    }
+    mEpoch = 0;
+    mValidUntil = time_point{};
+  }
+  mLog.Write(
+    log_event("scheduler_lease_lost").Add("owner", mOwner).Add("reason", aReason));
+  mListener(0);
+}
+
+void scheduler_lease::Resign()
+{
+  uint64_t version = 0;
+  {
+    std::lock_guard lock(mMutex);
+    mResigned = true;
+    version = mEpoch != 0 ? mKeyVersion : 0;
+  }
+  if (version == 0) {
+    return;
+  }
+  Lose("resigned");
+  mStore.Remove(mPrefix + "/scheduler", version, [](const result<uint64_t>&) {});
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/membership/VmDirectory.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "base/Error.h"
+#include "base/EventLoop.h"
+#include "planner/Resources.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace anvildoor {
+
+enum class vm_kind
+{
+  kEntry,
+  kUpstream,
+  kWorker,
+};
+
+/** One machine in the platform's list, which lags behind the truth. */
+struct vm_record
+{
+  std::string mId;
+  vm_kind mKind = vm_kind::kEntry;
+  std::string mDataCentre;
+  std::string mAddress;     ///< IP number and port.
+  std::string mRack;        ///< Workers only.
+  resources mCapacity;      ///< Workers only.
+  int64_t mSlots = 0;       ///< Upstreams only.
+  int64_t mConnections = 0; ///< Upstreams only.
+  bool mLeaving = false;
+
+  auto operator<=>(const vm_record&) const = default;
+};
+
+/** What has changed in the list since a version. */
+struct vm_list
+{
+  uint64_t mVersion = 0;
+  std::vector<vm_record> mChanged;
+  std::vector<std::string> mRemoved;
+
+  auto operator<=>(const vm_list&) const = default;
+};
+
+/** The platform's list of machines. Thread-safe; answers on the event loop. */
+class vm_list_port
+{
+public:
+  using done = std::function<void(result<vm_list>)>;
+
+  virtual ~vm_list_port() = default;
+
+  /** Reads entry VMs everywhere and the other machines of one data centre. */
+  void List(const std::string& aDataCentre, uint64_t aSince, done aDone)
+  {
+    OnList(aDataCentre, aSince, std::move(aDone));
+  }
+
+protected:
+  virtual void OnList(const std::string& aDataCentre, uint64_t aSince, done aDone) = 0;
+};
+
+/** The latest known list; polls it for what has changed. Thread-safe. */
+class vm_directory
+{
+public:
+  using listener = std::function<void()>;
+
+  /** The references must outlive the directory. */
+  vm_directory(event_loop& aLoop, vm_list_port& aPort, std::string aDataCentre);
+
+  /** Calls aListener after each change of the list. Call before Start. */
+  void AddListener(listener aListener);
+
+  /** Begins to poll every aPeriod. */
+  void Start(duration aPeriod);
+
+  /** Returns the machines of one kind in a data centre, in order of id. */
+  std::vector<vm_record> List(vm_kind aKind, const std::string& aDataCentre) const;
+
+  /** Returns one machine, if it is listed. */
+  std::optional<vm_record> Find(const std::string& aId) const;
+
+  /** Returns the data centres that have entry VMs, in order. */
+  std::vector<std::string> DataCentres() const;
+
+private:
+  void Poll();
+
+  event_loop& mLoop;
+  vm_list_port& mPort;
+  std::string mDataCentre;
+  std::vector<listener> mListeners;
+  mutable std::mutex mMutex;
+  std::map<std::string, vm_record> mRecords;
+  uint64_t mVersion = 0;
+  bool mPolling = false;
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/planner/Packing.cpp
@@ -0,0 +1,149 @@
+#include "planner/Packing.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace anvildoor {
+
+namespace {
+
+struct candidate_worker
+{
+  size_t mIndex = 0;
+  int64_t mFitting = 0;
+  int64_t mLeftover = 0;
+};
+
+struct rack_score
+{
+  int64_t mCost = 0;
+  int64_t mLeftover = 0;
+  size_t mRack = 0;
+
+  auto operator<=>(const rack_score&) const = default;
+};
+
+std::vector<candidate_worker> Candidates(const std::vector<size_t>& aWorkers,
+                                         const gang_shape& aShape,
+                                         const spare_of& aSpare)
+{
+  std::vector<candidate_worker> candidates;
+  for (const size_t index : aWorkers) {
+    const auto spare = aSpare(index);
+    const int64_t fitting = CountFitting(aShape.mPerTask, spare, aShape.mTasks);
+    if (fitting > 0) {
+      const int64_t taken = fitting * aShape.mPerTask.mAccelerators;
+      candidates.push_back({ index, fitting, spare.mAccelerators - taken });
+    }
+  }
+  return candidates;
+}
+
+/** Prefers workers that one gang fills, so that whole workers stay free for others. */
+placement TakeTasks(const fleet_view& aFleet,
+                    std::vector<candidate_worker> aCandidates,
+                    int64_t aTasks)
+{
+  std::stable_sort(
+    aCandidates.begin(), aCandidates.end(), [](const auto& aLeft, const auto& aRight) {
+      return std::tie(aLeft.mLeftover, aRight.mFitting) <
+             std::tie(aRight.mLeftover, aLeft.mFitting);
+    });
+  placement taken;
+  while (aTasks > 0 && !aCandidates.empty()) {
+    // The smallest candidate that holds all the remaining tasks leaves the least over.
+    auto chosen = aCandidates.end();
+    for (auto it = aCandidates.begin(); it != aCandidates.end(); ++it) {
+      const bool holdsAll = it->mFitting >= aTasks;
+      if (holdsAll &&
+          (chosen == aCandidates.end() || it->mFitting < chosen->mFitting)) {
+        chosen = it;
+      }
+    }
+    if (chosen == aCandidates.end()) {
+      chosen = aCandidates.begin();
+    }
+    const int64_t tasks = std::min(aTasks, chosen->mFitting);
+    taken.push_back({ aFleet.At(chosen->mIndex).mId, tasks });
+    aTasks -= tasks;
+    aCandidates.erase(chosen);
+  }
+  return taken;
+}
+
+int64_t SpareAccelerators(const std::vector<size_t>& aWorkers, const spare_of& aSpare)
+{
+  int64_t total = 0;
+  for (const size_t index : aWorkers) {
+    total += std::max<int64_t>(0, aSpare(index).mAccelerators);
+  }
+  return total;
+}
+
+std::vector<rack_score> ScoreRacks(const fleet_view& aFleet,
+                                   const packing_request& aRequest,
+                                   bool aWholeGang)
+{
+  std::vector<rack_score> scores;
+  for (size_t rack = 0; rack < aFleet.Racks().size(); ++rack) {
+    const auto& workers = aFleet.Racks()[rack];
+    const int64_t fitting = CountTasks(workers, aRequest.mShape, aRequest.mSpare);
+    if (fitting == 0 || (aWholeGang && fitting < aRequest.mShape.mTasks)) {
+      continue;
+    }
+    const int64_t cost = aRequest.mCost ? aRequest.mCost(rack) : 0;
+    scores.push_back({ cost, SpareAccelerators(workers, aRequest.mSpare), rack });
+  }
+  std::sort(scores.begin(), scores.end());
+  return scores;
+}
+
+std::optional<placement> PackAcrossRacks(const fleet_view& aFleet,
+                                         const packing_request& aRequest)
+{
+  placement taken;
+  int64_t missing = aRequest.mShape.mTasks;
+  for (const auto& score : ScoreRacks(aFleet, aRequest, false)) {
+    auto candidates =
+      Candidates(aFleet.Racks()[score.mRack], aRequest.mShape, aRequest.mSpare);
+    for (const auto& part : TakeTasks(aFleet, std::move(candidates), missing)) {
+      taken.push_back(part);
+      missing -= part.mTasks;
+    }
+    if (missing == 0) {
+      return taken;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+int64_t CountTasks(const std::vector<size_t>& aWorkers,
+                   const gang_shape& aShape,
+                   const spare_of& aSpare)
+{
+  int64_t total = 0;
+  for (const size_t index : aWorkers) {
+    total += CountFitting(aShape.mPerTask, aSpare(index), aShape.mTasks);
+  }
+  return total;
+}
+
+std::optional<placement> PackGang(const fleet_view& aFleet,
+                                  const packing_request& aRequest)
+{
+  const auto scores = ScoreRacks(aFleet, aRequest, true);
+  if (!scores.empty()) {
+    const auto& workers = aFleet.Racks()[scores.front().mRack];
+    return TakeTasks(aFleet,
+                     Candidates(workers, aRequest.mShape, aRequest.mSpare),
+                     aRequest.mShape.mTasks);
+  }
+  if (aRequest.mShape.mAdjacency == adjacency::kRack) {
+    return std::nullopt;
+  }
+  return PackAcrossRacks(aFleet, aRequest);
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/planner/PlannerTypes.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "base/EventLoop.h"
+#include "planner/FleetView.h"
+
+#include <compare>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace anvildoor {
+
+/** The order in which waiting work is served. */
+enum class work_class
+{
+  kUrgent,
+  kInteractive,
+  kBatch,
+};
+
+const char* ToString(work_class aClass);
+
+/** Names one guaranteed shape of a workspace: the guarantee and which of its copies. */
+struct shape_id
+{
+  std::string mWorkspace;
+  int64_t mGuarantee = 0;
+  int64_t mCopy = 0;
+
+  auto operator<=>(const shape_id&) const = default;
+};
+
+/** A job that waits for capacity. */
+struct waiting_job
+{
+  std::string mId;
+  std::string mWorkspace;
+  work_class mClass = work_class::kBatch;
+  gang_shape mShape;
+  bool mRestartable = true;
+  time_point mSubmitted{};
+  duration mExpected{};         ///< Corrected estimate of the run time.
+  std::set<std::string> mAvoid; ///< Workers on which it has failed.
+
+  auto operator<=>(const waiting_job&) const = default;
+};
+
+/** A gang that holds capacity: starting, running or stopping. */
+struct running_gang
+{
+  std::string mJob;
+  std::string mWorkspace;
+  work_class mClass = work_class::kBatch;
+  gang_shape mShape;
+  placement mPlacement;
+  std::optional<shape_id> mGuaranteed; ///< Empty: it borrows and can be reclaimed.
+  bool mRestartable = true;
+  bool mCheckpointable = false;
+  bool mStopping = false;
+  time_point mStarted{};
+  duration mExpected{};
+
+  auto operator<=>(const running_gang&) const = default;
+
+  /** Returns whether the planner may stop it to free its capacity. */
+  bool IsReclaimable() const { return !mGuaranteed && mRestartable && !mStopping; }
+};
+
+/** A gang to start, and the borrowers to stop first. */
+struct start_decision
+{
+  std::string mJob;
+  placement mPlacement;
+  std::optional<shape_id> mGuaranteed;
+  std::vector<std::string> mVictims;
+
+  auto operator<=>(const start_decision&) const = default;
+};
+
+/** Why a job waits. */
+struct wait_decision
+{
+  std::string mJob;
+  std::string mReason;
+
+  auto operator<=>(const wait_decision&) const = default;
+};
+
+/** A rack kept clear for a large gang that has waited its bound. */
+struct rack_reservation
+{
+  std::string mJob;
+  std::string mRack;
+  time_point mSince{};
+  time_point mExpectedFree{};
+
+  auto operator<=>(const rack_reservation&) const = default;
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/planner/PlanningRound.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "planner/PlacementPolicy.h"
+#include "planner/Victims.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace anvildoor {
+
+/** The working state of one decision of the planner. Not thread-safe. */
+class planning_round
+{
+public:
+  /** aInput must outlive the round. */
+  planning_round(const planner_input& aInput,
+                 guarantee_plan aPlan,
+                 std::vector<rack_reservation> aReservations);
+
+  /** Decides on every waiting job once. Call it once. */
+  planner_decision Run();
+
+  const guarantee_plan& Plan() const { return mPlan; }
+  const std::vector<rack_reservation>& Reservations() const { return mReservations; }
+
+private:
+  struct guaranteed_option
+  {
+    shape_id mShape;
+    placement mPlacement;
+    std::optional<placement> mMoveTo;
+    victim_choice mVictims;
+  };
+  using job_queue = std::vector<const waiting_job*>;
+
+  std::map<int, std::map<std::string, job_queue>> QueuesByRank() const;
+  void ServeGuarantees();
+  void ServeRank(std::map<std::string, job_queue>& aQueues);
+  std::string NextWorkspace(const std::map<std::string, job_queue>& aQueues) const;
+  int RankOf(const waiting_job& aJob) const;
+  bool TryStart(const waiting_job& aJob);
+
+  bool TryGuaranteed(const waiting_job& aJob);
+  std::optional<guaranteed_option> OptionIn(const planned_shape& aShape,
+                                            const waiting_job& aJob) const;
+  std::optional<guaranteed_option> MoveOption(const planned_shape& aShape,
+                                              const waiting_job& aJob) const;
+  worker_amounts SpareInShape(const planned_shape& aShape) const;
+  bool IsInUse(const shape_id& aShape) const;
+
+  bool TryBorrow(const waiting_job& aJob);
+  bool TryPreempt(const waiting_job& aJob);
+  bool MayPreempt(const waiting_job& aJob, const running_gang& aGang) const;
+  resources BorrowSpare(size_t aWorker, const waiting_job& aJob) const;
+  int64_t BorrowCost(size_t aRack, const waiting_job& aJob) const;
+  bool MayBackfill(size_t aRack, const waiting_job& aJob) const;
+
+  void DropEndedReservations();
+  rack_reservation* ReservationOf(const std::string& aJob);
+  bool TryReserved(const waiting_job& aJob, const rack_reservation& aReservation);
+  bool MayClear(const waiting_job& aJob,
+                const rack_reservation& aReservation,
+                const running_gang& aGang) const;
+  void MaybeReserve(const waiting_job& aJob);
+  std::optional<time_point> ExpectedFree(size_t aRack, const gang_shape& aShape) const;
+
+  void Commit(const waiting_job& aJob,
+              const placement& aPlacement,
+              const std::optional<shape_id>& aGuaranteed,
+              const victim_choice& aVictims);
+  void Wait(const waiting_job& aJob, const std::string& aReason);
+  std::string WaitReason(const waiting_job& aJob) const;
+  resources FreeOn(size_t aWorker) const;
+  victim_search Search(std::function<bool(const running_gang&)> aMayStop) const;
+  fleet_defaults Settings(const waiting_job& aJob) const;
+
+  const planner_input& mInput;
+  guarantee_plan mPlan;
+  std::vector<rack_reservation> mReservations;
+  std::vector<running_gang> mRunning;
+  worker_amounts mCommitted;
+  worker_amounts mReserved;
+  std::map<std::string, int64_t> mBorrowed;
+  std::set<std::string> mStarted; ///< Jobs that this round starts.
+  std::set<std::pair<gang_shape, bool>> mUnplaceable;
+  planner_decision mDecision;
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/planner/Quarantine.cpp
@@ -0,0 +1,104 @@
+#include "planner/Quarantine.h"
+
+#include <algorithm>
+
+namespace anvildoor {
+
+namespace {
+
+constexpr size_t kJobsToCondemnWorker = 3;
+constexpr size_t kWorkersToEndJob = 3;
+constexpr duration kFirstSpan = std::chrono::minutes(5);
+constexpr int kMaxDoublings = 5;
+constexpr size_t kPercent = 100;
+
+} // namespace
+
+quarantine::quarantine(size_t aWorkers, int64_t aSharePercent)
+{
+  SetBounds(aWorkers, aSharePercent);
+}
+
+void quarantine::SetBounds(size_t aWorkers, int64_t aSharePercent)
+{
+  const size_t share = aWorkers * static_cast<size_t>(aSharePercent) / kPercent;
+  mLimit = aSharePercent == 0 ? 0 : std::max<size_t>(1, share);
+}
+
+bool quarantine::HasRoom(time_point aNow) const
+{
+  return Quarantined(aNow).size() < mLimit;
+}
+
+void quarantine::Condemn(const std::string& aWorker, time_point aNow)
+{
+  auto& evidence = mWorkers[aWorker];
+  evidence.mUntil =
+    aNow + kFirstSpan * (1 << std::min(evidence.mRounds, kMaxDoublings));
+  ++evidence.mRounds;
+  for (const auto& job : evidence.mJobs) {
+    const auto found = mJobs.find(job);
+    if (found != mJobs.end()) {
+      found->second.erase(aWorker);
+    }
+  }
+  evidence.mJobs.clear();
+}
+
+failure_verdict quarantine::OnFailure(const std::string& aJob,
+                                      const std::string& aWorker,
+                                      time_point aNow)
+{
+  auto& evidence = mWorkers[aWorker];
+  evidence.mJobs.insert(aJob);
+  mJobs[aJob].insert(aWorker);
+  // One failed probe is enough, unless the job is itself under suspicion.
+  const bool probeFailed = evidence.mRounds > 0 && mJobs[aJob].size() == 1;
+  const size_t needed = probeFailed ? 1 : kJobsToCondemnWorker;
+  if (evidence.mJobs.size() >= needed && HasRoom(aNow)) {
+    Condemn(aWorker, aNow);
+    return failure_verdict::kRetry;
+  }
+  if (mJobs[aJob].size() < kWorkersToEndJob) {
+    return failure_verdict::kRetry;
+  }
+  for (const auto& worker : mJobs[aJob]) {
+    mWorkers[worker].mJobs.erase(aJob);
+  }
+  return failure_verdict::kEndJob;
+}
+
+void quarantine::OnSuccess(const std::string& aWorker)
+{
+  mWorkers.erase(aWorker);
+}
+
+void quarantine::ForgetJob(const std::string& aJob)
+{
+  mJobs.erase(aJob);
+}
+
+bool quarantine::IsUsable(const std::string& aWorker, time_point aNow) const
+{
+  const auto found = mWorkers.find(aWorker);
+  return found == mWorkers.end() || found->second.mUntil <= aNow;
+}
+
+std::vector<std::string> quarantine::Quarantined(time_point aNow) const
+{
+  std::vector<std::string> workers;
+  for (const auto& [worker, evidence] : mWorkers) {
+    if (evidence.mUntil > aNow) {
+      workers.push_back(worker);
+    }
+  }
+  return workers;
+}
+
+std::set<std::string> quarantine::FailedOn(const std::string& aJob) const
+{
+  const auto found = mJobs.find(aJob);
+  return found == mJobs.end() ? std::set<std::string>() : found->second;
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/planner/Victims.cpp
@@ -0,0 +1,117 @@
+#include "planner/Victims.h"
+
+#include <algorithm>
+#include <set>
+
+namespace anvildoor {
+
+namespace {
+
+constexpr int64_t kCheckpointCostMs = 1'000;
+constexpr int64_t kInteractiveFactor = 4;
+constexpr int64_t kUrgentFactor = 16;
+
+int64_t ClassFactor(work_class aClass)
+{
+  switch (aClass) {
+    case work_class::kUrgent:
+      return kUrgentFactor;
+    case work_class::kInteractive:
+      return kInteractiveFactor;
+    case work_class::kBatch:
+      return 1;
+  }
+  return 1;
+}
+
+bool RunsOn(const running_gang& aGang, const std::string& aWorker)
+{
+  return std::any_of(aGang.mPlacement.begin(),
+                     aGang.mPlacement.end(),
+                     [&](const auto& aPart) { return aPart.mWorker == aWorker; });
+}
+
+/** The search for victims worker by worker. */
+class victim_picker
+{
+public:
+  explicit victim_picker(const victim_search& aSearch)
+    : mSearch(aSearch)
+    , mUsed(aSearch.mCommitted)
+  {
+  }
+
+  bool Clear(const placed_tasks& aPart, const gang_shape& aShape)
+  {
+    const size_t worker = mSearch.mFleet.Find(aPart.mWorker);
+    if (worker >= mSearch.mFleet.Size()) {
+      return false;
+    }
+    const auto need = aShape.mPerTask * aPart.mTasks;
+    while (!FitsIn(need, mSearch.mFleet.At(worker).mCapacity - mUsed.At(worker))) {
+      const auto* victim = Cheapest(aPart.mWorker);
+      if (victim == nullptr) {
+        return false;
+      }
+      Take(*victim);
+    }
+    return true;
+  }
+
+  victim_choice Choice() const { return mChoice; }
+
+private:
+  const running_gang* Cheapest(const std::string& aWorker) const
+  {
+    const running_gang* best = nullptr;
+    for (const auto& gang : mSearch.mRunning) {
+      if (!gang.IsReclaimable() || mTaken.count(gang.mJob) != 0 ||
+          !mSearch.mMayStop(gang) || !RunsOn(gang, aWorker)) {
+        continue;
+      }
+      if (best == nullptr ||
+          StopCost(gang, mSearch.mNow) < StopCost(*best, mSearch.mNow)) {
+        best = &gang;
+      }
+    }
+    return best;
+  }
+
+  void Take(const running_gang& aVictim)
+  {
+    mTaken.insert(aVictim.mJob);
+    mUsed.SubtractGang(mSearch.mFleet, aVictim.mShape, aVictim.mPlacement);
+    mChoice.mJobs.push_back(aVictim.mJob);
+    mChoice.mCost += StopCost(aVictim, mSearch.mNow);
+  }
+
+  const victim_search& mSearch;
+  worker_amounts mUsed;
+  std::set<std::string> mTaken;
+  victim_choice mChoice;
+};
+
+} // namespace
+
+int64_t StopCost(const running_gang& aGang, time_point aNow)
+{
+  const int64_t elapsed = std::max<int64_t>(0, (aNow - aGang.mStarted).count());
+  const int64_t lost = aGang.mCheckpointable ? kCheckpointCostMs : elapsed;
+  const int64_t accelerators = std::max<int64_t>(1, aGang.mShape.Accelerators());
+  return (lost + 1) * accelerators * ClassFactor(aGang.mClass);
+}
+
+std::optional<victim_choice> ChooseVictims(const victim_search& aSearch,
+                                           const gang_shape& aShape,
+                                           const placement& aPlacement)
+{
+  victim_picker picker(aSearch);
+  for (const auto& part : aPlacement) {
+    if (!picker.Clear(part, aShape)) {
+      return std::nullopt;
+    }
+  }
+  return picker.Choice();
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/routing/Admission.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "base/EventLoop.h"
+#include "base/Metrics.h"
+#include "config/ConfigController.h"
+#include "routing/RequestFilter.h"
+
+#include <array>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace anvildoor {
+
+/**
+ * Per-workspace limits on requests in flight and per second. What is over a limit is
+ * shed at once with a time after which to retry. Thread-safe; workspaces are held in
+ * shards.
+ */
+class admission_filter : public request_filter
+{
+public:
+  /** Returns how many VMs share the limits at present (>= 1). */
+  using share_count = std::function<size_t()>;
+
+  /** The references must outlive the filter. */
+  admission_filter(event_loop& aLoop,
+                   config_controller& aConfig,
+                   metrics& aMetrics,
+                   share_count aShares);
+
+  /** Returns the requests in flight. */
+  size_t InFlight() const;
+
+protected:
+  void OnHandle(const shared_request& aRequest, answer_done aDone) override;
+
+private:
+  struct usage
+  {
+    int64_t mInFlight = 0;
+    double mTokens = 0.0;
+    time_point mRefilled{};
+    bool mStarted = false;
+  };
+  struct shard
+  {
+    mutable std::mutex mMutex;
+    std::map<std::string, usage> mUsage;
+  };
+  static constexpr size_t kShards = 16;
+
+  shard& ShardOf(const std::string& aWorkspace);
+  bool TryEnter(const request_spec& aSpec, request_answer& aRefusal);
+  void Leave(const std::string& aWorkspace);
+
+  event_loop& mLoop;
+  config_controller& mConfig;
+  metrics& mMetrics;
+  share_count mShares;
+  std::array<shard, kShards> mShards;
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/routing/ClaimFilter.cpp
@@ -0,0 +1,97 @@
+#include "routing/ClaimFilter.h"
+
+namespace anvildoor {
+
+namespace {
+
+constexpr duration kPollPause{ 150 };
+
+} // namespace
+
+claim_filter::claim_filter(event_loop& aLoop, claim_table& aClaims, owner_gone aIsGone)
+  : mLoop(aLoop)
+  , mClaims(aClaims)
+  , mIsGone(std::move(aIsGone))
+{
+}
+
+void claim_filter::OnHandle(const shared_request& aRequest, answer_done aDone)
+{
+  if (aRequest->Spec().mIdempotent) {
+    HandOn(aRequest, std::move(aDone));
+    return;
+  }
+  mClaims.Claim(aRequest->Spec(),
+                [this, aRequest, done = std::move(aDone)](const claim& aClaim) {
+                  OnClaim(aRequest, aClaim, done);
+                });
+}
+
+void claim_filter::OnClaim(const shared_request& aRequest,
+                           const claim& aClaim,
+                           answer_done aDone)
+{
+  switch (aClaim.mState) {
+    case claim_state::kMine:
+      aRequest->SetFresh();
+      RunClaimed(aRequest, aClaim, std::move(aDone));
+      return;
+    case claim_state::kAnswered:
+      aDone(aClaim.mAnswer);
+      return;
+    case claim_state::kElsewhere:
+      AskAgain(aRequest, aClaim, std::move(aDone));
+      return;
+    case claim_state::kMismatch:
+      aRequest->SetFresh();
+      aDone(NotRun("claim", "Idempotency-Key", "the key was used with another body"));
+      return;
+    case claim_state::kUnavailable:
+      aDone(NotRun("claim", "store", "the key could not be claimed in the store"));
+      return;
+  }
+}
+
+void claim_filter::RunClaimed(const shared_request& aRequest,
+                              const claim& aClaim,
+                              answer_done aDone)
+{
+  if (aRequest->IsAbandoned()) {
+    mClaims.Release(aClaim);
+    aDone(NotRun("claim", "", "the deadline passed before it was sent"));
+    return;
+  }
+  HandOn(aRequest,
+         [this, aClaim, done = std::move(aDone)](const request_answer& aAnswer) {
+           if (aAnswer.mOutcome == request_outcome::kNotRun) {
+             mClaims.Release(aClaim);
+           } else {
+             mClaims.Keep(aClaim, aAnswer);
+           }
+           done(aAnswer);
+         });
+}
+
+void claim_filter::AskAgain(const shared_request& aRequest,
+                            const claim& aClaim,
+                            answer_done aDone)
+{
+  if (mIsGone(aClaim.mOwner)) {
+    aDone(UnknownOutcome(
+      "claim", aClaim.mOwner, "the VM that took the first request is gone"));
+    return;
+  }
+  if (mLoop.Now() + kPollPause >= aRequest->Deadline()) {
+    aDone(UnknownOutcome("claim",
+                         aClaim.mOwner,
+                         "the first request is still running; ask again with the key"));
+    return;
+  }
+  mLoop.RunAfter(kPollPause, [this, aRequest, done = std::move(aDone)] {
+    mClaims.Look(aRequest->Spec(), [this, aRequest, done](const claim& aFound) {
+      OnClaim(aRequest, aFound, done);
+    });
+  });
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/routing/ClaimFilter.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "routing/ClaimTable.h"
+#include "routing/RequestFilter.h"
+
+namespace anvildoor {
+
+/**
+ * Lets a non-idempotent request pass only with a durable claim on its key, and answers
+ * a repeat with the first one's answer. Thread-safe.
+ */
+class claim_filter : public request_filter
+{
+public:
+  /** Returns whether the process that holds a claim is known to be gone. */
+  using owner_gone = std::function<bool(const std::string& aOwner)>;
+
+  /** The references must outlive the filter. */
+  claim_filter(event_loop& aLoop, claim_table& aClaims, owner_gone aIsGone);
+
+protected:
+  void OnHandle(const shared_request& aRequest, answer_done aDone) override;
+
+private:
+  void OnClaim(const shared_request& aRequest, const claim& aClaim, answer_done aDone);
+  void RunClaimed(const shared_request& aRequest,
+                  const claim& aClaim,
+                  answer_done aDone);
+  void AskAgain(const shared_request& aRequest, const claim& aClaim, answer_done aDone);
+
+  event_loop& mLoop;
+  claim_table& mClaims;
+  owner_gone mIsGone;
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/routing/ClaimTable.cpp
@@ -0,0 +1,223 @@
+#include "routing/ClaimTable.h"
+
+#include "base/Hash.h"
+
+#include <nlohmann/json.hpp>
+
+namespace anvildoor {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr duration kLeaseTtl = std::chrono::hours(25);
+constexpr duration kLeaseShared = std::chrono::hours(1);
+constexpr duration kStorePause{ 1'000 };
+constexpr duration kKeepRetry{ 1'000 };
+constexpr settle_policy kClaimPolicy{ duration(1'500), duration(100) };
+constexpr settle_policy kKeepPolicy{ duration(10'000), duration(200) };
+
+std::string StoreKey(const request_spec& aSpec)
+{
+  return "claims/" + HexDigest(aSpec.mWorkspace + '\n' + aSpec.mKey);
+}
+
+std::string BodyHash(const request_spec& aSpec)
+{
+  return HexDigest(std::string(ToString(aSpec.mClass)) + '\n' + aSpec.mPayload);
+}
+
+json OpenClaim(const std::string& aOwner, const std::string& aBody, uint64_t aNonce)
+{
+  return {
+    { "owner", aOwner }, { "nonce", aNonce }, { "body", aBody }, { "state", "claimed" }
+  };
+}
+
+claim Decode(const std::string& aStoreKey, const store_value& aValue)
+{
+  claim found;
+  found.mStoreKey = aStoreKey;
+  found.mVersion = aValue.mVersion;
+  const auto value = json::parse(aValue.mValue, nullptr, false);
+  if (!value.is_object()) {
+    return found;
+  }
+  found.mOwner = value.value("owner", "");
+  found.mBodyHash = value.value("body", "");
+  if (value.value("state", "") == "claimed") {
+    found.mState = claim_state::kElsewhere;
+    return found;
+  }
+  found.mState = claim_state::kAnswered;
+  found.mAnswer.mOutcome = value.value("state", "") == "done"
+                             ? request_outcome::kCompleted
+                             : request_outcome::kUnknown;
+  found.mAnswer.mResult = value.value("result", "");
+  found.mAnswer.mReason = value.value("reason", "");
+  return found;
+}
+
+} // namespace
+
+claim_table::claim_table(event_loop& aLoop,
+                         store_client& aStore,
+                         event_log& aLog,
+                         std::string aOwner)
+  : mLoop(aLoop)
+  , mStore(aStore)
+  , mLog(aLog)
+  , mOwner(std::move(aOwner))
+{
+}
+
+void claim_table::EnsureLease(std::function<void(uint64_t)> aDone)
+{
+  uint64_t lease = 0;
+  bool paused = false;
+  {
+    std::lock_guard lock(mMutex);
+    const auto now = mLoop.Now();
+    const bool fresh = mLease != 0 && now - mLeaseGranted < kLeaseShared;
+    lease = fresh ? mLease : 0;
+    // While the store is away, non-idempotent requests are turned away at once.
+    paused = mStoreFailed.count() != 0 && now - mStoreFailed < kStorePause;
+  }
+  if (lease != 0 || paused) {
+    aDone(paused ? 0 : lease);
+    return;
+  }
+  mStore.GrantLease(kLeaseTtl,
+                    [this, done = std::move(aDone)](const result<uint64_t>& aAnswer) {
+                      {
+                        std::lock_guard lock(mMutex);
+                        mStoreFailed = aAnswer ? time_point{} : mLoop.Now();
+                        if (aAnswer) {
+                          mLease = *aAnswer;
+                          mLeaseGranted = mLoop.Now();
+                        }
+                      }
+                      done(aAnswer ? *aAnswer : 0);
+                    });
+}
+
+void claim_table::Claim(const request_spec& aSpec, claim_done aDone)
+{
+  EnsureLease([this, aSpec, done = std::move(aDone)](uint64_t aLease) {
+    if (aLease == 0) {
+      done(claim{});
+      return;
+    }
+    Write(aSpec, aLease, done);
+  });
+}
+
+void claim_table::Write(const request_spec& aSpec, uint64_t aLease, claim_done aDone)
+{
+  claim mine;
+  mine.mStoreKey = StoreKey(aSpec);
+  mine.mOwner = mOwner;
+  mine.mBodyHash = BodyHash(aSpec);
+  uint64_t nonce = 0;
+  {
+    std::lock_guard lock(mMutex);
+    nonce = ++mNonce;
+  }
+  const store_write write{
+    mine.mStoreKey, OpenClaim(mOwner, mine.mBodyHash, nonce).dump(), 0, aLease
+  };
+  SettledCas(mLoop,
+             mStore,
+             write,
+             kClaimPolicy,
+             [this, mine, done = std::move(aDone)](const result<uint64_t>& aAnswer) {
+               auto held = mine;
+               if (aAnswer) {
+                 held.mState = claim_state::kMine;
+                 held.mVersion = *aAnswer;
+                 done(held);
+                 return;
+               }
+               if (aAnswer.error().mCode == error_code::kConflict) {
+                 Read(mine, done);
+                 return;
+               }
+               {
+                 std::lock_guard lock(mMutex);
+                 mStoreFailed = mLoop.Now();
+               }
+               done(held);
+             });
+}
+
+void claim_table::Look(const request_spec& aSpec, claim_done aDone)
+{
+  mStore.Get(StoreKey(aSpec),
+             [this, aSpec, done = std::move(aDone)](
+               const result<std::optional<store_value>>& aAnswer) {
+               if (!aAnswer) {
+                 done(claim{});
+               } else if (!*aAnswer) {
+                 Claim(aSpec, done);
+               } else {
+                 done(Decode(StoreKey(aSpec), **aAnswer));
+               }
+             });
+}
+
+void claim_table::Read(const claim& aMine, claim_done aDone)
+{
+  mStore.Get(aMine.mStoreKey,
+             [aMine, done = std::move(aDone)](
+               const result<std::optional<store_value>>& aAnswer) {
+               if (!aAnswer || !*aAnswer) {
+                 done(aMine);
+                 return;
+               }
+               auto found = Decode(aMine.mStoreKey, **aAnswer);
+               if (found.mBodyHash != aMine.mBodyHash) {
+                 found.mState = claim_state::kMismatch;
+               }
+               done(found);
+             });
+}
+
+void claim_table::Keep(const claim& aClaim, const request_answer& aAnswer)
+{
+  const bool completed = aAnswer.mOutcome == request_outcome::kCompleted;
+  const json value{ { "owner", aClaim.mOwner },
+                    { "body", aClaim.mBodyHash },
+                    { "state", completed ? "done" : "unknown" },
+                    { "result", aAnswer.mResult },
+                    { "reason", aAnswer.mReason } };
+  uint64_t lease = 0;
+  {
+    std::lock_guard lock(mMutex);
+    lease = mLease;
+  }
+  const store_write write{ aClaim.mStoreKey, value.dump(), aClaim.mVersion, lease };
+  SettledCas(mLoop,
+             mStore,
+             write,
+             kKeepPolicy,
+             [this, aClaim, aAnswer](const result<uint64_t>& aResult) {
+               if (aResult || aResult.error().mCode == error_code::kConflict) {
+                 return;
+               }
+               mLoop.RunAfter(kKeepRetry,
+                              [this, aClaim, aAnswer] { Keep(aClaim, aAnswer); });
+             });
+}
+
+void claim_table::Release(const claim& aClaim)
+{
+  mStore.Remove(
+    aClaim.mStoreKey, aClaim.mVersion, [this, aClaim](const result<uint64_t>& aResult) {
+      if (aResult || aResult.error().mCode == error_code::kConflict) {
+        return;
+      }
+      mLoop.RunAfter(kKeepRetry, [this, aClaim] { Release(aClaim); });
+    });
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/routing/ClaimTable.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "base/EventLog.h"
+#include "routing/Request.h"
+#include "store/SettledCas.h"
+#include "store/StoreClient.h"
+
+#include <functional>
+#include <mutex>
+#include <string>
+
+namespace anvildoor {
+
+/** What a key's claim says. */
+enum class claim_state
+{
+  kMine,        ///< This call holds the claim and may dispatch.
+  kAnswered,    ///< The first request with the key has its answer.
+  kElsewhere,   ///< The first request is under way at another process.
+  kMismatch,    ///< The key was used with another body.
+  kUnavailable, ///< The store did not settle it; nothing may be dispatched.
+};
+
+/** A claim as found or made. */
+struct claim
+{
+  claim_state mState = claim_state::kUnavailable;
+  std::string mStoreKey;
+  uint64_t mVersion = 0;
+  std::string mOwner; ///< The process that holds it.
+  std::string mBodyHash;
+  request_answer mAnswer;
+
+  auto operator<=>(const claim&) const = default;
+};
+
+/**
+ * Durable claims on idempotency keys, in the platform's store. A claim is made before
+ * the request is dispatched and kept for a day, so that a key runs at most once at any
+ * VM. Thread-safe.
+ */
+class claim_table
+{
+public:
+  using claim_done = std::function<void(const claim&)>;
+
+  /** The references must outlive the table. aOwner is unique to this process. */
+  claim_table(event_loop& aLoop,
+              store_client& aStore,
+              event_log& aLog,
+              std::string aOwner);
+
+  /** Claims a key, or tells what is known of it. */
+  void Claim(const request_spec& aSpec, claim_done aDone);
+
+  /** Reads a claim that was found elsewhere; claims the key if it was given up. */
+  void Look(const request_spec& aSpec, claim_done aDone);
+
+  /** Keeps the answer, completed or unknown, with the claim; goes on trying for as long
+   * as that takes. */
+  void Keep(const claim& aClaim, const request_answer& aAnswer);
+
+  /** Gives up a claim whose request provably did not run. */
+  void Release(const claim& aClaim);
+
+private:
+  void EnsureLease(std::function<void(uint64_t)> aDone);
+  void Write(const request_spec& aSpec, uint64_t aLease, claim_done aDone);
+  void Read(const claim& aMine, claim_done aDone);
+
+  event_loop& mLoop;
+  store_client& mStore;
+  event_log& mLog;
+  std::string mOwner;
+  std::mutex mMutex;
+  uint64_t mLease = 0;
+  time_point mLeaseGranted{};
+  time_point mStoreFailed{};
+  uint64_t mNonce = 0;
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/routing/DeadlineFilter.cpp
@@ -0,0 +1,47 @@
+#include "routing/DeadlineFilter.h"
+
+#include <atomic>
+#include <memory>
+
+namespace anvildoor {
+
+namespace {
+
+request_answer Truthful(const active_request& aRequest, const request_answer& aAnswer)
+{
+  if (aAnswer.mOutcome != request_outcome::kNotRun || !aRequest.MayHaveRunBefore()) {
+    return aAnswer;
+  }
+  auto answer = aAnswer;
+  answer.mOutcome = request_outcome::kUnknown;
+  answer.mReason =
+    "this call did not run, an earlier one with its key may have: " + aAnswer.mReason;
+  return answer;
+}
+
+} // namespace
+
+deadline_filter::deadline_filter(event_loop& aLoop)
+  : mLoop(aLoop)
+{
+}
+
+void deadline_filter::OnHandle(const shared_request& aRequest, answer_done aDone)
+{
+  auto answered = std::make_shared<std::atomic<bool>>(false);
+  const auto once =
+    [answered, aRequest, done = std::move(aDone)](const request_answer& aAnswer) {
+      if (!answered->exchange(true)) {
+        done(Truthful(*aRequest, aAnswer));
+      }
+    };
+  mLoop.RunAfter(aRequest->Deadline() - mLoop.Now(), [aRequest, once] {
+    once(aRequest->Abandon()
+           ? NotRun("deadline", "", "the deadline passed before it was sent")
+           : UnknownOutcome(
+               "deadline", "", "it may be running; ask again with the same key"));
+  });
+  HandOn(aRequest, once);
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/rpc/ChannelCache.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <grpcpp/grpcpp.h>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace anvildoor {
+
+/** Keeps one channel and stub per address. Thread-safe. */
+template<typename Service>
+class channel_cache
+{
+public:
+  /** Returns the stub for an address, connecting when it is first used. */
+  std::shared_ptr<typename Service::Stub> StubFor(const std::string& aAddress)
+  {
+    std::lock_guard lock(mMutex);
+    auto& stub = mStubs[aAddress];
+    if (!stub) {
+      grpc::ChannelArguments arguments;
+      arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kBackoffMs);
+      arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kBackoffMs);
+      arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxBackoffMs);
+      arguments.SetInt(GRPC_ARG_CLIENT_IDLE_TIMEOUT_MS, kIdleMs);
+      stub = Service::NewStub(grpc::CreateCustomChannel(
+        aAddress, grpc::InsecureChannelCredentials(), arguments));
+    }
+    return stub;
+  }
+
+private:
+  static constexpr int kBackoffMs = 200;
+  static constexpr int kMaxBackoffMs = 1'000;
+  static constexpr int kIdleMs = 60'000;
+
+  std::mutex mMutex;
+  std::map<std::string, std::shared_ptr<typename Service::Stub>> mStubs;
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/standin/StandinServer.cpp
@@ -0,0 +1,322 @@
+#include "standin/StandinServer.h"
+
+#include "http/HttpServer.h"
+#include "platform.grpc.pb.h"
+#include "rpc/Convert.h"
+#include "rpc/GrpcCall.h"
+
+namespace anvildoor {
+
+namespace {
+
+using reactor = grpc::ServerUnaryReactor;
+using context = grpc::CallbackServerContext;
+
+/** Finishes a call with a library result; aFill turns the value into the message. */
+template<typename Value, typename Fill>
+void FinishWith(reactor* aReactor, const result<Value>& aAnswer, const Fill& aFill)
+{
+  if (!aAnswer) {
+    aReactor->Finish(ToGrpcStatus(aAnswer.error()));
+    return;
+  }
+  aFill(*aAnswer);
+  aReactor->Finish(grpc::Status::OK);
+}
+
+class store_endpoint : public platform::Store::CallbackService
+{
+public:
+  explicit store_endpoint(store_client& aStore)
+    : mStore(aStore)
+  {
+  }
+
+  reactor* Get(context* aContext,
+               const platform::StoreGetRequest* aIn,
+               platform::StoreGetReply* aOut) override
+  {
+    auto* call = aContext->DefaultReactor();
+    mStore.Get(aIn->key(), ValueDone(call, aOut));
+    return call;
+  }
+
+  reactor* Cas(context* aContext,
+               const platform::StoreCasRequest* aIn,
+               platform::StoreNumberReply* aOut) override
+  {
+    auto* call = aContext->DefaultReactor();
+    mStore.Cas({ aIn->key(), aIn->value(), aIn->expected_version(), aIn->lease() },
+               NumberDone(call, aOut));
+    return call;
+  }
+
+  reactor* Remove(context* aContext,
+                  const platform::StoreRemoveRequest* aIn,
+                  platform::StoreNumberReply* aOut) override
+  {
+    auto* call = aContext->DefaultReactor();
+    mStore.Remove(aIn->key(), aIn->version(), NumberDone(call, aOut));
+    return call;
+  }
+
+  reactor* List(context* aContext,
+                const platform::StoreListRequest* aIn,
+                platform::StoreListReply* aOut) override
+  {
+    auto* call = aContext->DefaultReactor();
+    mStore.List(aIn->prefix(),
+                [call, aOut](const result<std::vector<store_entry>>& aAnswer) {
+                  FinishWith(call, aAnswer, [aOut](const auto& aEntries) {
+                    for (const auto& entry : aEntries) {
+                      auto* item = aOut->add_entries();
+                      item->set_key(entry.mKey);
+                      item->set_value(entry.mValue.mValue);
+                      item->set_version(entry.mValue.mVersion);
+                    }
+                  });
+                });
+    return call;
+  }
+
+  reactor* Watch(context* aContext,
+                 const platform::StoreWatchRequest* aIn,
+                 platform::StoreGetReply* aOut) override
+  {
+    auto* call = aContext->DefaultReactor();
+    mStore.Watch(aIn->key(),
+                 aIn->known_version(),
+                 duration(aIn->wait_ms()),
+                 ValueDone(call, aOut));
+    return call;
+  }
+
+  reactor* GrantLease(context* aContext,
+                      const platform::StoreLeaseRequest* aIn,
+                      platform::StoreNumberReply* aOut) override
+  {
+    auto* call = aContext->DefaultReactor();
+    mStore.GrantLease(duration(aIn->ttl_ms()), NumberDone(call, aOut));
+    return call;
+  }
+
+  reactor* RenewLease(context* aContext,
+                      const platform::StoreLeaseRequest* aIn,
+                      platform::StoreNumberReply* aOut) override
+  {
+    auto* call = aContext->DefaultReactor();
+    mStore.RenewLease(aIn->lease(), NumberDone(call, aOut));
+    return call;
+  }
+
+private:
+  static store_done<std::optional<store_value>> ValueDone(reactor* aCall,
+                                                          platform::StoreGetReply* aOut)
+  {
+    return [aCall, aOut](const result<std::optional<store_value>>& aAnswer) {
+      FinishWith(aCall, aAnswer, [aOut](const auto& aValue) {
+        aOut->set_found(aValue.has_value());
+        if (aValue) {
+          aOut->set_value(aValue->mValue);
+          aOut->set_version(aValue->mVersion);
+        }
+      });
+    };
+  }
+
+  static store_done<uint64_t> NumberDone(reactor* aCall,
+                                         platform::StoreNumberReply* aOut)
+  {
+    return [aCall, aOut](const result<uint64_t>& aAnswer) {
+      FinishWith(
+        aCall, aAnswer, [aOut](uint64_t aNumber) { aOut->set_number(aNumber); });
+    };
+  }
+
+  store_client& mStore;
+};
+
+class directory_endpoint : public platform::VmDirectory::CallbackService
+{
+public:
+  explicit directory_endpoint(standin_site& aSite)
+    : mSite(aSite)
+  {
+  }
+
+  reactor* List(context* aContext,
+                const platform::VmListRequest* aIn,
+                platform::VmListReply* aOut) override
+  {
+    auto* call = aContext->DefaultReactor();
+    const auto list = mSite.List(aIn->data_centre(), aIn->since());
+    aOut->set_version(list.mVersion);
+    for (const auto& record : list.mChanged) {
+      *aOut->add_changed() = ToMessage(record);
+    }
+    for (const auto& id : list.mRemoved) {
+      aOut->add_removed(id);
+    }
+    call->Finish(grpc::Status::OK);
+    return call;
+  }
+
+private:
+  standin_site& mSite;
+};
+
+class worker_endpoint : public platform::Worker::CallbackService
+{
+public:
+  explicit worker_endpoint(standin_site& aSite)
+    : mSite(aSite)
+  {
+  }
+
+  reactor* Prepare(context* aContext,
+                   const platform::PrepareRequest* aIn,
+                   platform::Accepted* aOut) override
+  {
+    auto* call = aContext->DefaultReactor();
+    auto* worker = mSite.Worker(aIn->worker());
+    if (worker == nullptr) {
+      return Unknown(call);
+    }
+    FinishWith(call, worker->Prepare(FromMessage(*aIn)), AcceptedTo(aOut));
+    return call;
+  }
+
+  reactor* Release(context* aContext,
+                   const platform::ReleaseRequest* aIn,
+                   platform::Accepted* aOut) override
+  {
+    auto* call = aContext->DefaultReactor();
+    auto* worker = mSite.Worker(aIn->worker());
+    if (worker == nullptr) {
+      return Unknown(call);
+    }
+    FinishWith(call, worker->Release(aIn->epoch(), aIn->attempt()), AcceptedTo(aOut));
+    return call;
+  }
+
+  reactor* Stop(context* aContext,
+                const platform::StopRequest* aIn,
+                platform::Member* aOut) override
+  {
+    auto* call = aContext->DefaultReactor();
+    auto* worker = mSite.Worker(aIn->worker());
+    if (worker == nullptr) {
+      return Unknown(call);
+    }
+    worker->Stop({ aIn->epoch(), aIn->attempt(), duration(aIn->grace_ms()) },
+                 [call, aOut](const result<member_report>& aAnswer) {
+                   FinishWith(call, aAnswer, [aOut](const auto& aReport) {
+                     *aOut = ToMessage(aReport);
+                   });
+                 });
+    return call;
+  }
+
+  reactor* Renew(context* aContext,
+                 const platform::RenewRequest* aIn,
+                 platform::RenewReply* aOut) override
+  {
+    auto* call = aContext->DefaultReactor();
+    auto* worker = mSite.Worker(aIn->worker());
+    if (worker == nullptr) {
+      return Unknown(call);
+    }
+    FinishWith(call, worker->Renew(FromMessage(*aIn)), [aOut](const auto& aReply) {
+      *aOut = ToMessage(aReply);
+    });
+    return call;
+  }
+
+private:
+  static reactor* Unknown(reactor* aCall)
+  {
+    aCall->Finish(
+      ToGrpcStatus({ error_code::kNotFound, "worker", "", "unknown worker" }));
+    return aCall;
+  }
+
+  static std::function<void(const accepted&)> AcceptedTo(platform::Accepted* aOut)
+  {
+    return [aOut](const accepted& aAnswer) {
+      aOut->set_incarnation(aAnswer.mIncarnation);
+      aOut->set_sequence(aAnswer.mSequence);
+    };
+  }
+
+  standin_site& mSite;
+};
+
+} // namespace
+
+struct standin_server::state
+{
+  state(event_loop& aLoop, standin_site& aSite, const standin_settings& aSettings)
+    : mLoop(aLoop)
+    , mSite(aSite)
+    , mSettings(aSettings)
+    , mStore(aSite.Store())
+    , mDirectory(aSite)
+    , mWorkers(aSite)
+  {
+  }
+
+  event_loop& mLoop;
+  standin_site& mSite;
+  standin_settings mSettings;
+  store_endpoint mStore;
+  directory_endpoint mDirectory;
+  worker_endpoint mWorkers;
+  std::unique_ptr<grpc::Server> mGrpc;
+  std::vector<std::unique_ptr<http_server>> mHttp;
+};
+
+standin_server::standin_server(event_loop& aLoop,
+                               standin_site& aSite,
+                               const standin_settings& aSettings)
+  : mState(std::make_unique<state>(aLoop, aSite, aSettings))
+{
+}
+
+standin_server::~standin_server() = default;
+
+status standin_server::Listen()
+{
+  grpc::ServerBuilder builder;
+  int port = 0;
+  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  builder.AddListeningPort(
+    mState->mSettings.mListenGrpc, grpc::InsecureServerCredentials(), &port);
+  builder.RegisterService(&mState->mStore);
+  builder.RegisterService(&mState->mDirectory);
+  builder.RegisterService(&mState->mWorkers);
+  mState->mGrpc = builder.BuildAndStart();
+  if (!mState->mGrpc || port == 0) {
+    return Fail(error_code::kUnavailable,
+                "standin.listen",
+                mState->mSettings.mListenGrpc,
+                "the address cannot be bound");
+  }
+  auto& site = mState->mSite;
+  for (const auto& upstream : site.Upstreams()) {
+    auto handler = [&site, id = upstream.mId](const api_call& aCall, api_done aDone) {
+      site.Execute(id, aCall, std::move(aDone));
+    };
+    mState->mHttp.push_back(std::make_unique<http_server>(handler, http_limits{}));
+    if (auto listening = mState->mHttp.back()->Listen(upstream.mAddress); !listening) {
+      return listening;
+    }
+  }
+  mState->mHttp.push_back(std::make_unique<http_server>(
+    [&site](const api_call& aCall, const api_done& aDone) {
+      site.Control(aCall, aDone);
+    },
+    http_limits{}));
+  return mState->mHttp.back()->Listen(mState->mSettings.mListenControl);
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/standin/StandinSite.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "base/Error.h"
+#include "base/EventLoop.h"
+#include "gang/WorkerModel.h"
+#include "http/ApiTypes.h"
+#include "membership/VmDirectory.h"
+#include "store/MemoryStore.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace anvildoor {
+
+/** The size of one stand-in site. */
+struct standin_settings
+{
+  std::string mListenGrpc;    ///< Store, list of machines and workers.
+  std::string mListenControl; ///< HTTP: faults, records, counts.
+  std::string mUpstreamIp = "127.0.0.1";
+  int mUpstreamPort = 7200; ///< The first upstream's port; the others follow.
+  std::vector<std::string> mDataCentres;
+  std::vector<vm_record> mEntryVms;
+  int mRacks = 2; ///< Per data centre.
+  int mWorkersPerRack = 4;
+  resources mWorker{ 8, 32, 65'536 };
+  int mUpstreams = 4; ///< Per data centre.
+  int64_t mSlots = 8;
+  int64_t mConnections = 64;
+  duration mListLag{ 0 };
+};
+
+/** One request that an upstream began to run. */
+struct upstream_run
+{
+  time_point mAt{};
+  std::string mUpstream;
+  std::string mRequestId;
+  std::string mPayload;
+
+  auto operator<=>(const upstream_run&) const = default;
+};
+
+/**
+ * Small stand-ins for the platform: store, lagging list of machines, workers and
+ * upstreams, with switchable faults and a record of what ran. Thread-safe.
+ */
+class standin_site
+{
+public:
+  /** aLoop must outlive the site. */
+  standin_site(event_loop& aLoop, const standin_settings& aSettings);
+
+  memory_store& Store() { return mStore; }
+
+  /** Returns the worker with this id, or null. */
+  worker_model* Worker(const std::string& aId);
+
+  /** Returns what the lagging list tells a VM of one data centre. */
+  vm_list List(const std::string& aDataCentre, uint64_t aSince);
+
+  /** Returns the upstreams with their addresses. */
+  std::vector<vm_record> Upstreams() const;
+
+  /** Serves POST /execute at one upstream. */
+  void Execute(const std::string& aUpstream, const api_call& aCall, api_done aDone);
+
+  /** Serves the control interface: faults, records, counts. */
+  void Control(const api_call& aCall, const api_done& aDone);
+
+private:
+  struct upstream_state
+  {
+    vm_record mRecord;
+    int64_t mActive = 0;
+    bool mLeaving = false;
+    bool mFailing = false;
+  };
+  struct listed_vm
+  {
+    vm_record mRecord;
+    uint64_t mVersion = 0;
+    time_point mVisible{};
+  };
+
+  void AddDataCentre(const std::string& aName, int& aPort);
+  void ListVm(const vm_record& aRecord);
+  void FinishExecute(const std::string& aUpstream,
+                     const std::string& aPayload,
+                     const api_done& aDone);
+  api_answer StoreFaults(const std::string& aBody);
+  api_answer WorkerFaults(const std::string& aWorker, const std::string& aBody);
+  api_answer UpstreamFaults(const std::string& aUpstream, const std::string& aBody);
+  std::string CountsJson() const;
+  std::string RunsJson() const;
+
+  event_loop& mLoop;
+  standin_settings mSettings;
+  memory_store mStore;
+  std::map<std::string, std::unique_ptr<worker_model>> mWorkers;
+  mutable std::mutex mMutex;
+  std::map<std::string, upstream_state> mUpstreams;
+  std::map<std::string, listed_vm> mListed;
+  uint64_t mListVersion = 0;
+  std::vector<upstream_run> mUpstreamRuns;
+  std::vector<worker_event> mWorkerEvents;
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/tests/support/CatchMain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
