--- /dev/null
+++ b/tests/support/FakeSite.cpp
@@ -0,0 +1,720 @@
+#include "support/FakeSite.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace anvildoor {
+
+namespace {
+
+constexpr duration kHop{ 1 };
+constexpr duration kLostCall{ 1'000 };
+constexpr const char* kOperatorToken = "operator-token";
+
+tl::unexpected<error> NoAnswer(const std::string& aStep, const std::string& aPeer)
+{
+  return Fail(error_code::kUnknownEffect, aStep, aPeer, "no answer");
+}
+
+std::string Numbered(const std::string& aPrefix, int aNumber)
+{
+  return aPrefix + std::to_string(aNumber);
+}
+
+} // namespace
+
+recorded_log::recorded_log(event_loop& aLoop)
+  : mLoop(aLoop)
+  , mStart(aLoop.Now())
+{
+}
+
+bool recorded_log::Has(const std::string& aText) const
+{
+  return std::any_of(mLines.begin(), mLines.end(), [&](const auto& aLine) {
+    return aLine.find(aText) != std::string::npos;
+  });
+}
+
+void recorded_log::OnWrite(const std::string& aLine)
+{
+  const auto at = (mLoop.Now() - mStart).count();
+  mLines.push_back("t=" + std::to_string(at) + " " + aLine);
+}
+
+/** The ports of one entry VM; every message takes one hop and may be cut. */
+class fake_ports
+  : public store_client
+  , public vm_list_port
+  , public worker_port
+  , public peer_port
+  , public upstream_port
+{
+public:
+  fake_ports(fake_site& aSite, scoped_loop& aLoop, std::string aVm)
+    : mSite(aSite)
+    , mLoop(aLoop)
+    , mVm(std::move(aVm))
+  {
+  }
+
+protected:
+  // Store
+
+  template<typename T, typename Start>
+  void ToStore(store_done<T> aDone, error_code aCode, const Start& aStart)
+  {
+    if (mSite.IsCut(mVm, "store")) {
+      mLoop.RunAfter(kLostCall, [done = std::move(aDone), aCode] {
+        done(Fail(aCode, "store", "store", "no answer"));
+      });
+      return;
+    }
+    aStart([this, done = std::move(aDone)](result<T> aAnswer) {
+      mLoop.Post([done, answer = std::move(aAnswer)] { done(answer); });
+    });
+  }
+
+  void OnGet(const std::string& aKey,
+             store_done<std::optional<store_value>> aDone) override
+  {
+    ToStore<std::optional<store_value>>(
+      std::move(aDone), error_code::kUnavailable, [&](auto aPass) {
+        mSite.mStore.Get(aKey, std::move(aPass));
+      });
+  }
+
+  void OnCas(const store_write& aWrite, store_done<uint64_t> aDone) override
+  {
+    ToStore<uint64_t>(std::move(aDone), error_code::kUnknownEffect, [&](auto aPass) {
+      mSite.mStore.Cas(aWrite, std::move(aPass));
+    });
+  }
+
+  void OnRemove(const std::string& aKey,
+                uint64_t aVersion,
+                store_done<uint64_t> aDone) override
+  {
+    ToStore<uint64_t>(std::move(aDone), error_code::kUnknownEffect, [&](auto aPass) {
+      mSite.mStore.Remove(aKey, aVersion, std::move(aPass));
+    });
+  }
+
+  void OnList(const std::string& aPrefix,
+              store_done<std::vector<store_entry>> aDone) override
+  {
+    ToStore<std::vector<store_entry>>(
+      std::move(aDone), error_code::kUnavailable, [&](auto aPass) {
+        mSite.mStore.List(aPrefix, std::move(aPass));
+      });
+  }
+
+  void OnWatch(const std::string& aKey,
+               uint64_t aKnown,
+               duration aWait,
+               store_done<std::optional<store_value>> aDone) override
+  {
+    ToStore<std::optional<store_value>>(
+      std::move(aDone), error_code::kUnavailable, [&](auto aPass) {
+        mSite.mStore.Watch(aKey, aKnown, aWait, std::move(aPass));
+      });
+  }
+
+  void OnGrantLease(duration aTtl, store_done<uint64_t> aDone) override
+  {
+    ToStore<uint64_t>(std::move(aDone), error_code::kUnknownEffect, [&](auto aPass) {
+      mSite.mStore.GrantLease(aTtl, std::move(aPass));
+    });
+  }
+
+  void OnRenewLease(uint64_t aLease, store_done<uint64_t> aDone) override
+  {
+    ToStore<uint64_t>(std::move(aDone), error_code::kUnknownEffect, [&](auto aPass) {
+      mSite.mStore.RenewLease(aLease, std::move(aPass));
+    });
+  }
+
+  // List of machines
+
+  void OnList(const std::string& aDataCentre,
+              uint64_t aSince,
+              vm_list_port::done aDone) override
+  {
+    if (mSite.IsCut(mVm, "vms")) {
+      mLoop.RunAfter(kLostCall,
+                     [aDone] { aDone(Fail(error_code::kUnavailable, "vms", "", "")); });
+      return;
+    }
+    vm_list list;
+    list.mVersion = mSite.mListVersion;
+    for (const auto& [id, record] : mSite.mListed) {
+      const bool wanted =
+        record.mKind == vm_kind::kEntry || record.mDataCentre == aDataCentre;
+      if (wanted && mSite.mListedAt[id] > aSince) {
+        list.mChanged.push_back(record);
+      }
+    }
+    mLoop.RunAfter(kHop, [aDone, list] { aDone(list); });
+  }
+
+  // Workers
+
+  template<typename T, typename Body>
+  void ToWorker(const std::string& aWorker, port_done<T> aDone, const Body& aBody)
+  {
+    ++mSite.mMessages;
+    if (Unreachable(aWorker)) {
+      LoseCall("worker", aWorker, std::move(aDone));
+      return;
+    }
+    mSite.mLoop.RunAfter(kHop, [this, aWorker, aDone, aBody] {
+      if (Unreachable(aWorker)) {
+        return;
+      }
+      aBody(*mSite.mWorkers[aWorker], [this, aWorker, aDone](result<T> aAnswer) {
+        mLoop.RunAfter(kHop, [aDone, aAnswer] { aDone(aAnswer); });
+      });
+    });
+  }
+
+  void OnPrepare(const std::string& aWorker,
+                 const prepare_request& aRequest,
+                 port_done<accepted> aDone) override
+  {
+    ToWorker<accepted>(aWorker, std::move(aDone), [aRequest](auto& aModel, auto aPass) {
+      aPass(aModel.Prepare(aRequest));
+    });
+  }
+
+  void OnRelease(const std::string& aWorker,
+                 uint64_t aEpoch,
+                 const std::string& aAttempt,
+                 port_done<accepted> aDone) override
+  {
+    ToWorker<accepted>(
+      aWorker, std::move(aDone), [aEpoch, aAttempt](auto& aModel, auto aPass) {
+        aPass(aModel.Release(aEpoch, aAttempt));
+      });
+  }
+
+  void OnStop(const std::string& aWorker,
+              const stop_request& aRequest,
+              port_done<member_report> aDone) override
+  {
+    ToWorker<member_report>(
+      aWorker, std::move(aDone), [aRequest](auto& aModel, auto aPass) {
+        aModel.Stop(aRequest, aPass);
+      });
+  }
+
+  void OnRenew(const std::string& aWorker,
+               const renew_request& aRequest,
+               port_done<renew_reply> aDone) override
+  {
+    ToWorker<renew_reply>(
+      aWorker, std::move(aDone), [aRequest](auto& aModel, auto aPass) {
+        aPass(aModel.Renew(aRequest));
+      });
+  }
+
+  // Peers
+
+  template<typename T, typename Body>
+  void ToPeer(const std::string& aAddress, port_done<T> aDone, const Body& aBody)
+  {
+    ++mSite.mMessages;
+    const auto vm = aAddress.substr(0, aAddress.find(':'));
+    if (mSite.IsCut(mVm, vm) || !mSite.IsRunning(vm)) {
+      LoseCall("peer", vm, std::move(aDone));
+      return;
+    }
+    mSite.mLoop.RunAfter(kHop, [this, vm, aDone, aBody] {
+      if (!mSite.IsRunning(vm)) {
+        LoseCall("peer", vm, aDone);
+        return;
+      }
+      mSite.RunOn(vm, [this, vm, aDone, aBody] {
+        aBody(mSite.Node(vm), [this, aDone](result<T> aAnswer) {
+          mLoop.RunAfter(kHop, [aDone, aAnswer] { aDone(aAnswer); });
+        });
+      });
+    });
+  }
+
+  void OnHeartbeat(const std::string& aAddress,
+                   const peer_state& aState,
+                   port_done<peer_state> aDone) override
+  {
+    ToPeer<peer_state>(aAddress, std::move(aDone), [aState](node& aNode, auto aPass) {
+      aPass(aNode.OnPeerHeartbeat(aState));
+    });
+  }
+
+  void OnPullConfig(const std::string& aAddress,
+                    uint64_t aFrom,
+                    port_done<config_transfer> aDone) override
+  {
+    ToPeer<config_transfer>(
+      aAddress, std::move(aDone), [aFrom](node& aNode, auto aPass) {
+        aPass(aNode.OnPeerPullConfig(aFrom));
+      });
+  }
+
+  void OnForward(const std::string& aAddress,
+                 const forwarded_call& aCall,
+                 port_done<forwarded_answer> aDone) override
+  {
+    auto answered = std::make_shared<bool>(false);
+    const auto once = [answered, aDone](const result<forwarded_answer>& aAnswer) {
+      if (!std::exchange(*answered, true)) {
+        aDone(aAnswer);
+      }
+    };
+    mLoop.RunAfter(aCall.mTimeout, [once] { once(NoAnswer("peer.forward", "")); });
+    ToPeer<forwarded_answer>(aAddress, once, [aCall](node& aNode, auto aPass) {
+      aNode.OnPeerForward(aCall, aPass);
+    });
+  }
+
+  void OnReport(const std::string& aAddress,
+                const worker_statuses& aStatuses,
+                port_done<accepted> aDone) override
+  {
+    ToPeer<accepted>(aAddress, std::move(aDone), [aStatuses](node& aNode, auto aPass) {
+      aPass(aNode.OnPeerReport(aStatuses));
+    });
+  }
+
+  void OnVersionInForce(const std::string& aAddress, port_done<uint64_t> aDone) override
+  {
+    ToPeer<uint64_t>(aAddress, std::move(aDone), [](node& aNode, auto aPass) {
+      aPass(aNode.OnPeerVersionInForce());
+    });
+  }
+
+  // Upstreams
+
+  void OnExecute(const std::string& aAddress,
+                 const upstream_call& aCall,
+                 upstream_port::done aDone) override
+  {
+    ++mSite.mMessages;
+    auto& upstream = mSite.Upstream(aAddress);
+    if (upstream.mRefusesConnections || mSite.IsCut(mVm, aAddress)) {
+      mLoop.RunAfter(kHop, [aDone, aAddress] {
+        aDone(Fail(error_code::kUnavailable, "upstream.connect", aAddress, "refused"));
+      });
+      return;
+    }
+    auto answered = std::make_shared<bool>(false);
+    const auto once = [answered, aDone](const result<upstream_reply>& aAnswer) {
+      if (!std::exchange(*answered, true)) {
+        aDone(aAnswer);
+      }
+    };
+    mLoop.RunAfter(aCall.mWait,
+                   [once, aAddress] { once(NoAnswer("upstream.answer", aAddress)); });
+    mSite.mLoop.RunAfter(
+      kHop, [this, aAddress, aCall, once] { RunUpstream(aAddress, aCall, once); });
+  }
+
+private:
+  bool Unreachable(const std::string& aWorker) const
+  {
+    return mSite.IsCut(mVm, aWorker) || mSite.mDeadWorkers.count(aWorker) != 0;
+  }
+
+  template<typename T>
+  void LoseCall(const std::string& aStep, const std::string& aPeer, port_done<T> aDone)
+  {
+    mLoop.RunAfter(kLostCall, [aStep, aPeer, aDone] { aDone(NoAnswer(aStep, aPeer)); });
+  }
+
+  template<typename Once>
+  void RunUpstream(const std::string& aId,
+                   const upstream_call& aCall,
+                   const Once& aOnce)
+  {
+    auto& upstream = mSite.Upstream(aId);
+    const auto reply =
+      [this, aOnce](uint32_t aStatus, const std::string& aBody, bool aLeaving) {
+        mLoop.RunAfter(kHop, [aOnce, aStatus, aBody, aLeaving] {
+          aOnce(upstream_reply{ aStatus, aBody, aLeaving });
+        });
+      };
+    if (upstream.mLeaving && !upstream.mRunsWhileLeaving) {
+      reply(503, "leaving", true);
+      return;
+    }
+    if (upstream.mActive >= upstream.mRecord.mSlots) {
+      reply(429, "busy", false);
+      return;
+    }
+    ++upstream.mActive;
+    mSite.mRuns.push_back({ mSite.mLoop.Now(), aId, aCall.mRequestId, aCall.mPayload });
+    mSite.mLoop.RunAfter(upstream.mWork, [this, aId, aCall, reply] {
+      auto& item = mSite.Upstream(aId);
+      --item.mActive;
+      if (item.mLoseAnswers > 0) {
+        --item.mLoseAnswers;
+        return;
+      }
+      reply(item.mStatus, "answer to " + aCall.mPayload, item.mLeaving);
+    });
+  }
+
+  fake_site& mSite;
+  scoped_loop& mLoop;
+  std::string mVm;
+};
+
+struct fake_site::vm_slot
+{
+  vm_slot(fake_site& aSite, const std::string& aVm, const node_settings& aSettings)
+    : mLoop(aSite.mLoop)
+    , mPorts(aSite, mLoop, aVm)
+    , mNode({ mLoop, mPorts, mPorts, mPorts, mPorts, mPorts, aSite.mLog }, aSettings)
+  {
+  }
+
+  scoped_loop mLoop;
+  fake_ports mPorts;
+  node mNode;
+  bool mFrozen = false;
+};
+
+fake_site::fake_site(const fake_settings& aSettings)
+  : mSettings(aSettings)
+  , mLoop(std::chrono::hours(24))
+  , mStore(mLoop)
+  , mLog(mLoop)
+{
+  for (const auto& name : aSettings.mDataCentres) {
+    AddDataCentre(name);
+  }
+}
+
+fake_site::~fake_site()
+{
+  for (auto& [vm, slot] : mVms) {
+    if (slot) {
+      slot->mLoop.Stop();
+    }
+  }
+}
+
+void fake_site::AddDataCentre(const std::string& aName)
+{
+  const auto list = [this](const vm_record& aRecord) {
+    mListed[aRecord.mId] = aRecord;
+    mListedAt[aRecord.mId] = ++mListVersion;
+  };
+  for (int i = 1; i <= mSettings.mEntryVms; ++i) {
+    vm_record vm;
+    vm.mId = aName + Numbered("-e", i);
+    vm.mDataCentre = aName;
+    vm.mAddress = vm.mId + ":1";
+    list(vm);
+    mVms[vm.mId] = nullptr;
+  }
+  for (int rack = 1; rack <= mSettings.mRacks; ++rack) {
+    for (int i = 1; i <= mSettings.mWorkersPerRack; ++i) {
+      vm_record worker;
+      worker.mKind = vm_kind::kWorker;
+      worker.mDataCentre = aName;
+      worker.mRack = aName + Numbered("-r", rack);
+      worker.mId = worker.mRack + Numbered("-w", i);
+      worker.mCapacity = mSettings.mWorker;
+      list(worker);
+      mWorkers[worker.mId] = std::make_unique<worker_model>(
+        mLoop, worker.mId, worker.mCapacity, [this](const worker_event& aEvent) {
+          mTaskEvents.push_back(aEvent);
+        });
+    }
+  }
+  for (int i = 1; i <= mSettings.mUpstreams; ++i) {
+    vm_record upstream;
+    upstream.mKind = vm_kind::kUpstream;
+    upstream.mId = aName + Numbered("-u", i);
+    upstream.mDataCentre = aName;
+    upstream.mAddress = upstream.mId;
+    upstream.mSlots = mSettings.mSlots;
+    upstream.mConnections = 64;
+    list(upstream);
+    mUpstreams[upstream.mId].mRecord = upstream;
+  }
+}
+
+void fake_site::StartAll()
+{
+  for (const auto& [vm, slot] : mVms) {
+    if (!slot) {
+      StartVm(vm);
+    }
+  }
+}
+
+void fake_site::StartVm(const std::string& aVm)
+{
+  node_settings settings;
+  settings.mIdentity = { aVm, ++mIncarnations, mListed[aVm].mDataCentre, aVm + ":1" };
+  settings.mOperatorTokenHashes = { Sha256Hex(kOperatorToken) };
+  settings.mSeed = mIncarnations;
+  mVms[aVm] = std::make_unique<vm_slot>(*this, aVm, settings);
+  mVms[aVm]->mNode.Start();
+}
+
+void fake_site::KillVm(const std::string& aVm)
+{
+  if (mVms[aVm]) {
+    mVms[aVm]->mLoop.Stop();
+    mDead.push_back(std::move(mVms[aVm]));
+  }
+}
+
+void fake_site::FreezeVm(const std::string& aVm)
+{
+  mVms[aVm]->mFrozen = true;
+  mVms[aVm]->mLoop.Pause();
+}
+
+void fake_site::ThawVm(const std::string& aVm)
+{
+  mVms[aVm]->mFrozen = false;
+  mVms[aVm]->mLoop.Resume();
+}
+
+bool fake_site::IsRunning(const std::string& aVm) const
+{
+  const auto found = mVms.find(aVm);
+  return found != mVms.end() && found->second;
+}
+
+std::vector<std::string> fake_site::RunningVms(const std::string& aDataCentre) const
+{
+  std::vector<std::string> running;
+  for (const auto& [vm, slot] : mVms) {
+    if (slot && vm.rfind(aDataCentre, 0) == 0) {
+      running.push_back(vm);
+    }
+  }
+  return running;
+}
+
+node& fake_site::Node(const std::string& aVm)
+{
+  return mVms.at(aVm)->mNode;
+}
+
+void fake_site::RunOn(const std::string& aVm, task aTask)
+{
+  mVms.at(aVm)->mLoop.Post(std::move(aTask));
+}
+
+void fake_site::Cut(const std::string& aLeft, const std::string& aRight)
+{
+  mCuts.insert(std::minmax(aLeft, aRight));
+}
+
+void fake_site::Mend(const std::string& aLeft, const std::string& aRight)
+{
+  mCuts.erase(std::minmax(aLeft, aRight));
+}
+
+bool fake_site::IsCut(const std::string& aLeft, const std::string& aRight) const
+{
+  return mCuts.count(std::minmax(aLeft, aRight)) != 0;
+}
+
+worker_model& fake_site::Worker(const std::string& aId)
+{
+  return *mWorkers.at(aId);
+}
+
+std::vector<std::string> fake_site::WorkerIds() const
+{
+  std::vector<std::string> ids;
+  for (const auto& [id, model] : mWorkers) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+void fake_site::KillWorker(const std::string& aId)
+{
+  mDeadWorkers.insert(aId);
+  mWorkers.at(aId)->Restart();
+}
+
+void fake_site::ReturnWorker(const std::string& aId)
+{
+  mDeadWorkers.erase(aId);
+}
+
+fake_upstream& fake_site::Upstream(const std::string& aId)
+{
+  return mUpstreams.at(aId);
+}
+
+std::vector<std::string> fake_site::UpstreamIds() const
+{
+  std::vector<std::string> ids;
+  for (const auto& [id, item] : mUpstreams) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+void fake_site::ListUpstream(const std::string& aId, bool aLeaving)
+{
+  mListed[aId].mLeaving = aLeaving;
+  mListedAt[aId] = ++mListVersion;
+}
+
+std::string fake_site::SchedulerVm(const std::string& aDataCentre)
+{
+  for (auto& [vm, slot] : mVms) {
+    if (slot && !slot->mFrozen && vm.rfind(aDataCentre, 0) == 0 &&
+        slot->mNode.Scheduler().IsLeading()) {
+      return vm;
+    }
+  }
+  return "";
+}
+
+bool fake_site::WaitForScheduler(const std::string& aDataCentre, duration aLimit)
+{
+  const bool led =
+    mLoop.RunUntil([&] { return !SchedulerVm(aDataCentre).empty(); }, aLimit);
+  mLoop.RunFor(duration(2'500));
+  return led;
+}
+
+std::shared_ptr<api_answer> fake_site::Begin(const std::string& aVm,
+                                             const api_call& aCall)
+{
+  auto slot = std::make_shared<api_answer>();
+  slot->mStatus = 0;
+  RunOn(aVm, [this, aVm, aCall, slot] {
+    Node(aVm).Serve(aCall, [slot](const api_answer& aAnswer) { *slot = aAnswer; });
+  });
+  return slot;
+}
+
+api_answer fake_site::Call(const std::string& aVm,
+                           const api_call& aCall,
+                           duration aLimit)
+{
+  const auto slot = Begin(aVm, aCall);
+  mLoop.RunUntil([&] { return slot->mStatus != 0; }, aLimit);
+  return *slot;
+}
+
+api_answer fake_site::PutWorkspace(const std::string& aVm,
+                                   const std::string& aName,
+                                   const std::string& aGuarantees)
+{
+  const auto body = R"({"token_sha256":")" + Sha256Hex("token-" + aName) +
+                    R"(","guarantees":)" + aGuarantees + "}";
+  return Call(aVm, OperatorCall("PUT", "/v1/config/workspaces/" + aName, body));
+}
+
+fake_site::gang_check fake_site::CheckGangs(const std::string& aJob) const
+{
+  gang_check check;
+  std::map<std::pair<std::string, std::string>, int64_t> running;
+  time_point partialSince{ -1 };
+  const auto note = [&](time_point aAt, int64_t aGang) {
+    int64_t tasks = 0;
+    for (const auto& [member, count] : running) {
+      tasks += count;
+    }
+    check.mDoubledTasks = std::max(check.mDoubledTasks, tasks - aGang);
+    const bool partial = tasks > 0 && tasks < aGang;
+    if (!partial && partialSince.count() >= 0) {
+      check.mLongestPartial =
+        std::max<duration>(check.mLongestPartial, aAt - partialSince);
+      partialSince = time_point{ -1 };
+    } else if (partial && partialSince.count() < 0) {
+      partialSince = aAt;
+    }
+  };
+  std::set<std::pair<std::string, std::string>> completed;
+  for (const auto& event : mTaskEvents) {
+    if (event.mJob != aJob) {
+      continue;
+    }
+    const std::pair member(event.mWorker, event.mAttempt);
+    // A member that has completed has done its part of the whole.
+    if (event.mState == member_state::kRunning ||
+        event.mState == member_state::kCompleted) {
+      running[member] = event.mTasks;
+      if (event.mState == member_state::kCompleted) {
+        completed.insert(member);
+      }
+    } else {
+      running.erase(member);
+      // With one member gone, what the others had completed counts no more.
+      std::erase_if(running, [&](const auto& aItem) {
+        return completed.count(aItem.first) != 0 &&
+               aItem.first.second == event.mAttempt;
+      });
+      std::erase_if(completed,
+                    [&](const auto& aItem) { return aItem.second == event.mAttempt; });
+    }
+    if (completed.size() == running.size() && !running.empty()) {
+      running.clear();
+      completed.clear();
+    }
+    note(event.mAt, event.mGangTasks);
+  }
+  if (partialSince.count() >= 0) {
+    check.mLongestPartial =
+      std::max<duration>(check.mLongestPartial, mLoop.Now() - partialSince);
+  }
+  return check;
+}
+
+api_call OperatorCall(const std::string& aMethod,
+                      const std::string& aTarget,
+                      const std::string& aBody)
+{
+  api_call call;
+  call.mMethod = aMethod;
+  call.mTarget = aTarget;
+  call.mBody = aBody;
+  call.mToken = kOperatorToken;
+  return call;
+}
+
+api_call WorkspaceCall(const std::string& aWorkspace,
+                       const std::string& aMethod,
+                       const std::string& aTarget,
+                       const std::string& aBody,
+                       const std::string& aKey)
+{
+  auto call = OperatorCall(aMethod, aTarget, aBody);
+  call.mToken = "token-" + aWorkspace;
+  call.mIdempotencyKey = aKey;
+  return call;
+}
+
+std::string JsonText(const std::string& aBody, const std::string& aField)
+{
+  const auto body = nlohmann::json::parse(aBody, nullptr, false);
+  return body.is_object() && body.contains(aField) && body[aField].is_string()
+           ? body[aField].get<std::string>()
+           : std::string();
+}
+
+int64_t JsonNumber(const std::string& aBody, const std::string& aField)
+{
+  const auto body = nlohmann::json::parse(aBody, nullptr, false);
+  return body.is_object() && body.contains(aField) && body[aField].is_number()
+           ? body[aField].get<int64_t>()
+           : -1;
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/tests/support/FakeSite.h
@@ -0,0 +1,183 @@
+#pragma once
+
+#include "base/EventLog.h"
+#include "base/ScopedLoop.h"
+#include "base/VirtualLoop.h"
+#include "daemon/Node.h"
+#include "gang/WorkerModel.h"
+#include "store/MemoryStore.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace anvildoor {
+
+/** Keeps the lines of events, dated, for assertions and golden files. */
+class recorded_log : public event_log
+{
+public:
+  explicit recorded_log(event_loop& aLoop);
+
+  const std::vector<std::string>& Lines() const { return mLines; }
+  bool Has(const std::string& aText) const;
+
+protected:
+  void OnWrite(const std::string& aLine) override;
+
+private:
+  event_loop& mLoop;
+  time_point mStart;
+  std::vector<std::string> mLines;
+};
+
+/** The size of a fake site. */
+struct fake_settings
+{
+  std::vector<std::string> mDataCentres{ "alpha" };
+  int mEntryVms = 3; ///< Per data centre.
+  int mRacks = 2;    ///< Per data centre.
+  int mWorkersPerRack = 4;
+  resources mWorker{ 8, 32, 65'536 };
+  int mUpstreams = 2; ///< Per data centre.
+  int64_t mSlots = 8;
+};
+
+/** A request as an upstream ran it. */
+struct fake_run
+{
+  time_point mAt{};
+  std::string mUpstream;
+  std::string mRequestId;
+  std::string mPayload;
+};
+
+/** How a fake upstream behaves. */
+struct fake_upstream
+{
+  vm_record mRecord;
+  duration mWork{ 20 };
+  uint32_t mStatus = 200;
+  bool mRefusesConnections = false;
+  bool mLeaving = false; ///< Says so in its answers.
+  bool mRunsWhileLeaving = false;
+  uint32_t mLoseAnswers = 0; ///< How many of the next answers are lost.
+  int64_t mActive = 0;
+};
+
+/**
+ * Small fakes at the ports of whole nodes, all on one virtual loop: entry VMs that can
+ * be killed, frozen, replaced and cut off, workers, upstreams, and a store with faults.
+ */
+class fake_site
+{
+public:
+  explicit fake_site(const fake_settings& aSettings = {});
+  ~fake_site();
+
+  virtual_loop& Loop() { return mLoop; }
+  memory_store& Store() { return mStore; }
+  recorded_log& Log() { return mLog; }
+
+  /** Starts every entry VM that is not running. */
+  void StartAll();
+  void StartVm(const std::string& aVm);
+  void KillVm(const std::string& aVm);
+  void FreezeVm(const std::string& aVm);
+  void ThawVm(const std::string& aVm);
+  std::vector<std::string> RunningVms(const std::string& aDataCentre = "") const;
+  node& Node(const std::string& aVm);
+  bool IsRunning(const std::string& aVm) const;
+
+  /** Cuts the path between two parties: VMs, workers, upstreams, "store", "vms". */
+  void Cut(const std::string& aLeft, const std::string& aRight);
+  void Mend(const std::string& aLeft, const std::string& aRight);
+  bool IsCut(const std::string& aLeft, const std::string& aRight) const;
+
+  worker_model& Worker(const std::string& aId);
+  std::vector<std::string> WorkerIds() const;
+  void KillWorker(const std::string& aId);
+  void ReturnWorker(const std::string& aId);
+
+  fake_upstream& Upstream(const std::string& aId);
+  std::vector<std::string> UpstreamIds() const;
+  void ListUpstream(const std::string& aId, bool aLeaving);
+
+  const std::vector<fake_run>& Runs() const { return mRuns; }
+  const std::vector<worker_event>& TaskEvents() const { return mTaskEvents; }
+  uint64_t Messages() const { return mMessages; }
+
+  /** Returns the VM that schedules, "" if none. */
+  std::string SchedulerVm(const std::string& aDataCentre = "alpha");
+
+  /** Waits until a VM schedules and its workers have reported. */
+  bool WaitForScheduler(const std::string& aDataCentre = "alpha",
+                        duration aLimit = std::chrono::seconds(30));
+
+  /** Makes one call at a VM and waits for its answer. */
+  api_answer Call(const std::string& aVm,
+                  const api_call& aCall,
+                  duration aLimit = std::chrono::seconds(60));
+
+  /** Makes one call without waiting; the answer appears in the returned slot. */
+  std::shared_ptr<api_answer> Begin(const std::string& aVm, const api_call& aCall);
+
+  /** Creates a workspace with token "token-NAME" and the given guarantees. */
+  api_answer PutWorkspace(const std::string& aVm,
+                          const std::string& aName,
+                          const std::string& aGuarantees = "[]");
+
+  /** Returns the most tasks of a job that ran at once without its whole gang. */
+  struct gang_check
+  {
+    duration mLongestPartial{ 0 };
+    int64_t mDoubledTasks = 0;
+  };
+  gang_check CheckGangs(const std::string& aJob) const;
+
+private:
+  friend class fake_ports;
+  struct vm_slot;
+
+  void AddDataCentre(const std::string& aName);
+  void RunOn(const std::string& aVm, task aTask);
+
+  fake_settings mSettings;
+  virtual_loop mLoop;
+  memory_store mStore;
+  recorded_log mLog;
+  std::map<std::string, vm_record> mListed;
+  std::map<std::string, uint64_t> mListedAt;
+  uint64_t mListVersion = 0;
+  std::map<std::string, std::unique_ptr<vm_slot>> mVms;
+  std::vector<std::unique_ptr<vm_slot>>
+    mDead; ///< Killed; late tasks may refer to them.
+  std::map<std::string, std::unique_ptr<worker_model>> mWorkers;
+  std::set<std::string> mDeadWorkers;
+  std::map<std::string, fake_upstream> mUpstreams;
+  std::set<std::pair<std::string, std::string>> mCuts;
+  std::vector<fake_run> mRuns;
+  std::vector<worker_event> mTaskEvents;
+  uint64_t mMessages = 0;
+  uint64_t mIncarnations = 0;
+};
+
+/** Returns a call with the operator's token. */
+api_call OperatorCall(const std::string& aMethod,
+                      const std::string& aTarget,
+                      const std::string& aBody = "");
+
+/** Returns a call with a workspace's token. */
+api_call WorkspaceCall(const std::string& aWorkspace,
+                       const std::string& aMethod,
+                       const std::string& aTarget,
+                       const std::string& aBody = "",
+                       const std::string& aKey = "");
+
+/** Returns the string field of a JSON object, "" if it is missing. */
+std::string JsonText(const std::string& aBody, const std::string& aField);
+int64_t JsonNumber(const std::string& aBody, const std::string& aField);
+
+} // namespace anvildoor
--- /dev/null
+++ b/tools/anvildoor-standin.cpp
@@ -0,0 +1,165 @@
+#include "daemon/TbbLoop.h"
+#include "standin/StandinServer.h"
+#include "standin/StandinSite.h"
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <getopt.h>
+#include <optional>
+#include <pthread.h>
+#include <string>
+
+namespace {
+
+using anvildoor::standin_settings;
+
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+constexpr int kThreads = 4;
+constexpr long kMaxNumber = 100'000;
+
+void PrintHelp()
+{
+  std::puts(
+    "Usage: anvildoor-standin --grpc IP:PORT --control IP:PORT --data-centre NAME\n"
+    "                         [--entry VM=DATA_CENTRE=IP:PORT]... [OPTIONS]\n"
+    "\n"
+    "Small stand-ins for the platform in one process: store, list of machines,\n"
+    "workers and upstreams. For tests and demonstrations only.\n"
+    "\n"
+    "      --grpc IP:PORT       store, list of machines and workers\n"
+    "      --control IP:PORT    HTTP: GET /counts, /runs; POST /store, /workers/ID,\n"
+    "                           /upstreams/ID with a JSON object of faults\n"
+    "      --data-centre NAME   may be given several times\n"
+    "      --entry VM=DC=ADDR   an entry VM and the address its peers use\n"
+    "      --racks N            racks per data centre (2)\n"
+    "      --workers N          workers per rack (4)\n"
+    "      --accelerators N     accelerators per worker (8)\n"
+    "      --upstreams N        upstreams per data centre (4)\n"
+    "      --upstream-port N    port of the first upstream (7200)\n"
+    "      --list-lag-ms N      lag of the list of machines (0)\n"
+    "  -h, --help               this text");
+}
+
+std::optional<int> ParseCount(const char* aText)
+{
+  char* end = nullptr;
+  const long value = std::strtol(aText, &end, 10);
+  if (*aText == '\0' || *end != '\0' || value < 0 || value > kMaxNumber) {
+    return std::nullopt;
+  }
+  return static_cast<int>(value);
+}
+
+bool ParseEntry(const std::string& aText, standin_settings& aSettings)
+{
+  const auto first = aText.find('=');
+  const auto second = aText.find('=', first + 1);
+  if (first == std::string::npos || second == std::string::npos) {
+    return false;
+  }
+  anvildoor::vm_record vm;
+  vm.mKind = anvildoor::vm_kind::kEntry;
+  vm.mId = aText.substr(0, first);
+  vm.mDataCentre = aText.substr(first + 1, second - first - 1);
+  vm.mAddress = aText.substr(second + 1);
+  aSettings.mEntryVms.push_back(vm);
+  return true;
+}
+
+/** Takes one option; returns false if its value is wrong. */
+bool TakeOption(int aChoice, const char* aValue, standin_settings& aSettings)
+{
+  const auto count = [aValue](auto& aTarget) {
+    const auto parsed = ParseCount(aValue);
+    aTarget = parsed.value_or(0);
+    return parsed.has_value();
+  };
+  switch (aChoice) {
+    case 'g':
+      aSettings.mListenGrpc = aValue;
+      return true;
+    case 'c':
+      aSettings.mListenControl = aValue;
+      return true;
+    case 'd':
+      aSettings.mDataCentres.emplace_back(aValue);
+      return true;
+    case 'e':
+      return ParseEntry(aValue, aSettings);
+    case 'r':
+      return count(aSettings.mRacks);
+    case 'w':
+      return count(aSettings.mWorkersPerRack);
+    case 'a':
+      return count(aSettings.mWorker.mAccelerators);
+    case 'u':
+      return count(aSettings.mUpstreams);
+    case 'p':
+      return count(aSettings.mUpstreamPort);
+    case 'l': {
+      int lag = 0;
+      const bool good = count(lag);
+      aSettings.mListLag = anvildoor::duration(lag);
+      return good;
+    }
+    default:
+      return false;
+  }
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  static const option sOptions[] = {
+    { "grpc", required_argument, nullptr, 'g' },
+    { "control", required_argument, nullptr, 'c' },
+    { "data-centre", required_argument, nullptr, 'd' },
+    { "entry", required_argument, nullptr, 'e' },
+    { "racks", required_argument, nullptr, 'r' },
+    { "workers", required_argument, nullptr, 'w' },
+    { "accelerators", required_argument, nullptr, 'a' },
+    { "upstreams", required_argument, nullptr, 'u' },
+    { "upstream-port", required_argument, nullptr, 'p' },
+    { "list-lag-ms", required_argument, nullptr, 'l' },
+    { "help", no_argument, nullptr, 'h' },
+    { nullptr, 0, nullptr, 0 }
+  };
+  standin_settings settings;
+  int choice = 0;
+  while ((choice = getopt_long(aCount, aArguments, "h", sOptions, nullptr)) != -1) {
+    if (choice == 'h') {
+      PrintHelp();
+      return 0;
+    }
+    if (!TakeOption(choice, optarg, settings)) {
+      std::fprintf(stderr, "anvildoor-standin: wrong option; see --help\n");
+      return kExitUsage;
+    }
+  }
+  if (settings.mListenGrpc.empty() || settings.mListenControl.empty() ||
+      settings.mDataCentres.empty()) {
+    std::fprintf(stderr, "anvildoor-standin: --grpc, --control and --data-centre\n");
+    return kExitUsage;
+  }
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  anvildoor::tbb_loop loop(kThreads);
+  // Never destroyed: gRPC may call into them until the process has ended.
+  auto* site = new anvildoor::standin_site(loop, settings);
+  auto* server = new anvildoor::standin_server(loop, *site, settings);
+  if (auto listening = server->Listen(); !listening) {
+    std::fprintf(stderr,
+                 "anvildoor-standin: %s\n",
+                 anvildoor::Describe(listening.error()).c_str());
+    std::_Exit(kExitFailed);
+  }
+  int signal = 0;
+  sigwait(&signals, &signal);
+  std::_Exit(0);
+}
--- /dev/null
+++ b/tools/anvildoord.cpp
@@ -0,0 +1,85 @@
+#include "config/Settings.h"
+#include "daemon/Daemon.h"
+
+#include <cstdio>
+#include <getopt.h>
+#include <glog/logging.h>
+#include <string>
+
+namespace {
+
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+
+void PrintHelp()
+{
+  std::printf("Usage: anvildoord --config FILE [--check]\n"
+              "\n"
+              "Runs one anvildoor entry VM until SIGTERM, then drains and ends.\n"
+              "\n"
+              "  -c, --config FILE  the INI file with the settings\n"
+              "      --check        check the settings, start nothing\n"
+              "  -h, --help         this text\n"
+              "\n"
+              "Exit status: 0 ended gracefully or settings good, 1 could not start,\n"
+              "2 wrong usage or settings.\n"
+              "\n"
+              "Settings:\n");
+  for (const auto& item : anvildoor::DescribeSettings()) {
+    const auto fallback =
+      item.mDefault.empty() ? std::string("required") : "default " + item.mDefault;
+    std::printf("  [%s] %s: %s; %s\n",
+                item.mSection.c_str(),
+                item.mKey.c_str(),
+                item.mExpected.c_str(),
+                fallback.c_str());
+  }
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  static const option sOptions[] = { { "config", required_argument, nullptr, 'c' },
+                                     { "check", no_argument, nullptr, 'k' },
+                                     { "help", no_argument, nullptr, 'h' },
+                                     { nullptr, 0, nullptr, 0 } };
+  std::string file;
+  bool checkOnly = false;
+  int choice = 0;
+  while ((choice = getopt_long(aCount, aArguments, "c:h", sOptions, nullptr)) != -1) {
+    if (choice == 'c') {
+      file = optarg;
+    } else if (choice == 'k') {
+      checkOnly = true;
+    } else if (choice == 'h') {
+      PrintHelp();
+      return 0;
+    } else {
+      return kExitUsage;
+    }
+  }
+  if (file.empty() || optind != aCount) {
+    std::fprintf(stderr, "anvildoord: --config FILE is needed; see --help\n");
+    return kExitUsage;
+  }
+  const auto settings = anvildoor::LoadSettings(file);
+  if (!settings) {
+    std::fprintf(
+      stderr, "anvildoord: %s\n", anvildoor::Describe(settings.error()).c_str());
+    return kExitUsage;
+  }
+  if (checkOnly) {
+    std::printf("%s: the settings are good\n", file.c_str());
+    return 0;
+  }
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(aArguments[0]);
+  const auto ended = anvildoor::RunDaemon(*settings);
+  if (!ended) {
+    std::fprintf(
+      stderr, "anvildoord: %s\n", anvildoor::Describe(ended.error()).c_str());
+    return kExitFailed;
+  }
+  return 0;
+}
