Guarantee plan: no overlap, and repair after a loss of workers

Now what is in use is claimed first, six strategies are tried in turn, and gangs left in the way by a loss are demoted to borrowers if they can be restarted. One case is allowed, as a trace showed: a gang that must not be restarted and was started during a loss can keep a shape unbacked until it ends.

--- a/src/gang/SchedulerPlanning.cpp
+++ b/src/gang/SchedulerPlanning.cpp
@@ -42,6 +42,10 @@
   const planner_input input{ fleet,          *config,       mContext.mDataCentre,
                              RunningGangs(), WaitingJobs(), mContext.mLoop.Now() };
   const auto decision = mPolicy->Decide(input);
+  for (const auto& job : decision.mDemoted) {
+    mJobs[job].mRecord.mGuaranteed.reset();
+    Note(mJobs[job], "its guarantee is held elsewhere; it borrows from now on");
+  }
   for (const auto& start : decision.mStarts) {
     ApplyStart(start);
   }
--- a/src/planner/GuaranteePlan.cpp
+++ b/src/planner/GuaranteePlan.cpp
@@ -61,24 +61,109 @@
     }
   }
 
+  /**
+   * Keeps as much of aPrevious as it can. Reservations that are in each other's way
+   * are planned afresh: first the unused shapes, then also what used ones do not use.
+   * What a loss of workers has left in the way is demoted as the last resort.
+   */
   std::vector<planned_shape> Build(const guarantee_plan& aPrevious)
   {
-    KeepUsed(aPrevious);
-    const auto usedOnly = mTaken;
-    const auto shapesUsedOnly = mShapes;
-    KeepUnused(aPrevious);
-    if (PlaceMissing()) {
-      return mShapes;
+    mAllShapes = mShapes;
+    mAllTaken = mTaken;
+    auto best = BestAttempt(aPrevious);
+    if (IsWhole(best)) {
+      return best;
     }
-    // Unused shapes may be in the way of each other: plan all of them afresh.
-    const auto incremental = mShapes;
-    mTaken = usedOnly;
-    mShapes = shapesUsedOnly;
-    PlaceMissing();
-    return Backed(mShapes) >= Backed(incremental) ? mShapes : incremental;
+    const auto users = mUsers;
+    for (const bool onlyUnbacked : { true, false }) {
+      mUsers = users;
+      auto demoted = DropRestartableUsers(best, onlyUnbacked);
+      auto other = BestAttempt(aPrevious);
+      if (Backed(other) > Backed(best)) {
+        mDemoted = std::move(demoted);
+        return other;
+      }
+    }
+    return best;
   }
 
+  /** Returns the gangs whose guarantee is now held elsewhere. */
+  const std::vector<std::string>& Demoted() const { return mDemoted; }
+
 private:
+  /** One way to go about a plan. */
+  struct strategy
+  {
+    bool mKeepUsed = false;
+    bool mKeepUnused = false;
+    bool mRackFirst = true;
+    bool mSpread = false;
+  };
+
+  /** Tries the least disturbing way first, and others only while shapes are missing. */
+  std::vector<planned_shape> BestAttempt(const guarantee_plan& aPrevious)
+  {
+    static constexpr strategy kStrategies[] = {
+      { true, true, true, false },   { true, false, true, false },
+      { false, false, true, false }, { false, false, false, false },
+      { false, false, true, true },  { false, false, false, true },
+    };
+    std::vector<planned_shape> best;
+    for (const auto& way : kStrategies) {
+      auto other = Attempt(aPrevious, way);
+      if (best.empty() || Backed(other) > Backed(best)) {
+        best = std::move(other);
+      }
+      if (IsWhole(best)) {
+        break;
+      }
+    }
+    return best;
+  }
+
+  std::vector<planned_shape> Attempt(const guarantee_plan& aPrevious,
+                                     const strategy& aStrategy)
+  {
+    mShapes = mAllShapes;
+    mTaken = mAllTaken;
+    mStrategy = aStrategy;
+    PlaceUsed(aStrategy.mKeepUsed ? aPrevious : guarantee_plan());
+    if (aStrategy.mKeepUnused) {
+      KeepUnused(aPrevious);
+    }
+    PlaceMissing();
+    return mShapes;
+  }
+
+  /** Makes borrowers of gangs that can be restarted in their shape wherever it is. */
+  std::vector<std::string> DropRestartableUsers(
+    const std::vector<planned_shape>& aShapes,
+    bool aOnlyUnbacked)
+  {
+    std::vector<std::string> demoted;
+    for (const auto& shape : aShapes) {
+      const auto users = mUsers.find(shape.mId);
+      const bool restartable =
+        users != mUsers.end() &&
+        std::all_of(users->second.begin(), users->second.end(), [](const auto* aGang) {
+          return aGang->mRestartable;
+        });
+      if (!restartable || (aOnlyUnbacked && shape.mBacked)) {
+        continue;
+      }
+      for (const auto* gang : users->second) {
+        demoted.push_back(gang->mJob);
+      }
+      mUsers.erase(users);
+    }
+    return demoted;
+  }
+
+  static bool IsWhole(const std::vector<planned_shape>& aShapes)
+  {
+    return Backed(aShapes) == static_cast<int64_t>(aShapes.size());
+  }
+
   static int64_t Backed(const std::vector<planned_shape>& aShapes)
   {
     return std::count_if(aShapes.begin(), aShapes.end(), [](const auto& aShape) {
@@ -92,22 +177,39 @@
     return worker.mUsable ? worker.mCapacity - mTaken.At(aWorker) : resources{};
   }
 
-  bool Holds(const planned_shape& aShape, const placement& aReserved) const
+  /** Returns whether aReserved can be held, aUsed of which is already taken. */
+  bool Holds(const planned_shape& aShape,
+             const placement& aReserved,
+             const placement& aUsed) const
   {
     int64_t tasks = 0;
     std::set<size_t> racks;
     for (const auto& part : aReserved) {
       const size_t index = mFleet.Find(part.mWorker);
-      if (index >= mFleet.Size() ||
-          !FitsIn(aShape.mShape.mPerTask * part.mTasks, Spare(index))) {
+      const int64_t missing = part.mTasks - TasksOn(aUsed, part.mWorker);
+      if (index >= mFleet.Size() || missing < 0 ||
+          !FitsIn(aShape.mShape.mPerTask * missing, Spare(index))) {
         return false;
       }
       tasks += part.mTasks;
       racks.insert(mFleet.RackOf(index));
     }
+    const bool covered =
+      std::all_of(aUsed.begin(), aUsed.end(), [&](const auto& aPart) {
+        return TasksOn(aReserved, aPart.mWorker) >= aPart.mTasks;
+      });
     const bool adjacent =
       aShape.mShape.mAdjacency == adjacency::kAny || racks.size() <= 1;
-    return tasks == aShape.mShape.mTasks && adjacent;
+    return covered && tasks >= aShape.mShape.mTasks && adjacent;
+  }
+
+  static int64_t TasksOn(const placement& aPlacement, const std::string& aWorker)
+  {
+    int64_t tasks = 0;
+    for (const auto& part : aPlacement) {
+      tasks += part.mWorker == aWorker ? part.mTasks : 0;
+    }
+    return tasks;
   }
 
   void Reserve(planned_shape& aShape, const placement& aReserved)
@@ -117,19 +219,24 @@
     mTaken.AddGang(mFleet, aShape.mShape, aReserved);
   }
 
-  void KeepUsed(const guarantee_plan& aPrevious)
+  /** Plans the shapes in use; what runs in them stays where it is. */
+  void PlaceUsed(const guarantee_plan& aPrevious)
   {
+    std::vector<planned_shape*> used;
     for (auto& shape : mShapes) {
-      const auto* previous = aPrevious.Find(shape.mId);
-      const bool used = mUsers.count(shape.mId) != 0;
-      if (!used) {
-        continue;
+      if (mUsers.count(shape.mId) != 0) {
+        shape.mReserved = SlotsInUse(shape);
+        mTaken.AddGang(mFleet, shape.mShape, shape.mReserved);
+        used.push_back(&shape);
       }
-      if (previous != nullptr && previous->mShape == shape.mShape &&
-          Holds(shape, previous->mReserved)) {
-        Reserve(shape, previous->mReserved);
-      } else {
-        PlaceAroundUsers(shape);
+    }
+    // Only now is it known what none of them may extend into.
+    for (auto* shape : used) {
+      const auto* previous = aPrevious.Find(shape->mId);
+      if (previous != nullptr && previous->mShape == shape->mShape &&
+          Holds(*shape, previous->mReserved, shape->mReserved)) {
+        mTaken.SubtractGang(mFleet, shape->mShape, shape->mReserved);
+        Reserve(*shape, previous->mReserved);
       }
     }
   }
@@ -139,45 +246,46 @@
     for (auto& shape : mShapes) {
       const auto* previous = aPrevious.Find(shape.mId);
       if (mUsers.count(shape.mId) == 0 && previous != nullptr && previous->mBacked &&
-          previous->mShape == shape.mShape && Holds(shape, previous->mReserved)) {
+          previous->mShape == shape.mShape && Holds(shape, previous->mReserved, {})) {
         Reserve(shape, previous->mReserved);
       }
     }
   }
 
-  /** Plans a shape anew so that the gangs which run in it stay where they are. */
-  void PlaceAroundUsers(planned_shape& aShape)
+  placement SlotsInUse(const planned_shape& aShape)
   {
     worker_amounts used(mFleet.Size());
     for (const auto* gang : mUsers[aShape.mId]) {
       used.AddGang(mFleet, gang->mShape, gang->mPlacement);
     }
-    placement kept;
-    int64_t missing = aShape.mShape.mTasks;
+    placement slots;
     for (size_t worker = 0; worker < mFleet.Size(); ++worker) {
-      const int64_t slots = SlotsHolding(aShape.mShape.mPerTask, used.At(worker));
-      if (slots > 0) {
-        kept.push_back({ mFleet.At(worker).mId, slots });
-        missing -= slots;
+      const int64_t count = SlotsHolding(aShape.mShape.mPerTask, used.At(worker));
+      if (count > 0) {
+        slots.push_back({ mFleet.At(worker).mId, count });
       }
     }
-    mTaken.AddGang(mFleet, aShape.mShape, kept);
-    aShape.mReserved = kept;
-    aShape.mBacked = missing <= 0 || PlaceRest(aShape, missing);
+    return slots;
   }
 
-  bool PlaceRest(planned_shape& aShape, int64_t aMissing)
+  /** Reserves what a shape in use lacks, next to what is used. */
+  bool PlaceRest(planned_shape& aShape)
   {
+    auto rest = aShape.mShape;
+    for (const auto& part : aShape.mReserved) {
+      rest.mTasks -= part.mTasks;
+    }
+    if (rest.mTasks <= 0) {
+      return true;
+    }
     const bool sameRack =
       aShape.mShape.mAdjacency == adjacency::kRack && !aShape.mReserved.empty();
     const size_t home = sameRack ? mFleet.Find(aShape.mReserved.front().mWorker) : 0;
-    auto rest = aShape.mShape;
-    rest.mTasks = aMissing;
     const auto spare = [&](size_t aWorker) {
       const bool usable = !sameRack || mFleet.RackOf(aWorker) == mFleet.RackOf(home);
       return usable ? Spare(aWorker) : resources{};
     };
-    const auto packed = PackGang(mFleet, { rest, spare, {} });
+    const auto packed = PackGang(mFleet, { rest, spare, {}, mStrategy.mSpread });
     if (!packed) {
       return false;
     }
@@ -188,38 +296,35 @@
     return true;
   }
 
-  bool PlaceMissing()
+  /** Places what is missing of every shape, the hardest to place first. */
+  void PlaceMissing()
   {
     std::vector<planned_shape*> missing;
     for (auto& shape : mShapes) {
-      if (!shape.mBacked && mUsers.count(shape.mId) == 0) {
+      if (!shape.mBacked) {
         missing.push_back(&shape);
       }
     }
     std::stable_sort(missing.begin(), missing.end(), [](auto* aLeft, auto* aRight) {
-      const auto rank = [](const planned_shape& aShape) {
-        return std::pair(aShape.mShape.mAdjacency == adjacency::kRack,
-                         aShape.mShape.Accelerators());
-      };
-      return rank(*aLeft) > rank(*aRight);
+      return aLeft->mShape.Accelerators() > aRight->mShape.Accelerators();
     });
-    bool all = true;
+    if (mStrategy.mRackFirst) {
+      std::stable_partition(missing.begin(), missing.end(), [](auto* aShape) {
+        return aShape->mShape.mAdjacency == adjacency::kRack;
+      });
+    }
     for (auto* shape : missing) {
-      const auto packed = PackGang(
-        mFleet,
-        { shape->mShape, [this](size_t aWorker) { return Spare(aWorker); }, {} });
-      if (packed) {
-        Reserve(*shape, *packed);
-      } else {
-        all = false;
-      }
+      shape->mBacked = PlaceRest(*shape);
     }
-    return all;
   }
 
   const fleet_view& mFleet;
   std::vector<planned_shape> mShapes;
   worker_amounts mTaken;
+  std::vector<planned_shape> mAllShapes;
+  worker_amounts mAllTaken{ 0 };
+  std::vector<std::string> mDemoted;
+  strategy mStrategy;
   std::map<shape_id, std::vector<const running_gang*>> mUsers;
 };
 
@@ -256,6 +361,7 @@
   const auto running = WithValidGuarantees(aRunning, shapes);
   plan_builder builder(aFleet, std::move(shapes), running);
   plan.mShapes = builder.Build(aPrevious);
+  plan.mDemoted = builder.Demoted();
   return plan;
 }
 
--- a/src/planner/GuaranteePlan.h
+++ b/src/planner/GuaranteePlan.h
@@ -46,6 +46,12 @@
   /** Returns the shape with this id, or null. */
   const planned_shape* Find(const shape_id& aId) const;
 
+  /**
+   * Returns the gangs that ran in a shape which could only be backed elsewhere; they
+   * are borrowers from now on. After a loss of workers only.
+   */
+  const std::vector<std::string>& Demoted() const { return mDemoted; }
+
   /** Returns the shapes that the fleet cannot hold at present. */
   std::vector<shape_id> Unbacked() const;
 
@@ -54,6 +60,7 @@
 
 private:
   std::vector<planned_shape> mShapes;
+  std::vector<std::string> mDemoted;
 };
 
 /**
--- a/src/planner/Packing.cpp
+++ b/src/planner/Packing.cpp
@@ -1,6 +1,7 @@
 #include "planner/Packing.h"
 
 #include <algorithm>
+#include <map>
 #include <tuple>
 
 namespace anvildoor {
@@ -71,6 +72,51 @@
   return taken;
 }
 
+/** Gives each task to the worker that then has the most left. */
+placement SpreadTasks(const fleet_view& aFleet,
+                      std::vector<candidate_worker> aCandidates,
+                      const gang_shape& aShape,
+                      int64_t aTasks)
+{
+  std::map<size_t, int64_t> taken;
+  while (aTasks > 0) {
+    candidate_worker* chosen = nullptr;
+    const auto left = [&](const candidate_worker& aItem) {
+      const int64_t open = aItem.mFitting - taken[aItem.mIndex];
+      return std::pair(open * aShape.mPerTask.mAccelerators + aItem.mLeftover, open);
+    };
+    for (auto& item : aCandidates) {
+      const bool open = taken[item.mIndex] < item.mFitting;
+      if (open && (chosen == nullptr || left(item) > left(*chosen))) {
+        chosen = &item;
+      }
+    }
+    if (chosen == nullptr) {
+      break;
+    }
+    ++taken[chosen->mIndex];
+    --aTasks;
+  }
+  placement parts;
+  for (const auto& [index, tasks] : taken) {
+    if (tasks > 0) {
+      parts.push_back({ aFleet.At(index).mId, tasks });
+    }
+  }
+  return parts;
+}
+
+placement Distribute(const fleet_view& aFleet,
+                     const packing_request& aRequest,
+                     const std::vector<size_t>& aWorkers,
+                     int64_t aTasks)
+{
+  auto candidates = Candidates(aWorkers, aRequest.mShape, aRequest.mSpare);
+  return aRequest.mSpread
+           ? SpreadTasks(aFleet, std::move(candidates), aRequest.mShape, aTasks)
+           : TakeTasks(aFleet, std::move(candidates), aTasks);
+}
+
 int64_t SpareAccelerators(const std::vector<size_t>& aWorkers, const spare_of& aSpare)
 {
   int64_t total = 0;
@@ -104,9 +150,8 @@
   placement taken;
   int64_t missing = aRequest.mShape.mTasks;
   for (const auto& score : ScoreRacks(aFleet, aRequest, false)) {
-    auto candidates =
-      Candidates(aFleet.Racks()[score.mRack], aRequest.mShape, aRequest.mSpare);
-    for (const auto& part : TakeTasks(aFleet, std::move(candidates), missing)) {
+    const auto& workers = aFleet.Racks()[score.mRack];
+    for (const auto& part : Distribute(aFleet, aRequest, workers, missing)) {
       taken.push_back(part);
       missing -= part.mTasks;
     }
@@ -119,6 +164,23 @@
 
 } // namespace
 
+namespace {
+
+std::optional<placement> SpreadAcrossRacks(const fleet_view& aFleet,
+                                           const packing_request& aRequest)
+{
+  std::vector<size_t> workers;
+  for (const auto& rack : aFleet.Racks()) {
+    workers.insert(workers.end(), rack.begin(), rack.end());
+  }
+  if (CountTasks(workers, aRequest.mShape, aRequest.mSpare) < aRequest.mShape.mTasks) {
+    return std::nullopt;
+  }
+  return Distribute(aFleet, aRequest, workers, aRequest.mShape.mTasks);
+}
+
+} // namespace
+
 int64_t CountTasks(const std::vector<size_t>& aWorkers,
                    const gang_shape& aShape,
                    const spare_of& aSpare)
@@ -133,16 +195,19 @@
 std::optional<placement> PackGang(const fleet_view& aFleet,
                                   const packing_request& aRequest)
 {
+  const bool anywhere =
+    aRequest.mSpread && aRequest.mShape.mAdjacency == adjacency::kAny;
   const auto scores = ScoreRacks(aFleet, aRequest, true);
-  if (!scores.empty()) {
+  if (!scores.empty() && !anywhere) {
     const auto& workers = aFleet.Racks()[scores.front().mRack];
-    return TakeTasks(aFleet,
-                     Candidates(workers, aRequest.mShape, aRequest.mSpare),
-                     aRequest.mShape.mTasks);
+    return Distribute(aFleet, aRequest, workers, aRequest.mShape.mTasks);
   }
   if (aRequest.mShape.mAdjacency == adjacency::kRack) {
     return std::nullopt;
   }
+  if (aRequest.mSpread) {
+    return SpreadAcrossRacks(aFleet, aRequest);
+  }
   return PackAcrossRacks(aFleet, aRequest);
 }
 
--- a/src/planner/Packing.h
+++ b/src/planner/Packing.h
@@ -18,14 +18,15 @@
 {
   gang_shape mShape;
   spare_of mSpare;
-  rack_cost mCost; ///< May be empty: every rack costs the same.
+  rack_cost mCost;      ///< May be empty: every rack costs the same.
+  bool mSpread = false; ///< Spread over the workers with most to spare instead.
 };
 
 /**
  * Places a gang by best fit: the cheapest rack, then the one with the least capacity
- * left, and in it the workers that the gang fills most. A gang without adjacency takes
- * one rack if it can and otherwise the racks with the least spare capacity. Returns
- * nothing when it does not fit. Pure.
+ * left, and in it the workers that the gang fills most, or evenly if asked. A gang
+ * without adjacency takes one rack if it can and otherwise the racks with the least
+ * spare capacity. Returns nothing when it does not fit. Pure.
  */
 std::optional<placement> PackGang(const fleet_view& aFleet,
                                   const packing_request& aRequest);
--- a/src/planner/PlacementPolicy.h
+++ b/src/planner/PlacementPolicy.h
@@ -25,6 +25,7 @@
 {
   std::vector<start_decision> mStarts;
   std::vector<wait_decision> mWaits;
+  std::vector<std::string> mDemoted; ///< Gangs that are borrowers from now on.
 
   auto operator<=>(const planner_decision&) const = default;
 };
--- a/src/planner/PlanningRound.cpp
+++ b/src/planner/PlanningRound.cpp
@@ -179,7 +179,7 @@
     const bool avoided = aJob.mAvoid.count(worker.mId) != 0;
     return worker.mUsable && !avoided ? spare.At(aWorker) : resources{};
   };
-  const auto packed = PackGang(mInput.mFleet, { aJob.mShape, usable, {} });
+  const auto packed = PackGang(mInput.mFleet, { aJob.mShape, usable, {}, false });
   if (!packed) {
     return std::nullopt;
   }
@@ -210,7 +210,7 @@
                       std::min(plannable.mCores, free.mCores),
                       std::min(plannable.mMemoryMb, free.mMemoryMb) };
   };
-  const auto moved = PackGang(mInput.mFleet, { aShape.mShape, spare, {} });
+  const auto moved = PackGang(mInput.mFleet, { aShape.mShape, spare, {}, false });
   if (!moved) {
     return std::nullopt;
   }
@@ -308,7 +308,7 @@
   }
   const auto spare = [&](size_t aWorker) { return BorrowSpare(aWorker, aJob); };
   const auto cost = [&](size_t aRack) { return BorrowCost(aRack, aJob); };
-  const auto packed = PackGang(mInput.mFleet, { aJob.mShape, spare, cost });
+  const auto packed = PackGang(mInput.mFleet, { aJob.mShape, spare, cost, false });
   if (!packed) {
     mUnplaceable.insert(memo);
     return false;
@@ -341,7 +341,7 @@
     const bool usable = worker.mUsable && aJob.mAvoid.count(worker.mId) == 0;
     return usable ? worker.mCapacity - idle.At(aWorker) : resources{};
   };
-  const auto packed = PackGang(mInput.mFleet, { aJob.mShape, spare, {} });
+  const auto packed = PackGang(mInput.mFleet, { aJob.mShape, spare, {}, false });
   if (!packed) {
     return false;
   }
@@ -422,7 +422,7 @@
                         aJob.mAvoid.count(worker.mId) == 0;
     return usable ? worker.mCapacity - remaining.At(aWorker) : resources{};
   };
-  const auto packed = PackGang(mInput.mFleet, { aJob.mShape, spare, {} });
+  const auto packed = PackGang(mInput.mFleet, { aJob.mShape, spare, {}, false });
   if (!packed) {
     return TryBorrow(aJob);
   }
