Requests: "not run" is never said of a key that may have run

Cause: refusals from before the filter chain (not ready, no scheduler) carried outcome not_run although an earlier call with the same key could have run. The random-fault test (new: 300 calls per seed, kills, store and upstream faults) showed it. Ruled out: the claims themselves, no key ever ran twice. Now a call with a key gets not_run only if its caller vouches that the key was never sent ("repeat": false), and refusals with status 4xx name the field and claim no outcome. The check leaves out calls that their caller gave up or a killed VM never answered, as traces showed them allowed. Also measured: retries with every upstream failing stay within 1.1 attempts per request, a leaving upstream gets nothing after 3 s, slots are never overrun.

--- a/src/cli/CliCommands.cpp
+++ b/src/cli/CliCommands.cpp
@@ -202,7 +202,10 @@
 
 cli_exit Submit(const cli_options& aOptions)
 {
+  // A key that is made here was certainly never sent before.
+  const bool ownKey = aOptions.Flag("key").empty();
   json body{ { "workspace", aOptions.Flag("workspace") },
+             { "repeat", !ownKey && aOptions.Flag("first-call").empty() },
              { "idempotent", aOptions.Flag("not-idempotent").empty() },
              { "checkpointable", !aOptions.Flag("checkpointable").empty() } };
   number_flags numbers(aOptions);
@@ -217,7 +220,7 @@
   if (!numbers.Wrong().empty()) {
     return Usage(numbers.Wrong());
   }
-  const auto key = aOptions.Flag("key", NewKey());
+  const auto key = ownKey ? NewKey() : aOptions.Flag("key");
   const auto answer = Call(aOptions, "POST", "/v1/jobs", body.dump(), key);
   const auto shown = Show(aOptions, answer);
   if (shown == cli_exit::kUnknown) {
@@ -237,7 +240,6 @@
   const bool ownKey = aOptions.Flag("key").empty();
   json body{ { "workspace", aOptions.Flag("workspace") },
              { "idempotent", idempotent },
-             // A key made here was certainly never sent before.
              { "repeat", !ownKey && aOptions.Flag("first-call").empty() } };
   number_flags numbers(aOptions);
   numbers.Put(body, "deadline-ms", "deadline_ms");
--- a/src/daemon/NodeApi.cpp
+++ b/src/daemon/NodeApi.cpp
@@ -108,6 +108,28 @@
 
 } // namespace
 
+namespace {
+
+/** Returns whether the caller vouches that it never sent this key before. */
+bool IsFirstCall(const api_call& aCall)
+{
+  const auto body = json::parse(aCall.mBody, nullptr, false);
+  const bool vouched = body.is_object() && body.contains("repeat") &&
+                       body["repeat"].is_boolean() && !body["repeat"].get<bool>();
+  return aCall.mIdempotencyKey.empty() || vouched;
+}
+
+/** Keeps "not_run" from being said of a key that may have run by an earlier call. */
+api_done Truthful(const api_call& aCall, const api_done& aDone)
+{
+  if (aCall.mForwarded || aCall.mMethod != "POST" || IsFirstCall(aCall)) {
+    return aDone;
+  }
+  return [aDone](const api_answer& aAnswer) { aDone(AsRepeat(aAnswer)); };
+}
+
+} // namespace
+
 node_api::node_api(node& aNode)
   : mNode(aNode)
 {
@@ -124,9 +146,7 @@
     aDone({ ready ? 200U : 503U, ready ? R"({"ready":true})" : R"({"ready":false})" });
   } else if (root == "metrics") {
     aDone({ 200, mNode.mMetrics.Text(), "text/plain; version=0.0.4" });
-  } else if (root == "v1" && !mNode.mConfig.IsReady()) {
-    aDone(ErrorAnswer({ error_code::kUnavailable, "ready", "", "not ready yet" }));
-  } else if (root != "v1" || !ServeVersion1(aCall, path, aDone)) {
+  } else if (root != "v1" || !ServeVersion1(aCall, path, Truthful(aCall, aDone))) {
     aDone(Refusal(404, "no such path", "path"));
   }
 }
@@ -136,7 +156,9 @@
                              const api_done& aDone)
 {
   const auto resource = aPath.At(1);
-  if (resource == "jobs") {
+  if (!mNode.mConfig.IsReady()) {
+    aDone(ErrorAnswer({ error_code::kUnavailable, "ready", "", "not ready yet" }));
+  } else if (resource == "jobs") {
     ServeJobs(aCall, aPath, aDone);
   } else if (resource == "requests") {
     ServeRequest(aCall, aDone);
--- a/src/gang/JobRecord.cpp
+++ b/src/gang/JobRecord.cpp
@@ -195,6 +195,7 @@
 {
   auto reader = json_reader::Parse(aText, "job.submit");
   auto spec = ReadSpec(reader);
+  reader.Boolean("repeat", true); // Concerns the call, not the job.
   if (auto read = reader.Finish(); !read) {
     return tl::unexpected<error>(read.error());
   }
--- a/src/http/ApiSupport.cpp
+++ b/src/http/ApiSupport.cpp
@@ -115,12 +115,28 @@
                    const std::string& aError,
                    const std::string& aField)
 {
-  const nlohmann::json body{ { "error", aError },
-                             { "field", aField },
-                             { "outcome", "not_run" } };
+  const nlohmann::json body{ { "error", aError }, { "field", aField } };
   return { aStatus, body.dump() };
 }
 
+api_answer AsRepeat(const api_answer& aAnswer)
+{
+  auto body = nlohmann::json::parse(aAnswer.mBody, nullptr, false);
+  if (!body.is_object() || body.value("outcome", "") != "not_run") {
+    return aAnswer;
+  }
+  constexpr uint32_t kStatusUnavailable = 503;
+  constexpr uint32_t kStatusUnknown = 504;
+  auto answer = aAnswer;
+  body["outcome"] = "unknown";
+  body["note"] = "this call did nothing; an earlier one with its key may have";
+  answer.mBody = body.dump();
+  if (answer.mStatus == kStatusUnavailable) {
+    answer.mStatus = kStatusUnknown;
+  }
+  return answer;
+}
+
 token_check::token_check(std::set<std::string> aOperatorHashes)
   : mOperatorHashes(std::move(aOperatorHashes))
 {
--- a/src/http/ApiSupport.h
+++ b/src/http/ApiSupport.h
@@ -36,7 +36,13 @@
 /** Returns the answer for an error: status, "error", "field", "step", "peer". Pure. */
 api_answer ErrorAnswer(const error& aError);
 
-/** Returns an answer with a JSON error object. Pure. */
+/**
+ * Returns aAnswer for a call whose key may have been sent before: "not_run" would speak
+ * for the earlier call too, so it becomes "unknown". Pure.
+ */
+api_answer AsRepeat(const api_answer& aAnswer);
+
+/** Returns an answer with a JSON error object; the call itself did nothing. Pure. */
 api_answer Refusal(uint32_t aStatus,
                    const std::string& aError,
                    const std::string& aField);
--- /dev/null
+++ b/tests/RequestFaultTest.cpp
@@ -0,0 +1,461 @@
+#include "support/FakeSite.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace anvildoor;
+
+namespace {
+
+std::string BookingBody(const std::string& aKey, bool aFirstCall)
+{
+  return R"({"workspace":"gyms","idempotent":false,"deadline_ms":3000,"repeat":)" +
+         std::string(aFirstCall ? "false" : "true") + R"(,"payload":")" + aKey + "\"}";
+}
+
+size_t RunsOf(const fake_site& aSite, const std::string& aPayload)
+{
+  return static_cast<size_t>(
+    std::count_if(aSite.Runs().begin(), aSite.Runs().end(), [&](const auto& aRun) {
+      return aRun.mPayload == aPayload;
+    }));
+}
+
+/** Callers that book slots, repeat their keys at any VM, and hold answers to account.
+ */
+class booking_load
+{
+public:
+  booking_load(fake_site& aSite, uint32_t aSeed)
+    : mSite(aSite)
+    , mRandom(aSeed)
+  {
+  }
+
+  void Book()
+  {
+    const auto vms = mSite.RunningVms("alpha");
+    const bool isNew = mKeys.empty() || mRandom() % 3 != 0;
+    if (vms.empty()) {
+      return;
+    }
+    if (isNew) {
+      mKeys.push_back("slot " + std::to_string(mKeys.size()));
+    }
+    const auto key = isNew ? mKeys.back() : mKeys[mRandom() % mKeys.size()];
+    const auto& vm = vms[mRandom() % vms.size()];
+    if (!isNew) {
+      GiveUpFirstCall(key);
+    }
+    mOpen.push_back(
+      { key,
+        isNew,
+        mSite.Begin(vm,
+                    WorkspaceCall(
+                      "gyms", "POST", "/v1/requests", BookingBody(key, isNew), key)) });
+  }
+
+  /** Takes in the answers that have come; each must be true at this moment. */
+  void Settle()
+  {
+    for (auto it = mOpen.begin(); it != mOpen.end();) {
+      if (it->mAnswer->mStatus == 0) {
+        ++it;
+        continue;
+      }
+      Judge(*it);
+      it = mOpen.erase(it);
+    }
+  }
+
+  void CheckEnd() const
+  {
+    for (const auto& key : mKeys) {
+      INFO(key);
+      CHECK(RunsOf(mSite, key) <= 1);
+      // A VM that was killed may have run a later call of the key without an answer.
+      if (mNotRunOnly.count(key) != 0 && !IsOpen(key)) {
+        CHECK(RunsOf(mSite, key) == 0);
+      }
+    }
+  }
+
+  int Completed() const { return mCompleted; }
+  int NotRun() const { return mNotRun; }
+
+private:
+  struct open_call
+  {
+    std::string mKey;
+    bool mFirst = false;
+    std::shared_ptr<api_answer> mAnswer;
+  };
+
+  /**
+   * A caller who vouched for a first call may repeat its key only once that call was
+   * answered or given up, in which case its answer reaches nobody.
+   */
+  void GiveUpFirstCall(const std::string& aKey)
+  {
+    const auto given = std::erase_if(mOpen, [&](const auto& aCall) {
+      return aCall.mFirst && aCall.mKey == aKey && aCall.mAnswer->mStatus == 0;
+    });
+    if (given != 0) {
+      mGivenUp.insert(aKey);
+    }
+  }
+
+  bool IsOpen(const std::string& aKey) const
+  {
+    return mGivenUp.count(aKey) != 0 ||
+           std::any_of(mOpen.begin(), mOpen.end(), [&](const auto& aCall) {
+             return aCall.mKey == aKey;
+           });
+  }
+
+  void Judge(const open_call& aCall)
+  {
+    const auto& body = aCall.mAnswer->mBody;
+    const auto outcome = JsonText(body, "outcome");
+    INFO(aCall.mKey << ": " << body);
+    if (outcome == "completed") {
+      ++mCompleted;
+      mNotRunOnly.erase(aCall.mKey);
+      CHECK(JsonText(body, "result") == "answer to " + aCall.mKey);
+    } else if (outcome == "not_run") {
+      ++mNotRun;
+      CHECK(RunsOf(mSite, aCall.mKey) == 0);
+      mNotRunOnly.insert(aCall.mKey);
+    } else {
+      mNotRunOnly.erase(aCall.mKey);
+    }
+  }
+
+  fake_site& mSite;
+  std::mt19937 mRandom;
+  std::vector<std::string> mKeys;
+  std::vector<open_call> mOpen;
+  std::set<std::string> mNotRunOnly;
+  std::set<std::string> mGivenUp;
+  int mCompleted = 0;
+  int mNotRun = 0;
+};
+
+void RandomFault(fake_site& aSite, std::mt19937& aRandom)
+{
+  auto faults = aSite.Store().Faults();
+  const auto vms = aSite.RunningVms("alpha");
+  switch (aRandom() % 8) {
+    case 0:
+      faults.mDown = !faults.mDown;
+      aSite.Store().SetFaults(faults);
+      break;
+    case 1:
+      faults.mLoseAnswers = aRandom() % 5;
+      aSite.Store().SetFaults(faults);
+      break;
+    case 2:
+      faults.mLatency = duration(aRandom() % 2 == 0 ? 2 : 700);
+      aSite.Store().SetFaults(faults);
+      break;
+    case 3:
+      if (!vms.empty()) {
+        aSite.KillVm(vms[aRandom() % vms.size()]);
+      }
+      break;
+    case 4:
+      aSite.StartAll();
+      break;
+    case 5:
+      aSite.Upstream("alpha-u1").mLoseAnswers = aRandom() % 4;
+      break;
+    case 6:
+      aSite.Upstream("alpha-u2").mRefusesConnections = aRandom() % 2 == 0;
+      break;
+    default:
+      aSite.Upstream("alpha-u1").mWork = duration(aRandom() % 2 == 0 ? 20 : 4'000);
+      break;
+  }
+}
+
+struct site_with_workspace
+{
+  explicit site_with_workspace(const fake_settings& aSettings = {})
+    : mSite(aSettings)
+  {
+    mSite.StartAll();
+    REQUIRE(mSite.WaitForScheduler());
+    REQUIRE(mSite.PutWorkspace("alpha-e1", "gyms").mStatus == 200);
+    mSite.Loop().RunFor(duration(12'000)); // The slow start of upstreams is over.
+  }
+
+  api_call Ask(const std::string& aClass, const std::string& aPayload) const
+  {
+    return WorkspaceCall("gyms",
+                         "POST",
+                         "/v1/requests",
+                         R"({"workspace":"gyms","class":")" + aClass +
+                           R"(","payload":")" + aPayload + "\"}");
+  }
+
+  fake_site mSite;
+};
+
+} // namespace
+
+TEST_CASE("bookings run at most once and answers are true under random faults")
+{
+  const auto seed = GENERATE(range<uint32_t>(1, 101));
+  site_with_workspace world;
+  auto& site = world.mSite;
+  booking_load load(site, seed);
+  std::mt19937 random(seed * 7919);
+  for (int step = 0; step < 300; ++step) {
+    load.Book();
+    if (step % 10 == 9) {
+      RandomFault(site, random);
+    }
+    site.Loop().RunFor(duration(random() % 200));
+    load.Settle();
+  }
+  site.Store().SetFaults({});
+  site.StartAll();
+  site.Loop().RunFor(std::chrono::seconds(90));
+  load.Settle();
+  load.CheckEnd();
+  CHECK(load.Completed() > 0);
+}
+
+TEST_CASE("while the store is away, idempotent requests are served and others told")
+{
+  struct row
+  {
+    const char* mBody;
+    uint32_t mStatus;
+    const char* mOutcome;
+    size_t mRuns;
+  };
+  const auto item = GENERATE(
+    row{ R"({"workspace":"gyms","payload":"p"})", 200, "completed", 1 },
+    row{ R"({"workspace":"gyms","payload":"p","idempotent":false,"repeat":false})",
+         503,
+         "not_run",
+         0 },
+    row{
+      R"({"workspace":"gyms","payload":"p","idempotent":false})", 504, "unknown", 0 });
+  site_with_workspace world;
+  store_faults down;
+  down.mDown = true;
+  world.mSite.Store().SetFaults(down);
+  world.mSite.Loop().RunFor(duration(20'000));
+  const auto begun = world.mSite.Loop().Now();
+  const auto answer = world.mSite.Call(
+    "alpha-e2", WorkspaceCall("gyms", "POST", "/v1/requests", item.mBody, "k"));
+  CHECK(answer.mStatus == item.mStatus);
+  CHECK(JsonText(answer.mBody, "outcome") == item.mOutcome);
+  CHECK(RunsOf(world.mSite, "p") == item.mRuns);
+  CHECK(world.mSite.Loop().Now() - begun <= duration(1'000));
+}
+
+TEST_CASE("retries are bounded when every upstream fails")
+{
+  const bool refuses = GENERATE(true, false);
+  site_with_workspace world;
+  for (const auto& id : world.mSite.UpstreamIds()) {
+    world.mSite.Upstream(id).mStatus = 500;
+    world.mSite.Upstream(id).mRefusesConnections = refuses;
+  }
+  constexpr int kRequests = 1'000;
+  const auto before = world.mSite.Messages();
+  std::vector<std::shared_ptr<api_answer>> answers;
+  for (int i = 0; i < kRequests; ++i) {
+    answers.push_back(world.mSite.Begin("alpha-e1", world.Ask("interactive", "x")));
+    world.mSite.Loop().RunFor(duration(30));
+  }
+  world.mSite.Loop().RunFor(duration(6'000));
+  const auto text = world.mSite.Node("alpha-e1").Metrics().Text();
+  const auto at = text.find("upstream_attempts_total{class=\"interactive\"} ");
+  REQUIRE(at != std::string::npos);
+  const int attempts = std::atoi(text.c_str() + text.find('}', at) + 2);
+  CHECK(world.mSite.Messages() > before);
+  CHECK(attempts <= kRequests * 11 / 10);
+  for (const auto& answer : answers) {
+    REQUIRE(answer->mStatus != 0);
+    const bool retriesLeft = JsonText(answer->mBody, "outcome") == "completed";
+    CHECK_FALSE(retriesLeft);
+  }
+}
+
+TEST_CASE("a leaving upstream gets no new work, whichever signal comes first")
+{
+  enum class signal
+  {
+    kList,
+    kAnswer,
+    kPeer,
+  };
+  const auto by = GENERATE(signal::kList, signal::kAnswer, signal::kPeer);
+  site_with_workspace world;
+  auto& site = world.mSite;
+  site.Upstream("alpha-u1").mRunsWhileLeaving = true;
+  if (by == signal::kList) {
+    site.ListUpstream("alpha-u1", true);
+  } else {
+    site.Upstream("alpha-u1").mLeaving = true;
+    // One VM sees an answer; the others only hear of it.
+    for (int i = 0; i < 12; ++i) {
+      site.Call("alpha-e1", world.Ask("urgent", "probe"));
+    }
+  }
+  site.Loop().RunFor(duration(3'000));
+  const auto settled = site.Loop().Now();
+  const auto vms = by == signal::kPeer
+                     ? std::vector<std::string>{ "alpha-e2", "alpha-e3" }
+                     : site.RunningVms();
+  for (int i = 0; i < 30; ++i) {
+    for (const auto& vm : vms) {
+      CHECK(site.Call(vm, world.Ask("interactive", "late")).mStatus == 200);
+    }
+  }
+  for (const auto& run : site.Runs()) {
+    CHECK((run.mAt < settled || run.mUpstream != "alpha-u1"));
+  }
+}
+
+TEST_CASE("urgent goes first, and batch does not wait beyond its bound")
+{
+  fake_settings settings;
+  settings.mEntryVms = 1;
+  settings.mUpstreams = 1;
+  settings.mSlots = 1;
+  site_with_workspace world(settings);
+  auto& site = world.mSite;
+  site.Upstream("alpha-u1").mWork = duration(100);
+  site.Begin("alpha-e1", world.Ask("batch", "batch"));
+  site.Begin("alpha-e1", world.Ask("batch", "batch"));
+  for (int i = 0; i < 40; ++i) {
+    site.Begin("alpha-e1", world.Ask("interactive", "interactive"));
+  }
+  site.Begin("alpha-e1", world.Ask("urgent", "urgent"));
+  const auto begun = site.Loop().Now();
+  site.Loop().RunFor(duration(4'500));
+  std::vector<std::string> order;
+  duration batchWait{};
+  for (const auto& run : site.Runs()) {
+    order.push_back(run.mPayload);
+    if (run.mPayload == "batch") {
+      batchWait = run.mAt - begun;
+    }
+  }
+  REQUIRE(order.size() > 30);
+  CHECK(order[0] == "batch"); // The slot was free.
+  CHECK(order[1] == "urgent");
+  CHECK(order[2] == "interactive");
+  CHECK(batchWait <= duration(2'200));
+}
+
+TEST_CASE("what is over a workspace's limits is shed with a time to retry")
+{
+  struct row
+  {
+    const char* mSetting;
+    int mLimit;
+    int mSent;
+  };
+  const auto item =
+    GENERATE(row{ "requests_in_flight", 6, 20 }, row{ "requests_per_second", 9, 40 });
+  site_with_workspace world;
+  auto& site = world.mSite;
+  const auto body =
+    std::string("{\"") + item.mSetting + "\":" + std::to_string(item.mLimit) + "}";
+  REQUIRE(
+    site.Call("alpha-e1", OperatorCall("PUT", "/v1/config/defaults", body)).mStatus ==
+    200);
+  site.Loop().RunFor(duration(2'000));
+  std::vector<std::shared_ptr<api_answer>> answers;
+  for (int i = 0; i < item.mSent; ++i) {
+    answers.push_back(site.Begin("alpha-e1", world.Ask("urgent", "x")));
+  }
+  site.Loop().RunFor(duration(6'000));
+  int served = 0;
+  for (const auto& answer : answers) {
+    served += answer->mStatus == 200 ? 1 : 0;
+    if (answer->mStatus != 200) {
+      CHECK(answer->mStatus == 429);
+      CHECK(answer->mRetryAfter.count() > 0);
+      CHECK(JsonText(answer->mBody, "outcome") == "not_run");
+    }
+  }
+  // This VM's third of the limit, which the three of them share.
+  CHECK(served == item.mLimit / 3);
+  CHECK(static_cast<int>(site.Runs().size()) == served);
+}
+
+TEST_CASE("the slots of an upstream are shared by all VMs and never overrun")
+{
+  site_with_workspace world;
+  auto& site = world.mSite;
+  std::vector<std::shared_ptr<api_answer>> answers;
+  for (int i = 0; i < 20; ++i) {
+    for (const auto& vm : site.RunningVms()) {
+      answers.push_back(site.Begin(vm, world.Ask("urgent", "x")));
+    }
+  }
+  int64_t most = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    site.Loop().RunFor(duration(1));
+    for (const auto& id : site.UpstreamIds()) {
+      most = std::max(most, site.Upstream(id).mActive);
+    }
+  }
+  CHECK(most == 8);
+  for (const auto& answer : answers) {
+    CHECK(answer->mStatus == 200);
+  }
+}
+
+TEST_CASE("failing upstreams are ejected, but never more than half of them")
+{
+  fake_settings settings;
+  settings.mUpstreams = 4;
+  settings.mEntryVms = 1;
+  const int failing = GENERATE(1, 2, 4);
+  site_with_workspace world(settings);
+  auto& site = world.mSite;
+  for (int i = 1; i <= failing; ++i) {
+    site.Upstream("alpha-u" + std::to_string(i)).mStatus = 500;
+  }
+  for (int i = 0; i < 120; ++i) {
+    site.Call("alpha-e1", world.Ask("interactive", "x"));
+  }
+  int ejected = 0;
+  for (const auto& item : site.Node("alpha-e1").Upstreams().Statuses()) {
+    ejected += item.mEjected ? 1 : 0;
+  }
+  CHECK(ejected == std::min(failing, 2));
+}
+
+TEST_CASE("a drained VM cuts off nothing and takes nothing new upon itself")
+{
+  site_with_workspace world;
+  auto& site = world.mSite;
+  for (const auto& id : site.UpstreamIds()) {
+    site.Upstream(id).mWork = duration(2'000);
+  }
+  std::vector<std::shared_ptr<api_answer>> answers;
+  for (int i = 0; i < 3; ++i) {
+    answers.push_back(site.Begin("alpha-e1", world.Ask("interactive", "x")));
+  }
+  site.Loop().RunFor(duration(100));
+  CHECK(site.Call("alpha-e1", OperatorCall("POST", "/v1/drain")).mStatus == 200);
+  CHECK_FALSE(site.Node("alpha-e1").IsDrained());
+  CHECK(site.Call("alpha-e1", OperatorCall("GET", "/readyz")).mStatus == 503);
+  REQUIRE(site.Loop().RunUntil([&] { return site.Node("alpha-e1").IsDrained(); },
+                               duration(5'000)));
+  for (const auto& answer : answers) {
+    CHECK(answer->mStatus == 200);
+  }
+  REQUIRE(site.Loop().RunUntil(
+    [&] { return !site.SchedulerVm().empty() && site.SchedulerVm() != "alpha-e1"; },
+    duration(5'000)));
+}
