--- /dev/null
+++ b/bench/support/PolicyRun.cpp
@@ -0,0 +1,353 @@
+#include "support/PolicyRun.h"
+
+#include "planner/Estimator.h"
+#include "planner/Fragmentation.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace anvildoor {
+
+namespace {
+
+constexpr duration kCheckpointTime{ 1'200 };
+constexpr duration kDecideEvery{ 30'000 };
+constexpr double kDeclaredSigma = 1.0;
+constexpr double kMsPerSecond = 1000.0;
+constexpr const char* kDataCentre = "alpha";
+
+/** One job of the workload and what has become of it. */
+struct bench_job
+{
+  waiting_job mJob;
+  std::string mKind;
+  duration mRun{};
+  duration mDeclared{};
+  bool mCheckpointable = true;
+  duration mDone{}; ///< Kept by checkpoints.
+  time_point mFirstStart{ -1 };
+  time_point mEnded{ -1 };
+};
+
+double Quantile(std::vector<double> aValues, double aShare)
+{
+  if (aValues.empty()) {
+    return 0;
+  }
+  std::sort(aValues.begin(), aValues.end());
+  const auto last = static_cast<double>(aValues.size() - 1);
+  return aValues[static_cast<size_t>(std::ceil(aShare * last))];
+}
+
+/** Makes the jobs of a day from a seed. */
+class job_maker
+{
+public:
+  explicit job_maker(const policy_workload& aWorkload)
+    : mWorkload(aWorkload)
+    , mRandom(aWorkload.mSeed)
+  {
+  }
+
+  std::vector<bench_job> Make()
+  {
+    const auto hours =
+      static_cast<int>(std::chrono::duration_cast<std::chrono::hours>(mWorkload.mSpan).count());
+    for (int i = 0; i < mWorkload.mSmallPerHour * hours; ++i) {
+      const int64_t tasks = 1 + static_cast<int64_t>(mRandom() % 4);
+      Add("small", work_class::kInteractive, { tasks, { 1, 2, 4'000 }, adjacency::kAny }, 600);
+    }
+    for (int i = 0; i < mWorkload.mMediumPerHour * hours; ++i) {
+      Add("medium", work_class::kBatch, { 8, { 1, 2, 4'000 }, adjacency::kRack }, 1'800);
+    }
+    for (int i = 0; i < mWorkload.mLargePerDay * hours / 24; ++i) {
+      const int64_t tasks = mRandom() % 2 == 0 ? 32 : 48;
+      Add("large", work_class::kBatch, { tasks, { 1, 2, 4'000 }, adjacency::kRack }, 3'600);
+    }
+    for (int i = 0; i < mWorkload.mUrgentPerDay * hours / 24; ++i) {
+      Add("urgent", work_class::kUrgent, { 16, { 1, 2, 4'000 }, adjacency::kRack }, 300);
+    }
+    return std::move(mJobs);
+  }
+
+private:
+  void Add(const std::string& aKind,
+           work_class aClass,
+           const gang_shape& aShape,
+           double aMedianSeconds)
+  {
+    std::lognormal_distribution<double> run(std::log(aMedianSeconds), 0.7);
+    std::lognormal_distribution<double> error(0.0, kDeclaredSigma);
+    bench_job job;
+    job.mKind = aKind;
+    job.mJob.mId = aKind + std::to_string(mJobs.size());
+    // Rosters hold the guarantee; two of the others are large.
+    job.mJob.mWorkspace = aKind == "urgent" ? "rosters" : Workspace();
+    job.mJob.mClass = aClass;
+    job.mJob.mShape = aShape;
+    job.mJob.mRestartable = true;
+    job.mJob.mSubmitted = time_point(static_cast<int64_t>(
+      mRandom() % static_cast<uint64_t>(mWorkload.mSpan.count())));
+    const double seconds = std::clamp(run(mRandom), 10.0, 6 * 3'600.0);
+    job.mRun = duration(static_cast<int64_t>(seconds * kMsPerSecond));
+    job.mDeclared = duration(static_cast<int64_t>(seconds * error(mRandom) * kMsPerSecond));
+    job.mCheckpointable = mRandom() % 10 < 7;
+    mJobs.push_back(job);
+  }
+
+  std::string Workspace()
+  {
+    static const std::vector<std::string> sNames{ "renders", "renders", "checks", "labs" };
+    return sNames[mRandom() % sNames.size()];
+  }
+
+  policy_workload mWorkload;
+  std::mt19937 mRandom;
+  std::vector<bench_job> mJobs;
+};
+
+fleet_view MakeFleet(const policy_workload& aWorkload)
+{
+  std::vector<worker_view> workers;
+  for (int rack = 0; rack < aWorkload.mRacks; ++rack) {
+    for (int i = 0; i < aWorkload.mWorkersPerRack; ++i) {
+      const auto name = "r" + std::to_string(100 + rack);
+      workers.push_back(
+        { name + "-w" + std::to_string(100 + i), name, aWorkload.mWorker, true });
+    }
+  }
+  return fleet_view(std::move(workers));
+}
+
+fleet_config MakeConfig(const policy_workload& aWorkload)
+{
+  fleet_config config;
+  for (const auto* name : { "rosters", "renders", "checks", "labs" }) {
+    config.mWorkspaces[name].mName = name;
+  }
+  config.mWorkspaces["rosters"].mGuarantees = {
+    { 1, { 16, { 1, 2, 4'000 }, adjacency::kRack } }
+  };
+  config.mWorkspaces["renders"].mWeight = 2;
+  config.mDefaults.mCompletionWeightPercent = aWorkload.mCompletionWeightPercent;
+  return config;
+}
+
+/** The run of one day. */
+class policy_day
+{
+public:
+  policy_day(placement_policy& aPolicy, const policy_workload& aWorkload)
+    : mPolicy(aPolicy)
+    , mFleet(MakeFleet(aWorkload))
+    , mConfig(MakeConfig(aWorkload))
+  {
+    for (auto& job : job_maker(aWorkload).Make()) {
+      mArrivals.emplace(job.mJob.mSubmitted, job.mJob.mId);
+      mJobs.emplace(job.mJob.mId, std::move(job));
+    }
+  }
+
+  policy_result Run()
+  {
+    while (!mArrivals.empty() || !mWaiting.empty() || !mRunning.empty()) {
+      Advance();
+      Decide();
+    }
+    return Summary();
+  }
+
+private:
+  void Advance()
+  {
+    time_point next = mNow + kDecideEvery;
+    if (!mArrivals.empty()) {
+      next = std::min(next, mArrivals.begin()->first);
+    }
+    for (const auto& [id, gang] : mRunning) {
+      next = std::min(next, gang.mStarted + Left(id));
+    }
+    mNow = std::max(mNow, next);
+    while (!mArrivals.empty() && mArrivals.begin()->first <= mNow) {
+      mWaiting.push_back(mArrivals.begin()->second);
+      mArrivals.erase(mArrivals.begin());
+    }
+    for (auto it = mRunning.begin(); it != mRunning.end();) {
+      if (it->second.mStarted + Left(it->first) > mNow) {
+        ++it;
+        continue;
+      }
+      auto& job = mJobs[it->first];
+      job.mEnded = it->second.mStarted + Left(it->first);
+      mEstimator.Learn(
+        job.mJob.mWorkspace, job.mJob.mClass, job.mDeclared, job.mRun);
+      it = mRunning.erase(it);
+    }
+  }
+
+  duration Left(const std::string& aJob) const
+  {
+    const auto& job = mJobs.at(aJob);
+    return job.mRun - job.mDone;
+  }
+
+  void Decide()
+  {
+    planner_input input{ mFleet, mConfig, kDataCentre, {}, {}, mNow };
+    for (const auto& [id, gang] : mRunning) {
+      input.mRunning.push_back(gang);
+    }
+    for (const auto& id : mWaiting) {
+      auto job = mJobs[id].mJob;
+      job.mExpected =
+        mEstimator.Expect(job.mWorkspace, job.mClass, mJobs[id].mDeclared);
+      input.mWaiting.push_back(std::move(job));
+    }
+    const auto decision = mPolicy.Decide(input);
+    ++mResult.mDecisions;
+    mResult.mUnbacked += mPolicy.Plan().Unbacked().empty() ? 0 : 1;
+    for (const auto& id : decision.mDemoted) {
+      mRunning[id].mGuaranteed.reset();
+    }
+    for (const auto& start : decision.mStarts) {
+      Start(start);
+    }
+    Measure();
+  }
+
+  void Start(const start_decision& aStart)
+  {
+    for (const auto& victim : aStart.mVictims) {
+      StopVictim(victim);
+    }
+    auto& job = mJobs[aStart.mJob];
+    running_gang gang;
+    gang.mJob = aStart.mJob;
+    gang.mWorkspace = job.mJob.mWorkspace;
+    gang.mClass = job.mJob.mClass;
+    gang.mShape = job.mJob.mShape;
+    gang.mPlacement = aStart.mPlacement;
+    gang.mGuaranteed = aStart.mGuaranteed;
+    gang.mCheckpointable = job.mCheckpointable;
+    gang.mStarted = aStart.mVictims.empty() ? mNow : mNow + kCheckpointTime;
+    gang.mExpected =
+      mEstimator.Expect(gang.mWorkspace, gang.mClass, job.mDeclared);
+    if (job.mFirstStart.count() < 0) {
+      job.mFirstStart = gang.mStarted;
+    }
+    if (job.mKind == "urgent") {
+      const auto wait = (gang.mStarted - job.mJob.mSubmitted).count();
+      mResult.mUrgentStartMax = std::max(
+        mResult.mUrgentStartMax, static_cast<double>(wait) / kMsPerSecond);
+    }
+    mRunning[aStart.mJob] = gang;
+    std::erase(mWaiting, aStart.mJob);
+  }
+
+  void StopVictim(const std::string& aJob)
+  {
+    auto& job = mJobs[aJob];
+    const duration ran = std::max<duration>(duration(0), mNow - mRunning[aJob].mStarted);
+    if (job.mCheckpointable) {
+      job.mDone += ran;
+    } else {
+      constexpr double kMsPerHour = 3'600'000.0;
+      mResult.mLostAcceleratorHours +=
+        static_cast<double>(ran.count() * job.mJob.mShape.Accelerators()) / kMsPerHour;
+    }
+    ++mResult.mReclaims;
+    mRunning.erase(aJob);
+    mWaiting.push_back(aJob);
+  }
+
+  void Measure()
+  {
+    worker_amounts used(mFleet.Size());
+    int64_t busy = 0;
+    for (const auto& [id, gang] : mRunning) {
+      used.AddGang(mFleet, gang.mShape, gang.mPlacement);
+      busy += gang.mShape.Accelerators();
+    }
+    const auto span = static_cast<double>((mNow - mMeasured).count());
+    mMeasured = mNow;
+    mBusy += span * static_cast<double>(busy);
+    mTime += span;
+    const bool largeWaits =
+      std::any_of(mWaiting.begin(), mWaiting.end(), [](const auto& aId) {
+        return aId.rfind("large", 0) == 0;
+      });
+    if (largeWaits) {
+      mFragmented +=
+        span * FragmentationFor(mFleet, used, { 32, { 1, 2, 4'000 }, adjacency::kRack });
+      mFragmentedTime += span;
+    }
+  }
+
+  policy_result Summary()
+  {
+    std::map<std::string, std::vector<double>> waits;
+    std::map<std::string, std::vector<double>> completions;
+    for (const auto& [id, job] : mJobs) {
+      const auto seconds = [&](time_point aAt) {
+        return static_cast<double>((aAt - job.mJob.mSubmitted).count()) / kMsPerSecond;
+      };
+      waits[job.mKind].push_back(seconds(job.mFirstStart));
+      completions[job.mKind].push_back(seconds(job.mEnded));
+    }
+    for (const auto& [kind, values] : waits) {
+      mResult.mKinds[kind] = { values.size(),
+                               Quantile(values, 0.5),
+                               Quantile(values, 0.99),
+                               Quantile(completions[kind], 0.5),
+                               Quantile(completions[kind], 0.99) };
+    }
+    int64_t accelerators = 0;
+    for (const auto& worker : mFleet.Workers()) {
+      accelerators += worker.mCapacity.mAccelerators;
+    }
+    mResult.mUtilisation = mBusy / mTime / static_cast<double>(accelerators);
+    mResult.mFragmentation = mFragmentedTime > 0 ? mFragmented / mFragmentedTime : 0;
+    return mResult;
+  }
+
+  placement_policy& mPolicy;
+  fleet_view mFleet;
+  fleet_config mConfig;
+  std::map<std::string, bench_job> mJobs;
+  std::multimap<time_point, std::string> mArrivals;
+  std::vector<std::string> mWaiting;
+  std::map<std::string, running_gang> mRunning;
+  run_time_estimator mEstimator;
+  time_point mNow{ 0 };
+  time_point mMeasured{ 0 };
+  policy_result mResult;
+  double mBusy = 0;
+  double mTime = 0;
+  double mFragmented = 0;
+  double mFragmentedTime = 0;
+};
+
+} // namespace
+
+std::vector<policy_workload> BriefWorkloads()
+{
+  policy_workload gyms;
+  gyms.mName = "gripfjall";
+  gyms.mCompletionWeightPercent = 80;
+  policy_workload depots;
+  depots.mName = "verband";
+  depots.mCompletionWeightPercent = 20;
+  depots.mSmallPerHour = 90;
+  depots.mMediumPerHour = 4;
+  depots.mLargePerDay = 32;
+  depots.mUrgentPerDay = 24;
+  return { gyms, depots };
+}
+
+policy_result RunPolicy(placement_policy& aPolicy, const policy_workload& aWorkload)
+{
+  return policy_day(aPolicy, aWorkload).Run();
+}
+
+} // namespace anvildoor
--- a/src/planner/PlanningRound.cpp
+++ b/src/planner/PlanningRound.cpp
@@ -191,6 +191,7 @@
   return guaranteed_option{ aShape.mId, *packed, std::nullopt, *victims };
 }
 
+/** The place for a shape that costs least: free if there is one, else by its victims. */
 std::optional<planning_round::guaranteed_option> planning_round::MoveOption(
   const planned_shape& aShape,
   const waiting_job& aJob) const
@@ -198,19 +199,41 @@
   auto reserved = mReserved;
   reserved.SubtractGang(mInput.mFleet, aShape.mShape, aShape.mReserved);
   const auto outside = UnreclaimableOutside(mInput.mFleet, mRunning, mPlan.Shapes());
-  const auto spare = [&](size_t aWorker) {
+  const auto plannable = [&](size_t aWorker) {
     const auto& worker = mInput.mFleet.At(aWorker);
-    if (!worker.mUsable || aJob.mAvoid.count(worker.mId) != 0) {
-      return resources{};
-    }
-    const auto plannable =
-      worker.mCapacity - reserved.At(aWorker) - outside.At(aWorker);
+    const bool usable = worker.mUsable && aJob.mAvoid.count(worker.mId) == 0;
+    return usable ? worker.mCapacity - reserved.At(aWorker) - outside.At(aWorker)
+                  : resources{};
+  };
+  const auto alsoFree = [&](size_t aWorker) {
+    const auto open = plannable(aWorker);
     const auto free = FreeOn(aWorker);
-    return resources{ std::min(plannable.mAccelerators, free.mAccelerators),
-                      std::min(plannable.mCores, free.mCores),
-                      std::min(plannable.mMemoryMb, free.mMemoryMb) };
+    return resources{ std::min(open.mAccelerators, free.mAccelerators),
+                      std::min(open.mCores, free.mCores),
+                      std::min(open.mMemoryMb, free.mMemoryMb) };
   };
-  const auto moved = PackGang(mInput.mFleet, { aShape.mShape, spare, {}, false });
+  if (auto free = OptionAt(aShape, aJob, alsoFree)) {
+    return free;
+  }
+  std::optional<guaranteed_option> best;
+  for (size_t rack = 0; rack < mInput.mFleet.Racks().size(); ++rack) {
+    const auto inRack = [&](size_t aWorker) {
+      return mInput.mFleet.RackOf(aWorker) == rack ? plannable(aWorker) : resources{};
+    };
+    auto option = OptionAt(aShape, aJob, inRack);
+    if (option && (!best || option->mVictims.mCost < best->mVictims.mCost)) {
+      best = std::move(option);
+    }
+  }
+  return best;
+}
+
+std::optional<planning_round::guaranteed_option> planning_round::OptionAt(
+  const planned_shape& aShape,
+  const waiting_job& aJob,
+  const std::function<resources(size_t)>& aSpare) const
+{
+  const auto moved = PackGang(mInput.mFleet, { aShape.mShape, aSpare, {}, false });
   if (!moved) {
     return std::nullopt;
   }
--- a/src/planner/PlanningRound.h
+++ b/src/planner/PlanningRound.h
@@ -47,6 +47,10 @@
                                             const waiting_job& aJob) const;
   std::optional<guaranteed_option> MoveOption(const planned_shape& aShape,
                                               const waiting_job& aJob) const;
+  std::optional<guaranteed_option> OptionAt(
+    const planned_shape& aShape,
+    const waiting_job& aJob,
+    const std::function<resources(size_t)>& aSpare) const;
   worker_amounts SpareInShape(const planned_shape& aShape) const;
   bool IsInUse(const shape_id& aShape) const;
 
--- a/src/planner/Quarantine.cpp
+++ b/src/planner/Quarantine.cpp
@@ -49,6 +49,9 @@
                                       const std::string& aWorker,
                                       time_point aNow)
 {
+  if (!IsUsable(aWorker, aNow)) {
+    return failure_verdict::kRetry; // Already found guilty; the job is not to blame.
+  }
   auto& evidence = mWorkers[aWorker];
   evidence.mJobs.insert(aJob);
   mJobs[aJob].insert(aWorker);
--- /dev/null
+++ b/tests/PlannerTest.cpp
@@ -0,0 +1,254 @@
+#include "planner/Estimator.h"
+#include "planner/Fragmentation.h"
+#include "planner/Packing.h"
+#include "planner/Planner.h"
+#include "planner/Quarantine.h"
+
+#include <catch2/catch.hpp>
+
+using namespace anvildoor;
+
+namespace {
+
+fleet_view Fleet(int aRacks, int aWorkers)
+{
+  std::vector<worker_view> workers;
+  for (int rack = 0; rack < aRacks; ++rack) {
+    for (int i = 0; i < aWorkers; ++i) {
+      const auto name = "r" + std::to_string(rack);
+      workers.push_back({ name + "w" + std::to_string(i), name, { 8, 32, 64'000 }, true });
+    }
+  }
+  return fleet_view(workers);
+}
+
+gang_shape Shape(int64_t aTasks, int64_t aAccelerators, adjacency aAdjacency)
+{
+  return { aTasks, { aAccelerators, 1, 0 }, aAdjacency };
+}
+
+waiting_job Job(const std::string& aId, work_class aClass, const gang_shape& aShape)
+{
+  waiting_job job;
+  job.mId = aId;
+  job.mWorkspace = "gyms";
+  job.mClass = aClass;
+  job.mShape = aShape;
+  job.mExpected = std::chrono::hours(1);
+  return job;
+}
+
+running_gang Borrower(const std::string& aId,
+                      const gang_shape& aShape,
+                      const placement& aPlacement)
+{
+  running_gang gang;
+  gang.mJob = aId;
+  gang.mWorkspace = "depots";
+  gang.mShape = aShape;
+  gang.mPlacement = aPlacement;
+  gang.mCheckpointable = true;
+  gang.mExpected = std::chrono::hours(4);
+  return gang;
+}
+
+fleet_config ConfigWith(const std::string& aWorkspace, const guarantee& aGuarantee)
+{
+  fleet_config config;
+  config.mWorkspaces[aWorkspace].mName = aWorkspace;
+  config.mWorkspaces[aWorkspace].mGuarantees = { aGuarantee };
+  return config;
+}
+
+} // namespace
+
+TEST_CASE("packing fills what is broken and keeps whole racks for large gangs")
+{
+  struct row
+  {
+    const char* mName;
+    gang_shape mShape;
+    std::string mRack; ///< "" if it does not fit.
+  };
+  const auto fleet = Fleet(3, 2);
+  worker_amounts used(fleet.Size());
+  used.Add(fleet.Find("r1w0"), { 6, 6, 0 });
+  used.Add(fleet.Find("r2w0"), { 3, 3, 0 });
+  const auto item = GENERATE(row{ "small", Shape(2, 1, adjacency::kAny), "r1" },
+                             row{ "medium", Shape(4, 3, adjacency::kRack), "" },
+                             row{ "rack", Shape(16, 1, adjacency::kRack), "r0" },
+                             row{ "rest", Shape(13, 1, adjacency::kRack), "r2" });
+  INFO(item.mName);
+  const auto packed = PackGang(
+    fleet,
+    { item.mShape,
+      [&](size_t aWorker) { return fleet.At(aWorker).mCapacity - used.At(aWorker); },
+      {},
+      false });
+  REQUIRE(packed);
+  if (!item.mRack.empty()) {
+    for (const auto& part : *packed) {
+      CHECK(part.mWorker.substr(0, 2) == item.mRack);
+    }
+  }
+}
+
+TEST_CASE("victims are the cheapest that free the place")
+{
+  const auto fleet = Fleet(2, 1);
+  const auto config = ConfigWith("gyms", { 1, Shape(8, 1, adjacency::kRack) });
+  auto cheap = Borrower("cheap", Shape(8, 1, adjacency::kAny), { { "r1w0", 8 } });
+  auto dear = Borrower("dear", Shape(8, 1, adjacency::kAny), { { "r0w0", 8 } });
+  const bool dearIsUrgent = GENERATE(true, false);
+  dear.mClass = dearIsUrgent ? work_class::kUrgent : work_class::kBatch;
+  dear.mCheckpointable = dearIsUrgent;
+  planner policy;
+  const time_point now = std::chrono::hours(1);
+  const planner_input input{
+    fleet,
+    config,
+    "alpha",
+    { cheap, dear },
+    { Job("j", work_class::kUrgent, Shape(8, 1, adjacency::kRack)) },
+    now
+  };
+  const auto decision = policy.Decide(input);
+  REQUIRE(decision.mStarts.size() == 1);
+  CHECK(decision.mStarts[0].mGuaranteed.has_value());
+  CHECK(decision.mStarts[0].mVictims == std::vector<std::string>{ "cheap" });
+}
+
+TEST_CASE("a large gang that has waited its bound gets a rack drained for it")
+{
+  const auto fleet = Fleet(2, 2);
+  fleet_config config;
+  config.mDefaults.mDrainAfterMs = 60'000;
+  planner policy;
+  std::vector<running_gang> running;
+  for (size_t i = 0; i < fleet.Size(); ++i) {
+    running.push_back(Borrower("b" + std::to_string(i),
+                               Shape(6, 1, adjacency::kAny),
+                               { { fleet.At(i).mId, 6 } }));
+  }
+  auto large = Job("large", work_class::kBatch, Shape(16, 1, adjacency::kRack));
+  large.mSubmitted = time_point(0);
+  const auto decide = [&](duration aAt, std::vector<waiting_job> aMore) {
+    aMore.push_back(large);
+    return policy.Decide({ fleet, config, "alpha", running, aMore, aAt });
+  };
+  decide(duration(59'000), {});
+  CHECK(policy.Reservations().empty());
+  decide(duration(61'000), {});
+  REQUIRE(policy.Reservations().size() == 1);
+  const auto rack = policy.Reservations()[0].mRack;
+  SECTION("long small jobs go elsewhere")
+  {
+    auto small = Job("small", work_class::kBatch, Shape(2, 1, adjacency::kAny));
+    small.mExpected = std::chrono::hours(20);
+    const auto decision = decide(duration(62'000), { small });
+    REQUIRE(decision.mStarts.size() == 1);
+    CHECK(decision.mStarts[0].mPlacement[0].mWorker.substr(0, 2) != rack);
+  }
+  SECTION("after a second bound the borrowers' checkpoints are called for")
+  {
+    const auto decision = decide(duration(122'000), {});
+    REQUIRE(decision.mStarts.size() == 1);
+    CHECK(decision.mStarts[0].mJob == "large");
+    CHECK(decision.mStarts[0].mVictims.size() == 2);
+  }
+}
+
+TEST_CASE("workspaces borrow in proportion to their weights")
+{
+  const auto fleet = Fleet(2, 4);
+  fleet_config config;
+  config.mWorkspaces["gyms"].mWeight = 3;
+  config.mWorkspaces["depots"].mWeight = 1;
+  std::vector<waiting_job> jobs;
+  for (int i = 0; i < 100; ++i) {
+    auto job = Job("j" + std::to_string(i), work_class::kBatch, Shape(1, 1, {}));
+    job.mWorkspace = i % 2 == 0 ? "gyms" : "depots";
+    jobs.push_back(job);
+  }
+  planner policy;
+  const auto decision =
+    policy.Decide({ fleet, config, "alpha", {}, jobs, time_point(1'000) });
+  int gyms = 0;
+  for (const auto& start : decision.mStarts) {
+    gyms += std::stoi(start.mJob.substr(1)) % 2 == 0 ? 1 : 0;
+  }
+  CHECK(decision.mStarts.size() == 64);
+  CHECK(gyms == 48);
+}
+
+TEST_CASE("estimates follow what really ran, per workspace and class")
+{
+  run_time_estimator estimator;
+  CHECK(estimator.Expect("gyms", work_class::kBatch, duration(1'000)) == duration(1'000));
+  for (int i = 0; i < 40; ++i) {
+    estimator.Learn(
+      "gyms", work_class::kBatch, duration(1'000), duration(8'000));
+  }
+  const auto learnt = estimator.Expect("gyms", work_class::kBatch, duration(2'000));
+  CHECK(learnt > duration(15'000));
+  CHECK(learnt < duration(16'500));
+  CHECK(estimator.Expect("gyms", work_class::kUrgent, duration(2'000)) ==
+        duration(2'000));
+}
+
+TEST_CASE("quarantine takes no more than its share and does not condemn the innocent")
+{
+  struct row
+  {
+    int64_t mSharePercent;
+    int mFailing;
+    size_t mQuarantined;
+  };
+  const auto item =
+    GENERATE(row{ 10, 1, 1 }, row{ 10, 4, 4 }, row{ 10, 12, 4 }, row{ 0, 3, 0 });
+  quarantine guard(40, item.mSharePercent);
+  const time_point now{ 1'000 };
+  for (int worker = 0; worker < item.mFailing; ++worker) {
+    for (int job = 0; job < 3; ++job) {
+      guard.OnFailure("job" + std::to_string(worker * 10 + job),
+                      "w" + std::to_string(worker),
+                      now);
+    }
+  }
+  CHECK(guard.Quarantined(now).size() == item.mQuarantined);
+  CHECK(guard.Quarantined(now + std::chrono::hours(1)).empty());
+}
+
+TEST_CASE("a job that fails everywhere ends, and its workers stay above suspicion")
+{
+  quarantine guard(40, 10);
+  const time_point now{ 1'000 };
+  for (int round = 0; round < 20; ++round) {
+    const auto job = "bad" + std::to_string(round);
+    CHECK(guard.OnFailure(job, "w1", now) == failure_verdict::kRetry);
+    CHECK(guard.OnFailure(job, "w2", now) == failure_verdict::kRetry);
+    CHECK(guard.OnFailure(job, "w3", now) == failure_verdict::kEndJob);
+    guard.ForgetJob(job);
+  }
+  CHECK(guard.Quarantined(now).empty());
+}
+
+TEST_CASE("fragmentation is the share of free accelerators that no whole gang can use")
+{
+  struct row
+  {
+    std::vector<int64_t> mFreePerWorker; ///< Racks of two workers.
+    double mExpected;
+  };
+  const auto item = GENERATE(row{ { 8, 8, 8, 8 }, 0.0 },
+                             row{ { 8, 8, 7, 8 }, 15.0 / 31.0 },
+                             row{ { 4, 4, 4, 4 }, 1.0 },
+                             row{ { 0, 0, 0, 0 }, 0.0 });
+  const auto fleet = Fleet(2, 2);
+  worker_amounts used(fleet.Size());
+  for (size_t i = 0; i < fleet.Size(); ++i) {
+    used.Add(i, { 8 - item.mFreePerWorker[i], 0, 0 });
+  }
+  CHECK(FragmentationFor(fleet, used, Shape(16, 1, adjacency::kRack)) ==
+        Approx(item.mExpected));
+}
--- /dev/null
+++ b/tests/RecoveryTest.cpp
@@ -0,0 +1,252 @@
+#include "support/FakeSite.h"
+
+#include <catch2/catch.hpp>
+
+using namespace anvildoor;
+
+namespace {
+
+std::string JobBody(int aTasks, int aRunMs)
+{
+  return R"({"workspace":"gyms","tasks":)" + std::to_string(aTasks) +
+         R"(,"accelerators_per_task":1,"checkpointable":true,"payload":"{\"run_ms\":)" +
+         std::to_string(aRunMs) + R"(}"})";
+}
+
+/** Submits jobs and requests while VMs change, and counts what was accepted. */
+class steady_load
+{
+public:
+  explicit steady_load(fake_site& aSite)
+    : mSite(aSite)
+  {
+  }
+
+  void Step()
+  {
+    const auto vms = mSite.RunningVms();
+    if (vms.empty()) {
+      return;
+    }
+    const auto& vm = vms[mNumber % vms.size()];
+    const auto key = "job-" + std::to_string(mNumber++);
+    mJobs.push_back(
+      { key,
+        mSite.Begin(
+          vm, WorkspaceCall("gyms", "POST", "/v1/jobs", JobBody(4, 5'000), key)) });
+    mRequests.push_back(mSite.Begin(
+      vm,
+      WorkspaceCall(
+        "gyms", "POST", "/v1/requests", R"({"workspace":"gyms","payload":"r"})")));
+  }
+
+  /** Every job that was accepted ends well; a drained VM cuts off no request. */
+  void CheckAccepted(bool aRequestsToo)
+  {
+    const auto vm = mSite.SchedulerVm();
+    int accepted = 0;
+    for (const auto& [key, answer] : mJobs) {
+      if (answer->mStatus != 202) {
+        continue;
+      }
+      ++accepted;
+      const auto id = JsonText(answer->mBody, "id");
+      const auto ended = mSite.Call(
+        vm, WorkspaceCall("gyms", "GET", "/v1/jobs/" + id + "?wait_ms=30000"));
+      INFO(key << " " << ended.mBody);
+      CHECK(JsonText(ended.mBody, "state") == "completed");
+      CHECK(mSite.CheckGangs(id).mDoubledTasks == 0);
+    }
+    CHECK(accepted > 0);
+    for (const auto& answer : mRequests) {
+      if (aRequestsToo) {
+        CHECK(answer->mStatus == 200);
+      }
+    }
+  }
+
+private:
+  fake_site& mSite;
+  size_t mNumber = 0;
+  std::vector<std::pair<std::string, std::shared_ptr<api_answer>>> mJobs;
+  std::vector<std::shared_ptr<api_answer>> mRequests;
+};
+
+void Prepare(fake_site& aSite)
+{
+  aSite.StartAll();
+  REQUIRE(aSite.WaitForScheduler());
+  REQUIRE(aSite.PutWorkspace("alpha-e1", "gyms").mStatus == 200);
+  aSite.Loop().RunFor(duration(12'000));
+}
+
+void RunSteps(fake_site& aSite, steady_load& aLoad, int aSteps)
+{
+  for (int i = 0; i < aSteps; ++i) {
+    aLoad.Step();
+    aSite.Loop().RunFor(duration(200));
+  }
+}
+
+} // namespace
+
+TEST_CASE("all VMs are replaced one after another under load and nothing is lost")
+{
+  fake_site site;
+  Prepare(site);
+  steady_load load(site);
+  for (const auto& vm : site.RunningVms()) {
+    RunSteps(site, load, 10);
+    CHECK(site.Call(vm, OperatorCall("POST", "/v1/drain")).mStatus == 200);
+    REQUIRE(
+      site.Loop().RunUntil([&] { return site.Node(vm).IsDrained(); }, duration(30'000)));
+    site.KillVm(vm);
+    RunSteps(site, load, 5);
+    site.StartVm(vm);
+    site.Loop().RunFor(duration(6'000));
+  }
+  site.Loop().RunFor(duration(60'000));
+  load.CheckAccepted(true);
+}
+
+TEST_CASE("all VMs are killed at once and nothing that was accepted is lost")
+{
+  fake_site site;
+  Prepare(site);
+  steady_load load(site);
+  RunSteps(site, load, 15);
+  for (const auto& vm : site.RunningVms()) {
+    site.KillVm(vm);
+  }
+  site.Loop().RunFor(duration(3'000));
+  site.StartAll();
+  REQUIRE(site.WaitForScheduler());
+  site.Loop().RunFor(duration(90'000));
+  load.CheckAccepted(false);
+}
+
+TEST_CASE("a wave of cancellations is carried out, cheaply and truly")
+{
+  constexpr int kJobs = 1'500;
+  fake_settings settings;
+  settings.mEntryVms = 1;
+  fake_site site(settings);
+  Prepare(site);
+  std::vector<std::shared_ptr<api_answer>> submitted;
+  for (int i = 0; i < kJobs; ++i) {
+    submitted.push_back(site.Begin("alpha-e1",
+                                   WorkspaceCall("gyms",
+                                                 "POST",
+                                                 "/v1/jobs",
+                                                 JobBody(8, 600'000),
+                                                 "w" + std::to_string(i))));
+  }
+  site.Loop().RunFor(duration(10'000));
+  const auto before = site.Store().Counts();
+  std::vector<std::shared_ptr<api_answer>> cancelled;
+  for (const auto& answer : submitted) {
+    REQUIRE(answer->mStatus == 202);
+    const auto id = JsonText(answer->mBody, "id");
+    cancelled.push_back(
+      site.Begin("alpha-e1", WorkspaceCall("gyms", "DELETE", "/v1/jobs/" + id)));
+  }
+  site.Loop().RunFor(duration(15'000));
+  int notRun = 0;
+  for (size_t i = 0; i < cancelled.size(); ++i) {
+    REQUIRE(cancelled[i]->mStatus == 200);
+    const auto id = JsonText(submitted[i]->mBody, "id");
+    const auto outcome = JsonText(cancelled[i]->mBody, "outcome");
+    const bool ran = std::any_of(
+      site.TaskEvents().begin(), site.TaskEvents().end(), [&](const auto& aEvent) {
+        return aEvent.mJob == id && aEvent.mState == member_state::kRunning;
+      });
+    notRun += outcome == "not_run" ? 1 : 0;
+    CHECK((outcome == "not_run") == !ran);
+  }
+  CHECK(notRun > kJobs / 2);
+  const auto writes = site.Store().Counts().mWrites - before.mWrites;
+  CHECK(writes <= kJobs / 5); // Group commit, leases included.
+}
+
+TEST_CASE("workers that fail everything and jobs that fail everywhere are told apart")
+{
+  fake_site site;
+  Prepare(site);
+  site.Worker("alpha-r1-w1").SetFaults({ true, false, {} });
+  const auto bad = site.Call(
+    "alpha-e1",
+    WorkspaceCall("gyms",
+                  "POST",
+                  "/v1/jobs",
+                  R"({"workspace":"gyms","tasks":1,"accelerators_per_task":1,
+                      "payload":"{\"run_ms\":100,\"fail\":true}"})",
+                  "bad"));
+  std::vector<std::string> good;
+  for (int i = 0; i < 30; ++i) {
+    const auto answer = site.Call("alpha-e1",
+                                  WorkspaceCall("gyms",
+                                                "POST",
+                                                "/v1/jobs",
+                                                JobBody(2, 500),
+                                                "good" + std::to_string(i)));
+    good.push_back(JsonText(answer.mBody, "id"));
+    site.Loop().RunFor(duration(300));
+  }
+  site.Loop().RunFor(duration(60'000));
+  const auto& scheduler = site.Node(site.SchedulerVm()).Scheduler();
+  CHECK(scheduler.Find(JsonText(bad.mBody, "id"))->mState == job_state::kFailed);
+  for (const auto& id : good) {
+    CHECK(scheduler.Find(id)->mState == job_state::kCompleted);
+  }
+  CHECK(site.Log().Has("event=worker_quarantined worker=alpha-r1-w1"));
+  int quarantined = 0;
+  for (const auto& line : site.Log().Lines()) {
+    quarantined += line.find("event=worker_quarantined") != std::string::npos ? 1 : 0;
+  }
+  CHECK(quarantined == 1);
+}
+
+TEST_CASE("a guaranteed gang reclaims its shape from borrowers within the bound")
+{
+  const bool checkpointable = GENERATE(true, false);
+  fake_site site;
+  Prepare(site);
+  const auto guarantee =
+    R"([{"count":1,"tasks":16,"accelerators_per_task":1,"cores_per_task":1,
+         "adjacency":"rack"}])";
+  REQUIRE(site.PutWorkspace("alpha-e1", "rosters", guarantee).mStatus == 200);
+  std::vector<std::string> borrowers;
+  for (int i = 0; i < 8; ++i) {
+    const auto body = std::string(R"({"workspace":"gyms","tasks":8,)") +
+                      R"("accelerators_per_task":1,"payload":"{\"run_ms\":60000}",)" +
+                      R"("checkpointable":)" + (checkpointable ? "true}" : "false}");
+    const auto answer = site.Call(
+      "alpha-e1", WorkspaceCall("gyms", "POST", "/v1/jobs", body, std::to_string(i)));
+    borrowers.push_back(JsonText(answer.mBody, "id"));
+  }
+  site.Loop().RunFor(duration(5'000));
+  const auto begun = site.Loop().Now();
+  const auto urgent = site.Call(
+    "alpha-e2",
+    WorkspaceCall("rosters",
+                  "POST",
+                  "/v1/jobs",
+                  R"({"workspace":"rosters","class":"urgent","tasks":16,
+                      "accelerators_per_task":1,"adjacency":"rack","idempotent":false,
+                      "payload":"{\"run_ms\":1000}"})",
+                  "roster"));
+  REQUIRE(urgent.mStatus == 202);
+  const auto id = JsonText(urgent.mBody, "id");
+  REQUIRE(site.Loop().RunUntil(
+    [&] {
+      const auto found = site.Node(site.SchedulerVm()).Scheduler().Find(id);
+      return found && found->mState == job_state::kRunning;
+    },
+    duration(10'000)));
+  CHECK(site.Loop().Now() - begun <= duration(2'800));
+  site.Loop().RunFor(duration(150'000));
+  for (const auto& borrower : borrowers) {
+    const auto found = site.Node(site.SchedulerVm()).Scheduler().Find(borrower);
+    CHECK(found->mState == job_state::kCompleted);
+  }
+}
--- a/tests/support/FakeSite.cpp
+++ b/tests/support/FakeSite.cpp
@@ -72,7 +72,10 @@
       });
       return;
     }
-    aStart([this, done = std::move(aDone)](result<T> aAnswer) {
+    aStart([this, aCode, done = std::move(aDone)](result<T> aAnswer) {
+      if (mSite.IsCut(mVm, "store")) {
+        aAnswer = Fail(aCode, "store", "store", "the answer was cut off");
+      }
       mLoop.Post([done, answer = std::move(aAnswer)] { done(answer); });
     });
   }
