Planner: reservations that keep large gangs from starving

Cause of the long waits: a drained rack took no backfill once its estimate had passed, borrowers of the gang's own size were stopped for it and came back to do the same, the rack went to the least-borrowing workspace rather than the oldest gang, and new small work was placed before a ready reservation was served.

--- a/bench/support/FirstFitPolicy.cpp
+++ b/bench/support/FirstFitPolicy.cpp
@@ -49,9 +49,10 @@
     used.AddGang(fleet, gang.mShape, gang.mPlacement);
   }
   auto waiting = aInput.mWaiting;
-  std::stable_sort(waiting.begin(), waiting.end(), [](const auto& aLeft, const auto& aRight) {
-    return aLeft.mSubmitted < aRight.mSubmitted;
-  });
+  std::stable_sort(
+    waiting.begin(), waiting.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.mSubmitted < aRight.mSubmitted;
+    });
   planner_decision decision;
   std::set<shape_id> inUse;
   for (const auto& gang : running) {
--- a/src/gang/SchedulerPlanning.cpp
+++ b/src/gang/SchedulerPlanning.cpp
@@ -114,6 +114,7 @@
     job.mClass = record.mSpec.mClass;
     job.mShape = record.mSpec.mShape;
     job.mRestartable = record.mSpec.mIdempotent;
+    job.mCheckpointable = record.mSpec.mCheckpointable;
     job.mSubmitted = record.mSubmitted;
     job.mExpected = mEstimator.Expect(
       job.mWorkspace, job.mClass, std::chrono::seconds(record.mSpec.mExpectedSeconds));
--- a/src/planner/PlannerTypes.h
+++ b/src/planner/PlannerTypes.h
@@ -39,6 +39,7 @@
   work_class mClass = work_class::kBatch;
   gang_shape mShape;
   bool mRestartable = true;
+  bool mCheckpointable = false;
   time_point mSubmitted{};
   duration mExpected{};         ///< Corrected estimate of the run time.
   std::set<std::string> mAvoid; ///< Workers on which it has failed.
@@ -92,6 +93,7 @@
 {
   std::string mJob;
   std::string mRack;
+  int64_t mAccelerators = 0; ///< Of the gang.
   time_point mSince{};
   time_point mExpectedFree{};
 
--- a/src/planner/PlanningRound.cpp
+++ b/src/planner/PlanningRound.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr size_t kRacksPerReservation = 8;
 constexpr int64_t kPercent = 100;
+constexpr int64_t kStragglerBounds = 6; ///< Times the bound after which a rack drains.
 constexpr int64_t kShareScale = 1'000'000;
 
 } // namespace
@@ -40,13 +40,22 @@
 
 planner_decision planning_round::Run()
 {
-  DropEndedReservations();
+  RefreshReservations();
   // Guarantees come before borrowing, so that no borrower of this round is in the way.
   ServeGuarantees();
+  ServeReservations();
   auto queues = QueuesByRank();
   for (auto& [rank, byWorkspace] : queues) {
     ServeRank(byWorkspace);
   }
+  // The oldest gang gets the next rack, whoever it belongs to.
+  std::stable_sort(mLeft.begin(), mLeft.end(), [](auto* aLeft, auto* aRight) {
+    return aLeft->mSubmitted < aRight->mSubmitted;
+  });
+  for (const auto* job : mLeft) {
+    MaybeReserve(*job);
+    Wait(*job, WaitReason(*job));
+  }
   return std::move(mDecision);
 }
 
@@ -69,6 +78,21 @@
   }
 }
 
+/** A gang whose rack is ready starts before new work can take its place. */
+void planning_round::ServeReservations()
+{
+  const auto reservations = mReservations;
+  for (const auto& reservation : reservations) {
+    const auto job =
+      std::find_if(mInput.mWaiting.begin(),
+                   mInput.mWaiting.end(),
+                   [&](const auto& aJob) { return aJob.mId == reservation.mJob; });
+    if (job != mInput.mWaiting.end() && mStarted.count(job->mId) == 0) {
+      TryReserved(*job, reservation);
+    }
+  }
+}
+
 int planning_round::RankOf(const waiting_job& aJob) const
 {
   const duration waited = mInput.mNow - aJob.mSubmitted;
@@ -131,8 +155,7 @@
     const waiting_job& job = *queue.back();
     queue.pop_back();
     if (!TryStart(job)) {
-      MaybeReserve(job);
-      Wait(job, WaitReason(job));
+      mLeft.push_back(&job);
     }
   }
 }
@@ -191,7 +214,8 @@
   return guaranteed_option{ aShape.mId, *packed, std::nullopt, *victims };
 }
 
-/** The place for a shape that costs least: free if there is one, else by its victims. */
+/** The place for a shape that costs least: free if there is one, else by its victims.
+ */
 std::optional<planning_round::guaranteed_option> planning_round::MoveOption(
   const planned_shape& aShape,
   const waiting_job& aJob) const
@@ -299,7 +323,10 @@
   const auto& rack = mInput.mFleet.At(mInput.mFleet.Racks()[aRack].front()).mRack;
   return std::none_of(
     mReservations.begin(), mReservations.end(), [&](const auto& aReservation) {
-      return aReservation.mRack == rack && aReservation.mJob != aJob.mId &&
+      // What can be checkpointed gives way without loss when the rack is ready.
+      const bool givesWay =
+        aJob.mCheckpointable && aJob.mShape.Accelerators() < aReservation.mAccelerators;
+      return aReservation.mRack == rack && aReservation.mJob != aJob.mId && !givesWay &&
              mInput.mNow + aJob.mExpected > aReservation.mExpectedFree;
     });
 }
@@ -381,25 +408,46 @@
 
 // Reservations
 
-void planning_round::DropEndedReservations()
+/**
+ * Drops what nobody waits for any more and dates the others anew. A reservation moves
+ * to a rack that will be ready clearly sooner; hysteresis keeps it from moving often.
+ */
+void planning_round::RefreshReservations()
 {
-  std::erase_if(mReservations, [&](const auto& aReservation) {
+  std::vector<rack_reservation> kept;
+  for (auto& reservation : mReservations) {
     const auto job =
       std::find_if(mInput.mWaiting.begin(),
                    mInput.mWaiting.end(),
-                   [&](const auto& aJob) { return aJob.mId == aReservation.mJob; });
+                   [&](const auto& aJob) { return aJob.mId == reservation.mJob; });
     if (job == mInput.mWaiting.end()) {
-      return true;
+      continue;
     }
-    // A rack that lost too many workers can no longer hold the gang.
-    for (size_t rack = 0; rack < mInput.mFleet.Racks().size(); ++rack) {
-      const auto first = mInput.mFleet.Racks()[rack].front();
-      if (mInput.mFleet.At(first).mRack == aReservation.mRack) {
-        return !ExpectedFree(rack, job->mShape).has_value();
-      }
+    const size_t rack = RackNamed(reservation.mRack);
+    const auto free = rack < mInput.mFleet.Racks().size()
+                        ? ExpectedFree(rack, *job, reservation.mSince)
+                        : std::nullopt;
+    const auto best = BestRack(*job, reservation.mSince);
+    const duration hysteresis(Settings(*job).mDrainAfterMs);
+    if (best && (!free || best->mFree + hysteresis < *free)) {
+      reservation.mRack = best->mRack;
+      reservation.mExpectedFree = best->mFree;
+      kept.push_back(reservation);
+    } else if (free) {
+      reservation.mExpectedFree = *free;
+      kept.push_back(reservation);
     }
-    return true;
+  }
+  mReservations = std::move(kept);
+}
+
+size_t planning_round::RackNamed(const std::string& aName) const
+{
+  const auto& racks = mInput.mFleet.Racks();
+  const auto found = std::find_if(racks.begin(), racks.end(), [&](const auto& aRack) {
+    return mInput.mFleet.At(aRack.front()).mRack == aName;
   });
+  return static_cast<size_t>(found - racks.begin());
 }
 
 rack_reservation* planning_round::ReservationOf(const std::string& aJob)
@@ -423,8 +471,17 @@
   const duration held = mInput.mNow - aReservation.mSince;
   const bool overdue = held.count() >= Settings(aJob).mDrainAfterMs;
   const bool backfilled = aGang.mStarted >= aReservation.mSince;
-  return aGang.mClass >= aJob.mClass &&
-         (backfilled || (overdue && aGang.mCheckpointable));
+  const bool smaller = aGang.mShape.Accelerators() < aJob.mShape.Accelerators();
+  // Short interactive work ends by itself; what has run for long would hold up the
+  // rack.
+  const int64_t bound = Settings(aJob).mDrainAfterMs;
+  const duration ran = mInput.mNow - aGang.mStarted;
+  const bool straggles = aGang.mClass != work_class::kUrgent && overdue &&
+                         aGang.mCheckpointable &&
+                         ran.count() >= kStragglerBounds * bound;
+  const bool givesWay =
+    aGang.mClass >= aJob.mClass && (backfilled || (overdue && aGang.mCheckpointable));
+  return smaller && (straggles || givesWay);
 }
 
 bool planning_round::TryReserved(const waiting_job& aJob,
@@ -459,9 +516,13 @@
   return true;
 }
 
+/** When a rack can hold the gang, given what the reservation may clear by then. */
 std::optional<time_point> planning_round::ExpectedFree(size_t aRack,
-                                                       const gang_shape& aShape) const
+                                                       const waiting_job& aJob,
+                                                       time_point aSince) const
 {
+  const auto& shape = aJob.mShape;
+  const auto clearAt = aSince + duration(Settings(aJob).mDrainAfterMs);
   const auto& workers = mInput.mFleet.Racks()[aRack];
   auto used = mCommitted;
   const auto spare = [&](size_t aWorker) {
@@ -476,20 +537,24 @@
         return index < mInput.mFleet.Size() && mInput.mFleet.RackOf(index) == aRack;
       });
     if (here && !gang.mStopping) {
-      const auto end = gang.mStarted + gang.mExpected;
+      const bool clearable = gang.IsReclaimable() && gang.mCheckpointable &&
+                             gang.mClass >= aJob.mClass &&
+                             gang.mShape.Accelerators() < shape.Accelerators();
+      const auto runsTo = gang.mStarted + gang.mExpected;
+      const auto end = clearable ? std::min(runsTo, clearAt) : runsTo;
       ends.emplace_back(std::max(end, mInput.mNow), &gang);
     }
   }
   std::sort(ends.begin(), ends.end());
   time_point free = mInput.mNow;
   for (const auto& [end, gang] : ends) {
-    if (CountTasks(workers, aShape, spare) >= aShape.mTasks) {
+    if (CountTasks(workers, shape, spare) >= shape.mTasks) {
       return free;
     }
     used.SubtractGang(mInput.mFleet, gang->mShape, gang->mPlacement);
     free = end;
   }
-  if (CountTasks(workers, aShape, spare) >= aShape.mTasks) {
+  if (CountTasks(workers, shape, spare) >= shape.mTasks) {
     return free;
   }
   return std::nullopt;
@@ -498,30 +563,46 @@
 void planning_round::MaybeReserve(const waiting_job& aJob)
 {
   const duration waited = mInput.mNow - aJob.mSubmitted;
-  const size_t limit = 1 + mInput.mFleet.Racks().size() / kRacksPerReservation;
   const bool due = aJob.mRestartable && aJob.mShape.mAdjacency == adjacency::kRack &&
                    waited.count() >= Settings(aJob).mDrainAfterMs &&
-                   mReservations.size() < limit && ReservationOf(aJob.mId) == nullptr;
+                   mReservations.size() < ReservationLimit() &&
+                   ReservationOf(aJob.mId) == nullptr;
   if (!due) {
     return;
   }
-  std::optional<std::pair<time_point, size_t>> best;
+  if (const auto best = BestRack(aJob, mInput.mNow)) {
+    mReservations.push_back(
+      { aJob.mId, best->mRack, aJob.mShape.Accelerators(), mInput.mNow, best->mFree });
+  }
+}
+
+/** The more fragmentation weighs, the more racks may be drained at once. */
+size_t planning_round::ReservationLimit() const
+{
+  const auto weight =
+    static_cast<size_t>(mInput.mConfig.mDefaults.mCompletionWeightPercent);
+  const size_t racks = mInput.mFleet.Racks().size();
+  return std::max<size_t>(1, (racks * (kPercent - weight) + kPercent - 1) / kPercent);
+}
+
+/** Returns the rack, not reserved yet, that can hold the gang soonest. */
+std::optional<planning_round::rack_choice> planning_round::BestRack(
+  const waiting_job& aJob,
+  time_point aSince) const
+{
+  std::optional<rack_choice> best;
   for (size_t rack = 0; rack < mInput.mFleet.Racks().size(); ++rack) {
     const auto& name = mInput.mFleet.At(mInput.mFleet.Racks()[rack].front()).mRack;
     const bool taken =
       std::any_of(mReservations.begin(), mReservations.end(), [&](const auto& aItem) {
         return aItem.mRack == name;
       });
-    const auto free = taken ? std::nullopt : ExpectedFree(rack, aJob.mShape);
-    if (free && (!best || *free < best->first)) {
-      best = std::pair(*free, rack);
+    const auto free = taken ? std::nullopt : ExpectedFree(rack, aJob, aSince);
+    if (free && (!best || *free < best->mFree)) {
+      best = rack_choice{ name, *free };
     }
   }
-  if (best) {
-    const auto first = mInput.mFleet.Racks()[best->second].front();
-    mReservations.push_back(
-      { aJob.mId, mInput.mFleet.At(first).mRack, mInput.mNow, best->first });
-  }
+  return best;
 }
 
 // Outcome
--- a/src/planner/PlanningRound.h
+++ b/src/planner/PlanningRound.h
@@ -33,10 +33,16 @@
     std::optional<placement> mMoveTo;
     victim_choice mVictims;
   };
+  struct rack_choice
+  {
+    std::string mRack;
+    time_point mFree{};
+  };
   using job_queue = std::vector<const waiting_job*>;
 
   std::map<int, std::map<std::string, job_queue>> QueuesByRank() const;
   void ServeGuarantees();
+  void ServeReservations();
   void ServeRank(std::map<std::string, job_queue>& aQueues);
   std::string NextWorkspace(const std::map<std::string, job_queue>& aQueues) const;
   int RankOf(const waiting_job& aJob) const;
@@ -61,14 +67,19 @@
   int64_t BorrowCost(size_t aRack, const waiting_job& aJob) const;
   bool MayBackfill(size_t aRack, const waiting_job& aJob) const;
 
-  void DropEndedReservations();
+  void RefreshReservations();
+  size_t RackNamed(const std::string& aName) const;
   rack_reservation* ReservationOf(const std::string& aJob);
   bool TryReserved(const waiting_job& aJob, const rack_reservation& aReservation);
   bool MayClear(const waiting_job& aJob,
                 const rack_reservation& aReservation,
                 const running_gang& aGang) const;
   void MaybeReserve(const waiting_job& aJob);
-  std::optional<time_point> ExpectedFree(size_t aRack, const gang_shape& aShape) const;
+  size_t ReservationLimit() const;
+  std::optional<rack_choice> BestRack(const waiting_job& aJob, time_point aSince) const;
+  std::optional<time_point> ExpectedFree(size_t aRack,
+                                         const waiting_job& aJob,
+                                         time_point aSince) const;
 
   void Commit(const waiting_job& aJob,
               const placement& aPlacement,
@@ -87,6 +98,7 @@
   worker_amounts mCommitted;
   worker_amounts mReserved;
   std::map<std::string, int64_t> mBorrowed;
+  job_queue mLeft;                ///< Jobs that this round leaves waiting.
   std::set<std::string> mStarted; ///< Jobs that this round starts.
   std::set<std::pair<gang_shape, bool>> mUnplaceable;
   planner_decision mDecision;
--- /dev/null
+++ b/tests/PolicyAimTest.cpp
@@ -0,0 +1,62 @@
+#include "planner/Planner.h"
+#include "support/FirstFitPolicy.h"
+#include "support/PolicyRun.h"
+
+#include <catch2/catch.hpp>
+
+using namespace anvildoor;
+
+namespace {
+
+constexpr int kDays = 20;
+constexpr double kLargeWaitShare = 0.5;  ///< Of the baseline's p99.
+constexpr double kSmallCompletion = 1.1; ///< Times the baseline's p50.
+constexpr double kUrgentSeconds = 2.8;
+
+/** Both policies on the same days of one deployment. */
+struct comparison
+{
+  explicit comparison(policy_workload aWorkload)
+  {
+    for (int day = 1; day <= kDays; ++day) {
+      aWorkload.mSeed = static_cast<uint32_t>(day);
+      first_fit_policy baseline;
+      planner policy;
+      mBaseline.push_back(RunPolicy(baseline, aWorkload));
+      mPlanner.push_back(RunPolicy(policy, aWorkload));
+    }
+  }
+
+  std::vector<policy_result> mBaseline;
+  std::vector<policy_result> mPlanner;
+};
+
+void CheckLargeWait(const comparison& aRuns)
+{
+  CHECK(Summarise(aRuns.mPlanner)["large"].mWaitP99 <=
+        kLargeWaitShare * Summarise(aRuns.mBaseline)["large"].mWaitP99);
+}
+
+} // namespace
+
+TEST_CASE("small jobs keep their pace, guarantees theirs, on both deployments")
+{
+  const auto index = GENERATE(0U, 1U);
+  const comparison runs(BriefWorkloads()[index]);
+  CHECK(Summarise(runs.mPlanner)["small"].mCompletionP50 <=
+        kSmallCompletion * Summarise(runs.mBaseline)["small"].mCompletionP50);
+  for (const auto& day : runs.mPlanner) {
+    CHECK(day.mUrgentStartMax <= kUrgentSeconds);
+    CHECK(day.mUnbacked == 0);
+  }
+}
+
+TEST_CASE("large gangs wait at most half as long at p99: gripfjall")
+{
+  CheckLargeWait(comparison(BriefWorkloads()[0]));
+}
+
+TEST_CASE("large gangs wait at most half as long at p99: verband", "[known-red]")
+{
+  CheckLargeWait(comparison(BriefWorkloads()[1]));
+}
