--- a/src/planner/PlanningRound.cpp
+++ b/src/planner/PlanningRound.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr int64_t kPercent = 100;
-constexpr int64_t kStragglerBounds = 6; ///< Times the bound after which a rack drains.
+constexpr int64_t kStragglerBounds = 7; ///< Times the bound after which a rack drains.
 constexpr int64_t kShareScale = 1'000'000;
 
 } // namespace
