--- a/bench/support/PolicyRun.cpp
+++ b/bench/support/PolicyRun.cpp
@@ -309,7 +309,8 @@
 
   policy_result Summary()
   {
-    for (const auto& [id, job] : mJobs) {
+    for (const auto& item : mJobs) {
+      const auto& job = item.second;
       const auto seconds = [&](time_point aAt) {
         return static_cast<double>((aAt - job.mJob.mSubmitted).count()) / kMsPerSecond;
       };
--- a/src/daemon/Daemon.h
+++ b/include/anvildoor/Daemon.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "base/Error.h"
-#include "config/Settings.h"
+#include "anvildoor/Error.h"
+#include "anvildoor/Settings.h"
 
 namespace anvildoor {
 
--- a/src/config/Settings.h
+++ b/include/anvildoor/Settings.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "base/Error.h"
-#include "base/EventLoop.h"
+#include "anvildoor/Error.h"
+#include "anvildoor/Time.h"
 
 #include <string>
 #include <vector>
--- /dev/null
+++ b/include/anvildoor/Time.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <chrono>
+
+namespace anvildoor {
+
+using duration = std::chrono::milliseconds;
+
+/** Milliseconds since the Unix epoch; never steps back within one process. */
+using time_point = std::chrono::milliseconds;
+
+} // namespace anvildoor
--- a/src/base/Error.cpp
+++ b/src/base/Error.cpp
@@ -1,4 +1,4 @@
-#include "base/Error.h"
+#include "anvildoor/Error.h"
 
 #include <utility>
 
--- a/src/base/EventLoop.h
+++ b/src/base/EventLoop.h
@@ -1,15 +1,11 @@
 #pragma once
 
-#include <chrono>
+#include "anvildoor/Time.h"
+
 #include <functional>
 
 namespace anvildoor {
 
-using duration = std::chrono::milliseconds;
-
-/** Milliseconds since the Unix epoch; never steps back within one process. */
-using time_point = std::chrono::milliseconds;
-
 using task = std::function<void()>;
 
 /**
--- a/src/cli/CliCommands.cpp
+++ b/src/cli/CliCommands.cpp
@@ -1,8 +1,8 @@
 #include "cli/CliCommands.h"
 
+#include "anvildoor/Client.h"
+#include "anvildoor/Settings.h"
 #include "base/Hash.h"
-#include "config/Settings.h"
-#include "http/HttpClient.h"
 
 #include <chrono>
 #include <cstdio>
@@ -42,34 +42,22 @@
                    std::to_string(device()));
 }
 
-/** Calls the first server that can be reached. */
 result<cli_answer> Call(const cli_options& aOptions,
                         const std::string& aMethod,
                         const std::string& aTarget,
                         const std::string& aBody = "",
                         const std::string& aKey = "")
 {
-  result<cli_answer> last =
-    Fail(error_code::kInvalid, "arguments", "--server", "no server is given");
-  for (const auto& server : aOptions.mServers) {
-    http_call call{ server, aMethod, aTarget, aBody, {}, kCallTimeout };
-    call.mHeaders["Authorization"] = "Bearer " + aOptions.mToken;
-    if (!aKey.empty()) {
-      call.mHeaders["Idempotency-Key"] = aKey;
-    }
-    if (!aOptions.Flag("if-match").empty()) {
-      call.mHeaders["If-Match"] = aOptions.Flag("if-match");
-    }
-    const auto reply = CallHttp(call);
-    if (reply) {
-      return cli_answer{ reply->mStatus, json::parse(reply->mBody, nullptr, false) };
-    }
-    last = tl::unexpected<error>(reply.error());
-    if (reply.error().mCode != error_code::kUnavailable) {
-      return last;
-    }
+  const auto service = client::Make(aOptions.mServers, aOptions.mToken);
+  if (!service) {
+    return tl::unexpected<error>(service.error());
+  }
+  const auto reply = service->Call(
+    { aMethod, aTarget, aBody, aKey, aOptions.Flag("if-match") }, kCallTimeout);
+  if (!reply) {
+    return tl::unexpected<error>(reply.error());
   }
-  return last;
+  return cli_answer{ reply->mStatus, json::parse(reply->mBody, nullptr, false) };
 }
 
 cli_exit ExitOf(const cli_answer& aAnswer)
--- a/src/config/FleetConfig.h
+++ b/src/config/FleetConfig.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/Error.h"
+#include "anvildoor/Error.h"
 #include "planner/Resources.h"
 
 #include <cstdint>
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -1,4 +1,4 @@
-#include "config/Settings.h"
+#include "anvildoor/Settings.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -1,4 +1,4 @@
-#include "daemon/Daemon.h"
+#include "anvildoor/Daemon.h"
 
 #include "base/Hash.h"
 #include "daemon/Node.h"
--- a/src/store/StoreClient.h
+++ b/src/store/StoreClient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/Error.h"
+#include "anvildoor/Error.h"
 #include "base/EventLoop.h"
 
 #include <cstdint>
--- a/tests/RecoveryTest.cpp
+++ b/tests/RecoveryTest.cpp
@@ -133,6 +133,7 @@
   fake_site site(settings);
   Prepare(site);
   std::vector<std::shared_ptr<api_answer>> submitted;
+  submitted.reserve(kJobs);
   for (int i = 0; i < kJobs; ++i) {
     submitted.push_back(site.Begin(
       "alpha-e1",
--- a/tests/RequestFaultTest.cpp
+++ b/tests/RequestFaultTest.cpp
@@ -209,7 +209,7 @@
   site_with_workspace world;
   auto& site = world.mSite;
   booking_load load(site, seed);
-  std::mt19937 random(seed * 7919);
+  std::mt19937 random(seed * 7919UL);
   for (int step = 0; step < 300; ++step) {
     load.Book();
     if (step % 10 == 9) {
@@ -373,6 +373,7 @@
     200);
   site.Loop().RunFor(duration(2'000));
   std::vector<std::shared_ptr<api_answer>> answers;
+  answers.reserve(static_cast<size_t>(item.mSent));
   for (int i = 0; i < item.mSent; ++i) {
     answers.push_back(site.Begin("alpha-e1", world.Ask("urgent", "x")));
   }
@@ -443,6 +444,7 @@
     site.Upstream(id).mWork = duration(2'000);
   }
   std::vector<std::shared_ptr<api_answer>> answers;
+  answers.reserve(3);
   for (int i = 0; i < 3; ++i) {
     answers.push_back(site.Begin("alpha-e1", world.Ask("interactive", "x")));
   }
--- a/tools/anvildoord.cpp
+++ b/tools/anvildoord.cpp
@@ -1,5 +1,5 @@
-#include "config/Settings.h"
-#include "daemon/Daemon.h"
+#include "anvildoor/Daemon.h"
+#include "anvildoor/Settings.h"
 
 #include <cstdio>
 #include <getopt.h>
