Planner by index, one heartbeat per pair, no idle polling

A quiet daemon of 8 used 1.9% and up to 12.8 KB/s: both VMs of a pair began heartbeats, and the dispatcher polled every 20 ms with nothing waiting. Now gangs are indexed by worker and rack, failed placements are remembered, decisions are at least 100 ms apart and 5 s when only time passes, one VM of a pair begins, and the dispatcher polls only while something waits.

--- a/bench/support/FirstFitPolicy.cpp
+++ b/bench/support/FirstFitPolicy.cpp
@@ -61,6 +61,7 @@
     }
   }
   std::set<std::string> stopped;
+  const auto byWorker = IndexGangs(fleet, running);
   for (const auto& job : waiting) {
     start_decision start{ job.mId, {}, std::nullopt, {} };
     for (const auto& shape : mPlan.Shapes()) {
@@ -73,8 +74,10 @@
       const auto mayStop = [&](const running_gang& aGang) {
         return stopped.count(aGang.mJob) == 0;
       };
-      const auto victims = ChooseVictims(
-        { fleet, running, used, mayStop, aInput.mNow }, job.mShape, shape.mReserved);
+      const auto victims =
+        ChooseVictims({ fleet, running, byWorker, used, mayStop, aInput.mNow },
+                      job.mShape,
+                      shape.mReserved);
       if (victims) {
         start.mPlacement = shape.mReserved;
         start.mGuaranteed = shape.mId;
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -117,7 +117,6 @@
       ReportToScheduler(aStatuses, std::move(aTaken));
     });
   mScheduler.Start();
-  mDispatch->Start();
   mLease.Start([this] { return MayTryToLead(); });
   RunEvery(mPorts.mLoop, kWatcherPeriod, [this] { RefreshWatcher(); });
 }
--- a/src/daemon/NodeApi.cpp
+++ b/src/daemon/NodeApi.cpp
@@ -3,6 +3,7 @@
 #include "base/Hash.h"
 #include "base/JsonReader.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace anvildoor {
@@ -145,6 +146,7 @@
     const bool ready = mNode.IsReady();
     aDone({ ready ? 200U : 503U, ready ? R"({"ready":true})" : R"({"ready":false})" });
   } else if (root == "metrics") {
+    RefreshGauges();
     aDone({ 200, mNode.mMetrics.Text(), "text/plain; version=0.0.4" });
   } else if (root != "v1" || !ServeVersion1(aCall, path, Truthful(aCall, aDone))) {
     aDone(Refusal(404, "no such path", "path"));
@@ -484,6 +486,22 @@
   }
 }
 
+void node_api::RefreshGauges()
+{
+  auto& target = mNode.mMetrics;
+  const auto set = [&target](const char* aName, size_t aValue) {
+    target.Set(aName, static_cast<double>(aValue));
+  };
+  set("config_version", mNode.mConfig.Version());
+  set("live_vms", mNode.mMembership.LiveVms().size());
+  set("worker_sessions", mNode.mSessions.Count());
+  set("requests_waiting", mNode.mDispatch->Waiting());
+  set("calls_in_flight", static_cast<size_t>(std::max<int64_t>(0, mNode.mInFlight)));
+  set("scheduler_leading", mNode.mScheduler.IsLeading() ? 1 : 0);
+  set("journal_writes", mNode.mJournal.WritesAndRecords().first);
+  set("journal_records", mNode.mJournal.WritesAndRecords().second);
+}
+
 std::string node_api::StatusJson() const
 {
   const auto& identity = mNode.mSettings.mIdentity;
--- a/src/daemon/NodeApi.h
+++ b/src/daemon/NodeApi.h
@@ -44,6 +44,7 @@
   void ServeFleet(const api_call& aCall, api_done aDone);
   void ServeExplain(const api_call& aCall, const api_path& aPath, api_done aDone);
   void ServeDrain(const api_call& aCall, const api_done& aDone);
+  void RefreshGauges();
   std::string StatusJson() const;
 
   /** Serves aCall at the scheduler's VM if that is another; false if it is this one. */
--- a/src/gang/Scheduler.h
+++ b/src/gang/Scheduler.h
@@ -208,6 +208,7 @@
   run_time_estimator mEstimator;
   quarantine mQuarantine;
   bool mPlanRequested = false;
+  time_point mPlanned{ -1'000 }; ///< The latest decision.
 };
 
 } // namespace anvildoor
--- a/src/gang/SchedulerGangs.cpp
+++ b/src/gang/SchedulerGangs.cpp
@@ -10,7 +10,7 @@
 constexpr duration kRequeuePause{ 200 };
 constexpr duration kSuspectSpan{ 5'000 };
 constexpr duration kVictimPatience{ 5'000 };
-constexpr duration kPlanPeriod{ 1'000 };
+constexpr duration kPlanPeriod{ 5'000 };
 constexpr double kMsPerSecond = 1000.0;
 
 double Seconds(duration aSpan)
@@ -43,7 +43,7 @@
       Perform(entry, entry.mRun->OnTick(now));
     }
   }
-  if (waiting && now.count() % kPlanPeriod.count() < kPlanPeriod.count() / 5) {
+  if (waiting && now - mPlanned >= kPlanPeriod) {
     RequestPlan();
   }
 }
--- a/src/gang/SchedulerPlanning.cpp
+++ b/src/gang/SchedulerPlanning.cpp
@@ -13,6 +13,9 @@
 
 /** Events of one moment share a decision. */
 constexpr duration kPlanDelay{ 5 };
+
+/** A burst of events costs at most ten decisions a second. */
+constexpr duration kPlanSpacing{ 100 };
 constexpr gang_shape kReferenceGang{ 16, { 1, 0, 0 }, adjacency::kRack };
 
 } // namespace
@@ -23,13 +26,16 @@
     return;
   }
   mPlanRequested = true;
-  mContext.mLoop.RunAfter(kPlanDelay, [this] { Plan(); });
+  const duration sincePlan = mContext.mLoop.Now() - mPlanned;
+  const auto delay = std::max(kPlanDelay, kPlanSpacing - sincePlan);
+  mContext.mLoop.RunAfter(delay, [this] { Plan(); });
 }
 
 void scheduler::Plan()
 {
   std::lock_guard lock(mMutex);
   mPlanRequested = false;
+  mPlanned = mContext.mLoop.Now();
   if (mLeading && MayAct() && mContext.mConfig.Current()) {
     PlanLocked();
   }
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -43,13 +43,13 @@
 
 void membership::Start()
 {
-  RunEvery(mLoop, kHeartbeatPeriod, [this] { Beat(); });
+  RunEvery(mLoop, kHeartbeatPeriod, [this] { Beat(false); });
   Announce();
 }
 
 void membership::Announce()
 {
-  mLoop.Post([this] { Beat(); });
+  mLoop.Post([this] { Beat(true); });
 }
 
 peer_state membership::OwnState() const
@@ -66,7 +66,17 @@
   return state;
 }
 
-void membership::Beat()
+/**
+ * A heartbeat carries both states, so that one of each pair begins: the one with the
+ * lower id, or the other if it has not done so for a while.
+ */
+bool membership::IsTheirTurn(const peer& aPeer) const
+{
+  return aPeer.mState.mVm < mIdentity.mVm &&
+         mLoop.Now() - aPeer.mHeard < kHeartbeatPeriod + kHeartbeatPeriod / 2;
+}
+
+void membership::Beat(bool aToAll)
 {
   std::set<std::string> addresses;
   for (const auto& vm : mDirectory.List(vm_kind::kEntry, mIdentity.mDataCentre)) {
@@ -78,6 +88,9 @@
     std::lock_guard lock(mMutex);
     for (const auto& [id, item] : mPeers) {
       addresses.insert(item.mState.mAddress);
+      if (!aToAll && IsTheirTurn(item)) {
+        addresses.erase(item.mState.mAddress);
+      }
     }
   }
   const auto state = OwnState();
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -92,7 +92,8 @@
   };
 
   peer_state OwnState() const;
-  void Beat();
+  void Beat(bool aToAll);
+  bool IsTheirTurn(const peer& aPeer) const;
   void TakeIn(const peer_state& aState);
   bool IsLive(const peer& aPeer) const;
   void NoteChanges();
--- a/src/planner/PlanningRound.cpp
+++ b/src/planner/PlanningRound.cpp
@@ -22,6 +22,8 @@
   , mPlan(std::move(aPlan))
   , mReservations(std::move(aReservations))
   , mRunning(WithValidGuarantees(aInput.mRunning, mPlan.Shapes()))
+  , mGangs(aInput.mFleet.Size())
+  , mGangsByRack(aInput.mFleet.Racks().size())
   , mCommitted(aInput.mFleet.Size())
   , mReserved(aInput.mFleet.Size())
 {
@@ -33,11 +35,29 @@
       mBorrowed[gang.mWorkspace] += std::max<int64_t>(1, gang.mShape.Accelerators());
     }
   }
+  for (size_t gang = 0; gang < mRunning.size(); ++gang) {
+    IndexGang(gang);
+  }
   for (const auto& shape : mPlan.Shapes()) {
     mReserved.AddGang(mInput.mFleet, shape.mShape, shape.mReserved);
   }
 }
 
+void planning_round::IndexGang(size_t aGang)
+{
+  std::set<size_t> racks;
+  for (const auto& part : mRunning[aGang].mPlacement) {
+    const size_t worker = mInput.mFleet.Find(part.mWorker);
+    if (worker < mInput.mFleet.Size()) {
+      mGangs[worker].push_back(aGang);
+      racks.insert(mInput.mFleet.RackOf(worker));
+    }
+  }
+  for (const size_t rack : racks) {
+    mGangsByRack[rack].push_back(aGang);
+  }
+}
+
 planner_decision planning_round::Run()
 {
   RefreshReservations();
@@ -124,32 +144,30 @@
   return queues;
 }
 
-std::string planning_round::NextWorkspace(
-  const std::map<std::string, job_queue>& aQueues) const
+int64_t planning_round::ShareOf(const std::string& aWorkspace) const
 {
-  std::string chosen;
-  int64_t least = std::numeric_limits<int64_t>::max();
-  for (const auto& [workspace, queue] : aQueues) {
-    const auto config = mInput.mConfig.mWorkspaces.find(workspace);
-    const int64_t weight =
-      config == mInput.mConfig.mWorkspaces.end() ? 1 : config->second.mWeight;
-    const auto borrowed = mBorrowed.find(workspace);
-    const int64_t amount = borrowed == mBorrowed.end() ? 0 : borrowed->second;
-    const int64_t share = amount * kShareScale / weight;
-    if (!queue.empty() && share < least) {
-      least = share;
-      chosen = workspace;
-    }
-  }
-  return chosen;
+  const auto config = mInput.mConfig.mWorkspaces.find(aWorkspace);
+  const int64_t weight =
+    config == mInput.mConfig.mWorkspaces.end() ? 1 : config->second.mWeight;
+  const auto borrowed = mBorrowed.find(aWorkspace);
+  const int64_t amount = borrowed == mBorrowed.end() ? 0 : borrowed->second;
+  return amount * kShareScale / weight;
 }
 
+/** Serves the workspace that borrows least for its weight, one job at a time. */
 void planning_round::ServeRank(std::map<std::string, job_queue>& aQueues)
 {
-  for (;;) {
-    const auto workspace = NextWorkspace(aQueues);
-    if (workspace.empty()) {
-      return;
+  std::set<std::pair<int64_t, std::string>> order;
+  for (const auto& [workspace, queue] : aQueues) {
+    order.emplace(ShareOf(workspace), workspace);
+  }
+  while (!order.empty()) {
+    const auto [share, workspace] = *order.begin();
+    order.erase(order.begin());
+    const int64_t current = ShareOf(workspace);
+    if (current != share) {
+      order.emplace(current, workspace); // A borrower of it was stopped meanwhile.
+      continue;
     }
     auto& queue = aQueues[workspace];
     const waiting_job& job = *queue.back();
@@ -157,6 +175,9 @@
     if (!TryStart(job)) {
       mLeft.push_back(&job);
     }
+    if (!queue.empty()) {
+      order.emplace(ShareOf(workspace), workspace);
+    }
   }
 }
 
@@ -377,7 +398,8 @@
 /** Urgent work beyond its guarantee may stop other workspaces' batch borrowers. */
 bool planning_round::TryPreempt(const waiting_job& aJob)
 {
-  if (aJob.mClass != work_class::kUrgent) {
+  const std::pair memo(aJob.mWorkspace, aJob.mShape);
+  if (aJob.mClass != work_class::kUrgent || mUnpreemptable.count(memo) != 0) {
     return false;
   }
   auto idle = mCommitted;
@@ -530,13 +552,9 @@
     return worker.mUsable ? worker.mCapacity - used.At(aWorker) : resources{};
   };
   std::vector<std::pair<time_point, const running_gang*>> ends;
-  for (const auto& gang : mRunning) {
-    const bool here = std::any_of(
-      gang.mPlacement.begin(), gang.mPlacement.end(), [&](const auto& aPart) {
-        const size_t index = mInput.mFleet.Find(aPart.mWorker);
-        return index < mInput.mFleet.Size() && mInput.mFleet.RackOf(index) == aRack;
-      });
-    if (here && !gang.mStopping) {
+  for (const size_t index : mGangsByRack[aRack]) {
+    const auto& gang = mRunning[index];
+    if (!gang.mStopping) {
       const bool clearable = gang.IsReclaimable() && gang.mCheckpointable &&
                              gang.mClass >= aJob.mClass &&
                              gang.mShape.Accelerators() < shape.Accelerators();
@@ -613,7 +631,9 @@
   auto mayStop = [this, inner = std::move(aMayStop)](const running_gang& aGang) {
     return mStarted.count(aGang.mJob) == 0 && inner(aGang);
   };
-  return { mInput.mFleet, mRunning, mCommitted, std::move(mayStop), mInput.mNow };
+  return {
+    mInput.mFleet, mRunning, mGangs, mCommitted, std::move(mayStop), mInput.mNow
+  };
 }
 
 fleet_defaults planning_round::Settings(const waiting_job& aJob) const
@@ -633,6 +653,7 @@
       mCommitted.SubtractGang(mInput.mFleet, gang.mShape, gang.mPlacement);
       mBorrowed[gang.mWorkspace] -= std::max<int64_t>(1, gang.mShape.Accelerators());
       mUnplaceable.clear();
+      mUnpreemptable.clear();
     }
   }
   running_gang started;
@@ -651,6 +672,7 @@
   mCommitted.AddGang(mInput.mFleet, aJob.mShape, aPlacement);
   mRunning.push_back(std::move(started));
   mStarted.insert(aJob.mId);
+  IndexGang(mRunning.size() - 1);
   mDecision.mStarts.push_back({ aJob.mId, aPlacement, aGuaranteed, aVictims.mJobs });
 }
 
--- a/src/planner/PlanningRound.h
+++ b/src/planner/PlanningRound.h
@@ -44,7 +44,7 @@
   void ServeGuarantees();
   void ServeReservations();
   void ServeRank(std::map<std::string, job_queue>& aQueues);
-  std::string NextWorkspace(const std::map<std::string, job_queue>& aQueues) const;
+  int64_t ShareOf(const std::string& aWorkspace) const;
   int RankOf(const waiting_job& aJob) const;
   bool TryStart(const waiting_job& aJob);
 
@@ -77,6 +77,7 @@
   void MaybeReserve(const waiting_job& aJob);
   size_t ReservationLimit() const;
   std::optional<rack_choice> BestRack(const waiting_job& aJob, time_point aSince) const;
+  void IndexGang(size_t aGang);
   std::optional<time_point> ExpectedFree(size_t aRack,
                                          const waiting_job& aJob,
                                          time_point aSince) const;
@@ -95,12 +96,15 @@
   guarantee_plan mPlan;
   std::vector<rack_reservation> mReservations;
   std::vector<running_gang> mRunning;
+  gang_index mGangs;
+  std::vector<std::vector<size_t>> mGangsByRack; ///< Indices into mRunning.
   worker_amounts mCommitted;
   worker_amounts mReserved;
   std::map<std::string, int64_t> mBorrowed;
   job_queue mLeft;                ///< Jobs that this round leaves waiting.
   std::set<std::string> mStarted; ///< Jobs that this round starts.
   std::set<std::pair<gang_shape, bool>> mUnplaceable;
+  std::set<std::pair<std::string, gang_shape>> mUnpreemptable;
   planner_decision mDecision;
 };
 
--- a/src/planner/Victims.cpp
+++ b/src/planner/Victims.cpp
@@ -24,13 +24,6 @@
   return 1;
 }
 
-bool RunsOn(const running_gang& aGang, const std::string& aWorker)
-{
-  return std::any_of(aGang.mPlacement.begin(),
-                     aGang.mPlacement.end(),
-                     [&](const auto& aPart) { return aPart.mWorker == aWorker; });
-}
-
 /** The search for victims worker by worker. */
 class victim_picker
 {
@@ -49,7 +42,7 @@
     }
     const auto need = aShape.mPerTask * aPart.mTasks;
     while (!FitsIn(need, mSearch.mFleet.At(worker).mCapacity - mUsed.At(worker))) {
-      const auto* victim = Cheapest(aPart.mWorker);
+      const auto* victim = Cheapest(worker);
       if (victim == nullptr) {
         return false;
       }
@@ -61,12 +54,13 @@
   victim_choice Choice() const { return mChoice; }
 
 private:
-  const running_gang* Cheapest(const std::string& aWorker) const
+  const running_gang* Cheapest(size_t aWorker) const
   {
     const running_gang* best = nullptr;
-    for (const auto& gang : mSearch.mRunning) {
+    for (const size_t index : mSearch.mByWorker[aWorker]) {
+      const auto& gang = mSearch.mRunning[index];
       if (!gang.IsReclaimable() || mTaken.count(gang.mJob) != 0 ||
-          !mSearch.mMayStop(gang) || !RunsOn(gang, aWorker)) {
+          !mSearch.mMayStop(gang)) {
         continue;
       }
       if (best == nullptr ||
@@ -93,6 +87,21 @@
 
 } // namespace
 
+gang_index IndexGangs(const fleet_view& aFleet,
+                      const std::vector<running_gang>& aRunning)
+{
+  gang_index index(aFleet.Size());
+  for (size_t gang = 0; gang < aRunning.size(); ++gang) {
+    for (const auto& part : aRunning[gang].mPlacement) {
+      const size_t worker = aFleet.Find(part.mWorker);
+      if (worker < aFleet.Size()) {
+        index[worker].push_back(gang);
+      }
+    }
+  }
+  return index;
+}
+
 int64_t StopCost(const running_gang& aGang, time_point aNow)
 {
   const int64_t elapsed = std::max<int64_t>(0, (aNow - aGang.mStarted).count());
--- a/src/routing/DispatchFilter.cpp
+++ b/src/routing/DispatchFilter.cpp
@@ -37,11 +37,6 @@
 {
 }
 
-void dispatch_filter::Start()
-{
-  RunEvery(mLoop, kPumpPeriod, [this] { Pump(); });
-}
-
 size_t dispatch_filter::Waiting() const
 {
   std::lock_guard lock(mMutex);
@@ -96,6 +91,7 @@
           upstream = mPool.Take({});
         }
         if (!upstream) {
+          PumpLaterLocked();
           return;
         }
       }
@@ -113,6 +109,22 @@
   }
 }
 
+/** Slots also come free without an answer here: by slow start, returns, new shares. */
+void dispatch_filter::PumpLaterLocked()
+{
+  if (mPumpPending) {
+    return;
+  }
+  mPumpPending = true;
+  mLoop.RunAfter(kPumpPeriod, [this] {
+    {
+      std::lock_guard lock(mMutex);
+      mPumpPending = false;
+    }
+    Pump();
+  });
+}
+
 void dispatch_filter::Send(pending aPending, const upstream_choice& aUpstream)
 {
   const auto& request = *aPending.mRequest;
--- a/src/routing/DispatchFilter.h
+++ b/src/routing/DispatchFilter.h
@@ -29,9 +29,6 @@
                   event_log& aLog,
                   metrics& aMetrics);
 
-  /** Begins the periodic look for free slots. */
-  void Start();
-
   /** Returns the requests that wait for a slot. */
   size_t Waiting() const;
 
@@ -50,6 +47,7 @@
 
   void Enqueue(pending aPending);
   void Pump();
+  void PumpLaterLocked();
   std::list<pending>::iterator NextLocked();
   void Send(pending aPending, const upstream_choice& aUpstream);
   void OnReply(pending aPending,
@@ -69,6 +67,7 @@
   retry_budget mBudget;
   mutable std::mutex mMutex;
   std::list<pending> mQueue;
+  bool mPumpPending = false;
 };
 
 } // namespace anvildoor
