--- /dev/null
+++ b/src/planner/RackDrains.cpp
@@ -0,0 +1,256 @@
+#include "planner/RackDrains.h"
+
+#include "planner/Packing.h"
+
+#include <algorithm>
+
+namespace anvildoor {
+
+namespace {
+
+constexpr size_t kPercent = 100;
+constexpr int64_t kStragglerBounds = 7; ///< Times the bound after which a rack drains.
+
+} // namespace
+
+rack_drains::rack_drains(round_state& aState,
+                         std::vector<rack_reservation> aReservations)
+  : mState(aState)
+  , mReservations(std::move(aReservations))
+{
+}
+
+const waiting_job* rack_drains::Waiting(const std::string& aJob) const
+{
+  for (const auto& job : mState.Input().mWaiting) {
+    if (job.mId == aJob) {
+      return &job;
+    }
+  }
+  return nullptr;
+}
+
+const std::string& rack_drains::NameOf(size_t aRack) const
+{
+  return mState.Fleet().At(mState.Fleet().Racks()[aRack].front()).mRack;
+}
+
+size_t rack_drains::RackNamed(const std::string& aName) const
+{
+  size_t rack = 0;
+  while (rack < mState.Fleet().Racks().size() && NameOf(rack) != aName) {
+    ++rack;
+  }
+  return rack;
+}
+
+/**
+ * A reservation moves to a rack that will be ready clearly sooner; hysteresis keeps it
+ * from moving often.
+ */
+void rack_drains::Refresh()
+{
+  std::vector<rack_reservation> kept;
+  for (auto& reservation : mReservations) {
+    const auto* job = Waiting(reservation.mJob);
+    if (job == nullptr) {
+      continue;
+    }
+    const size_t rack = RackNamed(reservation.mRack);
+    const auto free = rack < mState.Fleet().Racks().size()
+                        ? ExpectedFree(rack, *job, reservation.mSince)
+                        : std::nullopt;
+    const auto best = BestRack(*job, reservation.mSince);
+    const duration hysteresis(mState.Settings(*job).mDrainAfterMs);
+    if (best && (!free || best->mFree + hysteresis < *free)) {
+      reservation.mRack = best->mRack;
+      reservation.mExpectedFree = best->mFree;
+      kept.push_back(reservation);
+    } else if (free) {
+      reservation.mExpectedFree = *free;
+      kept.push_back(reservation);
+    }
+  }
+  mReservations = std::move(kept);
+}
+
+void rack_drains::StartReady()
+{
+  const auto reservations = mReservations;
+  for (const auto& reservation : reservations) {
+    const auto* job = Waiting(reservation.mJob);
+    if (job != nullptr && !mState.IsStarted(job->mId)) {
+      TryStart(*job, reservation);
+    }
+  }
+}
+
+bool rack_drains::IsReservedFor(const std::string& aJob) const
+{
+  return !RackFor(aJob).empty();
+}
+
+std::string rack_drains::RackFor(const std::string& aJob) const
+{
+  for (const auto& reservation : mReservations) {
+    if (reservation.mJob == aJob) {
+      return reservation.mRack;
+    }
+  }
+  return {};
+}
+
+bool rack_drains::MayBackfill(size_t aRack, const waiting_job& aJob) const
+{
+  const auto& rack = NameOf(aRack);
+  return std::none_of(
+    mReservations.begin(), mReservations.end(), [&](const auto& aReservation) {
+      // What can be checkpointed gives way without loss when the rack is ready.
+      const bool givesWay =
+        aJob.mCheckpointable && aJob.mShape.Accelerators() < aReservation.mAccelerators;
+      return aReservation.mRack == rack && aReservation.mJob != aJob.mId && !givesWay &&
+             mState.Input().mNow + aJob.mExpected > aReservation.mExpectedFree;
+    });
+}
+
+/**
+ * Backfilled gangs never delay the reservation: they are stopped when they are in the
+ * way. Older borrowers get a second bound before their checkpoints are called for.
+ */
+bool rack_drains::MayClear(const waiting_job& aJob,
+                           const rack_reservation& aReservation,
+                           const running_gang& aGang) const
+{
+  const int64_t bound = mState.Settings(aJob).mDrainAfterMs;
+  const duration held = mState.Input().mNow - aReservation.mSince;
+  const duration ran = mState.Input().mNow - aGang.mStarted;
+  const bool overdue = held.count() >= bound;
+  const bool backfilled = aGang.mStarted >= aReservation.mSince;
+  const bool smaller = aGang.mShape.Accelerators() < aJob.mShape.Accelerators();
+  // Short interactive work ends by itself; what has run for long would hold up the
+  // rack.
+  const bool straggles = aGang.mClass != work_class::kUrgent && overdue &&
+                         aGang.mCheckpointable &&
+                         ran.count() >= kStragglerBounds * bound;
+  const bool givesWay =
+    aGang.mClass >= aJob.mClass && (backfilled || (overdue && aGang.mCheckpointable));
+  return smaller && (straggles || givesWay);
+}
+
+bool rack_drains::TryStart(const waiting_job& aJob,
+                           const rack_reservation& aReservation)
+{
+  const auto mayStop = [&](const running_gang& aGang) {
+    return aGang.IsReclaimable() && MayClear(aJob, aReservation, aGang);
+  };
+  auto remaining = mState.Committed();
+  for (const auto& gang : mState.Running()) {
+    if (mayStop(gang)) {
+      remaining.SubtractGang(mState.Fleet(), gang.mShape, gang.mPlacement);
+    }
+  }
+  const auto spare = [&](size_t aWorker) {
+    const auto& worker = mState.Fleet().At(aWorker);
+    const bool usable =
+      mState.MayUse(aWorker, aJob) && worker.mRack == aReservation.mRack;
+    return usable ? worker.mCapacity - remaining.At(aWorker) : resources{};
+  };
+  const auto packed = PackGang(mState.Fleet(), { aJob.mShape, spare, {}, false });
+  if (!packed) {
+    return false;
+  }
+  const auto victims = ChooseVictims(mState.Search(mayStop), aJob.mShape, *packed);
+  if (!victims) {
+    return false;
+  }
+  mState.Start(aJob, *packed, std::nullopt, *victims);
+  std::erase_if(mReservations,
+                [&](const auto& aItem) { return aItem.mJob == aJob.mId; });
+  return true;
+}
+
+/** When a rack can hold the gang, given what the reservation may clear by then. */
+std::optional<time_point> rack_drains::ExpectedFree(size_t aRack,
+                                                    const waiting_job& aJob,
+                                                    time_point aSince) const
+{
+  const auto& shape = aJob.mShape;
+  const auto now = mState.Input().mNow;
+  const auto clearAt = aSince + duration(mState.Settings(aJob).mDrainAfterMs);
+  std::vector<std::pair<time_point, const running_gang*>> ends;
+  for (const size_t index : mState.GangsInRack(aRack)) {
+    const auto& gang = mState.Running()[index];
+    if (gang.mStopping) {
+      continue;
+    }
+    const bool clearable = gang.IsReclaimable() && gang.mCheckpointable &&
+                           gang.mClass >= aJob.mClass &&
+                           gang.mShape.Accelerators() < shape.Accelerators();
+    const auto runsTo = gang.mStarted + gang.mExpected;
+    const auto end = clearable ? std::min(runsTo, clearAt) : runsTo;
+    ends.emplace_back(std::max(end, now), &gang);
+  }
+  std::sort(ends.begin(), ends.end());
+  auto used = mState.Committed();
+  const auto holds = [&] {
+    const auto spare = [&](size_t aWorker) {
+      const auto& worker = mState.Fleet().At(aWorker);
+      return worker.mUsable ? worker.mCapacity - used.At(aWorker) : resources{};
+    };
+    return CountTasks(mState.Fleet().Racks()[aRack], shape, spare) >= shape.mTasks;
+  };
+  time_point free = now;
+  for (const auto& [end, gang] : ends) {
+    if (holds()) {
+      return free;
+    }
+    used.SubtractGang(mState.Fleet(), gang->mShape, gang->mPlacement);
+    free = end;
+  }
+  return holds() ? std::optional(free) : std::nullopt;
+}
+
+/** Returns the rack, not reserved yet, that can hold the gang soonest. */
+std::optional<rack_drains::rack_choice> rack_drains::BestRack(const waiting_job& aJob,
+                                                              time_point aSince) const
+{
+  std::optional<rack_choice> best;
+  for (size_t rack = 0; rack < mState.Fleet().Racks().size(); ++rack) {
+    const bool taken =
+      std::any_of(mReservations.begin(), mReservations.end(), [&](const auto& aItem) {
+        return aItem.mRack == NameOf(rack);
+      });
+    const auto free = taken ? std::nullopt : ExpectedFree(rack, aJob, aSince);
+    if (free && (!best || *free < best->mFree)) {
+      best = rack_choice{ NameOf(rack), *free };
+    }
+  }
+  return best;
+}
+
+/** The more fragmentation weighs, the more racks may be drained at once. */
+size_t rack_drains::Limit() const
+{
+  const auto& defaults = mState.Input().mConfig.mDefaults;
+  const auto weight = static_cast<size_t>(defaults.mCompletionWeightPercent);
+  const size_t racks = mState.Fleet().Racks().size();
+  return std::max<size_t>(1, (racks * (kPercent - weight) + kPercent - 1) / kPercent);
+}
+
+void rack_drains::MaybeReserve(const waiting_job& aJob)
+{
+  const auto now = mState.Input().mNow;
+  const duration waited = now - aJob.mSubmitted;
+  const bool due = aJob.mRestartable && aJob.mShape.mAdjacency == adjacency::kRack &&
+                   waited.count() >= mState.Settings(aJob).mDrainAfterMs &&
+                   mReservations.size() < Limit() && !IsReservedFor(aJob.mId);
+  if (!due) {
+    return;
+  }
+  if (const auto best = BestRack(aJob, now)) {
+    mReservations.push_back(
+      { aJob.mId, best->mRack, aJob.mShape.Accelerators(), now, best->mFree });
+  }
+}
+
+} // namespace anvildoor
