--- /dev/null
+++ b/tests/CountBoundsTest.cpp
@@ -0,0 +1,174 @@
+#include "config/FleetConfig.h"
+#include "gang/GangRun.h"
+#include "gang/JobJournal.h"
+#include "rpc/Convert.h"
+#include "support/FakeSite.h"
+#include "support/Samples.h"
+
+#include <catch2/catch.hpp>
+
+using namespace anvildoor;
+
+// Bounds come from the target: 264 workers, 8 entry VMs and 473 jobs a day per data
+// centre, 250 workspaces, 15 KB/s per node, a change in force within 4 s.
+
+namespace {
+
+constexpr double kNodeBytesPerSecond = 15'000;
+constexpr double kInForceSeconds = 4;
+constexpr double kWorkersPerVm = 33;
+constexpr double kRenewSeconds = 1.5;
+constexpr double kJobsPerDay = 473;
+constexpr double kSecondsPerDay = 86'400;
+constexpr size_t kHeaderBytes = 200; ///< HTTP/2 frames, TCP and IP of one exchange.
+
+} // namespace
+
+TEST_CASE("quiet renewals of a VM's share stay within its traffic")
+{
+  const renew_request request{ 17, 99'998, duration(6'000), {} };
+  auto quiet = SampleReply(25);
+  quiet.mMembers.clear();
+  const auto bytes = ToMessage("rack-1001-worker-1001", request).ByteSizeLong() +
+                     ToMessage(quiet).ByteSizeLong() + kHeaderBytes;
+  CHECK(static_cast<double>(bytes) * kWorkersPerVm / kRenewSeconds <=
+        kNodeBytesPerSecond);
+}
+
+TEST_CASE("full reports after a takeover fit into the traffic of 4 s")
+{
+  const auto bytes = ToMessage(SampleReply(25)).ByteSizeLong();
+  CHECK(static_cast<double>(bytes) * kWorkersPerVm <=
+        kNodeBytesPerSecond * kInForceSeconds);
+}
+
+TEST_CASE("heartbeats of 8 VMs take at most a quarter of a VM's traffic")
+{
+  peer_state state;
+  state.mVm = "reykjavik-entry-1";
+  state.mIncarnation = 1'700'000'000'000;
+  state.mDataCentre = "reykjavik";
+  state.mAddress = "10.100.100.100:7302";
+  state.mConfigVersion = 1'000'000;
+  state.mSchedulerEpoch = 10'000;
+  state.mSchedulerVm = "reykjavik-entry-2";
+  constexpr double kMessagesPerSecond = 14; // One exchange a second with 7 peers.
+  const auto bytes = ToMessage(state).ByteSizeLong() + kHeaderBytes / 2;
+  CHECK(static_cast<double>(bytes) * kMessagesPerSecond <= kNodeBytesPerSecond / 4);
+}
+
+TEST_CASE("a change of configuration reaches its watcher and 7 peers within 4 s")
+{
+  const auto before = SampleConfig(250);
+  const config_change change{ "0123456789abcdef0123456789abcdef",
+                              config_kind::kDefaults,
+                              "",
+                              R"({"job_attempts":7})",
+                              false,
+                              {} };
+  const auto after = ApplyChange(before, change);
+  REQUIRE(after);
+  const auto bytes = ToJsonText(*after).size() +
+                     7 * (PatchBetween(before, *after).size() + kHeaderBytes);
+  CHECK(static_cast<double>(bytes) <= kNodeBytesPerSecond * kInForceSeconds);
+  CHECK(ApplyPatch(before, PatchBetween(before, *after)) == *after);
+}
+
+TEST_CASE("a day's jobs take at most a tenth of the scheduler's traffic in the journal")
+{
+  virtual_loop loop(std::chrono::hours(1));
+  memory_store store(loop);
+  recorded_log log(loop);
+  job_journal journal(loop, store, log, "dc/alpha");
+  journal.TakeOver(1, [](const auto&) {});
+  loop.RunFor(duration(1'000));
+  for (int i = 0; i < static_cast<int>(kJobsPerDay); ++i) {
+    journal.Record(SampleRecord(i), [](const status&) {});
+  }
+  loop.RunFor(duration(1'000));
+  const auto before = store.Counts();
+  constexpr int kWritesPerJob = 3; // Accepted, committed, ended.
+  for (int i = 0; i < kWritesPerJob; ++i) {
+    journal.Record(SampleRecord(7), [](const status&) {});
+    loop.RunFor(duration(100));
+  }
+  const auto after = store.Counts();
+  CHECK(after.mWrites - before.mWrites == kWritesPerJob);
+  const auto bytes = static_cast<double>(after.mBytesWritten - before.mBytesWritten);
+  CHECK(bytes * kJobsPerDay / kSecondsPerDay <= kNodeBytesPerSecond / 10);
+}
+
+TEST_CASE("a gang of 64 starts with two calls per worker and one commit")
+{
+  placement parts;
+  for (int i = 0; i < 64; ++i) {
+    parts.push_back({ "w" + std::to_string(i), 1 });
+  }
+  const time_point now{ 1'000 };
+  auto run = gang_run::Make("a", parts, gang_limits{}, now);
+  size_t calls = run.Begin().size();
+  size_t commits = 0;
+  gang_run::actions due;
+  for (const auto& part : parts) {
+    due = run.OnPrepared(part.mWorker, accepted{ 1, 1 }, now);
+    commits += due.empty() ? 0 : 1;
+  }
+  REQUIRE(due.size() == 1);
+  calls += run.OnCommitted(now).size();
+  for (const auto& part : parts) {
+    calls += run.OnReleased(part.mWorker, accepted{ 1, 2 }, now).size();
+  }
+  CHECK(calls == 2 * parts.size());
+  CHECK(commits == 1);
+  CHECK(run.IsWhole());
+}
+
+TEST_CASE("store calls per job and request stay as few as the store's rates ask for")
+{
+  struct row
+  {
+    const char* mName;
+    const char* mTarget;
+    const char* mBody;
+    uint64_t mMostCalls;
+  };
+  // A claim of the key's home, and the records: accepted, committed, ended.
+  const auto item = GENERATE(
+    row{ "job",
+         "/v1/jobs",
+         R"({"workspace":"gyms","tasks":16,"accelerators_per_task":1,
+             "payload":"{\"run_ms\":500}"})",
+         4 },
+    row{ "request", "/v1/requests", R"({"workspace":"gyms","payload":"p"})", 0 },
+    row{ "booking",
+         "/v1/requests",
+         R"({"workspace":"gyms","payload":"p","idempotent":false})",
+         2 });
+  INFO(item.mName);
+  fake_site site;
+  site.StartAll();
+  REQUIRE(site.WaitForScheduler());
+  REQUIRE(site.PutWorkspace("alpha-e1", "gyms").mStatus == 200);
+  // The first booking of an hour grants the lease that the others share.
+  site.Call("alpha-e2",
+            WorkspaceCall("gyms",
+                          "POST",
+                          "/v1/requests",
+                          R"({"workspace":"gyms","payload":"p","idempotent":false})",
+                          "first"));
+  site.Loop().RunFor(duration(1'000));
+  const auto count = [&site] {
+    return site.Store().Counts().mReads + site.Store().Counts().mWrites;
+  };
+  const auto measure = [&](bool aCalling) {
+    const auto before = count();
+    if (aCalling) {
+      site.Call("alpha-e2",
+                WorkspaceCall("gyms", "POST", item.mTarget, item.mBody, "k"));
+    }
+    site.Loop().RunFor(duration(6'000));
+    return count() - before;
+  };
+  const auto quiet = measure(false); // The lease of the scheduler.
+  CHECK(measure(true) <= quiet + 1 + item.mMostCalls);
+}
