The callers' interface in parts, without friends

Cause: NodeApi.cpp had 531 lines for six matters, reached into the node as a friend, and checked token, workspace and body twice. Now jobs_api, request_api, config_api and node_api (80 to 130 lines each) share api_part and take what they need in an api_context; the waiting for a change to be in force has its own file and no longer asks on for a round after it has answered.

--- /dev/null
+++ b/src/daemon/ApiPart.cpp
@@ -0,0 +1,102 @@
+#include "daemon/ApiPart.h"
+
+namespace anvildoor {
+
+namespace {
+
+/** Longer than the longest wait that a caller may ask for. */
+constexpr duration kForwardTimeout{ 35'000 };
+constexpr duration kRetryAfter{ 1'000 };
+constexpr uint32_t kStatusUnavailable = 503;
+
+} // namespace
+
+api_part::api_part(const api_context& aContext)
+  : mContext(aContext)
+{
+}
+
+bool api_part::ForwardToScheduler(const api_call& aCall, const api_done& aDone) const
+{
+  if (mContext.mScheduler.IsLeading()) {
+    return false;
+  }
+  const auto scheduler = mContext.mMembership.Scheduler();
+  if (!scheduler || aCall.mForwarded) {
+    aDone(ErrorAnswer({ error_code::kUnavailable,
+                        "scheduler",
+                        "",
+                        "the data centre has no scheduler at the moment" }));
+    return true;
+  }
+  const forwarded_call call{ aCall.mMethod, aCall.mTarget,         aCall.mBody,
+                             aCall.mToken,  aCall.mIdempotencyKey, kForwardTimeout };
+  mContext.mPeers.Forward(
+    scheduler->mAddress, call, [aDone](const result<forwarded_answer>& aAnswer) {
+      if (!aAnswer) {
+        aDone(ErrorAnswer(aAnswer.error()));
+        return;
+      }
+      api_answer answer{ aAnswer->mStatus, aAnswer->mBody };
+      if (answer.mStatus == kStatusUnavailable) {
+        answer.mRetryAfter = kRetryAfter;
+      }
+      aDone(answer);
+    });
+  return true;
+}
+
+bool api_part::MayActFor(const api_call& aCall,
+                         const std::string& aWorkspace,
+                         const api_done& aDone) const
+{
+  const auto config = mContext.mConfig.Current();
+  if (config->mWorkspaces.count(aWorkspace) == 0) {
+    aDone(Refusal(404, "unknown workspace", "workspace"));
+    return false;
+  }
+  if (!mContext.mTokens.MayActFor(aCall.mToken, aWorkspace, *config)) {
+    aDone(Refusal(401, "the token is not the workspace's", "Authorization"));
+    return false;
+  }
+  return true;
+}
+
+bool api_part::IsOperator(const api_call& aCall, const api_done& aDone) const
+{
+  if (!mContext.mTokens.IsOperator(aCall.mToken)) {
+    aDone(Refusal(401, "an operator's token is needed", "Authorization"));
+    return false;
+  }
+  return true;
+}
+
+bool api_part::MayUseJob(const api_call& aCall,
+                         const std::string& aJob,
+                         const api_done& aDone) const
+{
+  const auto found = mContext.mScheduler.Find(aJob);
+  if (!found) {
+    aDone(ErrorAnswer(found.error()));
+    return false;
+  }
+  const auto& workspace = found->mSpec.mWorkspace;
+  // A workspace that was removed leaves its jobs to the operators.
+  if (mContext.mTokens.IsOperator(aCall.mToken)) {
+    return true;
+  }
+  return MayActFor(aCall, workspace, aDone);
+}
+
+api_answer BodyRefusal(const error& aError)
+{
+  return aError.mPeer.empty() ? Refusal(400, aError.mMessage, "body")
+                              : ErrorAnswer(aError);
+}
+
+api_answer MethodNotAllowed()
+{
+  return Refusal(405, "this path does not take this method", "method");
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/daemon/ConfigApi.cpp
@@ -0,0 +1,89 @@
+#include "daemon/ConfigApi.h"
+
+#include "daemon/InForceWait.h"
+
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+
+namespace anvildoor {
+
+namespace {
+
+result<config_change> ParseChange(const api_call& aCall, const api_path& aPath)
+{
+  config_change change;
+  const auto kind = aPath.At(2);
+  if (kind == "workspaces" && aPath.mSegments.size() == 4) {
+    change.mKind = config_kind::kWorkspace;
+  } else if (kind == "exceptions" && aPath.mSegments.size() == 4) {
+    change.mKind = config_kind::kException;
+  } else if (kind == "defaults" && aPath.mSegments.size() == 3) {
+    change.mKind = config_kind::kDefaults;
+  } else {
+    return Fail(error_code::kNotFound, "config", aPath.At(2), "no such path");
+  }
+  change.mName = aPath.At(3);
+  change.mBody = aCall.mBody;
+  change.mRemove = aCall.mMethod == "DELETE";
+  if (!aCall.mIfMatch.empty()) {
+    char* end = nullptr;
+    const auto version = std::strtoull(aCall.mIfMatch.c_str(), &end, 10);
+    if (*end != '\0') {
+      return Fail(error_code::kInvalid, "config", "If-Match", "expected a version");
+    }
+    change.mIfVersion = version;
+  }
+  return change;
+}
+
+} // namespace
+
+void config_api::OnServe(const api_call& aCall, const api_path& aPath, api_done aDone)
+{
+  if (!IsOperator(aCall, aDone)) {
+    return;
+  }
+  auto change = ParseChange(aCall, aPath);
+  if (!change) {
+    aDone(ErrorAnswer(change.error()));
+  } else if (aCall.mMethod == "GET") {
+    const auto entry =
+      EntryJson(*Context().mConfig.Current(), change->mKind, change->mName);
+    aDone(entry ? api_answer{ 200, *entry } : ErrorAnswer(entry.error()));
+  } else if (aCall.mMethod == "PUT" || aCall.mMethod == "DELETE") {
+    change->mId = Context().mNewId();
+    Change(*change, aDone);
+  } else {
+    aDone(MethodNotAllowed());
+  }
+}
+
+void config_api::Change(const config_change& aChange, const api_done& aDone)
+{
+  Context().mConfig.Change(aChange,
+                           [this, aDone](const result<shared_config>& aConfig) {
+                             if (!aConfig) {
+                               aDone(ErrorAnswer(aConfig.error()));
+                               return;
+                             }
+                             AwaitInForce((*aConfig)->mVersion, aDone);
+                           });
+}
+
+void config_api::AwaitInForce(uint64_t aVersion, const api_done& aDone)
+{
+  Context().mMembership.Announce();
+  std::make_shared<in_force_wait>(
+    Context().mLoop,
+    Context().mPeers,
+    Context().mMembership,
+    Context().mDirectory,
+    aVersion,
+    [aVersion, aDone](const std::map<std::string, std::string>& aInForce) {
+      const nlohmann::json body{ { "version", aVersion }, { "in_force", aInForce } };
+      aDone({ 200, body.dump() });
+    })
+    ->Run();
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/daemon/ConfigApi.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "daemon/ApiPart.h"
+
+namespace anvildoor {
+
+/** Workspaces, defaults and exceptions: /v1/config. Thread-safe. */
+class config_api : public api_part
+{
+public:
+  using api_part::api_part;
+
+protected:
+  void OnServe(const api_call& aCall, const api_path& aPath, api_done aDone) override;
+
+private:
+  void Change(const config_change& aChange, const api_done& aDone);
+  void AwaitInForce(uint64_t aVersion, const api_done& aDone);
+};
+
+} // namespace anvildoor
--- a/src/daemon/InForceWait.cpp
+++ b/src/daemon/InForceWait.cpp
@@ -1,4 +1,4 @@
-#include "daemon/NodeApi.h"
+#include "daemon/InForceWait.h"
 
 #include <algorithm>
 
@@ -48,9 +48,6 @@
   std::vector<std::string> open;
   {
     std::lock_guard lock(mMutex);
-    if (mFinished) {
-      return;
-    }
     for (const auto& [name, state] : mState) {
       if (state != kInForce) {
         open.push_back(name);
@@ -64,8 +61,9 @@
       Ask(name);
     }
   }
-  FinishIfDone();
-  mLoop.RunAfter(kAskPause, [self = shared_from_this()] { self->AskAll(); });
+  if (!FinishIfDone()) {
+    mLoop.RunAfter(kAskPause, [self = shared_from_this()] { self->AskAll(); });
+  }
 }
 
 void in_force_wait::Ask(const std::string& aDataCentre)
@@ -100,7 +98,7 @@
   state = *aAnswer >= mVersion ? kInForce : kPending;
 }
 
-void in_force_wait::FinishIfDone()
+bool in_force_wait::FinishIfDone()
 {
   std::map<std::string, std::string> state;
   {
@@ -109,12 +107,13 @@
       return aItem.second == kInForce;
     });
     if (mFinished || (!all && mLoop.Now() < mDeadline)) {
-      return;
+      return mFinished;
     }
     mFinished = true;
     state = mState;
   }
   mDone(state);
+  return true;
 }
 
 } // namespace anvildoor
--- /dev/null
+++ b/src/daemon/JobsApi.cpp
@@ -0,0 +1,130 @@
+#include "daemon/JobsApi.h"
+
+#include "base/Hash.h"
+
+#include <nlohmann/json.hpp>
+
+namespace anvildoor {
+
+namespace {
+
+constexpr int64_t kMaxWaitMs = 30'000;
+constexpr size_t kMaxKeyBytes = 200;
+constexpr size_t kJobIdDigits = 24;
+
+std::string JobId(const std::string& aWorkspace, const std::string& aKey)
+{
+  return "j-" + HexDigest(aWorkspace + '\n' + aKey).substr(0, kJobIdDigits);
+}
+
+api_answer FromResult(const result<job_record>& aRecord, uint32_t aStatus)
+{
+  return aRecord ? api_answer{ aStatus, JobAnswerJson(*aRecord) }
+                 : ErrorAnswer(aRecord.error());
+}
+
+} // namespace
+
+void jobs_api::OnServe(const api_call& aCall, const api_path& aPath, api_done aDone)
+{
+  const bool one = aPath.mSegments.size() == 3;
+  if (aCall.mMethod == "POST" && aPath.mSegments.size() == 2) {
+    Submit(aCall, aDone);
+  } else if (aCall.mMethod == "GET" && one) {
+    Get(aCall, aPath, aDone);
+  } else if (aCall.mMethod == "DELETE" && one) {
+    Cancel(aCall, aPath, aDone);
+  } else {
+    aDone(MethodNotAllowed());
+  }
+}
+
+void jobs_api::Submit(const api_call& aCall, const api_done& aDone)
+{
+  const auto spec = ParseJobSpec(aCall.mBody);
+  if (!spec) {
+    aDone(BodyRefusal(spec.error()));
+    return;
+  }
+  if (!MayActFor(aCall, spec->mWorkspace, aDone)) {
+    return;
+  }
+  if (aCall.mIdempotencyKey.size() > kMaxKeyBytes) {
+    aDone(Refusal(400, "expected at most 200 bytes", "Idempotency-Key"));
+    return;
+  }
+  // A call without a key gets one here, so that sending it on stays safe.
+  auto call = aCall;
+  if (call.mIdempotencyKey.empty()) {
+    call.mIdempotencyKey = Context().mNewId();
+  }
+  if (!ForwardToScheduler(call, aDone)) {
+    SubmitHere(JobId(spec->mWorkspace, call.mIdempotencyKey), *spec, aDone);
+  }
+}
+
+void jobs_api::SubmitHere(const std::string& aId,
+                          const job_spec& aSpec,
+                          const api_done& aDone)
+{
+  const auto submit = [this, aId, aSpec, aDone] {
+    Context().mScheduler.Submit(aId, aSpec, [aDone](const result<job_record>& aRecord) {
+      aDone(FromResult(aRecord, 202));
+    });
+  };
+  if (Context().mScheduler.Find(aId)) {
+    submit();
+    return;
+  }
+  Context().mJobHome.Claim(
+    aId, [this, submit, aDone](const result<std::string>& aHome) {
+      if (!aHome) {
+        // The claim alone runs nothing, so the job certainly does not run.
+        auto failure = aHome.error();
+        failure.mCode = error_code::kUnavailable;
+        aDone(ErrorAnswer(failure));
+      } else if (*aHome != Context().mMembership.Identity().mDataCentre) {
+        aDone(
+          Refusal(409, "the key belongs to data centre " + *aHome, "Idempotency-Key"));
+      } else {
+        submit();
+      }
+    });
+}
+
+void jobs_api::Get(const api_call& aCall, const api_path& aPath, const api_done& aDone)
+{
+  const auto wait = QueryNumber(aPath, "wait_ms", 0, kMaxWaitMs);
+  if (!wait) {
+    aDone(ErrorAnswer(wait.error()));
+    return;
+  }
+  if (ForwardToScheduler(aCall, aDone) || !MayUseJob(aCall, aPath.At(2), aDone)) {
+    return;
+  }
+  Context().mScheduler.Wait(
+    aPath.At(2), duration(*wait), [aDone](const result<job_record>& aRecord) {
+      aDone(FromResult(aRecord, 200));
+    });
+}
+
+void jobs_api::Cancel(const api_call& aCall,
+                      const api_path& aPath,
+                      const api_done& aDone)
+{
+  if (ForwardToScheduler(aCall, aDone) || !MayUseJob(aCall, aPath.At(2), aDone)) {
+    return;
+  }
+  Context().mScheduler.Cancel(
+    aPath.At(2), [aDone](const result<cancel_answer>& aAnswer) {
+      if (!aAnswer) {
+        aDone(ErrorAnswer(aAnswer.error()));
+        return;
+      }
+      auto body = nlohmann::json::parse(JobAnswerJson(aAnswer->mRecord));
+      body["outcome"] = aAnswer->mOutcome;
+      aDone({ 200, body.dump() });
+    });
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/daemon/JobsApi.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "daemon/ApiPart.h"
+
+namespace anvildoor {
+
+/** Submission, state and cancellation of jobs: /v1/jobs. Thread-safe. */
+class jobs_api : public api_part
+{
+public:
+  using api_part::api_part;
+
+protected:
+  void OnServe(const api_call& aCall, const api_path& aPath, api_done aDone) override;
+
+private:
+  void Submit(const api_call& aCall, const api_done& aDone);
+  void SubmitHere(const std::string& aId, const job_spec& aSpec, const api_done& aDone);
+  void Get(const api_call& aCall, const api_path& aPath, const api_done& aDone);
+  void Cancel(const api_call& aCall, const api_path& aPath, const api_done& aDone);
+};
+
+} // namespace anvildoor
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -7,6 +7,7 @@
 #include "routing/DeadlineFilter.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace anvildoor {
 
@@ -83,7 +84,23 @@
     }));
   filters.push_back(std::move(dispatch));
   mChain = std::make_unique<filter_chain>(std::move(filters));
-  mApi = std::make_unique<node_api>(*this);
+  mApi = std::make_unique<node_api>(
+    api_context{ aPorts.mLoop,
+                 aPorts.mPeers,
+                 mConfig,
+                 mScheduler,
+                 mMembership,
+                 mDirectory,
+                 mJobHome,
+                 mTokens,
+                 [this] { return NewId(); },
+                 [this](const request_spec& aSpec, answer_done aDone) {
+                   RunRequest(aSpec, std::move(aDone));
+                 } },
+    node_controls{ [this] { return IsReady(); },
+                   [this] { BeginDrain(); },
+                   [this] { return StatusJson(); },
+                   [this] { return MetricsText(); } });
 }
 
 node::~node() = default;
@@ -322,10 +339,59 @@
 void node::Serve(const api_call& aCall, api_done aDone)
 {
   ++mInFlight;
-  mApi->Serve(aCall, [this, done = std::move(aDone)](const api_answer& aAnswer) {
-    done(aAnswer);
-    --mInFlight;
-  });
+  mApi->Serve(aCall,
+              SplitTarget(aCall.mTarget),
+              [this, done = std::move(aDone)](const api_answer& aAnswer) {
+                done(aAnswer);
+                --mInFlight;
+              });
+}
+
+std::string node::NewId()
+{
+  return HexDigest(OwnerName(mSettings.mIdentity) + "/" + std::to_string(++mRequests));
+}
+
+std::string node::MetricsText()
+{
+  const auto set = [this](const char* aName, size_t aValue) {
+    mMetrics.Set(aName, static_cast<double>(aValue));
+  };
+  const auto [writes, records] = mJournal.WritesAndRecords();
+  set("config_version", mConfig.Version());
+  set("live_vms", mMembership.LiveVms().size());
+  set("worker_sessions", mSessions.Count());
+  set("requests_waiting", mDispatch->Waiting());
+  set("calls_in_flight", static_cast<size_t>(std::max<int64_t>(0, mInFlight)));
+  set("scheduler_leading", mScheduler.IsLeading() ? 1 : 0);
+  set("journal_writes", writes);
+  set("journal_records", records);
+  return mMetrics.Text();
+}
+
+std::string node::StatusJson() const
+{
+  const auto scheduler = mMembership.Scheduler();
+  auto upstreams = nlohmann::json::array();
+  for (const auto& item : mPool.Statuses()) {
+    upstreams.push_back({ { "upstream", item.mId },
+                          { "share", item.mShare },
+                          { "outstanding", item.mOutstanding },
+                          { "leaving", item.mLeaving },
+                          { "ejected", item.mEjected } });
+  }
+  return nlohmann::json{
+    { "vm", mSettings.mIdentity.mVm },
+    { "data_centre", mSettings.mIdentity.mDataCentre },
+    { "ready", IsReady() },
+    { "draining", IsDraining() },
+    { "config_version", mConfig.Version() },
+    { "live_vms", mMembership.LiveVms() },
+    { "scheduler_vm", scheduler ? scheduler->mVm : "" },
+    { "scheduler_epoch", scheduler ? scheduler->mEpoch : 0 },
+    { "worker_sessions", mSessions.Count() },
+    { "upstreams", upstreams }
+  }.dump();
 }
 
 void node::RunRequest(const request_spec& aSpec, answer_done aDone)
--- a/src/daemon/Node.h
+++ b/src/daemon/Node.h
@@ -92,8 +92,6 @@
   metrics& Metrics() { return mMetrics; }
 
 private:
-  friend class node_api;
-
   void FillState(peer_state& aState) const;
   void OnState(const peer_state& aState);
   void OnMembersChanged();
@@ -106,6 +104,9 @@
   void LearnEpoch(uint64_t aEpoch);
   bool IsOwnerGone(const std::string& aOwner) const;
   void RunRequest(const request_spec& aSpec, answer_done aDone);
+  std::string NewId();
+  std::string StatusJson() const;
+  std::string MetricsText();
 
   node_ports mPorts;
   node_settings mSettings;
--- /dev/null
+++ b/src/daemon/RequestApi.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "daemon/ApiPart.h"
+
+namespace anvildoor {
+
+/** Requests to upstreams: /v1/requests. Thread-safe. */
+class request_api : public api_part
+{
+public:
+  using api_part::api_part;
+
+protected:
+  void OnServe(const api_call& aCall, const api_path& aPath, api_done aDone) override;
+};
+
+} // namespace anvildoor
