--- /dev/null
+++ b/tools/check-outages.py
@@ -0,0 +1,142 @@
+"""Brings outages about on real processes: store, freeze, kill of all; checks what holds."""
+
+import json
+import signal
+import sys
+import time
+
+from anvildoor_site import Site, call, sha256
+
+TOKEN = "gyms-token"
+
+
+class Checks:
+    """Counts what did not hold."""
+
+    def __init__(self):
+        self.failed = 0
+
+    def expect(self, what, holds, seen=""):
+        self.failed += 0 if holds else 1
+        print(f"{'ok  ' if holds else 'FAIL'} {what}" + (f": {seen}" if seen != "" else ""))
+
+
+def submit(site, key, run_ms, tasks=8):
+    body = {"workspace": "gyms", "tasks": tasks, "accelerators_per_task": 1,
+            "adjacency": "rack", "payload": json.dumps({"run_ms": run_ms})}
+    return call(site.daemons[0].http, "POST", "/v1/jobs", body, TOKEN, key)
+
+
+def ask(daemon, idempotent, key=None, repeat=False):
+    body = {"workspace": "gyms", "idempotent": idempotent, "repeat": repeat,
+            "deadline_ms": 4000, "payload": json.dumps({"result": "answered", "tag": key})}
+    return call(daemon.http, "POST", "/v1/requests", body, TOKEN, key)
+
+
+def wait_job(site, job):
+    _, ended = site.cli("wait", job, token=TOKEN)
+    return ended
+
+
+def runs_of(site, job):
+    return {t["attempt"] for t in site.runs()["tasks"]
+            if t["job"] == job and t["state"] == "running"}
+
+
+def set_store(site, **faults):
+    call(site.control, "POST", "/store", faults)
+
+
+def store_outage(checks, site):
+    job = submit(site, "through-the-outage", 22000).body["id"]
+    time.sleep(2)
+    set_store(site, down=True)
+    time.sleep(9)
+    first, second = ask(site.daemons[0], True), ask(site.daemons[1], False, "booking-1")
+    checks.expect("store down: an idempotent request is answered", first.status == 200)
+    checks.expect("store down: a booking is not run", second.status == 503 and
+                  second.body["outcome"] == "not_run", second.text)
+    refused = submit(site, "during-the-outage", 100)
+    checks.expect("store down: a job is not taken", refused.status in (503, 504), refused.status)
+    set_store(site, down=False)
+    site.scheduler()
+    ended = wait_job(site, job)
+    checks.expect("the gang ran on through it, once",
+                  ended["state"] == "completed" and len(runs_of(site, job)) == 1)
+    again = ask(site.daemons[2], False, "booking-1", repeat=True)
+    ran = [r for r in site.runs()["requests"] if "booking-1" in r["payload"]]
+    checks.expect("the booking runs once it can", again.status == 200 and len(ran) == 1)
+
+
+def lost_answers(checks, site):
+    set_store(site, lose_answers=6)
+    answers = [ask(d, False, "booking-2", repeat=n > 0) for n, d in enumerate(site.daemons)]
+    ran = [r for r in site.runs()["requests"] if "booking-2" in r["payload"]]
+    checks.expect("lost answers: the booking ran once", len(ran) == 1,
+                  [a.status for a in answers])
+    set_store(site, lose_answers=3)
+    _, answer = site.cli("defaults", "put", "job_attempts=7")
+    checks.expect("lost answers: a change is accepted once", "version" in answer, answer)
+
+
+def freeze(checks, site):
+    leader = site.scheduler()
+    job = submit(site, "through-the-freeze", 20000).body["id"]
+    time.sleep(2)
+    leader.process.send_signal(signal.SIGSTOP)
+    time.sleep(9)
+    others = [d for d in site.daemons if d is not leader]
+    names = {call(d.http, "GET", "/v1/status").body["scheduler_vm"] for d in others}
+    checks.expect("frozen: another daemon schedules", len(names) == 1 and
+                  names.isdisjoint({"", leader.vm}), names)
+    leader.process.send_signal(signal.SIGCONT)
+    time.sleep(3)
+    agreed = {call(d.http, "GET", "/v1/status").body["scheduler_vm"] for d in site.daemons}
+    checks.expect("thawed: the old one follows", agreed == names, agreed)
+    ended = wait_job(site, job)
+    checks.expect("the gang ran on through it, once",
+                  ended["state"] == "completed" and len(runs_of(site, job)) == 1)
+
+
+def kill_all(checks, site):
+    jobs = [submit(site, f"kept-{n}", 1500, tasks=4) for n in range(12)]
+    accepted = [j.body["id"] for j in jobs if j.status == 202]
+    for daemon in site.daemons:
+        daemon.kill()
+    time.sleep(1)
+    for daemon in site.daemons:
+        daemon.start()
+    for daemon in site.daemons:
+        daemon.wait_ready()
+    site.scheduler()
+    states = [wait_job(site, job)["state"] for job in accepted]
+    checks.expect("all killed: every accepted job ends well",
+                  len(accepted) == 12 and set(states) == {"completed"},
+                  f"{len(accepted)} accepted")
+
+
+def main():
+    checks = Checks()
+    site = Site(daemons=3)
+    begun = time.monotonic()
+    try:
+        site.start()
+        site.scheduler()
+        site.cli("workspace", "put", "gyms", "--token-sha256", sha256(TOKEN))
+        time.sleep(2)
+        store_outage(checks, site)
+        lost_answers(checks, site)
+        freeze(checks, site)
+        kill_all(checks, site)
+    finally:
+        site.stop()
+    print(f"{checks.failed} failed, {time.monotonic() - begun:.0f} s")
+    if checks.failed == 0:
+        site.remove()
+    else:
+        print(f"logs in {site.folder}")
+    return 1 if checks.failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
