Keys of jobs expire, leaving upstreams may return, idle connections close on a stop

Now claims and job keys share a lease an hour (shared_lease, one store call an hour and VM more); an upstream's own word counts 5 minutes and a peer's 5 s; a stop closes what is idle before the calls in flight have ended. Before: the new test of a returning upstream failed (0 of 36 requests reached it).

--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -157,7 +157,7 @@
   LearnEpoch(aState.mSchedulerEpoch);
   mBroken.Merge(aState.mBrokenAttempts);
   for (const auto& upstream : aState.mLeavingUpstreams) {
-    mPool.SetLeaving(upstream);
+    mPool.SetLeavingByPeer(upstream);
   }
   const bool newer = aState.mConfigVersion > mConfig.Version();
   if (newer || !mConfig.IsReady()) {
--- a/src/gang/JobHome.cpp
+++ b/src/gang/JobHome.cpp
@@ -4,6 +4,8 @@
 
 namespace {
 
+/** A key is known for longer than its ended job is kept. */
+constexpr duration kLeaseTtl = std::chrono::hours(30 * 24 + 26);
 constexpr settle_policy kPolicy{ duration(1'500), duration(100) };
 
 } // namespace
@@ -12,12 +14,25 @@
   : mLoop(aLoop)
   , mStore(aStore)
   , mDataCentre(std::move(aDataCentre))
+  , mLease(aLoop, aStore, shared_lease_policy{ kLeaseTtl })
 {
 }
 
 void job_home::Claim(const std::string& aJob, home_done aDone)
 {
-  const store_write write{ "homes/" + aJob, mDataCentre, 0, 0 };
+  mLease.Get([this, aJob, done = std::move(aDone)](uint64_t aLease) {
+    if (aLease == 0) {
+      done(Fail(
+        error_code::kUnavailable, "job.home", "store", "the store does not answer"));
+      return;
+    }
+    Write(aJob, aLease, done);
+  });
+}
+
+void job_home::Write(const std::string& aJob, uint64_t aLease, home_done aDone)
+{
+  const store_write write{ "homes/" + aJob, mDataCentre, 0, aLease };
   SettledCas(
     mLoop,
     mStore,
--- a/src/gang/JobHome.h
+++ b/src/gang/JobHome.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "store/SettledCas.h"
+#include "store/SharedLease.h"
 #include "store/StoreClient.h"
 
 #include <functional>
@@ -10,7 +11,8 @@
 
 /**
  * Settles in which data centre a caller's job key lives, so that a repeat of the key
- * in another data centre does not start a second job. Thread-safe.
+ * in another data centre does not start a second job. A key is kept for a day longer
+ * than the longest job may run. Thread-safe.
  */
 class job_home
 {
@@ -27,9 +29,12 @@
   void Claim(const std::string& aJob, home_done aDone);
 
 private:
+  void Write(const std::string& aJob, uint64_t aLease, home_done aDone);
+
   event_loop& mLoop;
   store_client& mStore;
   std::string mDataCentre;
+  shared_lease mLease;
 };
 
 } // namespace anvildoor
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -2,11 +2,13 @@
 
 #include "http/ApiSupport.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/beast/version.hpp>
+#include <mutex>
 #include <optional>
 #include <thread>
 #include <vector>
@@ -46,6 +48,20 @@
                                       : std::string();
 }
 
+class http_session;
+
+/** The open connections, so that a stop can close those that are idle. Thread-safe. */
+class session_registry
+{
+public:
+  void Add(const std::shared_ptr<http_session>& aSession);
+  void CloseIdle();
+
+private:
+  std::mutex mMutex;
+  std::vector<std::weak_ptr<http_session>> mSessions;
+};
+
 /** One connection: reads a call, has it served, writes the answer, and again. */
 class http_session : public std::enable_shared_from_this<http_session>
 {
@@ -71,12 +87,26 @@
                    [self = shared_from_this()] { self->WaitForCall(); });
   }
 
+  /** Closes the connection unless a call is being read or served. */
+  void CloseIfIdle()
+  {
+    asio::dispatch(mStream.get_executor(), [self = shared_from_this()] {
+      if (self->mIdle) {
+        self->mTimer.cancel();
+        self->mStream.cancel();
+        self->Close();
+      }
+    });
+  }
+
 private:
   void WaitForCall()
   {
     if (mCounts->mStopping) {
+      Close();
       return;
     }
+    mIdle = true;
     mParser.emplace();
     mParser->body_limit(mLimits.mBodyBytes);
     mParser->header_limit(kHeaderBytes);
@@ -98,6 +128,7 @@
 
   void ReadCall()
   {
+    mIdle = false;
     Arm(mLimits.mReadTimeout, true);
     http::async_read(mStream,
                      mBuffer,
@@ -219,8 +250,26 @@
   unsigned mVersion = 11;
   bool mKeepAlive = true;
   bool mSlow = false;
+  bool mIdle = false;
 };
 
+void session_registry::Add(const std::shared_ptr<http_session>& aSession)
+{
+  std::lock_guard lock(mMutex);
+  std::erase_if(mSessions, [](const auto& aItem) { return aItem.expired(); });
+  mSessions.push_back(aSession);
+}
+
+void session_registry::CloseIdle()
+{
+  std::lock_guard lock(mMutex);
+  for (const auto& item : mSessions) {
+    if (const auto session = item.lock()) {
+      session->CloseIfIdle();
+    }
+  }
+}
+
 result<tcp::endpoint> ParseEndpoint(const std::string& aAddress)
 {
   const auto colon = aAddress.rfind(':');
@@ -253,8 +302,10 @@
           return;
         }
         if (!aError && mCounts->mConnections < mLimits.mConnections) {
-          std::make_shared<http_session>(std::move(aSocket), mHandler, mLimits, mCounts)
-            ->Start();
+          const auto session = std::make_shared<http_session>(
+            std::move(aSocket), mHandler, mLimits, mCounts);
+          mSessions.Add(session);
+          session->Start();
         }
         Accept();
       });
@@ -266,6 +317,7 @@
   tcp::acceptor mAcceptor;
   asio::executor_work_guard<asio::io_context::executor_type> mWork;
   std::shared_ptr<server_counts> mCounts = std::make_shared<server_counts>();
+  session_registry mSessions;
   std::vector<std::thread> mThreads;
 };
 
@@ -311,6 +363,7 @@
   asio::post(mState->mIo, [shared = mState] {
     boost::system::error_code ignored;
     shared->mAcceptor.close(ignored);
+    shared->mSessions.CloseIdle();
   });
 }
 
--- a/src/routing/ClaimTable.cpp
+++ b/src/routing/ClaimTable.cpp
@@ -10,9 +10,6 @@
 
 using nlohmann::json;
 
-constexpr duration kLeaseTtl = std::chrono::hours(25);
-constexpr duration kLeaseShared = std::chrono::hours(1);
-constexpr duration kStorePause{ 1'000 };
 constexpr duration kKeepRetry{ 1'000 };
 constexpr settle_policy kClaimPolicy{ duration(1'500), duration(100) };
 constexpr settle_policy kKeepPolicy{ duration(10'000), duration(200) };
@@ -68,42 +65,13 @@
   , mStore(aStore)
   , mLog(aLog)
   , mOwner(std::move(aOwner))
+  , mLease(aLoop, aStore, shared_lease_policy{})
 {
 }
 
-void claim_table::EnsureLease(std::function<void(uint64_t)> aDone)
-{
-  uint64_t lease = 0;
-  bool paused = false;
-  {
-    std::lock_guard lock(mMutex);
-    const auto now = mLoop.Now();
-    const bool fresh = mLease != 0 && now - mLeaseGranted < kLeaseShared;
-    lease = fresh ? mLease : 0;
-    // While the store is away, non-idempotent requests are turned away at once.
-    paused = mStoreFailed.count() != 0 && now - mStoreFailed < kStorePause;
-  }
-  if (lease != 0 || paused) {
-    aDone(paused ? 0 : lease);
-    return;
-  }
-  mStore.GrantLease(kLeaseTtl,
-                    [this, done = std::move(aDone)](const result<uint64_t>& aAnswer) {
-                      {
-                        std::lock_guard lock(mMutex);
-                        mStoreFailed = aAnswer ? time_point{} : mLoop.Now();
-                        if (aAnswer) {
-                          mLease = *aAnswer;
-                          mLeaseGranted = mLoop.Now();
-                        }
-                      }
-                      done(aAnswer ? *aAnswer : 0);
-                    });
-}
-
 void claim_table::Claim(const request_spec& aSpec, claim_done aDone)
 {
-  EnsureLease([this, aSpec, done = std::move(aDone)](uint64_t aLease) {
+  mLease.Get([this, aSpec, done = std::move(aDone)](uint64_t aLease) {
     if (aLease == 0) {
       done(claim{});
       return;
@@ -118,11 +86,7 @@
   mine.mStoreKey = StoreKey(aSpec);
   mine.mOwner = mOwner;
   mine.mBodyHash = BodyHash(aSpec);
-  uint64_t nonce = 0;
-  {
-    std::lock_guard lock(mMutex);
-    nonce = ++mNonce;
-  }
+  const uint64_t nonce = ++mNonce;
   const store_write write{
     mine.mStoreKey, OpenClaim(mOwner, mine.mBodyHash, nonce).dump(), 0, aLease
   };
@@ -142,10 +106,7 @@
                  Read(mine, done);
                  return;
                }
-               {
-                 std::lock_guard lock(mMutex);
-                 mStoreFailed = mLoop.Now();
-               }
+               mLease.NoteFailure();
                done(held);
              });
 }
@@ -190,12 +151,9 @@
                     { "state", completed ? "done" : "unknown" },
                     { "result", aAnswer.mResult },
                     { "reason", aAnswer.mReason } };
-  uint64_t lease = 0;
-  {
-    std::lock_guard lock(mMutex);
-    lease = mLease;
-  }
-  const store_write write{ aClaim.mStoreKey, value.dump(), aClaim.mVersion, lease };
+  const store_write write{
+    aClaim.mStoreKey, value.dump(), aClaim.mVersion, mLease.Latest()
+  };
   SettledCas(mLoop,
              mStore,
              write,
--- a/src/routing/ClaimTable.h
+++ b/src/routing/ClaimTable.h
@@ -3,10 +3,11 @@
 #include "base/EventLog.h"
 #include "routing/Request.h"
 #include "store/SettledCas.h"
+#include "store/SharedLease.h"
 #include "store/StoreClient.h"
 
+#include <atomic>
 #include <functional>
-#include <mutex>
 #include <string>
 
 namespace anvildoor {
@@ -64,7 +65,6 @@
   void Release(const claim& aClaim);
 
 private:
-  void EnsureLease(std::function<void(uint64_t)> aDone);
   void Write(const request_spec& aSpec, uint64_t aLease, claim_done aDone);
   void Read(const claim& aMine, claim_done aDone);
 
@@ -72,11 +72,8 @@
   store_client& mStore;
   event_log& mLog;
   std::string mOwner;
-  std::mutex mMutex;
-  uint64_t mLease = 0;
-  time_point mLeaseGranted{};
-  time_point mStoreFailed{};
-  uint64_t mNonce = 0;
+  shared_lease mLease;
+  std::atomic<uint64_t> mNonce{ 0 };
 };
 
 } // namespace anvildoor
--- a/src/routing/UpstreamPool.cpp
+++ b/src/routing/UpstreamPool.cpp
@@ -14,6 +14,8 @@
 constexpr duration kSlowStartSpan{ 10'000 };
 constexpr size_t kEjectedCeilingPercent = 50;
 constexpr size_t kPercent = 100;
+constexpr duration kBelieveUpstream = std::chrono::minutes(5);
+constexpr duration kBelievePeer{ 5'000 };
 
 } // namespace
 
@@ -51,7 +53,7 @@
     const bool isNew = mUpstreams.count(record.mId) == 0;
     auto& item = mUpstreams[record.mId];
     if (!isNew && item.mRecord.mAddress != record.mAddress) {
-      item.mToldLeaving = false; // The machine was replaced under its name.
+      item.mLeavingUntil = {}; // The machine was replaced under its name.
     }
     item.mRecord = record;
     item.mListed = true;
@@ -70,10 +72,22 @@
 {
   std::lock_guard lock(mMutex);
   const auto found = mUpstreams.find(aId);
-  if (found != mUpstreams.end() && !found->second.mToldLeaving) {
-    found->second.mToldLeaving = true;
+  if (found == mUpstreams.end()) {
+    return;
+  }
+  if (!IsLeaving(found->second)) {
     mLog.Write(log_event("upstream_leaving").Add("upstream", aId));
   }
+  found->second.mLeavingUntil = mLoop.Now() + kBelieveUpstream;
+}
+
+void upstream_pool::SetLeavingByPeer(const std::string& aId)
+{
+  std::lock_guard lock(mMutex);
+  const auto found = mUpstreams.find(aId);
+  if (found != mUpstreams.end()) {
+    found->second.mPeerLeavingUntil = mLoop.Now() + kBelievePeer;
+  }
 }
 
 std::vector<std::string> upstream_pool::Leaving() const
@@ -81,13 +95,20 @@
   std::lock_guard lock(mMutex);
   std::vector<std::string> ids;
   for (const auto& [id, item] : mUpstreams) {
-    if (item.mToldLeaving) {
+    if (item.mLeavingUntil > mLoop.Now()) {
       ids.push_back(id);
     }
   }
   return ids;
 }
 
+bool upstream_pool::IsLeaving(const upstream& aItem) const
+{
+  const auto now = mLoop.Now();
+  return aItem.mRecord.mLeaving || aItem.mLeavingUntil > now ||
+         aItem.mPeerLeavingUntil > now;
+}
+
 bool upstream_pool::IsEjected(const upstream& aItem) const
 {
   return aItem.mEjectedUntil > mLoop.Now();
@@ -109,8 +130,8 @@
   std::vector<upstream*> candidates;
   for (auto& [id, item] : mUpstreams) {
     const bool avoided = std::find(aAvoid.begin(), aAvoid.end(), id) != aAvoid.end();
-    const bool usable = item.mListed && !item.mToldLeaving && !item.mRecord.mLeaving &&
-                        !avoided && !IsEjected(item) && item.mOutstanding < Limit(item);
+    const bool usable = item.mListed && !IsLeaving(item) && !avoided &&
+                        !IsEjected(item) && item.mOutstanding < Limit(item);
     if (usable) {
       candidates.push_back(&item);
     }
@@ -181,11 +202,8 @@
   std::lock_guard lock(mMutex);
   std::vector<upstream_status> statuses;
   for (const auto& [id, item] : mUpstreams) {
-    statuses.push_back({ id,
-                         item.mShare,
-                         item.mOutstanding,
-                         item.mToldLeaving || item.mRecord.mLeaving,
-                         IsEjected(item) });
+    statuses.push_back(
+      { id, item.mShare, item.mOutstanding, IsLeaving(item), IsEjected(item) });
   }
   return statuses;
 }
--- a/src/routing/UpstreamPool.h
+++ b/src/routing/UpstreamPool.h
@@ -57,10 +57,16 @@
               const std::string& aOwnVm,
               const std::vector<std::string>& aLiveVms);
 
-  /** Takes no new work to aId from now on, whoever said so. */
+  /**
+   * Takes no new work to aId, which has said itself that it is leaving. Unless the list
+   * agrees by then it is tried again after a while, since it may have come back.
+   */
   void SetLeaving(const std::string& aId);
 
-  /** Returns the upstreams known to be leaving, for the heartbeats. */
+  /** The same on a peer's word, for as long as the peer goes on saying so. */
+  void SetLeavingByPeer(const std::string& aId);
+
+  /** Returns the upstreams that have told this VM, for the heartbeats. */
   std::vector<std::string> Leaving() const;
 
   /**
@@ -82,13 +88,15 @@
     int64_t mShare = 0;
     int64_t mOutstanding = 0;
     bool mListed = true;
-    bool mToldLeaving = false;
+    time_point mLeavingUntil{};     ///< By its own word.
+    time_point mPeerLeavingUntil{}; ///< By a peer's.
     int mFailures = 0;
     int mEjections = 0;
     time_point mEjectedUntil{};
     time_point mSlowStart{};
   };
 
+  bool IsLeaving(const upstream& aItem) const;
   bool IsEjected(const upstream& aItem) const;
   int64_t Limit(const upstream& aItem) const;
   bool MayEject() const;
--- a/tests/RecoveryTest.cpp
+++ b/tests/RecoveryTest.cpp
@@ -125,6 +125,35 @@
   load.CheckAccepted(false);
 }
 
+TEST_CASE("a job's key belongs to one data centre, for as long as it is known")
+{
+  fake_settings settings;
+  settings.mDataCentres = { "alpha", "beta" };
+  settings.mEntryVms = 1;
+  fake_site site(settings);
+  site.StartAll();
+  REQUIRE(site.WaitForScheduler("alpha"));
+  REQUIRE(site.WaitForScheduler("beta"));
+  REQUIRE(site.PutWorkspace("alpha-e1", "gyms").mStatus == 200);
+  site.Loop().RunFor(duration(3'000));
+  const auto submit = [&](const std::string& aVm) {
+    return site.Call(aVm,
+                     WorkspaceCall("gyms", "POST", "/v1/jobs", JobBody(2, 500), "k"));
+  };
+  CHECK(submit("alpha-e1").mStatus == 202);
+  const auto elsewhere = submit("beta-e1");
+  CHECK(elsewhere.mStatus == 409);
+  CHECK(elsewhere.mBody.find("data centre alpha") != std::string::npos);
+  const auto again = submit("alpha-e1");
+  CHECK(again.mStatus == 202);
+  site.Loop().RunFor(duration(5'000));
+  std::set<std::string> attempts;
+  for (const auto& event : site.TaskEvents()) {
+    attempts.insert(event.mAttempt);
+  }
+  CHECK(attempts.size() == 1);
+}
+
 TEST_CASE("a wave of cancellations is carried out, cheaply and truly")
 {
   constexpr int kJobs = 1'500;
--- a/tests/RequestFaultTest.cpp
+++ b/tests/RequestFaultTest.cpp
@@ -322,6 +322,27 @@
   }
 }
 
+TEST_CASE("an upstream that said it was leaving is used again once it is back")
+{
+  site_with_workspace world;
+  auto& site = world.mSite;
+  site.Upstream("alpha-u1").mLeaving = true;
+  for (int i = 0; i < 12; ++i) {
+    site.Call("alpha-e1", world.Ask("urgent", "probe"));
+  }
+  site.Upstream("alpha-u1").mLeaving = false;
+  site.Loop().RunFor(std::chrono::minutes(6));
+  const auto back = site.Loop().Now();
+  for (const auto& vm : site.RunningVms()) {
+    for (int i = 0; i < 12; ++i) {
+      site.Call(vm, world.Ask("interactive", "later"));
+    }
+  }
+  CHECK(std::any_of(site.Runs().begin(), site.Runs().end(), [&](const auto& aRun) {
+    return aRun.mAt >= back && aRun.mUpstream == "alpha-u1";
+  }));
+}
+
 TEST_CASE("urgent goes first, and batch does not wait beyond its bound")
 {
   fake_settings settings;
