--- /dev/null
+++ b/src/gang/SchedulerReports.cpp
@@ -0,0 +1,89 @@
+#include "gang/Scheduler.h"
+
+namespace anvildoor {
+
+result<accepted> scheduler::OnStatuses(const worker_statuses& aStatuses)
+{
+  std::lock_guard lock(mMutex);
+  if (aStatuses.mEpoch != mEpoch || !mLeading) {
+    return Fail(
+      error_code::kFenced, "report", mContext.mDataCentre, "not the scheduler");
+  }
+  for (const auto& status : aStatuses.mStatuses) {
+    TakeStatus(status);
+  }
+  RequestPlan();
+  return accepted{};
+}
+
+void scheduler::TakeStatus(const worker_status& aStatus)
+{
+  auto& entry = mWorkers[aStatus.mWorker];
+  if (aStatus.mLost) {
+    entry.mLost = true;
+    mContext.mLog.Write(log_event("worker_down").Add("worker", aStatus.mWorker));
+    std::vector<std::string> jobs;
+    for (const auto& [id, job] : mJobs) {
+      if (job.mRun) {
+        jobs.push_back(id);
+      }
+    }
+    for (const auto& id : jobs) {
+      auto& job = mJobs[id];
+      if (job.mRun) {
+        Perform(job, job.mRun->OnWorkerLost(aStatus.mWorker, mContext.mLoop.Now()));
+      }
+    }
+    return;
+  }
+  const auto& reply = aStatus.mReply;
+  const bool older = std::pair(reply.mIncarnation, reply.mSequence) <
+                     std::pair(entry.mIncarnation, entry.mSequence);
+  if (older) {
+    return;
+  }
+  entry.mIncarnation = reply.mIncarnation;
+  entry.mSequence = reply.mSequence;
+  if (reply.mFull) {
+    entry.mReported = true;
+    entry.mLost = false;
+  }
+  TakeMembers(aStatus);
+}
+
+void scheduler::TakeMembers(const worker_status& aStatus)
+{
+  const auto now = mContext.mLoop.Now();
+  std::set<std::string> listed;
+  for (const auto& member : aStatus.mReply.mMembers) {
+    listed.insert(member.mAttempt);
+    const auto job = mJobOfAttempt.find(member.mAttempt);
+    if (job == mJobOfAttempt.end()) {
+      const auto record = mJobs.find(member.mJob);
+      const bool ending = record != mJobs.end() && record->second.mRecording;
+      if (!ending) {
+        StopStray(aStatus.mWorker, member.mAttempt);
+      }
+      continue;
+    }
+    auto& entry = mJobs[job->second];
+    Perform(entry, entry.mRun->OnReport(aStatus.mWorker, member, now));
+  }
+  if (!aStatus.mReply.mFull) {
+    return;
+  }
+  std::vector<std::pair<std::string, std::string>> missing;
+  for (const auto& [attempt, job] : mJobOfAttempt) {
+    if (listed.count(attempt) == 0) {
+      missing.emplace_back(attempt, job);
+    }
+  }
+  for (const auto& [attempt, job] : missing) {
+    auto& entry = mJobs[job];
+    if (entry.mRun && entry.mRun->Attempt() == attempt) {
+      Perform(entry, entry.mRun->OnMissing(aStatus.mWorker, aStatus.mReply, now));
+    }
+  }
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/planner/PlanBuilder.cpp
@@ -0,0 +1,280 @@
+#include "planner/PlanBuilder.h"
+
+#include "planner/Packing.h"
+
+#include <algorithm>
+#include <set>
+
+namespace anvildoor {
+
+namespace {
+
+/** Returns how many tasks' worth of a shape hold the amount in use on one worker. */
+int64_t SlotsHolding(const resources& aPerTask, const resources& aUsed)
+{
+  int64_t slots = 0;
+  const auto bound = [&slots](int64_t aEach, int64_t aAmount) {
+    if (aEach > 0 && aAmount > 0) {
+      slots = std::max(slots, (aAmount + aEach - 1) / aEach);
+    }
+  };
+  bound(aPerTask.mAccelerators, aUsed.mAccelerators);
+  bound(aPerTask.mCores, aUsed.mCores);
+  bound(aPerTask.mMemoryMb, aUsed.mMemoryMb);
+  return slots;
+}
+
+} // namespace
+
+plan_builder::plan_builder(const fleet_view& aFleet,
+                           std::vector<planned_shape> aShapes,
+                           const std::vector<running_gang>& aRunning)
+  : mFleet(aFleet)
+  , mShapes(std::move(aShapes))
+  , mTaken(UnreclaimableOutside(aFleet, aRunning, mShapes))
+{
+  for (const auto& gang : aRunning) {
+    if (gang.mGuaranteed) {
+      mUsers[*gang.mGuaranteed].push_back(&gang);
+    }
+  }
+}
+
+std::vector<planned_shape> plan_builder::Build(const guarantee_plan& aPrevious)
+{
+  mAllShapes = mShapes;
+  mAllTaken = mTaken;
+  auto best = BestAttempt(aPrevious);
+  if (IsWhole(best)) {
+    return best;
+  }
+  const auto users = mUsers;
+  for (const bool onlyUnbacked : { true, false }) {
+    mUsers = users;
+    auto demoted = DropRestartableUsers(best, onlyUnbacked);
+    auto other = BestAttempt(aPrevious);
+    if (Backed(other) > Backed(best)) {
+      mDemoted = std::move(demoted);
+      return other;
+    }
+  }
+  return best;
+}
+
+/** Tries the least disturbing way first, and others only while shapes are missing. */
+std::vector<planned_shape> plan_builder::BestAttempt(const guarantee_plan& aPrevious)
+{
+  static constexpr strategy kStrategies[] = {
+    { true, true, true, false },   { true, false, true, false },
+    { false, false, true, false }, { false, false, false, false },
+    { false, false, true, true },  { false, false, false, true },
+  };
+  std::vector<planned_shape> best;
+  for (const auto& way : kStrategies) {
+    auto other = Attempt(aPrevious, way);
+    if (best.empty() || Backed(other) > Backed(best)) {
+      best = std::move(other);
+    }
+    if (IsWhole(best)) {
+      break;
+    }
+  }
+  return best;
+}
+
+std::vector<planned_shape> plan_builder::Attempt(const guarantee_plan& aPrevious,
+                                                 const strategy& aStrategy)
+{
+  mShapes = mAllShapes;
+  mTaken = mAllTaken;
+  mStrategy = aStrategy;
+  PlaceUsed(aStrategy.mKeepUsed ? aPrevious : guarantee_plan());
+  if (aStrategy.mKeepUnused) {
+    KeepUnused(aPrevious);
+  }
+  PlaceMissing();
+  return mShapes;
+}
+
+/** Makes borrowers of gangs that can be restarted in their shape wherever it is. */
+std::vector<std::string> plan_builder::DropRestartableUsers(
+  const std::vector<planned_shape>& aShapes,
+  bool aOnlyUnbacked)
+{
+  std::vector<std::string> demoted;
+  for (const auto& shape : aShapes) {
+    const auto users = mUsers.find(shape.mId);
+    const bool restartable =
+      users != mUsers.end() &&
+      std::all_of(users->second.begin(), users->second.end(), [](const auto* aGang) {
+        return aGang->mRestartable;
+      });
+    if (!restartable || (aOnlyUnbacked && shape.mBacked)) {
+      continue;
+    }
+    for (const auto* gang : users->second) {
+      demoted.push_back(gang->mJob);
+    }
+    mUsers.erase(users);
+  }
+  return demoted;
+}
+
+bool plan_builder::IsWhole(const std::vector<planned_shape>& aShapes)
+{
+  return Backed(aShapes) == static_cast<int64_t>(aShapes.size());
+}
+
+int64_t plan_builder::Backed(const std::vector<planned_shape>& aShapes)
+{
+  return std::count_if(
+    aShapes.begin(), aShapes.end(), [](const auto& aShape) { return aShape.mBacked; });
+}
+
+resources plan_builder::Spare(size_t aWorker) const
+{
+  const auto& worker = mFleet.At(aWorker);
+  return worker.mUsable ? worker.mCapacity - mTaken.At(aWorker) : resources{};
+}
+
+/** Returns whether aReserved can be held, aUsed of which is already taken. */
+bool plan_builder::Holds(const planned_shape& aShape,
+                         const placement& aReserved,
+                         const placement& aUsed) const
+{
+  int64_t tasks = 0;
+  std::set<size_t> racks;
+  for (const auto& part : aReserved) {
+    const size_t index = mFleet.Find(part.mWorker);
+    const int64_t missing = part.mTasks - TasksOn(aUsed, part.mWorker);
+    if (index >= mFleet.Size() || missing < 0 ||
+        !FitsIn(aShape.mShape.mPerTask * missing, Spare(index))) {
+      return false;
+    }
+    tasks += part.mTasks;
+    racks.insert(mFleet.RackOf(index));
+  }
+  const bool covered = std::all_of(aUsed.begin(), aUsed.end(), [&](const auto& aPart) {
+    return TasksOn(aReserved, aPart.mWorker) >= aPart.mTasks;
+  });
+  const bool adjacent =
+    aShape.mShape.mAdjacency == adjacency::kAny || racks.size() <= 1;
+  return covered && tasks >= aShape.mShape.mTasks && adjacent;
+}
+
+int64_t plan_builder::TasksOn(const placement& aPlacement, const std::string& aWorker)
+{
+  int64_t tasks = 0;
+  for (const auto& part : aPlacement) {
+    tasks += part.mWorker == aWorker ? part.mTasks : 0;
+  }
+  return tasks;
+}
+
+void plan_builder::Reserve(planned_shape& aShape, const placement& aReserved)
+{
+  aShape.mReserved = aReserved;
+  aShape.mBacked = true;
+  mTaken.AddGang(mFleet, aShape.mShape, aReserved);
+}
+
+/** Plans the shapes in use; what runs in them stays where it is. */
+void plan_builder::PlaceUsed(const guarantee_plan& aPrevious)
+{
+  std::vector<planned_shape*> used;
+  for (auto& shape : mShapes) {
+    if (mUsers.count(shape.mId) != 0) {
+      shape.mReserved = SlotsInUse(shape);
+      mTaken.AddGang(mFleet, shape.mShape, shape.mReserved);
+      used.push_back(&shape);
+    }
+  }
+  // Only now is it known what none of them may extend into.
+  for (auto* shape : used) {
+    const auto* previous = aPrevious.Find(shape->mId);
+    if (previous != nullptr && previous->mShape == shape->mShape &&
+        Holds(*shape, previous->mReserved, shape->mReserved)) {
+      mTaken.SubtractGang(mFleet, shape->mShape, shape->mReserved);
+      Reserve(*shape, previous->mReserved);
+    }
+  }
+}
+
+void plan_builder::KeepUnused(const guarantee_plan& aPrevious)
+{
+  for (auto& shape : mShapes) {
+    const auto* previous = aPrevious.Find(shape.mId);
+    if (mUsers.count(shape.mId) == 0 && previous != nullptr && previous->mBacked &&
+        previous->mShape == shape.mShape && Holds(shape, previous->mReserved, {})) {
+      Reserve(shape, previous->mReserved);
+    }
+  }
+}
+
+placement plan_builder::SlotsInUse(const planned_shape& aShape)
+{
+  worker_amounts used(mFleet.Size());
+  for (const auto* gang : mUsers[aShape.mId]) {
+    used.AddGang(mFleet, gang->mShape, gang->mPlacement);
+  }
+  placement slots;
+  for (size_t worker = 0; worker < mFleet.Size(); ++worker) {
+    const int64_t count = SlotsHolding(aShape.mShape.mPerTask, used.At(worker));
+    if (count > 0) {
+      slots.push_back({ mFleet.At(worker).mId, count });
+    }
+  }
+  return slots;
+}
+
+/** Reserves what a shape in use lacks, next to what is used. */
+bool plan_builder::PlaceRest(planned_shape& aShape)
+{
+  auto rest = aShape.mShape;
+  for (const auto& part : aShape.mReserved) {
+    rest.mTasks -= part.mTasks;
+  }
+  if (rest.mTasks <= 0) {
+    return true;
+  }
+  const bool sameRack =
+    aShape.mShape.mAdjacency == adjacency::kRack && !aShape.mReserved.empty();
+  const size_t home = sameRack ? mFleet.Find(aShape.mReserved.front().mWorker) : 0;
+  const auto spare = [&](size_t aWorker) {
+    const bool usable = !sameRack || mFleet.RackOf(aWorker) == mFleet.RackOf(home);
+    return usable ? Spare(aWorker) : resources{};
+  };
+  const auto packed = PackGang(mFleet, { rest, spare, {}, mStrategy.mSpread });
+  if (!packed) {
+    return false;
+  }
+  mTaken.AddGang(mFleet, aShape.mShape, *packed);
+  for (const auto& part : *packed) {
+    aShape.mReserved.push_back(part);
+  }
+  return true;
+}
+
+/** Places what is missing of every shape, the hardest to place first. */
+void plan_builder::PlaceMissing()
+{
+  std::vector<planned_shape*> missing;
+  for (auto& shape : mShapes) {
+    if (!shape.mBacked) {
+      missing.push_back(&shape);
+    }
+  }
+  std::stable_sort(missing.begin(), missing.end(), [](auto* aLeft, auto* aRight) {
+    return aLeft->mShape.Accelerators() > aRight->mShape.Accelerators();
+  });
+  if (mStrategy.mRackFirst) {
+    std::stable_partition(missing.begin(), missing.end(), [](auto* aShape) {
+      return aShape->mShape.mAdjacency == adjacency::kRack;
+    });
+  }
+  for (auto* shape : missing) {
+    shape->mBacked = PlaceRest(*shape);
+  }
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/planner/PlanBuilder.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "planner/GuaranteePlan.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace anvildoor {
+
+/** Builds one plan of the guaranteed shapes. Not thread-safe. */
+class plan_builder
+{
+public:
+  /** aFleet and aRunning must outlive the builder. */
+  plan_builder(const fleet_view& aFleet,
+               std::vector<planned_shape> aShapes,
+               const std::vector<running_gang>& aRunning);
+
+  /**
+   * Keeps as much of aPrevious as it can. Reservations that are in each other's way
+   * are planned afresh: first the unused shapes, then also what used ones do not use.
+   * What a loss of workers has left in the way is demoted as the last resort.
+   */
+  std::vector<planned_shape> Build(const guarantee_plan& aPrevious);
+
+  /** Returns the gangs whose guarantee is now held elsewhere. */
+  const std::vector<std::string>& Demoted() const { return mDemoted; }
+
+private:
+  /** One way to go about a plan. */
+  struct strategy
+  {
+    bool mKeepUsed = false;
+    bool mKeepUnused = false;
+    bool mRackFirst = true;
+    bool mSpread = false;
+  };
+
+  std::vector<planned_shape> BestAttempt(const guarantee_plan& aPrevious);
+  std::vector<planned_shape> Attempt(const guarantee_plan& aPrevious,
+                                     const strategy& aStrategy);
+  std::vector<std::string> DropRestartableUsers(
+    const std::vector<planned_shape>& aShapes,
+    bool aOnlyUnbacked);
+  static bool IsWhole(const std::vector<planned_shape>& aShapes);
+  static int64_t Backed(const std::vector<planned_shape>& aShapes);
+  resources Spare(size_t aWorker) const;
+  bool Holds(const planned_shape& aShape,
+             const placement& aReserved,
+             const placement& aUsed) const;
+  static int64_t TasksOn(const placement& aPlacement, const std::string& aWorker);
+  void Reserve(planned_shape& aShape, const placement& aReserved);
+  void PlaceUsed(const guarantee_plan& aPrevious);
+  void KeepUnused(const guarantee_plan& aPrevious);
+  placement SlotsInUse(const planned_shape& aShape);
+  bool PlaceRest(planned_shape& aShape);
+  void PlaceMissing();
+
+  const fleet_view& mFleet;
+  std::vector<planned_shape> mShapes;
+  worker_amounts mTaken;
+  std::vector<planned_shape> mAllShapes;
+  worker_amounts mAllTaken{ 0 };
+  std::vector<std::string> mDemoted;
+  strategy mStrategy;
+  std::map<shape_id, std::vector<const running_gang*>> mUsers;
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/tests/support/FakePorts.h
@@ -0,0 +1,351 @@
+#pragma once
+
+#include "support/FakeSite.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace anvildoor {
+
+constexpr duration kHop{ 1 };          ///< How long a message takes.
+constexpr duration kLostCall{ 1'000 }; ///< How long a call without an answer waits.
+
+/** Returns the error of a call that got no answer. */
+inline tl::unexpected<error> NoAnswer(const std::string& aStep,
+                                      const std::string& aPeer)
+{
+  return Fail(error_code::kUnknownEffect, aStep, aPeer, "no answer");
+}
+
+/** The ports of one entry VM; every message takes one hop and may be cut. */
+class fake_ports
+  : public store_client
+  , public vm_list_port
+  , public worker_port
+  , public peer_port
+  , public upstream_port
+{
+public:
+  fake_ports(fake_site& aSite, scoped_loop& aLoop, std::string aVm)
+    : mSite(aSite)
+    , mLoop(aLoop)
+    , mVm(std::move(aVm))
+  {
+  }
+
+protected:
+  // Store
+
+  template<typename T, typename Start>
+  void ToStore(store_done<T> aDone, error_code aCode, const Start& aStart)
+  {
+    if (mSite.IsCut(mVm, "store")) {
+      mLoop.RunAfter(kLostCall, [done = std::move(aDone), aCode] {
+        done(Fail(aCode, "store", "store", "no answer"));
+      });
+      return;
+    }
+    aStart([this, aCode, done = std::move(aDone)](result<T> aAnswer) {
+      if (mSite.IsCut(mVm, "store")) {
+        aAnswer = Fail(aCode, "store", "store", "the answer was cut off");
+      }
+      mLoop.Post([done, answer = std::move(aAnswer)] { done(answer); });
+    });
+  }
+
+  void OnGet(const std::string& aKey,
+             store_done<std::optional<store_value>> aDone) override
+  {
+    ToStore<std::optional<store_value>>(
+      std::move(aDone), error_code::kUnavailable, [&](auto aPass) {
+        mSite.mStore.Get(aKey, std::move(aPass));
+      });
+  }
+
+  void OnCas(const store_write& aWrite, store_done<uint64_t> aDone) override
+  {
+    ToStore<uint64_t>(std::move(aDone), error_code::kUnknownEffect, [&](auto aPass) {
+      mSite.mStore.Cas(aWrite, std::move(aPass));
+    });
+  }
+
+  void OnRemove(const std::string& aKey,
+                uint64_t aVersion,
+                store_done<uint64_t> aDone) override
+  {
+    ToStore<uint64_t>(std::move(aDone), error_code::kUnknownEffect, [&](auto aPass) {
+      mSite.mStore.Remove(aKey, aVersion, std::move(aPass));
+    });
+  }
+
+  void OnList(const std::string& aPrefix,
+              store_done<std::vector<store_entry>> aDone) override
+  {
+    ToStore<std::vector<store_entry>>(
+      std::move(aDone), error_code::kUnavailable, [&](auto aPass) {
+        mSite.mStore.List(aPrefix, std::move(aPass));
+      });
+  }
+
+  void OnWatch(const std::string& aKey,
+               uint64_t aKnown,
+               duration aWait,
+               store_done<std::optional<store_value>> aDone) override
+  {
+    ToStore<std::optional<store_value>>(
+      std::move(aDone), error_code::kUnavailable, [&](auto aPass) {
+        mSite.mStore.Watch(aKey, aKnown, aWait, std::move(aPass));
+      });
+  }
+
+  void OnGrantLease(duration aTtl, store_done<uint64_t> aDone) override
+  {
+    ToStore<uint64_t>(std::move(aDone), error_code::kUnknownEffect, [&](auto aPass) {
+      mSite.mStore.GrantLease(aTtl, std::move(aPass));
+    });
+  }
+
+  void OnRenewLease(uint64_t aLease, store_done<uint64_t> aDone) override
+  {
+    ToStore<uint64_t>(std::move(aDone), error_code::kUnknownEffect, [&](auto aPass) {
+      mSite.mStore.RenewLease(aLease, std::move(aPass));
+    });
+  }
+
+  // List of machines
+
+  void OnList(const std::string& aDataCentre,
+              uint64_t aSince,
+              vm_list_port::done aDone) override
+  {
+    if (mSite.IsCut(mVm, "vms")) {
+      mLoop.RunAfter(kLostCall,
+                     [aDone] { aDone(Fail(error_code::kUnavailable, "vms", "", "")); });
+      return;
+    }
+    vm_list list;
+    list.mVersion = mSite.mListVersion;
+    for (const auto& [id, record] : mSite.mListed) {
+      const bool wanted =
+        record.mKind == vm_kind::kEntry || record.mDataCentre == aDataCentre;
+      if (wanted && mSite.mListedAt[id] > aSince) {
+        list.mChanged.push_back(record);
+      }
+    }
+    mLoop.RunAfter(kHop, [aDone, list] { aDone(list); });
+  }
+
+  // Workers
+
+  template<typename T, typename Body>
+  void ToWorker(const std::string& aWorker, port_done<T> aDone, const Body& aBody)
+  {
+    ++mSite.mMessages;
+    if (Unreachable(aWorker)) {
+      LoseCall("worker", aWorker, std::move(aDone));
+      return;
+    }
+    mSite.mLoop.RunAfter(kHop, [this, aWorker, aDone, aBody] {
+      if (Unreachable(aWorker)) {
+        LoseCall("worker", aWorker, aDone);
+        return;
+      }
+      aBody(*mSite.mWorkers[aWorker], [this, aWorker, aDone](result<T> aAnswer) {
+        mLoop.RunAfter(kHop, [aDone, aAnswer] { aDone(aAnswer); });
+      });
+    });
+  }
+
+  void OnPrepare(const std::string& aWorker,
+                 const prepare_request& aRequest,
+                 port_done<accepted> aDone) override
+  {
+    ToWorker<accepted>(aWorker, std::move(aDone), [aRequest](auto& aModel, auto aPass) {
+      aPass(aModel.Prepare(aRequest));
+    });
+  }
+
+  void OnRelease(const std::string& aWorker,
+                 uint64_t aEpoch,
+                 const std::string& aAttempt,
+                 port_done<accepted> aDone) override
+  {
+    ToWorker<accepted>(
+      aWorker, std::move(aDone), [aEpoch, aAttempt](auto& aModel, auto aPass) {
+        aPass(aModel.Release(aEpoch, aAttempt));
+      });
+  }
+
+  void OnStop(const std::string& aWorker,
+              const stop_request& aRequest,
+              port_done<member_report> aDone) override
+  {
+    ToWorker<member_report>(
+      aWorker, std::move(aDone), [aRequest](auto& aModel, auto aPass) {
+        aModel.Stop(aRequest, aPass);
+      });
+  }
+
+  void OnRenew(const std::string& aWorker,
+               const renew_request& aRequest,
+               port_done<renew_reply> aDone) override
+  {
+    ToWorker<renew_reply>(
+      aWorker, std::move(aDone), [aRequest](auto& aModel, auto aPass) {
+        aPass(aModel.Renew(aRequest));
+      });
+  }
+
+  // Peers
+
+  template<typename T, typename Body>
+  void ToPeer(const std::string& aAddress, port_done<T> aDone, const Body& aBody)
+  {
+    ++mSite.mMessages;
+    const auto vm = aAddress.substr(0, aAddress.find(':'));
+    if (mSite.IsCut(mVm, vm) || !mSite.IsRunning(vm)) {
+      LoseCall("peer", vm, std::move(aDone));
+      return;
+    }
+    mSite.mLoop.RunAfter(kHop, [this, vm, aDone, aBody] {
+      if (!mSite.IsRunning(vm)) {
+        LoseCall("peer", vm, aDone);
+        return;
+      }
+      mSite.RunOn(vm, [this, vm, aDone, aBody] {
+        aBody(mSite.Node(vm), [this, aDone](result<T> aAnswer) {
+          mLoop.RunAfter(kHop, [aDone, aAnswer] { aDone(aAnswer); });
+        });
+      });
+    });
+  }
+
+  void OnHeartbeat(const std::string& aAddress,
+                   const peer_state& aState,
+                   port_done<peer_state> aDone) override
+  {
+    ToPeer<peer_state>(aAddress, std::move(aDone), [aState](node& aNode, auto aPass) {
+      aPass(aNode.OnPeerHeartbeat(aState));
+    });
+  }
+
+  void OnPullConfig(const std::string& aAddress,
+                    uint64_t aFrom,
+                    port_done<config_transfer> aDone) override
+  {
+    ToPeer<config_transfer>(
+      aAddress, std::move(aDone), [aFrom](node& aNode, auto aPass) {
+        aPass(aNode.OnPeerPullConfig(aFrom));
+      });
+  }
+
+  void OnForward(const std::string& aAddress,
+                 const forwarded_call& aCall,
+                 port_done<forwarded_answer> aDone) override
+  {
+    auto answered = std::make_shared<bool>(false);
+    const auto once = [answered, aDone](const result<forwarded_answer>& aAnswer) {
+      if (!std::exchange(*answered, true)) {
+        aDone(aAnswer);
+      }
+    };
+    mLoop.RunAfter(aCall.mTimeout, [once] { once(NoAnswer("peer.forward", "")); });
+    ToPeer<forwarded_answer>(aAddress, once, [aCall](node& aNode, auto aPass) {
+      aNode.OnPeerForward(aCall, aPass);
+    });
+  }
+
+  void OnReport(const std::string& aAddress,
+                const worker_statuses& aStatuses,
+                port_done<accepted> aDone) override
+  {
+    ToPeer<accepted>(aAddress, std::move(aDone), [aStatuses](node& aNode, auto aPass) {
+      aPass(aNode.OnPeerReport(aStatuses));
+    });
+  }
+
+  void OnVersionInForce(const std::string& aAddress, port_done<uint64_t> aDone) override
+  {
+    ToPeer<uint64_t>(aAddress, std::move(aDone), [](node& aNode, auto aPass) {
+      aPass(aNode.OnPeerVersionInForce());
+    });
+  }
+
+  // Upstreams
+
+  void OnExecute(const std::string& aAddress,
+                 const upstream_call& aCall,
+                 upstream_port::done aDone) override
+  {
+    ++mSite.mMessages;
+    auto& upstream = mSite.Upstream(aAddress);
+    if (upstream.mRefusesConnections || mSite.IsCut(mVm, aAddress)) {
+      mLoop.RunAfter(kHop, [aDone, aAddress] {
+        aDone(Fail(error_code::kUnavailable, "upstream.connect", aAddress, "refused"));
+      });
+      return;
+    }
+    auto answered = std::make_shared<bool>(false);
+    const auto once = [answered, aDone](const result<upstream_reply>& aAnswer) {
+      if (!std::exchange(*answered, true)) {
+        aDone(aAnswer);
+      }
+    };
+    mLoop.RunAfter(aCall.mWait,
+                   [once, aAddress] { once(NoAnswer("upstream.answer", aAddress)); });
+    mSite.mLoop.RunAfter(
+      kHop, [this, aAddress, aCall, once] { RunUpstream(aAddress, aCall, once); });
+  }
+
+private:
+  bool Unreachable(const std::string& aWorker) const
+  {
+    return mSite.IsCut(mVm, aWorker) || mSite.mDeadWorkers.count(aWorker) != 0;
+  }
+
+  template<typename T>
+  void LoseCall(const std::string& aStep, const std::string& aPeer, port_done<T> aDone)
+  {
+    mLoop.RunAfter(kLostCall, [aStep, aPeer, aDone] { aDone(NoAnswer(aStep, aPeer)); });
+  }
+
+  template<typename Once>
+  void RunUpstream(const std::string& aId,
+                   const upstream_call& aCall,
+                   const Once& aOnce)
+  {
+    auto& upstream = mSite.Upstream(aId);
+    const auto reply =
+      [this, aOnce](uint32_t aStatus, const std::string& aBody, bool aLeaving) {
+        mLoop.RunAfter(kHop, [aOnce, aStatus, aBody, aLeaving] {
+          aOnce(upstream_reply{ aStatus, aBody, aLeaving });
+        });
+      };
+    if (upstream.mLeaving && !upstream.mRunsWhileLeaving) {
+      reply(503, "leaving", true);
+      return;
+    }
+    if (upstream.mActive >= upstream.mRecord.mSlots) {
+      reply(429, "busy", false);
+      return;
+    }
+    ++upstream.mActive;
+    mSite.mRuns.push_back({ mSite.mLoop.Now(), aId, aCall.mRequestId, aCall.mPayload });
+    mSite.mLoop.RunAfter(upstream.mWork, [this, aId, aCall, reply] {
+      auto& item = mSite.Upstream(aId);
+      --item.mActive;
+      if (item.mLoseAnswers > 0) {
+        --item.mLoseAnswers;
+        return;
+      }
+      reply(item.mStatus, "answer to " + aCall.mPayload, item.mLeaving);
+    });
+  }
+
+  fake_site& mSite;
+  scoped_loop& mLoop;
+  std::string mVm;
+};
+
+} // namespace anvildoor
