Guarantees are checked by the data centre that is to hold them

Cause: a change was checked against the workers of the data centre where it arrived, so one for another data centre was accepted unchecked (listed as not proved). Now a workspace that names a data centre is sent there; unknown and unreachable ones are told, and a VM that knows no workers yet says so instead of calling every guarantee too large.

--- a/src/daemon/ApiPart.cpp
+++ b/src/daemon/ApiPart.cpp
@@ -29,10 +29,24 @@
                         "the data centre has no scheduler at the moment" }));
     return true;
   }
-  const forwarded_call call{ aCall.mMethod, aCall.mTarget,         aCall.mBody,
-                             aCall.mToken,  aCall.mIdempotencyKey, kForwardTimeout };
+  Forward(scheduler->mAddress, aCall, aDone);
+  return true;
+}
+
+void api_part::Forward(const std::string& aAddress,
+                       const api_call& aCall,
+                       const api_done& aDone) const
+{
+  forwarded_call call;
+  call.mMethod = aCall.mMethod;
+  call.mTarget = aCall.mTarget;
+  call.mBody = aCall.mBody;
+  call.mToken = aCall.mToken;
+  call.mIdempotencyKey = aCall.mIdempotencyKey;
+  call.mIfMatch = aCall.mIfMatch;
+  call.mTimeout = kForwardTimeout;
   mContext.mPeers.Forward(
-    scheduler->mAddress, call, [aDone](const result<forwarded_answer>& aAnswer) {
+    aAddress, call, [aDone](const result<forwarded_answer>& aAnswer) {
       if (!aAnswer) {
         aDone(ErrorAnswer(aAnswer.error()));
         return;
@@ -43,7 +57,6 @@
       }
       aDone(answer);
     });
-  return true;
 }
 
 bool api_part::MayActFor(const api_call& aCall,
--- a/src/daemon/ApiPart.h
+++ b/src/daemon/ApiPart.h
@@ -52,6 +52,11 @@
   /** Serves aCall at the scheduler's VM if that is another; false if it is this one. */
   bool ForwardToScheduler(const api_call& aCall, const api_done& aDone) const;
 
+  /** Has another entry VM serve aCall; the answer is "unknown" if none comes. */
+  void Forward(const std::string& aAddress,
+               const api_call& aCall,
+               const api_done& aDone) const;
+
   /** Returns whether the caller may act for a workspace; answers if it may not. */
   bool MayActFor(const api_call& aCall,
                  const std::string& aWorkspace,
--- a/src/daemon/ConfigApi.cpp
+++ b/src/daemon/ConfigApi.cpp
@@ -1,5 +1,6 @@
 #include "daemon/ConfigApi.h"
 
+#include "base/Hash.h"
 #include "daemon/InForceWait.h"
 
 #include <cstdlib>
@@ -36,6 +37,15 @@
   return change;
 }
 
+/** Returns the data centre that a workspace's guarantees name, "" for all. */
+std::string HomeOf(const std::string& aBody)
+{
+  const auto body = nlohmann::json::parse(aBody, nullptr, false);
+  const bool named =
+    body.is_object() && body.contains("data_centre") && body["data_centre"].is_string();
+  return named ? body["data_centre"].get<std::string>() : std::string();
+}
+
 } // namespace
 
 void config_api::OnServe(const api_call& aCall, const api_path& aPath, api_done aDone)
@@ -50,6 +60,8 @@
     const auto entry =
       EntryJson(*Context().mConfig.Current(), change->mKind, change->mName);
     aDone(entry ? api_answer{ 200, *entry } : ErrorAnswer(entry.error()));
+  } else if (aCall.mMethod == "PUT" && ForwardToHolder(aCall, *change, aDone)) {
+    return;
   } else if (aCall.mMethod == "PUT" || aCall.mMethod == "DELETE") {
     change->mId = Context().mNewId();
     Change(*change, aDone);
@@ -58,6 +70,31 @@
   }
 }
 
+bool config_api::ForwardToHolder(const api_call& aCall,
+                                 const config_change& aChange,
+                                 const api_done& aDone)
+{
+  const auto home =
+    aChange.mKind == config_kind::kWorkspace ? HomeOf(aChange.mBody) : std::string();
+  if (aCall.mForwarded || home.empty() ||
+      home == Context().mMembership.Identity().mDataCentre) {
+    return false;
+  }
+  auto vms = Context().mDirectory.List(vm_kind::kEntry, home);
+  std::erase_if(vms, [](const auto& aVm) { return aVm.mLeaving; });
+  if (vms.empty()) {
+    aDone(ErrorAnswer({ error_code::kInvalid,
+                        "config.guarantees",
+                        "data_centre",
+                        "no entry VM of this data centre is known" }));
+    return true;
+  }
+  // A VM in the lagging list may be gone, so each change goes to another one.
+  const auto turn = HashOf(Context().mNewId()) % vms.size();
+  Forward(vms[turn].mAddress, aCall, aDone);
+  return true;
+}
+
 void config_api::Change(const config_change& aChange, const api_done& aDone)
 {
   Context().mConfig.Change(aChange,
--- a/src/daemon/ConfigApi.h
+++ b/src/daemon/ConfigApi.h
@@ -14,6 +14,10 @@
   void OnServe(const api_call& aCall, const api_path& aPath, api_done aDone) override;
 
 private:
+  /** Has guarantees of another data centre checked and set there; false if of this. */
+  bool ForwardToHolder(const api_call& aCall,
+                       const config_change& aChange,
+                       const api_done& aDone);
   void Change(const config_change& aChange, const api_done& aDone);
   void AwaitInForce(uint64_t aVersion, const api_done& aDone);
 };
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -323,6 +323,7 @@
   call.mBody = aCall.mBody;
   call.mToken = aCall.mToken;
   call.mIdempotencyKey = aCall.mIdempotencyKey;
+  call.mIfMatch = aCall.mIfMatch;
   call.mForwarded = true;
   Serve(call, [done = std::move(aDone)](const api_answer& aAnswer) {
     done(forwarded_answer{ aAnswer.mStatus, aAnswer.mBody });
--- a/src/gang/SchedulerPlanning.cpp
+++ b/src/gang/SchedulerPlanning.cpp
@@ -186,6 +186,12 @@
 status scheduler::CheckConfig(const fleet_config& aConfig) const
 {
   std::lock_guard lock(mMutex);
+  if (mWorkers.empty()) {
+    return Fail(error_code::kUnavailable,
+                "config.guarantees",
+                mContext.mDataCentre,
+                "the workers of this data centre are not known yet");
+  }
   std::vector<worker_view> workers;
   for (const auto& [id, entry] : mWorkers) {
     const bool usable = !entry.mLost && !entry.mRecord.mLeaving;
--- a/src/membership/PeerPort.h
+++ b/src/membership/PeerPort.h
@@ -45,6 +45,7 @@
   std::string mBody;
   std::string mToken;
   std::string mIdempotencyKey;
+  std::string mIfMatch;
   duration mTimeout{};
 
   auto operator<=>(const forwarded_call&) const = default;
--- a/src/rpc/Convert.cpp
+++ b/src/rpc/Convert.cpp
@@ -186,16 +186,22 @@
   message.set_body(aCall.mBody);
   message.set_token(aCall.mToken);
   message.set_idempotency_key(aCall.mIdempotencyKey);
+  message.set_if_match(aCall.mIfMatch);
   message.set_timeout_ms(aCall.mTimeout.count());
   return message;
 }
 
 forwarded_call FromMessage(const peer::Call& aMessage)
 {
-  return {
-    aMessage.method(), aMessage.target(),          aMessage.body(),
-    aMessage.token(),  aMessage.idempotency_key(), duration(aMessage.timeout_ms())
-  };
+  forwarded_call call;
+  call.mMethod = aMessage.method();
+  call.mTarget = aMessage.target();
+  call.mBody = aMessage.body();
+  call.mToken = aMessage.token();
+  call.mIdempotencyKey = aMessage.idempotency_key();
+  call.mIfMatch = aMessage.if_match();
+  call.mTimeout = duration(aMessage.timeout_ms());
+  return call;
 }
 
 peer::WorkerStatuses ToMessage(const worker_statuses& aStatuses)
--- a/tests/ConfigFaultTest.cpp
+++ b/tests/ConfigFaultTest.cpp
@@ -271,3 +271,38 @@
   CHECK(JsonText(refused.mBody, "field") == "guarantees[0]");
   CHECK(site.PutWorkspace("alpha-e2", "depots", good).mStatus == 200);
 }
+
+TEST_CASE("guarantees are checked by the data centre that is to hold them")
+{
+  struct row
+  {
+    const char* mDataCentre;
+    int mTasks;
+    bool mCut;
+    uint32_t mStatus;
+  };
+  // Alpha has 2 racks of 32 accelerators, and so has beta.
+  const auto item = GENERATE(row{ "beta", 32, false, 200 },
+                             row{ "beta", 33, false, 422 },
+                             row{ "beta", 32, true, 504 },
+                             row{ "gamma", 8, false, 422 },
+                             row{ "", 32, false, 200 });
+  fake_site site(TwoDataCentres());
+  site.StartAll();
+  REQUIRE(site.WaitForScheduler("alpha"));
+  REQUIRE(site.WaitForScheduler("beta"));
+  if (item.mCut) {
+    CutDataCentres(site, true);
+    site.Loop().RunFor(duration(5'000));
+  }
+  const auto body =
+    R"({"token_sha256":")" + std::string(64, 'a') + R"(","data_centre":")" +
+    item.mDataCentre + R"(","guarantees":[{"count":1,"tasks":)" +
+    std::to_string(item.mTasks) + R"(,"accelerators_per_task":1,"adjacency":"rack"}]})";
+  const auto answer =
+    site.Call("alpha-e1", OperatorCall("PUT", "/v1/config/workspaces/gyms", body));
+  INFO(answer.mBody);
+  CHECK(answer.mStatus == item.mStatus);
+  const auto config = site.Node("beta-e1").Config().Current();
+  CHECK(config->mWorkspaces.count("gyms") == (item.mStatus == 200 ? 1U : 0U));
+}
