--- a/src/store/SharedLease.cpp
+++ b/src/store/SharedLease.cpp
@@ -25,18 +25,30 @@
     aDone(paused ? 0 : lease);
     return;
   }
-  mStore.GrantLease(mPolicy.mTtl,
-                    [this, done = std::move(aDone)](const result<uint64_t>& aAnswer) {
-                      {
-                        std::lock_guard lock(mMutex);
-                        mFailed = aAnswer ? time_point{} : mLoop.Now();
-                        if (aAnswer) {
-                          mLease = *aAnswer;
-                          mGranted = mLoop.Now();
-                        }
-                      }
-                      done(aAnswer ? *aAnswer : 0);
-                    });
+  Grant(mPolicy.mTries, std::move(aDone));
+}
+
+void shared_lease::Grant(int aTries, std::function<void(uint64_t)> aDone)
+{
+  mStore.GrantLease(
+    mPolicy.mTtl,
+    [this, aTries, done = std::move(aDone)](const result<uint64_t>& aAnswer) {
+      // A lease whose answer was lost lapses unused, so that another is harmless.
+      const bool lost = !aAnswer && aAnswer.error().mCode == error_code::kUnknownEffect;
+      if (lost && aTries > 1) {
+        Grant(aTries - 1, done);
+        return;
+      }
+      {
+        std::lock_guard lock(mMutex);
+        mFailed = aAnswer ? time_point{} : mLoop.Now();
+        if (aAnswer) {
+          mLease = *aAnswer;
+          mGranted = mLoop.Now();
+        }
+      }
+      done(aAnswer ? *aAnswer : 0);
+    });
 }
 
 uint64_t shared_lease::Latest() const
--- a/src/store/SharedLease.h
+++ b/src/store/SharedLease.h
@@ -12,6 +12,7 @@
 {
   duration mTtl = std::chrono::hours(25);
   duration mShared = std::chrono::hours(1);
+  int mTries = 3;                ///< When answers are lost.
   duration mRetryPause{ 1'000 }; ///< After a failure the store is left alone so long.
 
   auto operator<=>(const shared_lease_policy&) const = default;
@@ -42,6 +43,8 @@
   void NoteFailure();
 
 private:
+  void Grant(int aTries, std::function<void(uint64_t)> aDone);
+
   event_loop& mLoop;
   store_client& mStore;
   shared_lease_policy mPolicy;
--- a/tests/RecoveryTest.cpp
+++ b/tests/RecoveryTest.cpp
@@ -154,6 +154,25 @@
   CHECK(answer.mBody.find("not_run") == std::string::npos);
 }
 
+TEST_CASE("a first job or booking gets through lost answers of the store")
+{
+  const uint32_t lost = GENERATE(1U, 2U);
+  const bool job = GENERATE(true, false);
+  fake_site site;
+  Prepare(site);
+  store_faults faults;
+  faults.mLoseAnswers = lost;
+  site.Store().SetFaults(faults);
+  const auto call =
+    job ? WorkspaceCall("gyms", "POST", "/v1/jobs", JobBody(2, 500), "k")
+        : WorkspaceCall("gyms",
+                        "POST",
+                        "/v1/requests",
+                        R"({"workspace":"gyms","idempotent":false,"payload":"p"})",
+                        "k");
+  CHECK(site.Call("alpha-e2", call).mStatus == (job ? 202 : 200));
+}
+
 TEST_CASE("a job's key belongs to one data centre, for as long as it is known")
 {
   fake_settings settings;
