Bad text from outside no longer ends a daemon; settings and parser tests; mutual TLS

Cause: a fuzz test over parsers and calls (new, rapidcheck) found that a path or an answer that is not UTF-8 made the JSON writer throw, and the exception ended the process: any caller could do that. Ruled out: bodies, whose reader refuses such text. Now every writer replaces it. Open: in its first run with TLS a daemon died when it was thawed after 9 s, with no trace; 8 further freezes did not repeat it.

--- a/include/anvildoor/Settings.h
+++ b/include/anvildoor/Settings.h
@@ -19,6 +19,9 @@
   std::string mVmList;         ///< IP:port of the platform's list of machines.
   std::string mOperatorTokens; ///< SHA-256 digests, separated by commas.
   std::string mPeerSecret;
+  std::string mTlsCertificate; ///< PEM file; with the next two, or none of them.
+  std::string mTlsKey;
+  std::string mTlsAuthority;
   int64_t mThreads = 2;
   int64_t mBodyLimitBytes = 65'536;
   int64_t mConnections = 2'048;
--- a/src/cli/CliCommands.cpp
+++ b/src/cli/CliCommands.cpp
@@ -3,6 +3,7 @@
 #include "anvildoor/Client.h"
 #include "anvildoor/Settings.h"
 #include "base/Hash.h"
+#include "base/JsonText.h"
 
 #include <chrono>
 #include <cstdio>
@@ -81,7 +82,8 @@
       std::printf("%s%s:\n", aIndent.c_str(), item.key().c_str());
       PrintObject(value, aIndent + "  ");
     } else {
-      const auto text = value.is_string() ? value.get<std::string>() : value.dump();
+      const auto text = value.is_string() ? value.get<std::string>()
+                                          : value.dump(-1, ' ', false, kReplaceBadText);
       std::printf("%s%s: %s\n", aIndent.c_str(), item.key().c_str(), text.c_str());
     }
   }
@@ -90,7 +92,7 @@
 void Print(const cli_options& aOptions, const json& aBody)
 {
   if (aOptions.mJson) {
-    std::printf("%s\n", aBody.dump().c_str());
+    std::printf("%s\n", aBody.dump(-1, ' ', false, kReplaceBadText).c_str());
   } else {
     PrintObject(aBody, "");
   }
@@ -209,7 +211,8 @@
     return Usage(numbers.Wrong());
   }
   const auto key = ownKey ? NewKey() : aOptions.Flag("key");
-  const auto answer = Call(aOptions, "POST", "/v1/jobs", body.dump(), key);
+  const auto answer =
+    Call(aOptions, "POST", "/v1/jobs", body.dump(-1, ' ', false, kReplaceBadText), key);
   const bool accepted = answer && answer->mStatus < kFirstError;
   if (accepted && aOptions.mWait) {
     return WaitForJob(aOptions, answer->mBody.value("id", ""));
@@ -238,8 +241,12 @@
     return Usage(numbers.Wrong());
   }
   const auto key = ownKey ? NewKey() : aOptions.Flag("key");
-  const auto shown =
-    Show(aOptions, Call(aOptions, "POST", "/v1/requests", body.dump(), key));
+  const auto shown = Show(aOptions,
+                          Call(aOptions,
+                               "POST",
+                               "/v1/requests",
+                               body.dump(-1, ' ', false, kReplaceBadText),
+                               key));
   if (shown == cli_exit::kUnknown && !idempotent) {
     std::fprintf(stderr, "ask again with --key %s\n", key.c_str());
   }
--- a/src/config/FleetConfig.cpp
+++ b/src/config/FleetConfig.cpp
@@ -1,6 +1,7 @@
 #include "config/FleetConfig.h"
 
 #include "base/JsonReader.h"
+#include "base/JsonText.h"
 
 #include <algorithm>
 
@@ -328,7 +329,7 @@
 
 std::string ToJsonText(const fleet_config& aConfig)
 {
-  return ToJson(aConfig).dump();
+  return ToJson(aConfig).dump(-1, ' ', false, kReplaceBadText);
 }
 
 result<fleet_config> ParseFleetConfig(const std::string& aText)
@@ -342,7 +343,7 @@
 
 std::string PatchBetween(const fleet_config& aFrom, const fleet_config& aTo)
 {
-  return json::diff(ToJson(aFrom), ToJson(aTo)).dump();
+  return json::diff(ToJson(aFrom), ToJson(aTo)).dump(-1, ' ', false, kReplaceBadText);
 }
 
 result<fleet_config> ApplyPatch(const fleet_config& aFrom, const std::string& aPatch)
@@ -395,7 +396,8 @@
   } else {
     return Fail(error_code::kNotFound, kStep, aName, "no such entry");
   }
-  return json{ { "version", aConfig.mVersion }, { "entry", entry } }.dump();
+  return json{ { "version", aConfig.mVersion }, { "entry", entry } }.dump(
+    -1, ' ', false, kReplaceBadText);
 }
 
 } // namespace anvildoor
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -26,6 +26,8 @@
 {};
 struct secret_text
 {};
+struct readable_file
+{};
 struct whole_number
 {
   int64_t mMin;
@@ -46,6 +48,7 @@
                                 address_text,
                                 digest_list,
                                 secret_text,
+                                readable_file,
                                 whole_number,
                                 byte_size,
                                 time_span>;
@@ -77,6 +80,9 @@
     { "platform", "vm_list_period", time_span{ 100, 10'000 }, &s::mVmListPeriod, "1s" },
     { "security", "operator_tokens", digest_list{}, &s::mOperatorTokens, "" },
     { "security", "peer_secret", secret_text{}, &s::mPeerSecret, "" },
+    { "security", "tls_certificate", readable_file{}, &s::mTlsCertificate, "none" },
+    { "security", "tls_key", readable_file{}, &s::mTlsKey, "none" },
+    { "security", "tls_authority", readable_file{}, &s::mTlsAuthority, "none" },
     { "http", "body_limit", byte_size{ 1024, 1 << 20 }, &s::mBodyLimitBytes, "64KB" },
     { "http", "connections", whole_number{ 1, 65'536 }, &s::mConnections, "2048" },
     { "http", "read_timeout", time_span{ 100, 60'000 }, &s::mReadTimeout, "5s" },
@@ -172,6 +178,7 @@
     return "SHA-256 digests of 64 lower-case hexadecimal digits, separated by commas";
   }
   std::string Expected(const secret_text&) const { return "at least 16 bytes"; }
+  std::string Expected(const readable_file&) const { return "a readable PEM file"; }
   std::string Expected(const whole_number& aKind) const
   {
     return "a whole number from " + std::to_string(aKind.mMin) + " to " +
@@ -211,6 +218,11 @@
     return aText.size() >= kMinSecretBytes;
   }
 
+  static bool Accepts(const readable_file&, const std::string& aText)
+  {
+    return std::ifstream(aText).good();
+  }
+
   static std::optional<int64_t> Amount(const whole_number& aKind,
                                        const std::string& aText)
   {
@@ -325,6 +337,15 @@
                  "missing; expected " + ExpectedOf(item));
     }
   }
+  const auto& parsed = run.mSettings;
+  const bool anyTls = !parsed.mTlsCertificate.empty() || !parsed.mTlsKey.empty() ||
+                      !parsed.mTlsAuthority.empty();
+  const bool allTls = !parsed.mTlsCertificate.empty() && !parsed.mTlsKey.empty() &&
+                      !parsed.mTlsAuthority.empty();
+  if (anyTls && !allTls) {
+    run.Reject("[security] tls_certificate",
+               "expected with tls_key and tls_authority, or none of the three");
+  }
   if (run.mError) {
     return tl::unexpected<error>(*run.mError);
   }
--- a/src/daemon/ConfigApi.cpp
+++ b/src/daemon/ConfigApi.cpp
@@ -1,6 +1,7 @@
 #include "daemon/ConfigApi.h"
 
 #include "base/Hash.h"
+#include "base/JsonText.h"
 #include "daemon/InForceWait.h"
 
 #include <cstdlib>
@@ -118,7 +119,7 @@
     aVersion,
     [aVersion, aDone](const std::map<std::string, std::string>& aInForce) {
       const nlohmann::json body{ { "version", aVersion }, { "in_force", aInForce } };
-      aDone({ 200, body.dump() });
+      aDone({ 200, body.dump(-1, ' ', false, kReplaceBadText) });
     })
     ->Run();
 }
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -52,17 +52,17 @@
 class daemon_process
 {
 public:
-  explicit daemon_process(const daemon_settings& aSettings)
+  daemon_process(const daemon_settings& aSettings, const peer_security& aSecurity)
     : mSettings(aSettings)
     , mLoop(static_cast<int>(aSettings.mThreads))
     , mStore(mLoop, aSettings.mStore)
     , mVmList(mLoop, aSettings.mVmList)
     , mWorkers(mLoop, [this](const std::string& aWorker) { return AddressOf(aWorker); })
-    , mPeers(mLoop, aSettings.mPeerSecret)
+    , mPeers(mLoop, aSecurity)
     , mUpstreams(mLoop)
     , mNode({ mLoop, mStore, mVmList, mWorkers, mPeers, mUpstreams, mLog },
             NodeSettings(aSettings, mLoop.Now()))
-    , mPeerServer(mNode, aSettings.mPeerSecret)
+    , mPeerServer(mNode, aSecurity)
     , mHttp([this](const api_call& aCall,
                    api_done aDone) { mNode.Serve(aCall, std::move(aDone)); },
             HttpLimits(aSettings))
@@ -168,12 +168,19 @@
 
 status RunDaemon(const daemon_settings& aSettings)
 {
+  const auto security = LoadPeerSecurity(aSettings.mPeerSecret,
+                                         aSettings.mTlsCertificate,
+                                         aSettings.mTlsKey,
+                                         aSettings.mTlsAuthority);
+  if (!security) {
+    return tl::unexpected<error>(security.error());
+  }
   // Blocked before any thread starts, so that only the main thread takes them.
   const auto signals = StopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   // Never destroyed: gRPC may deliver answers to it until the process has ended.
-  auto* process = new daemon_process(aSettings);
+  auto* process = new daemon_process(aSettings, *security);
   return process->Run();
 }
 
--- a/src/daemon/JobsApi.cpp
+++ b/src/daemon/JobsApi.cpp
@@ -1,6 +1,7 @@
 #include "daemon/JobsApi.h"
 
 #include "base/Hash.h"
+#include "base/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -123,7 +124,7 @@
       }
       auto body = nlohmann::json::parse(JobAnswerJson(aAnswer->mRecord));
       body["outcome"] = aAnswer->mOutcome;
-      aDone({ 200, body.dump() });
+      aDone({ 200, body.dump(-1, ' ', false, kReplaceBadText) });
     });
 }
 
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -1,6 +1,7 @@
 #include "daemon/Node.h"
 
 #include "base/Hash.h"
+#include "base/JsonText.h"
 #include "daemon/NodeApi.h"
 #include "planner/Planner.h"
 #include "routing/ClaimFilter.h"
@@ -392,7 +393,7 @@
     { "scheduler_epoch", scheduler ? scheduler->mEpoch : 0 },
     { "worker_sessions", mSessions.Count() },
     { "upstreams", upstreams }
-  }.dump();
+  }.dump(-1, ' ', false, kReplaceBadText);
 }
 
 void node::RunRequest(const request_spec& aSpec, answer_done aDone)
--- a/src/daemon/RequestApi.cpp
+++ b/src/daemon/RequestApi.cpp
@@ -1,6 +1,7 @@
 #include "daemon/RequestApi.h"
 
 #include "base/JsonReader.h"
+#include "base/JsonText.h"
 
 namespace anvildoor {
 
@@ -40,7 +41,7 @@
     { "reason", aAnswer.mReason },
     { "step", aAnswer.mStep },
     { "peer", aAnswer.mPeer }
-  }.dump();
+  }.dump(-1, ' ', false, kReplaceBadText);
   if (aAnswer.mOutcome == request_outcome::kUnknown) {
     answer.mStatus = 504;
   } else if (aAnswer.mOutcome == request_outcome::kNotRun) {
--- a/src/gang/JobRecord.cpp
+++ b/src/gang/JobRecord.cpp
@@ -1,6 +1,7 @@
 #include "gang/JobRecord.h"
 
 #include "base/JsonReader.h"
+#include "base/JsonText.h"
 #include "gang/WorkerPort.h"
 
 #include <array>
@@ -222,7 +223,7 @@
     { "started_ms", aRecord.mStarted.count() },
     { "ended_ms", aRecord.mEnded.count() },
     { "durable", true }
-  }.dump();
+  }.dump(-1, ' ', false, kReplaceBadText);
 }
 
 std::string EncodeBucket(const std::map<std::string, job_record>& aRecords,
@@ -232,7 +233,8 @@
   for (const auto& [id, record] : aRecords) {
     jobs[id] = RecordJson(record);
   }
-  return json{ { "commit", aCommitId }, { "jobs", jobs } }.dump();
+  return json{ { "commit", aCommitId }, { "jobs", jobs } }.dump(
+    -1, ' ', false, kReplaceBadText);
 }
 
 result<std::map<std::string, job_record>> DecodeBucket(const std::string& aText)
--- a/src/gang/SchedulerPlanning.cpp
+++ b/src/gang/SchedulerPlanning.cpp
@@ -1,5 +1,6 @@
 #include "gang/Scheduler.h"
 
+#include "base/JsonText.h"
 #include "planner/Fragmentation.h"
 
 #include <algorithm>
@@ -226,7 +227,7 @@
   answer["waits_for_checkpoints_of"] = entry.mVictims;
   answer["avoided_workers"] = mQuarantine.FailedOn(aId);
   answer["history"] = entry.mHistory;
-  return answer.dump();
+  return answer.dump(-1, ' ', false, kReplaceBadText);
 }
 
 std::string scheduler::FleetJson() const
@@ -269,7 +270,7 @@
     { "guaranteed_shapes", shapes },
     { "draining", drained },
     { "fragmentation_16", FragmentationFor(fleet, used, kReferenceGang) }
-  }.dump();
+  }.dump(-1, ' ', false, kReplaceBadText);
 }
 
 } // namespace anvildoor
--- a/src/http/ApiSupport.cpp
+++ b/src/http/ApiSupport.cpp
@@ -1,6 +1,7 @@
 #include "http/ApiSupport.h"
 
 #include "base/Hash.h"
+#include "base/JsonText.h"
 
 #include <cstdlib>
 #include <nlohmann/json.hpp>
@@ -104,7 +105,7 @@
                              { "step", aError.mStep },
                              { "peer", isField ? "" : aError.mPeer },
                              { "outcome", OutcomeFor(aError) } };
-  api_answer answer{ StatusFor(aError), body.dump() };
+  api_answer answer{ StatusFor(aError), body.dump(-1, ' ', false, kReplaceBadText) };
   if (answer.mStatus == 503 || answer.mStatus == 429) {
     answer.mRetryAfter = kRetryAfter;
   }
@@ -116,7 +117,7 @@
                    const std::string& aField)
 {
   const nlohmann::json body{ { "error", aError }, { "field", aField } };
-  return { aStatus, body.dump() };
+  return { aStatus, body.dump(-1, ' ', false, kReplaceBadText) };
 }
 
 api_answer AsRepeat(const api_answer& aAnswer)
@@ -130,7 +131,7 @@
   auto answer = aAnswer;
   body["outcome"] = "unknown";
   body["note"] = "this call did nothing; an earlier one with its key may have";
-  answer.mBody = body.dump();
+  answer.mBody = body.dump(-1, ' ', false, kReplaceBadText);
   if (answer.mStatus == kStatusUnavailable) {
     answer.mStatus = kStatusUnknown;
   }
@@ -146,7 +147,7 @@
   }
   auto answer = aAnswer;
   body.erase("outcome");
-  answer.mBody = body.dump();
+  answer.mBody = body.dump(-1, ' ', false, kReplaceBadText);
   return answer;
 }
 
--- a/src/routing/ClaimTable.cpp
+++ b/src/routing/ClaimTable.cpp
@@ -1,6 +1,7 @@
 #include "routing/ClaimTable.h"
 
 #include "base/Hash.h"
+#include "base/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -88,7 +89,10 @@
   mine.mBodyHash = BodyHash(aSpec);
   const uint64_t nonce = ++mNonce;
   const store_write write{
-    mine.mStoreKey, OpenClaim(mOwner, mine.mBodyHash, nonce).dump(), 0, aLease
+    mine.mStoreKey,
+    OpenClaim(mOwner, mine.mBodyHash, nonce).dump(-1, ' ', false, kReplaceBadText),
+    0,
+    aLease
   };
   SettledCas(mLoop,
              mStore,
@@ -151,9 +155,10 @@
                     { "state", completed ? "done" : "unknown" },
                     { "result", aAnswer.mResult },
                     { "reason", aAnswer.mReason } };
-  const store_write write{
-    aClaim.mStoreKey, value.dump(), aClaim.mVersion, mLease.Latest()
-  };
+  const store_write write{ aClaim.mStoreKey,
+                           value.dump(-1, ' ', false, kReplaceBadText),
+                           aClaim.mVersion,
+                           mLease.Latest() };
   SettledCas(mLoop,
              mStore,
              write,
--- a/src/rpc/ChannelCache.h
+++ b/src/rpc/ChannelCache.h
@@ -13,6 +13,15 @@
 class channel_cache
 {
 public:
+  /** aName is what the other side's certificate has to carry; "" without TLS. */
+  explicit channel_cache(std::shared_ptr<grpc::ChannelCredentials> aCredentials =
+                           grpc::InsecureChannelCredentials(),
+                         std::string aName = {})
+    : mCredentials(std::move(aCredentials))
+    , mName(std::move(aName))
+  {
+  }
+
   /** Returns the stub for an address, connecting when it is first used. */
   std::shared_ptr<typename Service::Stub> StubFor(const std::string& aAddress)
   {
@@ -24,8 +33,11 @@
       arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kBackoffMs);
       arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxBackoffMs);
       arguments.SetInt(GRPC_ARG_CLIENT_IDLE_TIMEOUT_MS, kIdleMs);
-      stub = Service::NewStub(grpc::CreateCustomChannel(
-        aAddress, grpc::InsecureChannelCredentials(), arguments));
+      if (!mName.empty()) {
+        arguments.SetSslTargetNameOverride(mName);
+      }
+      stub =
+        Service::NewStub(grpc::CreateCustomChannel(aAddress, mCredentials, arguments));
     }
     return stub;
   }
@@ -35,6 +47,8 @@
   static constexpr int kMaxBackoffMs = 1'000;
   static constexpr int kIdleMs = 60'000;
 
+  std::shared_ptr<grpc::ChannelCredentials> mCredentials;
+  std::string mName;
   std::mutex mMutex;
   std::map<std::string, std::shared_ptr<typename Service::Stub>> mStubs;
 };
--- a/src/rpc/GrpcPeers.cpp
+++ b/src/rpc/GrpcPeers.cpp
@@ -18,13 +18,18 @@
 
 struct grpc_peers::stubs
 {
+  explicit stubs(const peer_security& aSecurity)
+    : mCache(ChannelCredentialsFor(aSecurity), kPeerCertificateName)
+  {
+  }
+
   channel_cache<peer::Peer> mCache;
 };
 
-grpc_peers::grpc_peers(event_loop& aLoop, std::string aSecret)
+grpc_peers::grpc_peers(event_loop& aLoop, const peer_security& aSecurity)
   : mLoop(aLoop)
-  , mSecret(std::move(aSecret))
-  , mStubs(std::make_unique<stubs>())
+  , mSecret(aSecurity.mSecret)
+  , mStubs(std::make_unique<stubs>(aSecurity))
 {
 }
 
@@ -245,17 +250,20 @@
 
 struct grpc_peer_server::state
 {
-  state(peer_service& aService, std::string aSecret)
-    : mEndpoint(aService, std::move(aSecret))
+  state(peer_service& aService, const peer_security& aSecurity)
+    : mEndpoint(aService, aSecurity.mSecret)
+    , mCredentials(ServerCredentialsFor(aSecurity))
   {
   }
 
   peer_endpoint mEndpoint;
+  std::shared_ptr<grpc::ServerCredentials> mCredentials;
   std::unique_ptr<grpc::Server> mServer;
 };
 
-grpc_peer_server::grpc_peer_server(peer_service& aService, std::string aSecret)
-  : mState(std::make_unique<state>(aService, std::move(aSecret)))
+grpc_peer_server::grpc_peer_server(peer_service& aService,
+                                   const peer_security& aSecurity)
+  : mState(std::make_unique<state>(aService, aSecurity))
 {
 }
 
@@ -266,7 +274,7 @@
   grpc::ServerBuilder builder;
   int port = 0;
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-  builder.AddListeningPort(aAddress, grpc::InsecureServerCredentials(), &port);
+  builder.AddListeningPort(aAddress, mState->mCredentials, &port);
   builder.RegisterService(&mState->mEndpoint);
   mState->mServer = builder.BuildAndStart();
   if (!mState->mServer || port == 0) {
--- a/src/rpc/GrpcPeers.h
+++ b/src/rpc/GrpcPeers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "membership/PeerPort.h"
+#include "rpc/PeerSecurity.h"
 
 #include <memory>
 #include <string>
@@ -11,8 +12,8 @@
 class grpc_peers : public peer_port
 {
 public:
-  /** aLoop must outlive the object; aSecret is shared by all entry VMs. */
-  grpc_peers(event_loop& aLoop, std::string aSecret);
+  /** aLoop must outlive the object; aSecurity is common to all entry VMs. */
+  grpc_peers(event_loop& aLoop, const peer_security& aSecurity);
   ~grpc_peers() override;
 
 protected:
@@ -44,7 +45,7 @@
 {
 public:
   /** aService must outlive the server. */
-  grpc_peer_server(peer_service& aService, std::string aSecret);
+  grpc_peer_server(peer_service& aService, const peer_security& aSecurity);
   ~grpc_peer_server();
 
   /** Listens on aAddress; kUnavailable if it cannot be bound. */
--- a/src/standin/StandinSite.cpp
+++ b/src/standin/StandinSite.cpp
@@ -1,6 +1,7 @@
 #include "standin/StandinSite.h"
 
 #include "base/JsonReader.h"
+#include "base/JsonText.h"
 #include "http/ApiSupport.h"
 
 namespace anvildoor {
@@ -253,7 +254,7 @@
     { "store_writes", counts.mWrites },
     { "store_watches", counts.mWatches },
     { "store_bytes_written", counts.mBytesWritten }
-  }.dump();
+  }.dump(-1, ' ', false, kReplaceBadText);
 }
 
 std::string standin_site::RunsJson() const
@@ -276,7 +277,8 @@
                       { "tasks", event.mTasks },
                       { "gang_tasks", event.mGangTasks } });
   }
-  return json{ { "requests", requests }, { "tasks", tasks } }.dump();
+  return json{ { "requests", requests }, { "tasks", tasks } }.dump(
+    -1, ' ', false, kReplaceBadText);
 }
 
 } // namespace anvildoor
--- /dev/null
+++ b/tests/ParserFuzzTest.cpp
@@ -0,0 +1,104 @@
+#include "anvildoor/Settings.h"
+#include "config/FleetConfig.h"
+#include "gang/JobRecord.h"
+#include "http/ApiSupport.h"
+#include "support/FakeSite.h"
+#include "support/Samples.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <rapidcheck.h>
+
+using namespace anvildoor;
+
+namespace {
+
+/** Texts that are right, so that mutations reach deep into the parsers. */
+std::vector<std::string> Seeds()
+{
+  return { ToJsonText(SampleConfig(3)),
+           EncodeBucket({ { "j-1", SampleRecord(1) } }, "1.1"),
+           R"({"workspace":"gyms","tasks":4,"accelerators_per_task":1,"payload":"p"})",
+           R"({"workspace":"gyms","idempotent":false,"deadline_ms":100})",
+           "[node]\nvm = e1\nthreads = 2\n[http]\nbody_limit = 64KB\n" };
+}
+
+std::string Mutated(std::string aText)
+{
+  const int changes = *rc::gen::inRange(0, 6);
+  for (int i = 0; i < changes && !aText.empty(); ++i) {
+    const auto at = *rc::gen::inRange<size_t>(0, aText.size());
+    switch (*rc::gen::inRange(0, 4)) {
+      case 0:
+        aText[at] = *rc::gen::arbitrary<char>();
+        break;
+      case 1:
+        aText.erase(at, *rc::gen::inRange<size_t>(1, 20));
+        break;
+      case 2:
+        aText.insert(
+          at,
+          *rc::gen::elementOf(std::vector<std::string>{
+            "null", "-1", "1e999", "[[", "{}", "\"", "99999999999999999999" }));
+        break;
+      default:
+        aText += aText.substr(at);
+        break;
+    }
+  }
+  return aText;
+}
+
+} // namespace
+
+TEST_CASE(
+  "no text makes a parser crash, and what is read can be written and read again")
+{
+  const bool held = rc::check([] {
+    const auto text = Mutated(*rc::gen::elementOf(Seeds()));
+    if (const auto config = ParseFleetConfig(text)) {
+      RC_ASSERT(ParseFleetConfig(ToJsonText(*config)) == *config);
+      RC_ASSERT(!ApplyPatch(*config, text) || !text.empty());
+    }
+    if (const auto records = DecodeBucket(text)) {
+      RC_ASSERT(DecodeBucket(EncodeBucket(*records, "1.2")) == *records);
+    }
+    ParseJobSpec(text);
+    ParseSettings("fuzz.ini", text);
+    SplitTarget(text);
+    ApplyChange(SampleConfig(1),
+                { "c", config_kind::kWorkspace, "w", text, false, {} });
+  });
+  CHECK(held);
+}
+
+TEST_CASE("no call makes a VM crash, and each gets a status")
+{
+  fake_site site;
+  site.StartAll();
+  REQUIRE(site.WaitForScheduler());
+  REQUIRE(site.PutWorkspace("alpha-e1", "gyms").mStatus == 200);
+  const bool held = rc::check([&site] {
+    auto call = WorkspaceCall(
+      "gyms",
+      *rc::gen::elementOf(
+        std::vector<std::string>{ "GET", "POST", "PUT", "DELETE", "X" }),
+      Mutated(*rc::gen::elementOf(std::vector<std::string>{ "/v1/jobs",
+                                                            "/v1/jobs/j-1?wait_ms=5",
+                                                            "/v1/requests",
+                                                            "/v1/config/defaults",
+                                                            "/v1/config/workspaces/x",
+                                                            "/v1/explain/jobs/j-1",
+                                                            "/metrics" })),
+      Mutated(*rc::gen::elementOf(Seeds())),
+      *rc::gen::elementOf(std::vector<std::string>{ "", "k", std::string(300, 'k') }));
+    if (*rc::gen::arbitrary<bool>()) {
+      call.mToken = OperatorCall("GET", "/").mToken;
+    }
+    RC_PRE(call.mTarget.find("drain") == std::string::npos);
+    const auto answer = site.Call("alpha-e1", call, std::chrono::seconds(40));
+    RC_ASSERT(answer.mStatus >= 200);
+    RC_ASSERT(answer.mStatus < 600);
+  });
+  CHECK(held);
+}
--- a/tools/anvildoor_site.py
+++ b/tools/anvildoor_site.py
@@ -21,6 +21,27 @@
     return hashlib.sha256(text.encode()).hexdigest()
 
 
+def make_certificates(folder):
+    """Makes an authority and one certificate for all peers; returns the settings."""
+    def path(name):
+        return os.path.join(folder, name)
+
+    def openssl(*arguments):
+        subprocess.run(["openssl", *arguments], check=True, capture_output=True)
+
+    openssl("req", "-x509", "-newkey", "rsa:2048", "-nodes", "-days", "2", "-subj",
+            "/CN=anvildoor-authority", "-keyout", path("ca.key"), "-out", path("ca.pem"))
+    openssl("req", "-newkey", "rsa:2048", "-nodes", "-subj", "/CN=anvildoor-peer",
+            "-keyout", path("peer.key"), "-out", path("peer.csr"))
+    with open(path("peer.ext"), "w", encoding="utf-8") as file:
+        file.write("subjectAltName = DNS:anvildoor-peer\n")
+    openssl("x509", "-req", "-in", path("peer.csr"), "-CA", path("ca.pem"), "-CAkey",
+            path("ca.key"), "-CAcreateserial", "-days", "2", "-extfile", path("peer.ext"),
+            "-out", path("peer.pem"))
+    return {"tls_certificate": path("peer.pem"), "tls_key": path("peer.key"),
+            "tls_authority": path("ca.pem")}
+
+
 class Answer:
     """One HTTP answer: status, decoded body and headers."""
 
@@ -71,6 +92,8 @@
                 f"[security]\noperator_tokens = {sha256(OPERATOR_TOKEN)}\n"
                 f"peer_secret = {PEER_SECRET}\n"
             )
+            for key, name in site.certificates.items():
+                file.write(f"{key} = {name}\n")
 
     def start(self):
         self.started = time.monotonic()
@@ -111,9 +134,10 @@
 class Site:
     """A stand-in platform and the daemons of one or more data centres."""
 
-    def __init__(self, daemons=3, data_centres=("reykjavik",), base_port=None, **sizes):
+    def __init__(self, daemons=3, data_centres=("reykjavik",), tls=False, **sizes):
         self.folder = tempfile.mkdtemp(prefix="anvildoor-")
-        self.base = base_port or 20000 + os.getpid() % 400 * 100
+        self.certificates = make_certificates(self.folder) if tls else {}
+        self.base = 20000 + os.getpid() % 400 * 100
         self.grpc = f"127.0.0.1:{self.port(0)}"
         self.control = f"127.0.0.1:{self.port(1)}"
         self.data_centres = data_centres
--- a/tools/anvildoord.cpp
+++ b/tools/anvildoord.cpp
@@ -75,6 +75,7 @@
   }
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(aArguments[0]);
+  google::InstallFailureSignalHandler();
   const auto ended = anvildoor::RunDaemon(*settings);
   if (!ended) {
     std::fprintf(
--- a/tools/check-outages.py
+++ b/tools/check-outages.py
@@ -117,7 +117,7 @@
 
 def main():
     checks = Checks()
-    site = Site(daemons=3)
+    site = Site(daemons=3, tls=True)
     begun = time.monotonic()
     try:
         site.start()
