--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -179,6 +179,8 @@
   const auto signals = StopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  // A terminal that goes away, or a stopped process group that loses its leader.
+  std::signal(SIGHUP, SIG_IGN);
   // Never destroyed: gRPC may deliver answers to it until the process has ended.
   auto* process = new daemon_process(aSettings, *security);
   return process->Run();
--- a/tools/anvildoor_site.py
+++ b/tools/anvildoor_site.py
@@ -102,6 +102,7 @@
             [os.path.join(BIN, "anvildoord"), "--config", self.settings],
             stdout=log,
             stderr=log,
+            start_new_session=True,
         )
 
     def wait_ready(self):
@@ -123,6 +124,12 @@
         self.process.send_signal(signal.SIGTERM)
         return self.process.wait(timeout)
 
+    def cpu_seconds(self):
+        """Returns the processor time that the process has used."""
+        with open(f"/proc/{self.process.pid}/stat", encoding="utf-8") as file:
+            fields = file.read().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def resident_mb(self):
         with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as file:
             for line in file:
@@ -162,7 +169,9 @@
         for name, value in self.sizes.items():
             arguments += ["--" + name.replace("_", "-"), str(value)]
         log = open(os.path.join(self.folder, "standin.log"), "ab")
-        self.standin = subprocess.Popen(arguments, stdout=log, stderr=log)
+        self.standin = subprocess.Popen(
+            arguments, stdout=log, stderr=log, start_new_session=True
+        )
         begun = time.monotonic()
         while time.monotonic() - begun < READY_SECONDS:
             try:
--- a/tools/measure-requests.py
+++ b/tools/measure-requests.py
@@ -13,12 +13,6 @@
 SETTLE_SECONDS = 12
 
 
-def cpu_seconds(pid):
-    with open(f"/proc/{pid}/stat", encoding="utf-8") as file:
-        fields = file.read().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / 100.0
-
-
 def run_caller(address, name, count, idempotent, times):
     host, port = address.split(":")
     connection = http.client.HTTPConnection(host, int(port), timeout=30)
@@ -40,7 +34,7 @@
 
 def measure(site, label, count, idempotent):
     daemon = site.daemons[-1]
-    counts, cpu = site.counts(), cpu_seconds(daemon.process.pid)
+    counts, cpu = site.counts(), daemon.cpu_seconds()
     times, threads = [], []
     begun = time.monotonic()
     for caller in range(CALLERS):
@@ -50,7 +44,7 @@
     for thread in threads:
         thread.join()
     span = time.monotonic() - begun
-    used = cpu_seconds(daemon.process.pid) - cpu
+    used = daemon.cpu_seconds() - cpu
     after = site.counts()
     times.sort()
     calls = sum(after[k] - counts[k] for k in ("store_reads", "store_writes"))
--- a/tools/measure-scale.py
+++ b/tools/measure-scale.py
@@ -18,12 +18,6 @@
 TASKS_PER_WORKER = 25
 
 
-def cpu_seconds(pid):
-    with open(f"/proc/{pid}/stat", encoding="utf-8") as file:
-        fields = file.read().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / 100.0
-
-
 def loopback_bytes():
     with open("/proc/net/dev", encoding="utf-8") as file:
         for line in file:
@@ -34,14 +28,14 @@
 
 def window(site):
     """Returns CPU share, highest resident memory and traffic bound per daemon."""
-    before = [cpu_seconds(d.process.pid) for d in site.daemons]
+    before = [d.cpu_seconds() for d in site.daemons]
     counts = site.counts()
     sent = loopback_bytes()
     begun = time.monotonic()
     time.sleep(WINDOW_SECONDS)
     span = time.monotonic() - begun
     sent = loopback_bytes() - sent
-    used = [cpu_seconds(d.process.pid) - b for d, b in zip(site.daemons, before)]
+    used = [d.cpu_seconds() - b for d, b in zip(site.daemons, before)]
     after = site.counts()
     return {
         "cpu_max_percent": 100 * max(used) / span,
