Checks take free ports below those of outgoing calls

Cause: the stand-in could not bind its port, which an outgoing connection of an earlier load still held: the checks took ports up to 59900, and outgoing calls use 32768 and up. Now a block of 100 free ports below 30000 is looked for.

--- a/tools/anvildoor_site.py
+++ b/tools/anvildoor_site.py
@@ -6,6 +6,7 @@
 import os
 import shutil
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -15,12 +16,30 @@
 OPERATOR_TOKEN = "operator-demo-token"
 PEER_SECRET = "demo-peer-secret-0123456789"
 READY_SECONDS = 20
+FIRST_PORT = 10000
+PORTS = 100
+PORT_BLOCKS = 200
 
 
 def sha256(text):
     return hashlib.sha256(text.encode()).hexdigest()
 
 
+def free_ports():
+    """Returns the first of 100 ports that are free, below those for outgoing calls."""
+    for turn in range(PORT_BLOCKS):
+        base = FIRST_PORT + (os.getpid() + turn) % PORT_BLOCKS * PORTS
+        try:
+            for offset in range(PORTS):
+                with socket.socket() as probe:
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.bind(("127.0.0.1", base + offset))
+            return base
+        except OSError:
+            continue
+    raise RuntimeError("no block of free ports")
+
+
 def make_certificates(folder):
     """Makes an authority and one certificate for all peers; returns the settings."""
     def path(name):
@@ -144,7 +163,7 @@
     def __init__(self, daemons=3, data_centres=("reykjavik",), tls=False, **sizes):
         self.folder = tempfile.mkdtemp(prefix="anvildoor-")
         self.certificates = make_certificates(self.folder) if tls else {}
-        self.base = 20000 + os.getpid() % 400 * 100
+        self.base = free_ports()
         self.grpc = f"127.0.0.1:{self.port(0)}"
         self.control = f"127.0.0.1:{self.port(1)}"
         self.data_centres = data_centres
