--- a/src/standin/StandinServer.cpp
+++ b/src/standin/StandinServer.cpp
@@ -177,67 +177,59 @@
                    const platform::PrepareRequest* aIn,
                    platform::Accepted* aOut) override
   {
-    auto* call = aContext->DefaultReactor();
-    auto* worker = mSite.Worker(aIn->worker());
-    if (worker == nullptr) {
-      return Unknown(call);
-    }
-    FinishWith(call, worker->Prepare(FromMessage(*aIn)), AcceptedTo(aOut));
-    return call;
+    return WithWorker(aContext, aIn->worker(), [&](auto& aWorker, auto* aCall) {
+      FinishWith(aCall, aWorker.Prepare(FromMessage(*aIn)), AcceptedTo(aOut));
+    });
   }
 
   reactor* Release(context* aContext,
                    const platform::ReleaseRequest* aIn,
                    platform::Accepted* aOut) override
   {
-    auto* call = aContext->DefaultReactor();
-    auto* worker = mSite.Worker(aIn->worker());
-    if (worker == nullptr) {
-      return Unknown(call);
-    }
-    FinishWith(call, worker->Release(aIn->epoch(), aIn->attempt()), AcceptedTo(aOut));
-    return call;
+    return WithWorker(aContext, aIn->worker(), [&](auto& aWorker, auto* aCall) {
+      FinishWith(
+        aCall, aWorker.Release(aIn->epoch(), aIn->attempt()), AcceptedTo(aOut));
+    });
   }
 
   reactor* Stop(context* aContext,
                 const platform::StopRequest* aIn,
                 platform::Member* aOut) override
   {
-    auto* call = aContext->DefaultReactor();
-    auto* worker = mSite.Worker(aIn->worker());
-    if (worker == nullptr) {
-      return Unknown(call);
-    }
-    worker->Stop({ aIn->epoch(), aIn->attempt(), duration(aIn->grace_ms()) },
-                 [call, aOut](const result<member_report>& aAnswer) {
-                   FinishWith(call, aAnswer, [aOut](const auto& aReport) {
-                     *aOut = ToMessage(aReport);
+    return WithWorker(aContext, aIn->worker(), [&](auto& aWorker, auto* aCall) {
+      aWorker.Stop({ aIn->epoch(), aIn->attempt(), duration(aIn->grace_ms()) },
+                   [aCall, aOut](const result<member_report>& aAnswer) {
+                     FinishWith(aCall, aAnswer, [aOut](const auto& aReport) {
+                       *aOut = ToMessage(aReport);
+                     });
                    });
-                 });
-    return call;
+    });
   }
 
   reactor* Renew(context* aContext,
                  const platform::RenewRequest* aIn,
                  platform::RenewReply* aOut) override
   {
-    auto* call = aContext->DefaultReactor();
-    auto* worker = mSite.Worker(aIn->worker());
-    if (worker == nullptr) {
-      return Unknown(call);
-    }
-    FinishWith(call, worker->Renew(FromMessage(*aIn)), [aOut](const auto& aReply) {
-      *aOut = ToMessage(aReply);
+    return WithWorker(aContext, aIn->worker(), [&](auto& aWorker, auto* aCall) {
+      FinishWith(aCall, aWorker.Renew(FromMessage(*aIn)), [aOut](const auto& aReply) {
+        *aOut = ToMessage(aReply);
+      });
     });
-    return call;
   }
 
 private:
-  static reactor* Unknown(reactor* aCall)
+  /** Serves a call at one worker, or answers that it is unknown. */
+  template<typename Body>
+  reactor* WithWorker(context* aContext, const std::string& aWorker, const Body& aBody)
   {
-    aCall->Finish(
-      ToGrpcStatus({ error_code::kNotFound, "worker", "", "unknown worker" }));
-    return aCall;
+    auto* call = aContext->DefaultReactor();
+    if (auto* worker = mSite.Worker(aWorker)) {
+      aBody(*worker, call);
+    } else {
+      call->Finish(
+        ToGrpcStatus({ error_code::kNotFound, "worker", aWorker, "unknown worker" }));
+    }
+    return call;
   }
 
   static std::function<void(const accepted&)> AcceptedTo(platform::Accepted* aOut)
