Unread state removed, and work of the planner done once

Cause, found by reading the whole change: the scheduler kept each start decision and claims kept a log, neither ever read; the planner copied its whole input in each decision to take the guarantee off a few demoted gangs, though round_state copies the running gangs anyway; and whether a rack may be backfilled was asked for each worker instead of each rack.

--- a/bench/AnvildoorBench.cpp
+++ b/bench/AnvildoorBench.cpp
@@ -113,7 +113,7 @@
   upstream.mConnections = 64;
   pool.Update({ upstream }, "e1", { "e1" });
   ready_upstreams upstreams(loop);
-  claim_table claims(loop, store, log, "bench");
+  claim_table claims(loop, store, "bench");
   std::vector<std::unique_ptr<request_filter>> filters;
   filters.push_back(std::make_unique<deadline_filter>(loop));
   filters.push_back(
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -68,7 +68,7 @@
       [this](const fleet_config& aConfig) { return mScheduler.CheckConfig(aConfig); })
   , mSessions(aPorts.mLoop, aPorts.mWorkers, mBroken, aPorts.mLog, session_policy{})
   , mPool(aPorts.mLoop, aPorts.mLog, aSettings.mSeed)
-  , mClaims(aPorts.mLoop, aPorts.mStore, aPorts.mLog, OwnerName(aSettings.mIdentity))
+  , mClaims(aPorts.mLoop, aPorts.mStore, OwnerName(aSettings.mIdentity))
   , mJobHome(aPorts.mLoop, aPorts.mStore, aSettings.mIdentity.mDataCentre)
   , mTokens(aSettings.mOperatorTokenHashes)
 {
--- a/src/gang/Scheduler.h
+++ b/src/gang/Scheduler.h
@@ -132,7 +132,6 @@
     bool mDurable = false;
     std::optional<gang_run> mRun;
     std::set<std::string> mVictims; ///< Stopping gangs that the start waits for.
-    start_decision mStart;
     stop_goal mGoal = stop_goal::kNone;
     duration mGrace{};
     time_point mNotBefore{};
--- a/src/gang/SchedulerPlanning.cpp
+++ b/src/gang/SchedulerPlanning.cpp
@@ -141,7 +141,6 @@
   const auto now = mContext.mLoop.Now();
   const auto attempt = aStart.mJob + "#" + std::to_string(mEpoch) + "." +
                        std::to_string(++mAttemptCounter);
-  entry.mStart = aStart;
   entry.mRecord.mPlacement = aStart.mPlacement;
   entry.mRecord.mGuaranteed = aStart.mGuaranteed;
   entry.mRecord.mStarted = now;
--- a/src/planner/Planner.cpp
+++ b/src/planner/Planner.cpp
@@ -2,8 +2,6 @@
 
 #include "planner/PlanningRound.h"
 
-#include <algorithm>
-
 namespace anvildoor {
 
 const char* ToString(work_class aClass)
@@ -23,14 +21,7 @@
 {
   const auto plan = guarantee_plan::Make(
     mPlan, aInput.mFleet, aInput.mConfig, aInput.mDataCentre, aInput.mRunning);
-  auto input = aInput;
-  for (auto& gang : input.mRunning) {
-    const auto& demoted = plan.Demoted();
-    if (std::find(demoted.begin(), demoted.end(), gang.mJob) != demoted.end()) {
-      gang.mGuaranteed.reset();
-    }
-  }
-  planning_round round(input, plan, mReservations);
+  planning_round round(aInput, plan, mReservations);
   auto decision = round.Run();
   decision.mDemoted = plan.Demoted();
   mPlan = round.Plan();
--- a/src/planner/PlanningRound.cpp
+++ b/src/planner/PlanningRound.cpp
@@ -178,9 +178,13 @@
   if (HasFailed(mUnplaceable, key)) {
     return false;
   }
+  std::vector<bool> open(mState.Fleet().Racks().size());
+  for (size_t rack = 0; rack < open.size(); ++rack) {
+    open[rack] = mDrains.MayBackfill(rack, aJob);
+  }
   const auto spare = [&](size_t aWorker) {
-    const bool usable = mState.MayUse(aWorker, aJob) &&
-                        mDrains.MayBackfill(mState.Fleet().RackOf(aWorker), aJob);
+    const bool usable =
+      mState.MayUse(aWorker, aJob) && open[mState.Fleet().RackOf(aWorker)];
     return usable ? mState.FreeOn(aWorker) : resources{};
   };
   const auto cost = [&](size_t aRack) { return BorrowCost(aRack, aJob); };
--- a/src/planner/RoundState.cpp
+++ b/src/planner/RoundState.cpp
@@ -25,8 +25,12 @@
   , mCommitted(aInput.mFleet.Size())
   , mReserved(aInput.mFleet.Size())
 {
+  const auto& demoted = mPlan.Demoted();
   for (size_t index = 0; index < mRunning.size(); ++index) {
-    const auto& gang = mRunning[index];
+    auto& gang = mRunning[index];
+    if (std::find(demoted.begin(), demoted.end(), gang.mJob) != demoted.end()) {
+      gang.mGuaranteed.reset();
+    }
     if (!gang.mStopping) {
       mCommitted.AddGang(Fleet(), gang.mShape, gang.mPlacement);
     }
--- a/src/routing/ClaimTable.cpp
+++ b/src/routing/ClaimTable.cpp
@@ -58,13 +58,9 @@
 
 } // namespace
 
-claim_table::claim_table(event_loop& aLoop,
-                         store_client& aStore,
-                         event_log& aLog,
-                         std::string aOwner)
+claim_table::claim_table(event_loop& aLoop, store_client& aStore, std::string aOwner)
   : mLoop(aLoop)
   , mStore(aStore)
-  , mLog(aLog)
   , mOwner(std::move(aOwner))
   , mLease(aLoop, aStore, shared_lease_policy{})
 {
--- a/src/routing/ClaimTable.h
+++ b/src/routing/ClaimTable.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "base/EventLog.h"
 #include "routing/Request.h"
 #include "store/SettledCas.h"
 #include "store/SharedLease.h"
@@ -46,10 +45,7 @@
   using claim_done = std::function<void(const claim&)>;
 
   /** The references must outlive the table. aOwner is unique to this process. */
-  claim_table(event_loop& aLoop,
-              store_client& aStore,
-              event_log& aLog,
-              std::string aOwner);
+  claim_table(event_loop& aLoop, store_client& aStore, std::string aOwner);
 
   /** Claims a key, or tells what is known of it. */
   void Claim(const request_spec& aSpec, claim_done aDone);
@@ -70,7 +66,6 @@
 
   event_loop& mLoop;
   store_client& mStore;
-  event_log& mLog;
   std::string mOwner;
   shared_lease mLease;
   std::atomic<uint64_t> mNonce{ 0 };
