--- /dev/null
+++ b/src/entry/EntryNode.cpp
@@ -0,0 +1,107 @@
+#include "entry/EntryNode.h"
+
+#include "scheduler/StoreKeys.h"
+
+namespace anvildoor {
+
+namespace {
+
+/** A cheap stale read, so that a store that fell silent is noticed. */
+constexpr duration kProbePeriod{ 400 };
+/** Without an answer for this long the VM sends new clients elsewhere. */
+constexpr duration kStoreSilent{ 1'200 };
+
+} // namespace
+
+entry_node::entry_node(const entry_ports& aPorts, const entry_options& aOptions)
+  : mPorts(aPorts)
+  , mOptions(aOptions)
+  , mPolicy(aPorts.mLoop,
+            aPorts.mStore,
+            aPorts.mLog,
+            aOptions.mPolicyKey,
+            aOptions.mDecodePolicy,
+            [this](std::shared_ptr<const fleet_policy> aPolicy) {
+              mScheduler.SetPolicy(aPolicy);
+              if (mOnPolicy) {
+                mOnPolicy(std::move(aPolicy));
+              }
+            })
+  , mScheduler({ aPorts.mLoop,
+                 aPorts.mStore,
+                 aPorts.mWorkers,
+                 aPorts.mDirectory,
+                 aPorts.mLog,
+                 aPorts.mMetrics,
+                 aPorts.mUnixMs },
+               aOptions.mScheduler,
+               [this](const std::string& aReason) { mElection.StepDown(aReason); })
+  , mElection(aPorts.mLoop,
+              aPorts.mStore,
+              aPorts.mLog,
+              { aOptions.mVm, aOptions.mPeerAddress, 0, 0 },
+              aOptions.mElectionDelay,
+              aOptions.mElection,
+              { [this](const scheduler_term& aTerm) { mScheduler.Begin(aTerm); },
+                [this](const std::string&) { mScheduler.End(); },
+                [this](bool aReached) {
+                  if (aReached) {
+                    mStoreAnswered = mPorts.mLoop.Now();
+                  }
+                } })
+  , mJobs({ aPorts.mLoop,
+            aPorts.mStore,
+            aPorts.mPeers,
+            aPorts.mLog,
+            aPorts.mMetrics,
+            mElection,
+            mScheduler })
+{
+  mScheduler.SetOrdersUntil([this] { return mElection.OrdersUntil(); });
+}
+
+void entry_node::Begin()
+{
+  mPolicy.Begin();
+  mElection.Begin();
+  Probe();
+}
+
+void entry_node::Leave()
+{
+  mLeaving = true;
+  mElection.Resign();
+}
+
+bool entry_node::StoreReached() const
+{
+  return mPorts.mLoop.Now() - mStoreAnswered < kStoreSilent;
+}
+
+bool entry_node::Ready() const
+{
+  return !mLeaving && mPolicy.Current() && StoreReached();
+}
+
+void entry_node::Probe()
+{
+  mPorts.mStore.List(
+    store_keys::kScheduler, true, [this](const result<stored_range>& aRange) {
+      if (aRange) {
+        mStoreAnswered = mPorts.mLoop.Now();
+      }
+      const bool reached = StoreReached();
+      if (reached && !mStoreWasReached) {
+        // What changed meanwhile is read now, not when a broken watch times out.
+        mPolicy.ReadAgain();
+        mElection.LookAgain();
+      }
+      if (reached != mStoreWasReached) {
+        mPorts.mLog.Write(log_event("store_reached").Add("reached", reached ? 1 : 0));
+      }
+      mStoreWasReached = reached;
+      mPorts.mLoop.RunAfter(kProbePeriod, [this] { Probe(); });
+    });
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/entry/EntryNode.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "entry/JobService.h"
+#include "entry/PolicyWatch.h"
+
+namespace anvildoor {
+
+/** What one entry VM stands on. All must outlive the node. */
+struct entry_ports
+{
+  event_loop& mLoop;
+  transaction_store& mStore;
+  run_port& mWorkers;
+  worker_directory& mDirectory;
+  peer_query& mPeers;
+  event_log& mLog;
+  metrics& mMetrics;
+  std::function<int64_t()> mUnixMs;
+};
+
+struct entry_options
+{
+  std::string mVm;
+  std::string mPeerAddress; ///< "IP:port" where other VMs ask this one.
+  std::string mPolicyKey;
+  policy_watch::decode mDecodePolicy;
+  scheduler_bounds mScheduler;
+  election_times mElection;
+  duration mElectionDelay{ 0 };
+};
+
+/**
+ * One entry VM: it takes jobs, follows the desired state, and schedules when it is its
+ * turn. Everything runs on the loop's thread.
+ */
+class entry_node
+{
+public:
+  entry_node(const entry_ports& aPorts, const entry_options& aOptions);
+
+  void Begin();
+
+  /** Stops being ready and hands the scheduling on. Calls are served on. */
+  void Leave();
+
+  /** Returns whether new clients are served well here. */
+  bool Ready() const;
+
+  /** Returns whether the store has answered lately. */
+  bool StoreReached() const;
+
+  const std::shared_ptr<const fleet_policy>& Policy() const
+  {
+    return mPolicy.Current();
+  }
+  job_service& Jobs() { return mJobs; }
+  const fleet_scheduler& Scheduler() const { return mScheduler; }
+  const scheduler_election& Election() const { return mElection; }
+
+  /** Runs aNews at each new version of the desired state. */
+  void OnPolicy(policy_watch::news aNews) { mOnPolicy = std::move(aNews); }
+
+private:
+  void Probe();
+
+  entry_ports mPorts;
+  entry_options mOptions;
+  policy_watch::news mOnPolicy;
+  policy_watch mPolicy;
+  fleet_scheduler mScheduler;
+  scheduler_election mElection;
+  job_service mJobs;
+  bool mLeaving = false;
+  time_point mStoreAnswered{ 0 };
+  bool mStoreWasReached = false;
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/entry/EntrySettings.cpp
@@ -0,0 +1,194 @@
+#include "entry/EntrySettings.h"
+
+#include <arpa/inet.h>
+#include <cmath>
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <ini.h>
+#include <map>
+#include <optional>
+#include <sstream>
+#include <vector>
+
+namespace anvildoor {
+
+namespace {
+
+constexpr double kMaxMs = 1'000'000'000.0;
+
+struct entry_setting
+{
+  const char* mSection;
+  const char* mKey;
+  const char* mExpected;
+  bool mRequired;
+  std::function<bool(const std::string&, entry_settings&)> mTake;
+};
+
+using text_member = std::string entry_settings::*;
+using span_member = duration entry_settings::*;
+
+bool IsAddress(const std::string& aText)
+{
+  const auto colon = aText.rfind(':');
+  if (colon == std::string::npos) {
+    return false;
+  }
+  constexpr int64_t kMaxPort = 65'535;
+  char* end = nullptr;
+  const auto port = std::strtoll(aText.c_str() + colon + 1, &end, 10);
+  in_addr parsed{};
+  return inet_pton(AF_INET, aText.substr(0, colon).c_str(), &parsed) == 1 &&
+         *end == '\0' && port > 0 && port <= kMaxPort;
+}
+
+entry_setting Name(const char* aSection, const char* aKey, text_member aMember)
+{
+  return { aSection,
+           aKey,
+           "a name",
+           true,
+           [aMember](const std::string& aText, entry_settings& aInto) {
+             aInto.*aMember = aText;
+             return !aText.empty();
+           } };
+}
+
+entry_setting Address(const char* aSection,
+                      const char* aKey,
+                      text_member aMember,
+                      bool aRequired = true)
+{
+  return { aSection,
+           aKey,
+           "an IPv4 number and a port, such as 127.0.0.1:7000",
+           aRequired,
+           [aMember](const std::string& aText, entry_settings& aInto) {
+             aInto.*aMember = aText;
+             return IsAddress(aText);
+           } };
+}
+
+/** A number whose unit is aUnitMs milliseconds. */
+entry_setting Span(const char* aSection,
+                   const char* aKey,
+                   span_member aMember,
+                   double aUnitMs,
+                   const char* aExpected)
+{
+  return { aSection,
+           aKey,
+           aExpected,
+           false,
+           [aMember, aUnitMs](const std::string& aText, entry_settings& aInto) {
+             char* end = nullptr;
+             const double value = std::strtod(aText.c_str(), &end) * aUnitMs;
+             const bool good = end != aText.c_str() && *end == '\0' &&
+                               std::isfinite(value) && value >= 0.0 && value <= kMaxMs;
+             if (good) {
+               aInto.*aMember = duration(std::llround(value));
+             }
+             return good;
+           } };
+}
+
+const std::vector<entry_setting>& Schema()
+{
+  constexpr double kSecond = 1'000.0;
+  static const char* const sMs = "a number of milliseconds";
+  static const char* const sSeconds = "a number of seconds";
+  static const std::vector<entry_setting> sSchema{
+    Name("vm", "name", &entry_settings::mVm),
+    Name("vm", "data_centre", &entry_settings::mDataCentre),
+    Address("listen", "jobs", &entry_settings::mListenJobs),
+    Address("listen", "readiness", &entry_settings::mListenReady),
+    Address("listen", "peers", &entry_settings::mListenPeers),
+    Address("listen", "metrics", &entry_settings::mListenMetrics, false),
+    Address("store", "address", &entry_settings::mStore),
+    Span("store", "lease_least_ms", &entry_settings::mStoreLeaseLeast, 1.0, sMs),
+    Span("bounds", "lease_max_ms", &entry_settings::mLeaseMax, 1.0, sMs),
+    Span("bounds", "status_kept_s", &entry_settings::mStatusKept, kSecond, sSeconds),
+    Span("bounds", "early_ms", &entry_settings::mEarly, 1.0, sMs),
+    Span("bounds", "stop_grace_s", &entry_settings::mStopGrace, kSecond, sSeconds),
+  };
+  return sSchema;
+}
+
+struct entry_parse
+{
+  std::string mFile;
+  entry_settings mSettings;
+  std::map<std::string, bool> mGiven;
+  std::optional<error> mError;
+
+  void Reject(const std::string& aWhere, const std::string& aMessage)
+  {
+    if (!mError) {
+      mError =
+        error{ error_code::kInvalid, "settings", mFile, aWhere + ": " + aMessage };
+    }
+  }
+};
+
+std::string Where(const std::string& aSection, const std::string& aKey)
+{
+  return "[" + aSection + "] " + aKey;
+}
+
+int OnEntryValue(void* aRun, const char* aSection, const char* aKey, const char* aValue)
+{
+  auto& run = *static_cast<entry_parse*>(aRun);
+  for (const auto& item : Schema()) {
+    const bool matches =
+      std::string(item.mSection) == aSection && std::string(item.mKey) == aKey;
+    if (!matches) {
+      continue;
+    }
+    const std::string text = aValue;
+    run.mGiven[Where(aSection, aKey)] = true;
+    if (text.empty() && !item.mRequired) {
+      return 1;
+    }
+    if (!item.mTake(text, run.mSettings)) {
+      run.Reject(Where(aSection, aKey), "'" + text + "' is not " + item.mExpected);
+    }
+  }
+  return 1;
+}
+
+} // namespace
+
+result<entry_settings> ParseEntrySettings(const std::string& aFile,
+                                          const std::string& aText)
+{
+  entry_parse run;
+  run.mFile = aFile;
+  const int line = ini_parse_string(aText.c_str(), OnEntryValue, &run);
+  if (line != 0) {
+    run.Reject("line " + std::to_string(line), "not a [section] or key = value");
+  }
+  for (const auto& item : Schema()) {
+    const auto where = Where(item.mSection, item.mKey);
+    if (item.mRequired && run.mGiven.count(where) == 0) {
+      run.Reject(where, std::string("missing; expected ") + item.mExpected);
+    }
+  }
+  if (run.mError) {
+    return tl::unexpected<error>(*run.mError);
+  }
+  return run.mSettings;
+}
+
+result<entry_settings> LoadEntrySettings(const std::string& aFile)
+{
+  std::ifstream stream(aFile);
+  if (!stream) {
+    return Fail(error_code::kNotFound, "settings", aFile, "the file cannot be read");
+  }
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return ParseEntrySettings(aFile, text.str());
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/entry/EntrySettings.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "anvildoor/Error.h"
+#include "anvildoor/Time.h"
+
+#include <string>
+
+namespace anvildoor {
+
+/** The settings of one entry VM on an installation's platform. */
+struct entry_settings
+{
+  std::string mVm;
+  std::string mDataCentre;
+  std::string mListenJobs;    ///< IP:port for callers.
+  std::string mListenReady;   ///< IP:port for the platform's readiness checks.
+  std::string mListenPeers;   ///< IP:port for the other entry VMs.
+  std::string mListenMetrics; ///< IP:port for metrics; may be empty.
+  std::string mStore;         ///< IP:port of the platform's store.
+  duration mLeaseMax{ 6'000 };
+  duration mStatusKept{ 120'000 };
+  duration mEarly{ 250 };
+  duration mStopGrace{ 6'000 };
+  duration mStoreLeaseLeast{ 1'000 };
+
+  auto operator<=>(const entry_settings&) const = default;
+};
+
+/** Parses an INI text; kInvalid with section and key. Unknown keys are ignored. */
+result<entry_settings> ParseEntrySettings(const std::string& aFile,
+                                          const std::string& aText);
+
+/** Reads and parses a file; kNotFound if it cannot be read. */
+result<entry_settings> LoadEntrySettings(const std::string& aFile);
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/entry/PeerApi.cpp
@@ -0,0 +1,94 @@
+#include "entry/PeerApi.h"
+
+#include <cstdlib>
+
+namespace anvildoor {
+
+namespace {
+
+const std::string kStatePath = "/state/";
+const std::string kPendingPath = "/pending/";
+/** A peer in another data centre answers in some ms; then the store is asked instead.
+ */
+constexpr duration kPeerTimeout{ 400 };
+constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kNotScheduler = 421;
+
+pooled_call Ask(const std::string& aAddress, const std::string& aTarget)
+{
+  pooled_call call;
+  call.mAddress = aAddress;
+  call.mTarget = aTarget;
+  call.mTimeout = kPeerTimeout;
+  call.mRepeatable = true;
+  return call;
+}
+
+tl::unexpected<error> Failed(const result<http_answer>& aAnswer, const char* aStep)
+{
+  if (!aAnswer) {
+    return tl::unexpected<error>(aAnswer.error());
+  }
+  return Fail(error_code::kUnavailable,
+              aStep,
+              "scheduler",
+              "status " + std::to_string(aAnswer->mStatus));
+}
+
+} // namespace
+
+void peer_api::Serve(const light_request& aRequest,
+                     const light_server::respond& aRespond) const
+{
+  light_reply reply;
+  reply.mContentType = "text/plain";
+  const auto& target = aRequest.mTarget;
+  if (!mScheduler.Active()) {
+    reply.mStatus = kNotScheduler;
+  } else if (target.compare(0, kStatePath.size(), kStatePath) == 0) {
+    const auto state = mScheduler.StateOf(target.substr(kStatePath.size()));
+    reply.mStatus = state ? kOk : kNotFound;
+    reply.mBody = state.value_or("");
+  } else if (target.compare(0, kPendingPath.size(), kPendingPath) == 0) {
+    const auto count = mScheduler.PendingOf(target.substr(kPendingPath.size()));
+    reply.mStatus = count ? kOk : kNotScheduler;
+    reply.mBody = count ? std::to_string(*count) : "";
+  } else {
+    reply.mStatus = kNotFound;
+  }
+  aRespond(reply);
+}
+
+void http_peer_query::OnStateOf(const std::string& aAddress,
+                                const std::string& aJob,
+                                done<std::string> aDone)
+{
+  mPool.Call(Ask(aAddress, kStatePath + aJob),
+             [done = std::move(aDone)](const result<http_answer>& aAnswer) {
+               if (aAnswer && aAnswer->mStatus == kOk) {
+                 done(std::optional<std::string>(aAnswer->mBody));
+               } else if (aAnswer && aAnswer->mStatus == kNotFound) {
+                 done(std::optional<std::string>());
+               } else {
+                 done(Failed(aAnswer, "ask for a state"));
+               }
+             });
+}
+
+void http_peer_query::OnPendingOf(const std::string& aAddress,
+                                  const std::string& aQueue,
+                                  done<size_t> aDone)
+{
+  mPool.Call(Ask(aAddress, kPendingPath + aQueue),
+             [done = std::move(aDone)](const result<http_answer>& aAnswer) {
+               if (aAnswer && aAnswer->mStatus == kOk) {
+                 const auto count = std::strtoull(aAnswer->mBody.c_str(), nullptr, 10);
+                 done(std::optional<size_t>(count));
+               } else {
+                 done(Failed(aAnswer, "ask for a count"));
+               }
+             });
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/entry/PolicyWatch.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "base/EventLog.h"
+#include "base/EventLoop.h"
+#include "config/FleetPolicy.h"
+#include "store/TransactionStore.h"
+
+#include <functional>
+#include <memory>
+
+namespace anvildoor {
+
+/**
+ * Follows the key that holds the installation's desired state. A version once in force
+ * is never replaced by an older one, and one that cannot be read leaves the last one in
+ * force. One thread.
+ */
+class policy_watch
+{
+public:
+  using decode = std::function<result<fleet_policy>(const std::string& aValue)>;
+  using news = std::function<void(std::shared_ptr<const fleet_policy>)>;
+
+  /** References must outlive the watch and its calls. */
+  policy_watch(event_loop& aLoop,
+               transaction_store& aStore,
+               event_log& aLog,
+               std::string aKey,
+               decode aDecode,
+               news aNews);
+
+  void Begin() { Read(); }
+
+  /** Reads the key now, for instance when the store is back. */
+  void ReadAgain() { Read(); }
+
+  /** Returns the version in force; null before the first one. */
+  const std::shared_ptr<const fleet_policy>& Current() const { return mCurrent; }
+
+private:
+  void Read();
+  void Watch(uint64_t aRevision);
+  void Take(const stored_item& aItem);
+  void RetryRead();
+
+  event_loop& mLoop;
+  transaction_store& mStore;
+  event_log& mLog;
+  std::string mKey;
+  decode mDecode;
+  news mNews;
+  uint64_t mRound = 0;
+  std::shared_ptr<const fleet_policy> mCurrent;
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/http/HttpPool.cpp
@@ -0,0 +1,274 @@
+#include "http/HttpPool.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/version.hpp>
+#include <cassert>
+#include <map>
+#include <netinet/tcp.h>
+#include <optional>
+
+namespace anvildoor {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+/** The largest answer read: a page of the store's listing is about 1 MB. */
+constexpr uint64_t kMaxAnswerBytes = 8'000'000;
+/** Idle connections kept for one address; more are closed as they fall idle. */
+constexpr size_t kMaxIdlePerAddress = 8;
+/** A connection that was idle for longer may have been closed by the peer. */
+constexpr duration kMaxIdle{ 8'000 };
+
+std::optional<tcp::endpoint> ParseEndpoint(const std::string& aAddress)
+{
+  const auto colon = aAddress.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  boost::system::error_code failed;
+  const auto ip = asio::ip::make_address(aAddress.substr(0, colon), failed);
+  const auto port = std::strtoul(aAddress.c_str() + colon + 1, nullptr, 10);
+  constexpr uint64_t kMaxPort = 65'535;
+  if (failed || port == 0 || port > kMaxPort) {
+    return std::nullopt;
+  }
+  return tcp::endpoint(ip, static_cast<uint16_t>(port));
+}
+
+struct idle_connection
+{
+  std::unique_ptr<beast::tcp_stream> mStream;
+  std::chrono::steady_clock::time_point mSince;
+};
+
+} // namespace
+
+struct http_pool::state
+{
+  explicit state(asio::io_context& aContext)
+    : mContext(aContext)
+  {
+  }
+
+  /** Returns a usable idle connection, the most recently used first, or nothing. */
+  std::unique_ptr<beast::tcp_stream> TakeIdle(const std::string& aAddress);
+  void GiveBack(const std::string& aAddress,
+                std::unique_ptr<beast::tcp_stream> aStream);
+
+  asio::io_context& mContext;
+  std::map<std::string, std::vector<idle_connection>> mIdle;
+  uint64_t mOpened = 0;
+};
+
+std::unique_ptr<beast::tcp_stream> http_pool::state::TakeIdle(
+  const std::string& aAddress)
+{
+  auto& idle = mIdle[aAddress];
+  while (!idle.empty()) {
+    auto last = std::move(idle.back());
+    idle.pop_back();
+    boost::system::error_code failed;
+    // Bytes or an end that arrived while idle mean that the peer closed it.
+    char byte = 0;
+    last.mStream->socket().non_blocking(true, failed);
+    const auto received =
+      ::recv(last.mStream->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool quiet = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (quiet && std::chrono::steady_clock::now() - last.mSince < kMaxIdle) {
+      return std::move(last.mStream);
+    }
+  }
+  return nullptr;
+}
+
+void http_pool::state::GiveBack(const std::string& aAddress,
+                                std::unique_ptr<beast::tcp_stream> aStream)
+{
+  auto& idle = mIdle[aAddress];
+  if (idle.size() >= kMaxIdlePerAddress) {
+    idle.erase(idle.begin());
+  }
+  aStream->expires_never();
+  idle.push_back({ std::move(aStream), std::chrono::steady_clock::now() });
+}
+
+namespace {
+
+/** One call on its way: connect, write, read, hand over. */
+template<typename Pool>
+class exchange : public std::enable_shared_from_this<exchange<Pool>>
+{
+public:
+  exchange(std::shared_ptr<Pool> aPool, const pooled_call& aCall, http_pool::done aDone)
+    : mPool(std::move(aPool))
+    , mAddress(aCall.mAddress)
+    , mTarget(aCall.mTarget)
+    , mRepeatable(aCall.mRepeatable)
+    , mDone(std::move(aDone))
+    , mDeadline(std::chrono::steady_clock::now() + aCall.mTimeout)
+  {
+    mRequest.method_string(aCall.mMethod);
+    mRequest.target(aCall.mTarget);
+    mRequest.version(11);
+    mRequest.set(http::field::host, aCall.mAddress);
+    for (const auto& [name, value] : aCall.mHeaders) {
+      mRequest.set(name, value);
+    }
+    if (!aCall.mBody.empty()) {
+      mRequest.set(http::field::content_type, "application/json");
+    }
+    mRequest.body() = aCall.mBody;
+    mRequest.prepare_payload();
+  }
+
+  void Begin(bool aMayReuse)
+  {
+    mStream = aMayReuse ? mPool->TakeIdle(mAddress) : nullptr;
+    mReused = mStream != nullptr;
+    if (mReused) {
+      Write();
+      return;
+    }
+    const auto endpoint = ParseEndpoint(mAddress);
+    if (!endpoint) {
+      Finish(Fail(error_code::kInvalid, mTarget, mAddress, "not an address"));
+      return;
+    }
+    mStream = std::make_unique<beast::tcp_stream>(mPool->mContext);
+    mStream->expires_at(mDeadline);
+    ++mPool->mOpened;
+    mStream->async_connect(
+      *endpoint, [self = this->shared_from_this()](beast::error_code aFailed) {
+        if (aFailed) {
+          self->Finish(Fail(error_code::kUnavailable,
+                            self->mTarget,
+                            self->mAddress,
+                            aFailed.message()));
+          return;
+        }
+        beast::error_code ignored;
+        self->mStream->socket().set_option(tcp::no_delay(true), ignored);
+        self->Write();
+      });
+  }
+
+private:
+  void Write()
+  {
+    mStream->expires_at(mDeadline);
+    SetUserTimeout();
+    http::async_write(
+      *mStream,
+      mRequest,
+      [self = this->shared_from_this()](beast::error_code aFailed, size_t) {
+        if (aFailed) {
+          self->OnBroken(aFailed);
+          return;
+        }
+        self->Read();
+      });
+  }
+
+  void Read()
+  {
+    mParser.emplace();
+    mParser->body_limit(kMaxAnswerBytes);
+    http::async_read(
+      *mStream,
+      mBuffer,
+      *mParser,
+      [self = this->shared_from_this()](beast::error_code aFailed, size_t) {
+        if (aFailed) {
+          self->OnBroken(aFailed);
+          return;
+        }
+        self->OnAnswer();
+      });
+  }
+
+  void OnAnswer()
+  {
+    http_answer answer;
+    answer.mStatus = mParser->get().result_int();
+    answer.mBody = std::move(mParser->get().body());
+    if (mParser->get().keep_alive()) {
+      mPool->GiveBack(mAddress, std::move(mStream));
+    }
+    Finish(std::move(answer));
+  }
+
+  void OnBroken(const beast::error_code& aFailed)
+  {
+    const bool nothingRead = !mParser || !mParser->got_some();
+    mStream.reset();
+    if (mReused && mRepeatable && nothingRead && aFailed != beast::error::timeout) {
+      mBuffer.clear();
+      Begin(false);
+      return;
+    }
+    Finish(Fail(error_code::kUnknownEffect, mTarget, mAddress, aFailed.message()));
+  }
+
+  void Finish(result<http_answer> aAnswer)
+  {
+    assert(mDone);
+    // Posted, so that a callback never runs inside the call that it belongs to.
+    asio::post(mPool->mContext,
+               [done = std::move(mDone), answer = std::move(aAnswer)]() mutable {
+                 done(std::move(answer));
+               });
+  }
+
+  /** Unacknowledged bytes end the connection at the deadline, also behind a partition.
+   */
+  void SetUserTimeout()
+  {
+    const auto left = std::chrono::duration_cast<duration>(
+      mDeadline - std::chrono::steady_clock::now());
+    const auto ms = static_cast<unsigned>(std::max<int64_t>(1, left.count()));
+    ::setsockopt(mStream->socket().native_handle(),
+                 IPPROTO_TCP,
+                 TCP_USER_TIMEOUT,
+                 &ms,
+                 sizeof(ms));
+  }
+
+  std::shared_ptr<Pool> mPool;
+  std::string mAddress;
+  std::string mTarget;
+  bool mRepeatable;
+  bool mReused = false;
+  http_pool::done mDone;
+  std::chrono::steady_clock::time_point mDeadline;
+  std::unique_ptr<beast::tcp_stream> mStream;
+  http::request<http::string_body> mRequest;
+  std::optional<http::response_parser<http::string_body>> mParser;
+  beast::flat_buffer mBuffer;
+};
+
+} // namespace
+
+http_pool::http_pool(asio::io_context& aContext)
+  : mState(std::make_shared<state>(aContext))
+{
+}
+
+http_pool::~http_pool() = default;
+
+void http_pool::Call(const pooled_call& aCall, done aDone)
+{
+  std::make_shared<exchange<state>>(mState, aCall, std::move(aDone))->Begin(true);
+}
+
+uint64_t http_pool::Opened() const
+{
+  return mState->mOpened;
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/http/LightServer.cpp
@@ -0,0 +1,310 @@
+#include "http/LightServer.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/version.hpp>
+#include <optional>
+#include <set>
+
+namespace anvildoor {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+/** A client that does not read its answer is cut off after this time. */
+constexpr duration kWriteTimeout{ 5'000 };
+/** Pause before the next accept when descriptors run out. */
+constexpr duration kAcceptPause{ 50 };
+
+class light_session;
+
+std::string HeaderText(const http::request<http::string_body>& aRequest,
+                       const char* aName)
+{
+  const auto found = aRequest.find(aName);
+  return found == aRequest.end() ? std::string() : std::string(found->value());
+}
+
+} // namespace
+
+struct light_server::state
+{
+  state(asio::io_context& aContext, handler aHandler)
+    : mContext(aContext)
+    , mAcceptor(aContext)
+    , mHandler(std::move(aHandler))
+  {
+  }
+
+  void Accept(const std::shared_ptr<state>& aSelf);
+
+  asio::io_context& mContext;
+  tcp::acceptor mAcceptor;
+  handler mHandler;
+  light_limits mLimits;
+  bool mLeaving = false;
+  size_t mActive = 0;
+  std::set<std::shared_ptr<light_session>> mSessions;
+};
+
+namespace {
+
+/** One connection: reads a call, waits for its answer, writes it, and so on. */
+class light_session : public std::enable_shared_from_this<light_session>
+{
+public:
+  using owner = light_server;
+
+  template<typename State>
+  light_session(tcp::socket aSocket, const std::shared_ptr<State>& aState)
+    : mStream(std::move(aSocket))
+    , mHandler(&aState->mHandler)
+    , mLimits(&aState->mLimits)
+    , mLeaving(&aState->mLeaving)
+    , mActive(&aState->mActive)
+    , mKeep(aState)
+  {
+    std::weak_ptr<State> weak = aState;
+    mForget = [weak](const std::shared_ptr<light_session>& aSession) {
+      if (const auto state = weak.lock()) {
+        state->mSessions.erase(aSession);
+      }
+    };
+  }
+
+  void Start() { WaitForCall(); }
+
+  /** Closes the connection if no call is being read or answered. */
+  void CloseIfIdle()
+  {
+    if (mIdle) {
+      Close();
+    }
+  }
+
+private:
+  void WaitForCall()
+  {
+    mIdle = mBuffer.size() == 0;
+    mParser.emplace();
+    mParser->header_limit(static_cast<uint32_t>(mLimits->mHeaderBytes));
+    mParser->body_limit(mLimits->mBodyBytes);
+    mStream.expires_after(mLimits->mIdleTimeout);
+    http::async_read_some(
+      mStream,
+      mBuffer,
+      *mParser,
+      [self = shared_from_this()](beast::error_code aFailed, size_t) {
+        self->mIdle = false;
+        if (aFailed) {
+          self->OnReadFailed(aFailed);
+          return;
+        }
+        self->mStream.expires_after(self->mLimits->mReadTimeout);
+        http::async_read(self->mStream,
+                         self->mBuffer,
+                         *self->mParser,
+                         [self](beast::error_code aError, size_t) {
+                           if (aError) {
+                             self->OnReadFailed(aError);
+                             return;
+                           }
+                           self->Serve();
+                         });
+      });
+  }
+
+  void OnReadFailed(const beast::error_code& aFailed)
+  {
+    if (aFailed == http::error::body_limit) {
+      Refuse(413);
+    } else if (aFailed == http::error::header_limit) {
+      Refuse(431);
+    } else if (aFailed.category() ==
+                 make_error_code(http::error::bad_method).category() &&
+               aFailed != http::error::end_of_stream &&
+               aFailed != http::error::partial_message) {
+      Refuse(400);
+    } else {
+      Close();
+    }
+  }
+
+  void Refuse(unsigned aStatus)
+  {
+    ++*mActive;
+    mKeepAlive = false;
+    light_reply reply;
+    reply.mStatus = aStatus;
+    reply.mBody = R"({"error":"malformed or oversized call"})";
+    Write(reply);
+  }
+
+  void Serve()
+  {
+    auto& message = mParser->get();
+    mKeepAlive = message.keep_alive();
+    light_request request;
+    request.mMethod = std::string(message.method_string());
+    request.mTarget = std::string(message.target());
+    request.mHost = HeaderText(message, "Host");
+    request.mApiKey = HeaderText(message, "X-Api-Key");
+    const auto timeout = HeaderText(message, "X-Timeout-Ms");
+    request.mTimeout = duration(std::strtoll(timeout.c_str(), nullptr, 10));
+    request.mBody = std::move(message.body());
+    mStream.expires_never();
+    ++*mActive;
+    (*mHandler)(
+      request,
+      [self = shared_from_this(), answered = false](const light_reply& aReply) mutable {
+        if (!answered) {
+          answered = true;
+          self->Write(aReply);
+        }
+      });
+  }
+
+  void Write(const light_reply& aReply)
+  {
+    mResponse = {};
+    mResponse.version(11);
+    mResponse.result(aReply.mStatus);
+    if (!aReply.mBody.empty()) {
+      mResponse.set(http::field::content_type, aReply.mContentType);
+    }
+    if (aReply.mRetryAfterSeconds > 0) {
+      mResponse.set(http::field::retry_after,
+                    std::to_string(aReply.mRetryAfterSeconds));
+    }
+    mKeepAlive = mKeepAlive && !*mLeaving;
+    mResponse.keep_alive(mKeepAlive);
+    mResponse.body() = aReply.mBody;
+    mResponse.prepare_payload();
+    mStream.expires_after(kWriteTimeout);
+    http::async_write(mStream,
+                      mResponse,
+                      [self = shared_from_this()](beast::error_code aFailed, size_t) {
+                        --*self->mActive;
+                        if (aFailed || !self->mKeepAlive) {
+                          self->Close();
+                          return;
+                        }
+                        self->WaitForCall();
+                      });
+  }
+
+  void Close()
+  {
+    beast::error_code ignored;
+    mStream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    mStream.socket().close(ignored);
+    mForget(shared_from_this());
+  }
+
+  beast::tcp_stream mStream;
+  const light_server::handler* mHandler;
+  const light_limits* mLimits;
+  const bool* mLeaving;
+  size_t* mActive;
+  std::shared_ptr<void> mKeep;
+  std::function<void(const std::shared_ptr<light_session>&)> mForget;
+  bool mIdle = true;
+  bool mKeepAlive = true;
+  beast::flat_buffer mBuffer;
+  std::optional<http::request_parser<http::string_body>> mParser;
+  http::response<http::string_body> mResponse;
+};
+
+} // namespace
+
+void light_server::state::Accept(const std::shared_ptr<state>& aSelf)
+{
+  mAcceptor.async_accept(
+    [this, aSelf](const beast::error_code& aFailed, tcp::socket aSocket) {
+      if (!mAcceptor.is_open()) {
+        return;
+      }
+      if (aFailed) {
+        auto timer = std::make_shared<asio::steady_timer>(mContext, kAcceptPause);
+        timer->async_wait([this, aSelf, timer](const beast::error_code&) {
+          if (mAcceptor.is_open()) {
+            Accept(aSelf);
+          }
+        });
+        return;
+      }
+      beast::error_code ignored;
+      aSocket.set_option(tcp::no_delay(true), ignored);
+      const auto session = std::make_shared<light_session>(std::move(aSocket), aSelf);
+      mSessions.insert(session);
+      session->Start();
+      Accept(aSelf);
+    });
+}
+
+light_server::light_server(asio::io_context& aContext, handler aHandler)
+  : mState(std::make_shared<state>(aContext, std::move(aHandler)))
+{
+}
+
+light_server::~light_server() = default;
+
+status light_server::Listen(const std::string& aAddress)
+{
+  const auto colon = aAddress.rfind(':');
+  beast::error_code failed;
+  const auto ip = colon == std::string::npos
+                    ? asio::ip::address()
+                    : asio::ip::make_address(aAddress.substr(0, colon), failed);
+  if (colon == std::string::npos || failed) {
+    return Fail(error_code::kInvalid, "listen", aAddress, "not an address");
+  }
+  const auto port = std::strtoul(aAddress.c_str() + colon + 1, nullptr, 10);
+  const tcp::endpoint endpoint(ip, static_cast<uint16_t>(port));
+  auto& acceptor = mState->mAcceptor;
+  acceptor.open(endpoint.protocol(), failed);
+  if (!failed) {
+    acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
+    acceptor.bind(endpoint, failed);
+  }
+  if (!failed) {
+    acceptor.listen(asio::socket_base::max_listen_connections, failed);
+  }
+  if (failed) {
+    return Fail(error_code::kUnavailable, "listen", aAddress, failed.message());
+  }
+  mState->Accept(mState);
+  return {};
+}
+
+void light_server::SetLimits(const light_limits& aLimits)
+{
+  mState->mLimits = aLimits;
+}
+
+void light_server::AskToLeave()
+{
+  mState->mLeaving = true;
+}
+
+void light_server::StopAccepting()
+{
+  beast::error_code ignored;
+  mState->mAcceptor.close(ignored);
+  const auto sessions = mState->mSessions;
+  for (const auto& session : sessions) {
+    session->CloseIfIdle();
+  }
+}
+
+size_t light_server::Active() const
+{
+  return mState->mActive;
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/jobs/JobSpec.cpp
@@ -0,0 +1,172 @@
+#include "jobs/JobSpec.h"
+
+#include "base/JsonText.h"
+
+#include <nlohmann/json.hpp>
+
+namespace anvildoor {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int64_t kMaxMillis = 1'000'000'000;
+constexpr int64_t kMaxMemoryMb = 100'000'000;
+constexpr int64_t kMaxAccelerators = 100'000;
+
+status Wrong(size_t aStep, const std::string& aWhat)
+{
+  return Fail(error_code::kInvalid,
+              "check job",
+              "caller",
+              "steps[" + std::to_string(aStep) + "]: " + aWhat);
+}
+
+bool Within(int64_t aValue, int64_t aMax)
+{
+  return aValue >= 0 && aValue <= aMax;
+}
+
+status CheckStep(size_t aNumber, const step_spec& aStep, const job_limits& aLimits)
+{
+  if (aStep.mCount == 0 || aStep.mCount > aLimits.mTasksPerStep) {
+    return Wrong(aNumber, "the number of tasks is out of range");
+  }
+  const auto& each = aStep.mPerTask;
+  if (!Within(each.mCpuMillis, kMaxMillis) || !Within(each.mMemoryMb, kMaxMemoryMb) ||
+      !Within(each.mAccelerators, kMaxAccelerators)) {
+    return Wrong(aNumber, "the resources of a task are out of range");
+  }
+  for (const auto before : aStep.mAfter) {
+    if (before >= aNumber) {
+      return Wrong(aNumber, "a step can only wait for earlier steps");
+    }
+  }
+  return {};
+}
+
+json EncodeStep(const step_spec& aStep)
+{
+  const uint32_t flags = (aStep.mGang ? 1U : 0U) | (aStep.mSameRack ? 2U : 0U) |
+                         (aStep.mCheckpointing ? 4U : 0U) |
+                         (aStep.mSpeculative ? 8U : 0U) |
+                         (aStep.mLongRunning ? 16U : 0U) | (aStep.mFills ? 32U : 0U);
+  return json::array({ aStep.mCount,
+                       aStep.mPerTask.mCpuMillis,
+                       aStep.mPerTask.mMemoryMb,
+                       aStep.mPerTask.mAccelerators,
+                       aStep.mEstimate.count(),
+                       aStep.mAfter,
+                       flags,
+                       aStep.mRequiredLabel,
+                       aStep.mDataRack,
+                       aStep.mMaxPerWorker,
+                       aStep.mMayMiss });
+}
+
+step_spec DecodeStep(const json& aRow)
+{
+  step_spec step;
+  size_t column = 0;
+  step.mCount = aRow.at(column++).get<uint32_t>();
+  step.mPerTask.mCpuMillis = aRow.at(column++).get<int64_t>();
+  step.mPerTask.mMemoryMb = aRow.at(column++).get<int64_t>();
+  step.mPerTask.mAccelerators = aRow.at(column++).get<int64_t>();
+  step.mEstimate = duration(aRow.at(column++).get<int64_t>());
+  step.mAfter = aRow.at(column++).get<std::vector<uint32_t>>();
+  const auto flags = aRow.at(column++).get<uint32_t>();
+  step.mGang = (flags & 1U) != 0;
+  step.mSameRack = (flags & 2U) != 0;
+  step.mCheckpointing = (flags & 4U) != 0;
+  step.mSpeculative = (flags & 8U) != 0;
+  step.mLongRunning = (flags & 16U) != 0;
+  step.mFills = (flags & 32U) != 0;
+  step.mRequiredLabel = aRow.at(column++).get<std::string>();
+  step.mDataRack = aRow.at(column++).get<std::string>();
+  step.mMaxPerWorker = aRow.at(column++).get<uint32_t>();
+  step.mMayMiss = aRow.at(column++).get<uint32_t>();
+  return step;
+}
+
+} // namespace
+
+status CheckJob(const job_spec& aSpec, const job_limits& aLimits)
+{
+  if (aSpec.mPayload.size() > aLimits.mPayloadBytes) {
+    return Fail(
+      error_code::kInvalid, "check job", "caller", "the payload is too large");
+  }
+  if (aSpec.mSteps.empty() || aSpec.mSteps.size() > aLimits.mSteps) {
+    return Fail(error_code::kInvalid,
+                "check job",
+                "caller",
+                "the number of steps is out of range");
+  }
+  if (aSpec.mRepeats > aLimits.mRepeats || aSpec.mFirstDueMs < 0 ||
+      aSpec.mIntervalMs < 0) {
+    return Fail(
+      error_code::kInvalid, "check job", "caller", "the occurrences are out of range");
+  }
+  for (size_t number = 0; number < aSpec.mSteps.size(); ++number) {
+    if (auto checked = CheckStep(number, aSpec.mSteps[number], aLimits); !checked) {
+      return checked;
+    }
+  }
+  return {};
+}
+
+std::string EncodeJob(const accepted_job& aJob)
+{
+  json steps = json::array();
+  for (const auto& step : aJob.mSpec.mSteps) {
+    steps.push_back(EncodeStep(step));
+  }
+  const json text{ { "queue", aJob.mQueue },
+                   { "workspace", aJob.mWorkspace },
+                   { "pool", aJob.mPool },
+                   { "priority", aJob.mPriority },
+                   { "attempts", aJob.mMaxAttempts },
+                   { "stretch", aJob.mStretch },
+                   { "objective", aJob.mObjective.count() },
+                   { "advice", aJob.mNeedsAdvice },
+                   { "accepted", aJob.mAcceptedAtMs },
+                   { "payload", aJob.mSpec.mPayload },
+                   { "repeats", aJob.mSpec.mRepeats },
+                   { "due", aJob.mSpec.mFirstDueMs },
+                   { "interval", aJob.mSpec.mIntervalMs },
+                   { "steps", std::move(steps) } };
+  return text.dump(-1, ' ', false, kReplaceBadText);
+}
+
+result<accepted_job> DecodeJob(const std::string& aId, const std::string& aText)
+{
+  try {
+    const auto text = json::parse(aText);
+    accepted_job job;
+    job.mId = aId;
+    job.mQueue = text.at("queue").get<std::string>();
+    job.mWorkspace = text.at("workspace").get<std::string>();
+    job.mPool = text.at("pool").get<std::string>();
+    job.mPriority = text.at("priority").get<int64_t>();
+    job.mMaxAttempts = text.at("attempts").get<int64_t>();
+    job.mStretch = text.at("stretch").get<double>();
+    job.mObjective = duration(text.at("objective").get<int64_t>());
+    job.mNeedsAdvice = text.at("advice").get<bool>();
+    job.mAcceptedAtMs = text.at("accepted").get<int64_t>();
+    job.mSpec.mPayload = text.at("payload").get<std::string>();
+    job.mSpec.mRepeats = text.at("repeats").get<uint32_t>();
+    job.mSpec.mFirstDueMs = text.at("due").get<int64_t>();
+    job.mSpec.mIntervalMs = text.at("interval").get<int64_t>();
+    for (const auto& row : text.at("steps")) {
+      job.mSpec.mSteps.push_back(DecodeStep(row));
+    }
+    if (auto checked = CheckJob(job.mSpec); !checked) {
+      return tl::unexpected<error>(checked.error());
+    }
+    return job;
+  } catch (const json::exception& failed) {
+    return Fail(error_code::kInvalid, "decode job", aId, failed.what());
+  }
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/scheduler/FleetScheduler.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include "base/EventLog.h"
+#include "base/EventLoop.h"
+#include "base/Metrics.h"
+#include "config/FleetPolicy.h"
+#include "planner/TaskPlacement.h"
+#include "runs/WorkerDirectory.h"
+#include "runs/WorkerHealth.h"
+#include "runs/WorkerRuns.h"
+#include "scheduler/RecordWriter.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace anvildoor {
+
+/** What the scheduler works with. All must outlive it. */
+struct scheduler_ports
+{
+  event_loop& mLoop;
+  transaction_store& mStore;
+  run_port& mWorkers;
+  worker_directory& mDirectory;
+  event_log& mLog;
+  metrics& mMetrics;
+  std::function<int64_t()> mUnixMs; ///< The time of day.
+};
+
+struct scheduler_bounds
+{
+  run_bounds mRuns;
+  duration mOrdersPastTerm{ 4'000 }; ///< How long a former holder may go on.
+  duration mStatusKept{ 120'000 };   ///< Outcomes are shown at least this long.
+  duration mEarly{ 250 };            ///< An occurrence may start this much early.
+
+  auto operator<=>(const scheduler_bounds&) const = default;
+};
+
+/**
+ * Schedules the whole installation during one VM's term: takes jobs from the store,
+ * places their tasks, orders and holds their runs, records what became of them.
+ * Everything that must outlive the term is in the store before it has an effect: a
+ * placement before its order, an end before its acknowledgement, an outcome before it
+ * is shown. One thread.
+ */
+class fleet_scheduler
+{
+public:
+  fleet_scheduler(const scheduler_ports& aPorts,
+                  const scheduler_bounds& aBounds,
+                  std::function<void(const std::string& aReason)> aOnFenced);
+  ~fleet_scheduler();
+
+  /** Takes over: reads the records, fences every worker, goes on from there. */
+  void Begin(const scheduler_term& aTerm);
+
+  /** Gives no order from now on and forgets everything. */
+  void End();
+
+  bool Active() const { return mActive; }
+
+  /** Sets until when orders may be given; moves on as the term is renewed. */
+  void SetOrdersUntil(std::function<time_point()> aUntil);
+
+  /** Sets the rules of queues and workspaces from now on. */
+  void SetPolicy(std::shared_ptr<const fleet_policy> aPolicy);
+
+  /** Returns the state to show for a job; empty if it is not known here. */
+  std::optional<std::string> StateOf(const std::string& aJob) const;
+
+  /** Returns the queue's accepted jobs without a started task; empty before takeover.
+   */
+  std::optional<size_t> PendingOf(const std::string& aQueue) const;
+
+private:
+  struct job_entry;
+  struct worker_entry;
+  struct loading;
+
+  // Jobs and their records (FleetScheduler.cpp).
+  void Load();
+  void OnLoaded(loading& aLoading);
+  void WatchInbox();
+  void ReadInboxAgain();
+  void TakeInboxItem(const stored_item& aItem);
+  void AddJob(const accepted_job& aJob);
+  void CancelJob(const std::string& aId);
+  void WriteProgress(job_entry& aJob, std::function<void()> aDurable);
+  std::string EncodeRecord(const std::string& aKey) const;
+  void OnOutcome(job_entry& aJob);
+  void ForgetOldJobs();
+
+  // Workers: holds, ends, stops (FleetSchedulerWorkers.cpp).
+  void PollDirectory();
+  void OnListed(const std::vector<listed_worker>& aListed);
+  worker_entry& WorkerNamed(const std::string& aId);
+  void HoldSoon(worker_entry& aWorker, duration aAfter);
+  void Hold(worker_entry& aWorker);
+  void OnHeld(worker_entry& aWorker, const hold_reply& aReply, time_point aSentAt);
+  void OnSilent(worker_entry& aWorker, order_answer aAnswer);
+  void Apply(worker_entry& aWorker, const std::vector<run_event>& aEvents);
+  void ApplyEnd(worker_entry& aWorker, const run_event& aEvent);
+  void ApplyFound(worker_entry& aWorker, const run_event& aEvent);
+  void JudgeWorker(worker_entry& aWorker, const run_event& aEvent);
+  void StopRun(worker_entry& aWorker, const task_ref& aTask, uint32_t aRun);
+  void StopTask(const job_entry& aJob, const task_ref& aTask, const char* aReason);
+  void StopJob(const job_entry& aJob, const char* aReason);
+  void StopGang(const job_entry& aJob, const task_ref& aTask, uint32_t aRun);
+  void Tick();
+  void CheckWorker(worker_entry& aWorker, time_point aNow);
+  void CheckProgress(worker_entry& aWorker, time_point aNow);
+
+  // Planning and starting (FleetSchedulerPlanning.cpp).
+  void PlanSoon();
+  void Plan();
+  placement_input BuildInput(std::vector<std::string>& aWorkerIds);
+  void AddGroups(job_entry& aJob, std::vector<placement_group>& aGroups);
+  void AddUnits(const std::map<std::string, size_t>& aNumbers,
+                std::vector<placed_unit>& aUnits) const;
+  std::map<std::string, int64_t> DemandByWorkspace() const;
+  bool WithinGuarantee(const accepted_job& aJob) const;
+  void Execute(const placement_input& aInput,
+               const placement_plan& aPlan,
+               const std::vector<std::string>& aWorkerIds);
+  void SendStart(const task_ref& aTask, uint32_t aRun);
+  void OnStartAnswer(const std::string& aWorker,
+                     const task_ref& aTask,
+                     uint32_t aRun,
+                     order_answer aAnswer,
+                     time_point aSentAt);
+
+  bool MayOrder() const;
+  void Fenced(const std::string& aReason);
+  template<typename Callback>
+  auto Guarded(Callback aCallback);
+
+  scheduler_ports mPorts;
+  scheduler_bounds mBounds;
+  std::function<void(const std::string&)> mOnFenced;
+  std::function<time_point()> mOrdersUntil;
+  std::shared_ptr<const fleet_policy> mPolicy;
+  record_writer mWriter;
+  scheduler_term mTerm;
+  uint64_t mRound = 0; ///< Rises with each begin and end: older callbacks do nothing.
+  bool mActive = false;
+  bool mLoaded = false;
+  bool mPlanScheduled = false;
+  time_point mBegunAt{ 0 };
+  uint64_t mInboxRevision = 0;
+  std::map<std::string, std::unique_ptr<job_entry>> mJobs;
+  std::map<std::string, std::unique_ptr<worker_entry>> mWorkers;
+  std::map<std::string, int64_t> mDemand; ///< Accelerators of priority 0, by workspace.
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -0,0 +1,345 @@
+#include "scheduler/FleetScheduler.h"
+#include "scheduler/FleetSchedulerState.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace anvildoor {
+
+namespace {
+
+/** Events within this time share a planning round. */
+constexpr duration kPlanGather{ 3 };
+/** A worker whose last answer is older takes no new starts. */
+constexpr duration kFreshFor{ 2'800 };
+/** A gang may leave its rack when it has waited this part of its run time. */
+constexpr double kSpreadAfterRuns = 3.0;
+constexpr double kMillisPerCore = 1'000.0;
+constexpr double kMsPerSecond = 1'000.0;
+/** The platform's own price of work: an accelerator counts as eight cores. */
+constexpr double kCoresPerAccelerator = 8.0;
+
+double CoresOf(const task_resources& aResources)
+{
+  return static_cast<double>(aResources.mCpuMillis) / kMillisPerCore +
+         kCoresPerAccelerator * static_cast<double>(aResources.mAccelerators);
+}
+
+} // namespace
+
+void fleet_scheduler::PlanSoon()
+{
+  if (mPlanScheduled || !mLoaded) {
+    return;
+  }
+  mPlanScheduled = true;
+  mPorts.mLoop.RunAfter(kPlanGather, Guarded([this] {
+                          mPlanScheduled = false;
+                          Plan();
+                        }));
+}
+
+void fleet_scheduler::Plan()
+{
+  if (!MayOrder()) {
+    return;
+  }
+  std::vector<std::string> workerIds;
+  const auto input = BuildInput(workerIds);
+  if (input.mGroups.empty()) {
+    return;
+  }
+  Execute(input, PlaceTasks(input), workerIds);
+}
+
+std::map<std::string, int64_t> fleet_scheduler::DemandByWorkspace() const
+{
+  std::map<std::string, int64_t> demand;
+  for (const auto& [id, job] : mJobs) {
+    const auto& about = job->mState.Job();
+    if (about.mPriority != 0 || job->mState.Outcome() != job_outcome::kOpen) {
+      continue;
+    }
+    for (const auto& step : about.mSpec.mSteps) {
+      demand[about.mWorkspace] += step.mCount * step.mPerTask.mAccelerators;
+    }
+  }
+  return demand;
+}
+
+bool fleet_scheduler::WithinGuarantee(const accepted_job& aJob) const
+{
+  const auto& all = mPolicy->mWorkspaces;
+  const auto found = std::find_if(all.begin(), all.end(), [&](const auto& aWorkspace) {
+    return aWorkspace.mName == aJob.mWorkspace;
+  });
+  const auto demand = mDemand.find(aJob.mWorkspace);
+  return found != all.end() && aJob.mPriority == 0 && demand != mDemand.end() &&
+         demand->second <= found->mGuaranteedAccelerators;
+}
+
+placement_input fleet_scheduler::BuildInput(std::vector<std::string>& aWorkerIds)
+{
+  const auto now = mPorts.mLoop.Now();
+  placement_input input;
+  mDemand = DemandByWorkspace();
+  for (auto& [id, job] : mJobs) {
+    if (job->mState.Outcome() == job_outcome::kOpen) {
+      AddGroups(*job, input.mGroups);
+    }
+  }
+  if (input.mGroups.empty()) {
+    return input;
+  }
+  std::stable_sort(input.mGroups.begin(),
+                   input.mGroups.end(),
+                   [this](const placement_group& aLeft, const placement_group& aRight) {
+                     const auto key = [this](const placement_group& aGroup) {
+                       const auto& job = mJobs.at(aGroup.mJob)->mState.Job();
+                       return std::make_tuple(
+                         aGroup.mPriority, !aGroup.mGuaranteed, job.mAcceptedAtMs);
+                     };
+                     return key(aLeft) < key(aRight);
+                   });
+  std::map<std::string, size_t> numbers;
+  for (const auto& [id, worker] : mWorkers) {
+    const auto& listed = worker->mListed;
+    const auto used = worker->mRuns.Used();
+    placement_worker place;
+    place.mId = id;
+    place.mPool = listed.mPool;
+    place.mRack = listed.mRack;
+    place.mLabels = listed.mLabels;
+    place.mFree = listed.mCapacity;
+    place.mFree.mCpuMillis -= used.mCpuMillis;
+    place.mFree.mMemoryMb -= used.mMemoryMb;
+    place.mFree.mAccelerators -= used.mAccelerators;
+    for (const auto& [task, run] : worker->mRuns.Runs()) {
+      if (run.mStopping) {
+        place.mFreeing.mCpuMillis += run.mResources.mCpuMillis;
+        place.mFreeing.mMemoryMb += run.mResources.mMemoryMb;
+        place.mFreeing.mAccelerators += run.mResources.mAccelerators;
+      }
+    }
+    place.mOpen = worker->mIsListed && !listed.mDraining && worker->mRuns.Fenced() &&
+                  !worker->mSilent && now - worker->mRuns.LastAnswer() < kFreshFor &&
+                  worker->mHealth.IsOpen(now, worker->mRuns.Runs().size());
+    place.mReluctance = worker->mHealth.Reluctance();
+    numbers[id] = input.mWorkers.size();
+    aWorkerIds.push_back(id);
+    input.mWorkers.push_back(std::move(place));
+  }
+  AddUnits(numbers, input.mUnits);
+  return input;
+}
+
+void fleet_scheduler::AddGroups(job_entry& aJob, std::vector<placement_group>& aGroups)
+{
+  const auto& about = aJob.mState.Job();
+  const auto now = mPorts.mLoop.Now();
+  const auto unixMs = mPorts.mUnixMs();
+  const auto* queue = mPolicy->QueueNamed(about.mQueue);
+  for (uint32_t occurrence = 0; occurrence < aJob.mState.Occurrences(); ++occurrence) {
+    if (aJob.mState.DueMs(occurrence) > unixMs) {
+      break;
+    }
+    for (uint32_t step = 0; step < about.mSpec.mSteps.size(); ++step) {
+      const auto waiting = aJob.mState.Waiting(occurrence, step);
+      if (waiting.empty()) {
+        continue;
+      }
+      placement_group group;
+      group.mJob = about.mId;
+      group.mOccurrence = occurrence;
+      group.mStep = step;
+      group.mSpec = about.mSpec.mSteps[step];
+      group.mPool = queue != nullptr ? queue->mPool : about.mPool;
+      group.mPriority = about.mPriority;
+      group.mMayPreempt = about.mPriority == 0;
+      group.mGuaranteed = WithinGuarantee(about);
+      const auto patience = duration(static_cast<int64_t>(
+        kSpreadAfterRuns * static_cast<double>(group.mSpec.mEstimate.count())));
+      group.mMaySpread = now - aJob.mSeenAt > patience;
+      bool isSettled = true;
+      for (const auto index : waiting) {
+        const task_ref task{ about.mId, occurrence, step, index };
+        const auto failed = aJob.mFailedOn.find(task);
+        if (failed != aJob.mFailedOn.end()) {
+          group.mAvoid[index] = failed->second;
+        }
+        // An older run that has not ended is still listed at its worker.
+        for (const auto& [id, worker] : mWorkers) {
+          if (worker->mRuns.Runs().count(task) != 0) {
+            isSettled = false;
+          }
+        }
+        group.mIndices.push_back(index);
+      }
+      for (const auto& task : aJob.mState.Placed()) {
+        if (task.mOccurrence == occurrence && task.mStep == step) {
+          ++group.mAlready[aJob.mState.Task(task).mWorker];
+        }
+      }
+      if (isSettled) {
+        aGroups.push_back(std::move(group));
+      }
+    }
+  }
+}
+
+void fleet_scheduler::AddUnits(const std::map<std::string, size_t>& aNumbers,
+                               std::vector<placed_unit>& aUnits) const
+{
+  const auto now = mPorts.mLoop.Now();
+  std::map<task_ref, size_t> gangs;
+  for (const auto& [id, worker] : mWorkers) {
+    for (const auto& [task, run] : worker->mRuns.Runs()) {
+      const auto found = mJobs.find(task.mJob);
+      if (run.mStopping || found == mJobs.end() || !found->second->mState.Has(task)) {
+        continue;
+      }
+      const auto& state = found->second->mState;
+      const auto& step = state.StepOf(task);
+      auto first = task;
+      first.mIndex = 0;
+      auto unit = gangs.find(first);
+      if (!step.mGang || unit == gangs.end()) {
+        placed_unit added;
+        added.mTask = task;
+        added.mPriority = state.Job().mPriority;
+        added.mGuaranteed = WithinGuarantee(state.Job());
+        if (step.mGang) {
+          gangs[first] = aUnits.size();
+        }
+        aUnits.push_back(added);
+      }
+      auto& into = step.mGang ? aUnits[gangs.at(first)] : aUnits.back();
+      into.mParts.emplace_back(aNumbers.at(id), run.mResources);
+      const double seconds =
+        static_cast<double>((now - run.mSince).count()) / kMsPerSecond;
+      into.mLoss += (step.mCheckpointing ? std::min(seconds, 1.0) : seconds) *
+                    CoresOf(run.mResources);
+    }
+  }
+}
+
+void fleet_scheduler::Execute(const placement_input& aInput,
+                              const placement_plan& aPlan,
+                              const std::vector<std::string>& aWorkerIds)
+{
+  const auto now = mPorts.mLoop.Now();
+  std::map<std::string, std::vector<std::pair<task_ref, uint32_t>>> placed;
+  std::map<size_t, uint32_t> gangRuns;
+  for (const auto& start : aPlan.mStarts) {
+    const auto& group = aInput.mGroups[start.mGroup];
+    auto& job = *mJobs.at(group.mJob);
+    const task_ref task{ group.mJob, group.mOccurrence, group.mStep, start.mIndex };
+    uint32_t run = job.mState.NextRun(group.mOccurrence, group.mStep, start.mIndex);
+    if (group.mSpec.mGang) {
+      run = gangRuns.emplace(start.mGroup, run).first->second;
+    }
+    const auto& workerId = aWorkerIds[start.mWorker];
+    job.mState.Place(task, run, workerId);
+    auto resources = group.mSpec.mPerTask;
+    if (group.mSpec.mFills) {
+      resources.mCpuMillis = 0;
+    }
+    mWorkers.at(workerId)->mRuns.Order(task, run, resources, now);
+    placed[group.mJob].emplace_back(task, run);
+  }
+  for (auto& [id, runs] : placed) {
+    WriteProgress(*mJobs.at(id), [this, started = runs] {
+      for (const auto& [task, run] : started) {
+        SendStart(task, run);
+      }
+    });
+  }
+  for (const auto number : aPlan.mStops) {
+    const auto& unit = aInput.mUnits[number];
+    const auto& job = *mJobs.at(unit.mTask.mJob);
+    const auto run = job.mState.Task(unit.mTask).mRun;
+    if (job.mState.StepOf(unit.mTask).mGang) {
+      StopGang(job, unit.mTask, run);
+    } else {
+      StopTask(job, unit.mTask, "its room is needed by a higher priority");
+    }
+  }
+}
+
+void fleet_scheduler::SendStart(const task_ref& aTask, uint32_t aRun)
+{
+  const auto found = mJobs.find(aTask.mJob);
+  if (found == mJobs.end()) {
+    return;
+  }
+  auto& job = *found->second;
+  const auto& task = job.mState.Task(aTask);
+  if (task.mRun != aRun || task.mWorker.empty()) {
+    return;
+  }
+  auto& worker = WorkerNamed(task.mWorker);
+  const auto now = mPorts.mLoop.Now();
+  const auto run = worker.mRuns.Runs().find(aTask);
+  const bool wanted = run != worker.mRuns.Runs().end() && run->second.mRun == aRun &&
+                      !run->second.mStopping &&
+                      job.mState.Outcome() == job_outcome::kOpen;
+  if (!wanted || !MayOrder() || worker.mListed.mDraining || !worker.mIsListed) {
+    const auto events =
+      worker.mRuns.OnStartAnswer(aTask, aRun, order_answer::kNotSent, now);
+    Apply(worker, events);
+    return;
+  }
+  start_order order;
+  order.mWorker = { worker.mListed.mId, worker.mListed.mAddress };
+  order.mTask = aTask;
+  order.mRun = aRun;
+  order.mPayload = job.mState.Job().mSpec.mPayload;
+  order.mCheckpoint = task.mCheckpoint;
+  order.mFence = mTerm.mFence;
+  order.mDeadlineOnWorker = worker.mRuns.StartDeadline(now);
+  worker.mRuns.NoteDeadline(aTask, aRun, order.mDeadlineOnWorker);
+  mPorts.mLog.Write(log_event("run_start")
+                      .Add("job", aTask.mJob)
+                      .Add("step", aTask.mStep)
+                      .Add("index", aTask.mIndex)
+                      .Add("run", aRun)
+                      .Add("worker", worker.mListed.mId)
+                      .Add("waited_ms", (now - job.mSeenAt).count()));
+  const auto id = worker.mListed.mId;
+  mPorts.mWorkers.Start(
+    order, Guarded([this, id, aTask, aRun, now](const order_answer& aAnswer) {
+      OnStartAnswer(id, aTask, aRun, aAnswer, now);
+    }));
+}
+
+void fleet_scheduler::OnStartAnswer(const std::string& aWorker,
+                                    const task_ref& aTask,
+                                    uint32_t aRun,
+                                    order_answer aAnswer,
+                                    time_point aSentAt)
+{
+  const auto now = mPorts.mLoop.Now();
+  auto& worker = WorkerNamed(aWorker);
+  if (aAnswer == order_answer::kFenced) {
+    Fenced("worker " + aWorker + " has seen a newer fence");
+    return;
+  }
+  if (aAnswer != order_answer::kAccepted) {
+    mPorts.mLog.Write(log_event("run_start_failed")
+                        .Add("job", aTask.mJob)
+                        .Add("step", aTask.mStep)
+                        .Add("index", aTask.mIndex)
+                        .Add("run", aRun)
+                        .Add("worker", aWorker)
+                        .Add("answer", ToString(aAnswer))
+                        .Add("ms", (now - aSentAt).count()));
+    worker.mHealth.OnNoAnswer(now);
+  }
+  const auto events = worker.mRuns.OnStartAnswer(aTask, aRun, aAnswer, now);
+  Apply(worker, events);
+  if (aAnswer != order_answer::kAccepted && !worker.mHolding) {
+    HoldSoon(worker, duration::zero());
+  }
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -0,0 +1,403 @@
+#include "scheduler/FleetScheduler.h"
+#include "scheduler/FleetSchedulerState.h"
+
+#include <cassert>
+
+namespace anvildoor {
+
+namespace {
+
+/** Period of the list of workers; a draining worker must be known within 2 s. */
+constexpr duration kDirectoryPeriod{ 700 };
+/** A hold waits this long for an end; the lease is renewed as often. */
+constexpr duration kHoldWait{ 1'000 };
+/** A hold of a worker that answers badly or not at all is repeated after this pause. */
+constexpr duration kHoldRetry{ 300 };
+/** Ends are acknowledged as soon as they are durable, or asked about after this. */
+constexpr duration kHoldWhileOpen{ 400 };
+/** A worker silent for longer gets no new lease, so that what it holds can lapse. */
+constexpr duration kSilentAfter{ 2'000 };
+/** A stop without an end is repeated after this; it takes at most 400 ms. */
+constexpr duration kStopRepeat{ 700 };
+/** A task counts as standing still after this part of its estimate, and no sooner... */
+constexpr int kStandstillEstimates = 1;
+/** ...than this, several times the rate at which progress is reported. */
+constexpr duration kStandstillLeast{ 3'500 };
+
+} // namespace
+
+fleet_scheduler::worker_entry& fleet_scheduler::WorkerNamed(const std::string& aId)
+{
+  auto& entry = mWorkers[aId];
+  if (!entry) {
+    entry = std::make_unique<worker_entry>(aId, mBounds.mRuns);
+    // A former holder may have renewed its lease until its own orders ended.
+    entry->mRuns.AssumeLease(mBegunAt + mBounds.mOrdersPastTerm);
+    entry->mRuns.NoteLease(mBegunAt + mBounds.mOrdersPastTerm);
+  }
+  return *entry;
+}
+
+void fleet_scheduler::PollDirectory()
+{
+  mPorts.mLoop.RunAfter(kDirectoryPeriod, Guarded([this] {
+                          mPorts.mDirectory.List(Guarded(
+                            [this](const result<std::vector<listed_worker>>& aListed) {
+                              if (aListed) {
+                                OnListed(*aListed);
+                              }
+                              PollDirectory();
+                            }));
+                        }));
+}
+
+void fleet_scheduler::OnListed(const std::vector<listed_worker>& aListed)
+{
+  std::set<std::string> seen;
+  for (const auto& listed : aListed) {
+    seen.insert(listed.mId);
+    auto& worker = WorkerNamed(listed.mId);
+    const bool isNew = !worker.mIsListed || worker.mListed.mAddress != listed.mAddress;
+    const bool drains = listed.mDraining && !worker.mListed.mDraining;
+    if (isNew || drains) {
+      mPorts.mLog.Write(log_event(drains ? "worker_draining" : "worker_listed")
+                          .Add("worker", listed.mId)
+                          .Add("address", listed.mAddress));
+    }
+    worker.mListed = listed;
+    worker.mIsListed = true;
+    if (isNew && !worker.mHolding) {
+      HoldSoon(worker, duration::zero());
+    }
+  }
+  for (auto& [id, worker] : mWorkers) {
+    if (worker->mIsListed && seen.count(id) == 0) {
+      worker->mIsListed = false;
+      mPorts.mLog.Write(log_event("worker_unlisted").Add("worker", id));
+    }
+  }
+  PlanSoon();
+}
+
+void fleet_scheduler::HoldSoon(worker_entry& aWorker, duration aAfter)
+{
+  const auto round = ++aWorker.mHoldRound;
+  const auto id = aWorker.mListed.mId;
+  mPorts.mLoop.RunAfter(aAfter, Guarded([this, id, round] {
+                          const auto found = mWorkers.find(id);
+                          if (found != mWorkers.end() &&
+                              found->second->mHoldRound == round &&
+                              !found->second->mHolding) {
+                            Hold(*found->second);
+                          }
+                        }));
+}
+
+void fleet_scheduler::Hold(worker_entry& aWorker)
+{
+  if (!MayOrder() || aWorker.mListed.mAddress.empty()) {
+    HoldSoon(aWorker, kHoldRetry);
+    return;
+  }
+  const auto now = mPorts.mLoop.Now();
+  auto& runs = aWorker.mRuns;
+  hold_order order;
+  order.mWorker = { aWorker.mListed.mId, aWorker.mListed.mAddress };
+  order.mFence = mTerm.mFence;
+  order.mAcknowledged = runs.Acknowledged();
+  const bool isFresh = now - runs.LastAnswer() < kSilentAfter;
+  if (isFresh) {
+    order.mDeadlineOnWorker = runs.LeaseDeadline(now);
+  }
+  if (order.mDeadlineOnWorker) {
+    runs.NoteLease(now);
+    order.mWait = aWorker.mSilent ? duration::zero() : kHoldWait;
+  }
+  runs.NoteAckSent(order.mAcknowledged);
+  aWorker.mHolding = true;
+  const auto id = aWorker.mListed.mId;
+  mPorts.mWorkers.Hold(order, Guarded([this, id, now](const hold_reply& aReply) {
+                         auto& worker = WorkerNamed(id);
+                         worker.mHolding = false;
+                         if (aReply.mAnswer == order_answer::kAccepted) {
+                           OnHeld(worker, aReply, now);
+                         } else {
+                           OnSilent(worker, aReply.mAnswer);
+                         }
+                       }));
+}
+
+void fleet_scheduler::OnHeld(worker_entry& aWorker,
+                             const hold_reply& aReply,
+                             time_point aSentAt)
+{
+  const bool first = !aWorker.mRuns.Fenced();
+  if (aWorker.mSilent) {
+    mPorts.mLog.Write(log_event("worker_regained").Add("worker", aWorker.mListed.mId));
+  }
+  aWorker.mSilent = false;
+  const auto events = aWorker.mRuns.OnHold(aReply, aSentAt, mPorts.mLoop.Now());
+  Apply(aWorker, events);
+  const bool isOpen = std::any_of(events.begin(), events.end(), [](const auto& aEvent) {
+    return aEvent.mNumber != 0;
+  });
+  const bool next = aWorker.mRuns.HasUnsentAcknowledgement() || !isOpen;
+  HoldSoon(aWorker, next ? duration::zero() : kHoldWhileOpen);
+  if (first) {
+    PlanSoon();
+  }
+}
+
+void fleet_scheduler::OnSilent(worker_entry& aWorker, order_answer aAnswer)
+{
+  if (aAnswer == order_answer::kFenced) {
+    Fenced("worker " + aWorker.mListed.mId + " has seen a newer fence");
+    return;
+  }
+  if (!aWorker.mSilent) {
+    mPorts.mLog.Write(log_event("worker_silent")
+                        .Add("worker", aWorker.mListed.mId)
+                        .Add("answer", ToString(aAnswer)));
+  }
+  aWorker.mSilent = true;
+  if (aAnswer == order_answer::kGone) {
+    // Another life answers there: nothing of the one that was meant is left.
+    Apply(aWorker, aWorker.mRuns.DropAll(run_end::kLost));
+  }
+  HoldSoon(aWorker, kHoldRetry);
+}
+
+void fleet_scheduler::Apply(worker_entry& aWorker,
+                            const std::vector<run_event>& aEvents)
+{
+  for (const auto& event : aEvents) {
+    switch (event.mKind) {
+      case run_event::kind::kEnded:
+        ApplyEnd(aWorker, event);
+        break;
+      case run_event::kind::kFound:
+        ApplyFound(aWorker, event);
+        break;
+      case run_event::kind::kCheckpoint: {
+        const auto found = mJobs.find(event.mTask.mJob);
+        if (found != mJobs.end() && found->second->mState.Has(event.mTask)) {
+          found->second->mState.Save(event.mTask, event.mRun, event.mCheckpoint);
+        }
+        break;
+      }
+    }
+  }
+}
+
+void fleet_scheduler::ApplyEnd(worker_entry& aWorker, const run_event& aEvent)
+{
+  const auto id = aWorker.mListed.mId;
+  const auto born = aWorker.mRuns.Born();
+  const auto number = aEvent.mNumber;
+  const auto acknowledge = [this, id, born, number] {
+    const auto found = mWorkers.find(id);
+    if (number == 0 || found == mWorkers.end()) {
+      return;
+    }
+    found->second->mRuns.MarkDurable(born, number);
+    if (found->second->mRuns.HasUnsentAcknowledgement()) {
+      HoldSoon(*found->second, duration::zero());
+    }
+  };
+  const auto found = mJobs.find(aEvent.mTask.mJob);
+  if (found == mJobs.end() || !found->second->mState.Has(aEvent.mTask)) {
+    mPorts.mLoop.Post(Guarded(acknowledge));
+    return;
+  }
+  auto& job = *found->second;
+  const auto effect =
+    job.mState.End(aEvent.mTask, aEvent.mRun, aEvent.mEnd, aEvent.mCheckpoint);
+  mPorts.mLog.Write(log_event("run_ended")
+                      .Add("job", aEvent.mTask.mJob)
+                      .Add("step", aEvent.mTask.mStep)
+                      .Add("index", aEvent.mTask.mIndex)
+                      .Add("run", aEvent.mRun)
+                      .Add("worker", id)
+                      .Add("end", ToString(aEvent.mEnd))
+                      .Add("current", effect.mKnown ? 1 : 0));
+  mPorts.mMetrics.Count("runs_ended_total", "end", ToString(aEvent.mEnd));
+  if (!effect.mKnown) {
+    mPorts.mLoop.Post(Guarded(acknowledge));
+    return;
+  }
+  JudgeWorker(aWorker, aEvent);
+  if (effect.mGangBroken) {
+    StopGang(job, aEvent.mTask, aEvent.mRun);
+  }
+  if (effect.mFinished) {
+    OnOutcome(job);
+  }
+  WriteProgress(job, acknowledge);
+  PlanSoon();
+}
+
+void fleet_scheduler::JudgeWorker(worker_entry& aWorker, const run_event& aEvent)
+{
+  const auto now = mPorts.mLoop.Now();
+  if (aEvent.mEnd == run_end::kDone) {
+    aWorker.mHealth.OnDone();
+  } else if (aEvent.mEnd == run_end::kFailed) {
+    aWorker.mHealth.OnFailed(aEvent.mTask.mJob, now);
+    const auto found = mJobs.find(aEvent.mTask.mJob);
+    found->second->mFailedOn[aEvent.mTask].insert(aWorker.mListed.mId);
+  }
+}
+
+void fleet_scheduler::ApplyFound(worker_entry& aWorker, const run_event& aEvent)
+{
+  const auto now = mPorts.mLoop.Now();
+  const auto found = mJobs.find(aEvent.mTask.mJob);
+  const bool known = found != mJobs.end() && found->second->mState.Has(aEvent.mTask);
+  if (known) {
+    const auto& state = found->second->mState;
+    const auto& task = state.Task(aEvent.mTask);
+    if (aWorker.mRuns.Runs().count(aEvent.mTask) == 0) {
+      aWorker.mRuns.Assume(
+        aEvent.mTask, aEvent.mRun, state.StepOf(aEvent.mTask).mPerTask, now);
+    }
+    if (task.mRun == aEvent.mRun && task.mWorker == aWorker.mListed.mId) {
+      return;
+    }
+  }
+  mPorts.mLog.Write(log_event("run_unexpected")
+                      .Add("job", aEvent.mTask.mJob)
+                      .Add("step", aEvent.mTask.mStep)
+                      .Add("index", aEvent.mTask.mIndex)
+                      .Add("run", aEvent.mRun)
+                      .Add("worker", aWorker.mListed.mId));
+  StopRun(aWorker, aEvent.mTask, aEvent.mRun);
+}
+
+void fleet_scheduler::StopRun(worker_entry& aWorker,
+                              const task_ref& aTask,
+                              uint32_t aRun)
+{
+  aWorker.mRuns.MarkStopping(aTask, mPorts.mLoop.Now());
+  if (!MayOrder() || aWorker.mListed.mAddress.empty()) {
+    return;
+  }
+  stop_order order;
+  order.mWorker = { aWorker.mListed.mId, aWorker.mListed.mAddress };
+  order.mTask = aTask;
+  order.mRun = aRun;
+  order.mFence = mTerm.mFence;
+  const auto id = aWorker.mListed.mId;
+  mPorts.mWorkers.Stop(
+    order, Guarded([this, id, aTask, aRun](const order_answer& aAnswer) {
+      const auto found = mWorkers.find(id);
+      if (found == mWorkers.end()) {
+        return;
+      }
+      if (aAnswer == order_answer::kFenced) {
+        Fenced("worker " + id + " has seen a newer fence");
+        return;
+      }
+      found->second->mRuns.OnStopAnswer(aTask, aRun, aAnswer, mPorts.mLoop.Now());
+    }));
+}
+
+void fleet_scheduler::StopTask(const job_entry& aJob,
+                               const task_ref& aTask,
+                               const char* aReason)
+{
+  const auto& task = aJob.mState.Task(aTask);
+  const auto found = mWorkers.find(task.mWorker);
+  if (found == mWorkers.end()) {
+    return;
+  }
+  auto& worker = *found->second;
+  const auto run = worker.mRuns.Runs().find(aTask);
+  if (run == worker.mRuns.Runs().end() || run->second.mStopping) {
+    return;
+  }
+  mPorts.mLog.Write(log_event("run_stop")
+                      .Add("job", aTask.mJob)
+                      .Add("step", aTask.mStep)
+                      .Add("index", aTask.mIndex)
+                      .Add("run", task.mRun)
+                      .Add("worker", task.mWorker)
+                      .Add("reason", aReason));
+  StopRun(worker, aTask, task.mRun);
+}
+
+void fleet_scheduler::StopJob(const job_entry& aJob, const char* aReason)
+{
+  for (const auto& task : aJob.mState.Placed()) {
+    const bool endsByItself = aJob.mState.Task(task).mDone;
+    if (!endsByItself) {
+      StopTask(aJob, task, aReason);
+    }
+  }
+}
+
+void fleet_scheduler::StopGang(const job_entry& aJob,
+                               const task_ref& aTask,
+                               uint32_t aRun)
+{
+  for (const auto& member : aJob.mState.Placed()) {
+    const bool sameGang =
+      member.mOccurrence == aTask.mOccurrence && member.mStep == aTask.mStep;
+    if (sameGang && aJob.mState.Task(member).mRun == aRun) {
+      StopTask(aJob, member, "its gang is broken");
+    }
+  }
+}
+
+void fleet_scheduler::CheckWorker(worker_entry& aWorker, time_point aNow)
+{
+  if (aWorker.mRuns.Runs().empty()) {
+    return;
+  }
+  if (aNow > aWorker.mRuns.LapsesAt()) {
+    mPorts.mLog.Write(log_event("lease_lapsed")
+                        .Add("worker", aWorker.mListed.mId)
+                        .Add("silent_ms", (aNow - aWorker.mRuns.LastAnswer()).count()));
+    Apply(aWorker, aWorker.mRuns.DropAll(run_end::kLapsed));
+    return;
+  }
+  std::vector<std::pair<task_ref, uint32_t>> repeat;
+  for (const auto& [task, run] : aWorker.mRuns.Runs()) {
+    if (run.mStopping && aNow - run.mStopSentAt > kStopRepeat) {
+      repeat.emplace_back(task, run.mRun);
+    }
+  }
+  for (const auto& [task, run] : repeat) {
+    StopRun(aWorker, task, run);
+  }
+  CheckProgress(aWorker, aNow);
+}
+
+void fleet_scheduler::CheckProgress(worker_entry& aWorker, time_point aNow)
+{
+  if (aWorker.mSilent || aNow - aWorker.mRuns.LastAnswer() > kHoldWait * 2) {
+    return;
+  }
+  std::vector<task_ref> stuck;
+  for (const auto& [task, run] : aWorker.mRuns.Runs()) {
+    const auto found = mJobs.find(task.mJob);
+    if (run.mStopping || found == mJobs.end() || !found->second->mState.Has(task)) {
+      continue;
+    }
+    const auto& step = found->second->mState.StepOf(task);
+    const auto limit =
+      std::max<duration>(kStandstillLeast, step.mEstimate * kStandstillEstimates);
+    const auto& state = found->second->mState.Task(task);
+    const bool current = state.mRun == run.mRun && !state.mDone;
+    if (current && !step.mLongRunning && aNow - run.mProgressAt > limit) {
+      stuck.push_back(task);
+    }
+  }
+  for (const auto& task : stuck) {
+    const auto& job = *mJobs.at(task.mJob);
+    aWorker.mHealth.OnFailed(task.mJob, aNow);
+    mJobs.at(task.mJob)->mFailedOn[task].insert(aWorker.mListed.mId);
+    StopTask(job, task, "it makes no progress");
+  }
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/scheduler/RecordWriter.cpp
@@ -0,0 +1,168 @@
+#include "scheduler/RecordWriter.h"
+
+#include "scheduler/StoreKeys.h"
+
+#include <algorithm>
+
+namespace anvildoor {
+
+namespace {
+
+/** Pause before a transaction is sent again after the store failed. */
+constexpr duration kRetry{ 120 };
+/** Two conditions and the writer's own key leave this many records a transaction. */
+constexpr size_t kRecordsAtOnce = store_transaction::kMaxEntries - 3;
+
+} // namespace
+
+record_writer::record_writer(event_loop& aLoop,
+                             transaction_store& aStore,
+                             event_log& aLog,
+                             callbacks aCallbacks)
+  : mLoop(aLoop)
+  , mStore(aStore)
+  , mLog(aLog)
+  , mCallbacks(std::move(aCallbacks))
+{
+}
+
+void record_writer::Begin(const scheduler_term& aTerm, uint64_t aWriterRevision)
+{
+  End();
+  mTerm = aTerm;
+  mWriterRevision = aWriterRevision;
+  mActive = true;
+}
+
+void record_writer::End()
+{
+  ++mRound;
+  mActive = false;
+  mInFlight = false;
+  mScheduled = false;
+  mWaiting.clear();
+  mRemovals.clear();
+  mSentNotices.clear();
+}
+
+void record_writer::Write(const std::string& aKey, std::function<void()> aDurable)
+{
+  if (!mActive) {
+    return;
+  }
+  auto& waiting = mWaiting[aKey];
+  if (aDurable) {
+    waiting.push_back(std::move(aDurable));
+  }
+  SendSoon();
+}
+
+void record_writer::Remove(const std::vector<std::string>& aKeys)
+{
+  if (mActive) {
+    mRemovals.insert(mRemovals.end(), aKeys.begin(), aKeys.end());
+    SendSoon();
+  }
+}
+
+void record_writer::SendSoon()
+{
+  if (mInFlight || mScheduled) {
+    return;
+  }
+  mScheduled = true;
+  const auto round = mRound;
+  mLoop.Post([this, round] {
+    if (round == mRound) {
+      mScheduled = false;
+      Send();
+    }
+  });
+}
+
+void record_writer::Send()
+{
+  if (mInFlight || (mWaiting.empty() && mRemovals.empty())) {
+    return;
+  }
+  mInFlight = true;
+  mBatchName = std::to_string(mTerm.mFence) + "." + std::to_string(++mBatch);
+  mSent = store_transaction();
+  mSent.mConditions.push_back({ store_keys::kScheduler, mTerm.mRevision });
+  mSent.mConditions.push_back({ store_keys::kWriter, mWriterRevision });
+  mSent.mPuts.push_back({ store_keys::kWriter, mBatchName, 0 });
+  size_t room = kRecordsAtOnce;
+  while (room > 0 && !mWaiting.empty()) {
+    auto first = mWaiting.begin();
+    mSent.mPuts.push_back({ first->first, mCallbacks.mEncode(first->first), 0 });
+    std::move(
+      first->second.begin(), first->second.end(), std::back_inserter(mSentNotices));
+    mWaiting.erase(first);
+    --room;
+  }
+  while (room > 0 && !mRemovals.empty()) {
+    mSent.mRemovals.push_back(std::move(mRemovals.back()));
+    mRemovals.pop_back();
+    --room;
+  }
+  Commit();
+}
+
+void record_writer::Commit()
+{
+  const auto round = mRound;
+  ++mTransactions;
+  mStore.Commit(mSent, [this, round](const result<transaction_outcome>& aOutcome) {
+    if (round == mRound) {
+      OnOutcome(aOutcome);
+    }
+  });
+}
+
+void record_writer::OnOutcome(const result<transaction_outcome>& aOutcome)
+{
+  if (!aOutcome) {
+    mLog.Write(log_event("record_write_failed")
+                 .Add("batch", mBatchName)
+                 .Add("error", Describe(aOutcome.error())));
+    const auto round = mRound;
+    mLoop.RunAfter(kRetry, [this, round] {
+      if (round == mRound) {
+        Commit();
+      }
+    });
+    return;
+  }
+  if (aOutcome->mCommitted) {
+    OnCommitted(aOutcome->mRevision);
+    return;
+  }
+  // A transaction sent twice finds its own first copy: that is a success.
+  for (const auto& item : aOutcome->mCurrent) {
+    if (item.mKey == store_keys::kWriter && item.mValue == mBatchName) {
+      OnCommitted(item.mRevision);
+      return;
+    }
+  }
+  mCallbacks.mOnFenced("the store refused a write of this term");
+}
+
+void record_writer::OnCommitted(uint64_t aRevision)
+{
+  mWriterRevision = aRevision;
+  mInFlight = false;
+  const auto round = mRound;
+  const auto notices = std::move(mSentNotices);
+  mSentNotices.clear();
+  for (const auto& notice : notices) {
+    notice();
+    if (round != mRound) {
+      return;
+    }
+  }
+  if (!mWaiting.empty() || !mRemovals.empty()) {
+    SendSoon();
+  }
+}
+
+} // namespace anvildoor
--- /dev/null
+++ b/tools/anvildoor-entry.cpp
@@ -0,0 +1,77 @@
+#include "entry/EntrySettings.h"
+#include "platform/EntryProgram.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <getopt.h>
+#include <string>
+
+namespace {
+
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+constexpr const char* kFileVariable = "ANVILDOOR_BOOT";
+
+void PrintHelp()
+{
+  std::printf(
+    "Usage: anvildoor-entry [--config FILE] [--check]\n"
+    "\n"
+    "Runs one anvildoor entry VM on its users' platform until SIGTERM.\n"
+    "\n"
+    "  -c, --config FILE  the INI file with the settings; without it, the file\n"
+    "                     that the variable %s names\n"
+    "      --check        check the settings, start nothing\n"
+    "  -h, --help         this text\n"
+    "\n"
+    "Exit status: 0 ended gracefully or settings good, 1 could not start,\n"
+    "2 wrong usage or settings.\n",
+    kFileVariable);
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  static const option sOptions[] = { { "config", required_argument, nullptr, 'c' },
+                                     { "check", no_argument, nullptr, 'k' },
+                                     { "help", no_argument, nullptr, 'h' },
+                                     { nullptr, 0, nullptr, 0 } };
+  const char* named = std::getenv(kFileVariable);
+  std::string file = named == nullptr ? "" : named;
+  bool checkOnly = false;
+  int choice = 0;
+  while ((choice = getopt_long(aCount, aArguments, "c:h", sOptions, nullptr)) != -1) {
+    if (choice == 'c') {
+      file = optarg;
+    } else if (choice == 'k') {
+      checkOnly = true;
+    } else if (choice == 'h') {
+      PrintHelp();
+      return 0;
+    } else {
+      return kExitUsage;
+    }
+  }
+  if (file.empty() || optind != aCount) {
+    std::fprintf(stderr, "anvildoor-entry: a settings file is needed; see --help\n");
+    return kExitUsage;
+  }
+  const auto settings = anvildoor::LoadEntrySettings(file);
+  if (!settings) {
+    std::fprintf(
+      stderr, "anvildoor-entry: %s\n", anvildoor::Describe(settings.error()).c_str());
+    return kExitUsage;
+  }
+  if (checkOnly) {
+    std::printf("%s: the settings are good\n", file.c_str());
+    return 0;
+  }
+  const auto ended = anvildoor::RunEntry(file, *settings);
+  if (!ended) {
+    std::fprintf(
+      stderr, "anvildoor-entry: %s\n", anvildoor::Describe(ended.error()).c_str());
+    return kExitFailed;
+  }
+  return 0;
+}
