A cancel that a listing shows before its job is kept; whole-installation tests

Ruled out: the watch itself, which reported the loss in the log line inbox_history_lost. Now such a cancel waits for its job.

--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -90,6 +90,7 @@
   mPlanScheduled = false;
   mWriter.End();
   mJobs.clear();
+  mEarlyCancels.clear();
   mWorkers.clear();
 }
 
@@ -177,6 +178,7 @@
     }
   }
   mLoaded = true;
+  // Cancels need the progress: a job that has its outcome keeps it.
   for (const auto& item : aLoading.mInbox.mItems) {
     if (store_keys::After(item.mKey, store_keys::kCancels)) {
       TakeInboxItem(item);
@@ -267,6 +269,10 @@
   auto entry = std::make_unique<job_entry>(aJob);
   entry->mSeenAt = mPorts.mLoop.Now();
   mJobs[aJob.mId] = std::move(entry);
+  if (mEarlyCancels.erase(aJob.mId) != 0) {
+    CancelJob(aJob.mId);
+    return;
+  }
   if (mLoaded) {
     mPorts.mLog.Write(log_event("job_taken")
                         .Add("job", aJob.mId)
@@ -280,7 +286,12 @@
 void fleet_scheduler::CancelJob(const std::string& aId)
 {
   const auto found = mJobs.find(aId);
-  if (found == mJobs.end() || !found->second->mState.Cancel()) {
+  if (found == mJobs.end()) {
+    // A listing shows cancels before jobs.
+    mEarlyCancels.insert(aId);
+    return;
+  }
+  if (!found->second->mState.Cancel()) {
     return;
   }
   mPorts.mLog.Write(log_event("job_cancelled").Add("job", aId));
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -150,6 +150,7 @@
   time_point mBegunAt{ 0 };
   uint64_t mInboxRevision = 0;
   std::map<std::string, std::unique_ptr<job_entry>> mJobs;
+  std::set<std::string> mEarlyCancels; ///< Cancels seen before their job.
   std::map<std::string, std::unique_ptr<worker_entry>> mWorkers;
   std::map<std::string, int64_t> mDemand; ///< Accelerators of priority 0, by workspace.
 };
--- /dev/null
+++ b/src/standin/MemoryTransactionStore.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "base/EventLoop.h"
+#include "store/TransactionStore.h"
+
+#include <deque>
+#include <map>
+
+namespace anvildoor {
+
+/** A platform's store in memory, with leases, watches and a history that can be lost. */
+class memory_transaction_store : public transaction_store
+{
+public:
+  /** aLoop must outlive the store. */
+  explicit memory_transaction_store(event_loop& aLoop)
+    : mLoop(aLoop)
+  {
+  }
+
+  /** Writes as the operator or a worker would, without conditions. */
+  uint64_t Put(const std::string& aKey, const std::string& aValue);
+  void Remove(const std::string& aKey);
+
+  /** Drops the history: watches from before now must list again. */
+  void Compact();
+
+  /** Holds back what watches would hear until Compact; changes go on. */
+  void SilenceWatches() { mSilent = true; }
+
+  std::optional<stored_item> Peek(const std::string& aKey) const;
+  uint64_t Revision() const { return mRevision; }
+
+protected:
+  void OnGet(const std::string& aKey, done<std::optional<stored_item>> aDone) override;
+  void OnList(const std::string& aPrefix,
+              bool aMayBeStale,
+              done<stored_range> aDone) override;
+  void OnWatch(const std::string& aPrefix,
+               uint64_t aRevision,
+               duration aWait,
+               done<stored_changes> aDone) override;
+  void OnCommit(const store_transaction& aChange,
+                done<transaction_outcome> aDone) override;
+  void OnGrantLease(duration aTtl, done<uint64_t> aDone) override;
+  void OnKeepLease(uint64_t aLease, done<uint64_t> aDone) override;
+  void OnEndLease(uint64_t aLease, done<uint64_t> aDone) override;
+
+private:
+  struct lease
+  {
+    duration mTtl{ 0 };
+    time_point mEndsAt{ 0 };
+  };
+  struct waiting_watch
+  {
+    std::string mPrefix;
+    uint64_t mRevision = 0;
+    done<stored_changes> mDone;
+  };
+
+  void Write(const std::string& aKey, const std::string& aValue, uint64_t aLease);
+  void Erase(const std::string& aKey);
+  void Record(stored_change aChange);
+  void EndLapsed();
+  void DropLease(uint64_t aLease);
+  void CheckLeaseAt(uint64_t aLease, duration aAfter);
+  stored_changes ChangesAfter(const std::string& aPrefix, uint64_t aRevision) const;
+  void WakeWatches();
+
+  event_loop& mLoop;
+  std::map<std::string, stored_item> mItems;
+  std::deque<stored_change> mHistory;
+  uint64_t mRevision = 1;
+  uint64_t mCompacted = 0; ///< History up to this revision is gone.
+  bool mSilent = false;
+  uint64_t mNextLease = 1;
+  std::map<uint64_t, lease> mLeases;
+  uint64_t mNextWatch = 1;
+  std::map<uint64_t, waiting_watch> mWatches;
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/tests/InstallationTest.cpp
@@ -0,0 +1,275 @@
+#include "scheduler/StoreKeys.h"
+#include "support/FakeInstallation.h"
+
+#include <catch2/catch.hpp>
+
+using namespace anvildoor;
+
+namespace {
+
+const std::string kJob = "00000000000000a1";
+const std::string kOther = "00000000000000a2";
+
+accepted_job TwoSteps()
+{
+  auto job = fake_installation::MakeJob(kJob, 3);
+  auto second = job.mSpec.mSteps.front();
+  second.mGang = true;
+  second.mCount = 4;
+  second.mAfter = { 0 };
+  job.mSpec.mSteps.push_back(second);
+  return job;
+}
+
+const run_trace* FirstOf(const fake_installation& aSite, uint32_t aStep)
+{
+  for (const auto& trace : aSite.mTraces) {
+    if (trace.mTask.mStep == aStep) {
+      return &trace;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace
+
+TEST_CASE("a job of two steps with a gang runs to its end", "[installation]")
+{
+  fake_installation site(3, 8);
+  REQUIRE(site.Submit("vm1", TwoSteps()) == job_answer::kAccepted);
+  CHECK(site.Reaches("vm2", kJob, "done", duration(4'000)));
+  CHECK(site.StartsOf(kJob) == 7);
+  const auto* gang = FirstOf(site, 1);
+  REQUIRE(gang != nullptr);
+  for (const auto& trace : site.mTraces) {
+    if (trace.mTask.mStep == 0) {
+      CHECK(*trace.mEnded <= gang->mBegan);
+    }
+  }
+}
+
+TEST_CASE("the end of a job outlives the scheduler, whenever it is killed", "[installation]")
+{
+  const auto after = GENERATE(1, 2, 5, 8, 15, 30, 300, 990, 1'005, 1'020, 1'500, 2'050);
+  CAPTURE(after);
+  fake_installation site(3, 8);
+  const auto killed = site.SchedulerVm();
+  const std::string other = killed == "vm0" ? "vm1" : "vm0";
+  REQUIRE(site.Submit(other, TwoSteps()) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(after));
+  site.Kill(killed);
+  CHECK(site.Reaches(other, kJob, "done", duration(9'000)));
+  CHECK(site.MostAtOnce() == 1);
+  for (const auto& trace : site.mTraces) {
+    if (trace.mEnd == run_end::kDone) {
+      for (const auto& later : site.mTraces) {
+        const bool again = later.mTask == trace.mTask && later.mBegan > *trace.mEnded;
+        CHECK_FALSE(again);
+      }
+    }
+  }
+}
+
+TEST_CASE("a takeover restarts nothing on a silent worker before its lease has lapsed", "[installation]")
+{
+  fake_installation site(3, 4);
+  site.mWork["long"] = { duration(20'000), false };
+  auto job = fake_installation::MakeJob(kJob, 4);
+  job.mSpec.mPayload = "long";
+  job.mSpec.mSteps.front().mMaxPerWorker = 1;
+  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(1'000));
+  REQUIRE(site.mTraces.size() == 4);
+  const auto killed = site.SchedulerVm();
+  for (const auto* vm : { "vm0", "vm1", "vm2" }) {
+    site.mFaults.mCuts.insert({ vm, "w2" });
+  }
+  site.Kill(killed);
+  site.mLoop.RunFor(duration(25'000));
+  CHECK(site.MostAtOnce() == 1);
+  // The cut worker's lease lapsed, and its task ran on elsewhere afterwards.
+  CHECK(site.mTraces.size() == 5);
+  CHECK(site.mLog.CountOf("event=lease_lapsed worker=w2") >= 1);
+}
+
+TEST_CASE("a cancel that a listing shows before its job ends the job", "[installation]")
+{
+  fake_installation site(2, 4);
+  site.mStore.SilenceWatches();
+  REQUIRE(site.Submit("vm0", fake_installation::MakeJob(kJob, 2)) ==
+          job_answer::kAccepted);
+  REQUIRE(site.Cancel("vm1", kJob) == job_answer::kAccepted);
+  site.mStore.Compact();
+  CHECK(site.Reaches("vm0", kJob, "cancelled", duration(3'000)));
+  CHECK(site.StartsOf(kJob) == 0);
+}
+
+TEST_CASE("a lost answer of the store leaves one job", "[installation]")
+{
+  const auto lost = GENERATE(1, 2);
+  fake_installation site(2, 4);
+  site.mFaults.mLoseCommits = lost;
+  CHECK(site.Submit("vm0", fake_installation::MakeJob(kJob, 2)) == job_answer::kAccepted);
+  CHECK(site.Reaches("vm1", kJob, "done", duration(8'000)));
+  CHECK(site.MostAtOnce() == 1);
+  CHECK(site.StartsOf(kJob) == 2);
+}
+
+TEST_CASE("without an answer of the store a job is neither accepted nor refused", "[installation]")
+{
+  fake_installation site(2, 4);
+  site.mFaults.mLoseCommits = 100;
+  CHECK(site.Submit("vm0", fake_installation::MakeJob(kJob, 1), duration(700)) ==
+        job_answer::kUnknown);
+}
+
+TEST_CASE("a job that the store does not take is refused, and never runs", "[installation]")
+{
+  fake_installation site(2, 4);
+  site.mFaults.mRefusing.insert("vm0");
+  CHECK(site.Submit("vm0", fake_installation::MakeJob(kJob, 1)) ==
+        job_answer::kNotAccepted);
+  site.mFaults.mRefusing.clear();
+  site.mLoop.RunFor(duration(5'000));
+  CHECK(site.StartsOf(kJob) == 0);
+  CHECK(site.StateAt("vm1", kJob) == "not found");
+}
+
+TEST_CASE("a repeat of an id at another VM is the same job", "[installation]")
+{
+  fake_installation site(3, 4);
+  const auto job = fake_installation::MakeJob(kJob, 2);
+  CHECK(site.Submit("vm0", job) == job_answer::kAccepted);
+  CHECK(site.Submit("vm1", job) == job_answer::kAccepted);
+  CHECK(site.Reaches("vm2", kJob, "done", duration(3'000)));
+  CHECK(site.Submit("vm2", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(3'000));
+  CHECK(site.StartsOf(kJob) == 2);
+  CHECK(site.StateAt("vm0", kJob) == "done");
+}
+
+TEST_CASE("an order that is carried out late is refused, and its task runs elsewhere", "[installation]")
+{
+  const auto lateBy = GENERATE(1'600, 2'500, 6'000, 12'000);
+  fake_installation site(2, 2);
+  site.mFaults.mLateBy = duration(lateBy);
+  site.mFaults.mLateStarts = { "w0" };
+  REQUIRE(site.Submit("vm0", fake_installation::MakeJob(kJob, 1)) ==
+          job_answer::kAccepted);
+  CHECK(site.Reaches("vm0", kJob, "done", duration(10'000)));
+  site.mLoop.RunFor(duration(15'000));
+  CHECK(site.MostAtOnce() == 1);
+  CHECK(site.StartsOf(kJob) == 1);
+}
+
+TEST_CASE("a cancel that races the start ends every run", "[installation]")
+{
+  const auto after = GENERATE(0, 1, 2, 4, 6, 8, 10, 12, 20);
+  CAPTURE(after);
+  fake_installation site(2, 4);
+  site.mWork["long"] = { duration(30'000), false };
+  auto job = fake_installation::MakeJob(kJob, 4, true);
+  job.mSpec.mPayload = "long";
+  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(after));
+  REQUIRE(site.Cancel("vm1", kJob) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(3'000));
+  CHECK(site.StateAt("vm1", kJob) == "cancelled");
+  for (const auto& trace : site.mTraces) {
+    CHECK(trace.mEnded.has_value());
+  }
+}
+
+TEST_CASE("a worker that restarts under its id runs its tasks again", "[installation]")
+{
+  fake_installation site(2, 1);
+  REQUIRE(site.Submit("vm0", fake_installation::MakeJob(kJob, 2)) ==
+          job_answer::kAccepted);
+  site.mLoop.RunFor(duration(300));
+  site.CrashWorker("w0", true);
+  CHECK(site.Reaches("vm0", kJob, "done", duration(6'000)));
+  CHECK(site.MostAtOnce() == 1);
+  CHECK(site.StartsOf(kJob) == 4);
+}
+
+TEST_CASE("a draining worker gets no new tasks", "[installation]")
+{
+  fake_installation site(2, 2);
+  site.ListWorker("w0", true);
+  site.mLoop.RunFor(duration(800));
+  REQUIRE(site.Submit("vm0", fake_installation::MakeJob(kJob, 4)) ==
+          job_answer::kAccepted);
+  CHECK(site.Reaches("vm0", kJob, "done", duration(4'000)));
+  for (const auto& trace : site.mTraces) {
+    CHECK(trace.mWorker == "w1");
+  }
+}
+
+TEST_CASE("an older desired state never replaces a newer one", "[installation]")
+{
+  fake_installation site(2, 1);
+  site.PutPolicy(7);
+  site.mLoop.RunFor(duration(100));
+  REQUIRE(site.Node("vm0").Policy()->mVersion == 7);
+  site.PutPolicy(5);
+  site.mLoop.RunFor(duration(3'000));
+  CHECK(site.Node("vm0").Policy()->mVersion == 7);
+}
+
+TEST_CASE("a VM without the store is not ready, and ready again when it is back", "[installation]")
+{
+  fake_installation site(3, 2);
+  REQUIRE(site.Node("vm2").Ready());
+  site.mFaults.mCuts.insert({ "vm2", "store" });
+  site.mLoop.RunFor(duration(2'500));
+  CHECK_FALSE(site.Node("vm2").Ready());
+  CHECK(site.Node("vm0").Ready());
+  site.mFaults.mCuts.clear();
+  site.mLoop.RunFor(duration(1'500));
+  CHECK(site.Node("vm2").Ready());
+}
+
+TEST_CASE("a task that keeps failing fails its job after its attempts", "[installation]")
+{
+  fake_installation site(2, 4);
+  site.mWork["bad"] = { duration(200), true };
+  auto job = fake_installation::MakeJob(kJob, 1);
+  job.mSpec.mPayload = "bad";
+  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  CHECK(site.Reaches("vm0", kJob, "failed", duration(15'000)));
+  CHECK(site.StartsOf(kJob) == 3);
+}
+
+TEST_CASE("a job of priority 0 takes the room of lower ones at once", "[installation]")
+{
+  fake_installation site(2, 1);
+  site.mWork["long"] = { duration(20'000), false };
+  auto filler = fake_installation::MakeJob(kJob, 8, false, 2);
+  filler.mSpec.mPayload = "long";
+  REQUIRE(site.Submit("vm0", filler) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(500));
+  REQUIRE(site.StartsOf(kJob) == 8);
+  REQUIRE(site.Submit("vm0", fake_installation::MakeJob(kOther, 3, true, 0)) ==
+          job_answer::kAccepted);
+  site.mLoop.RunFor(duration(1'000));
+  CHECK(site.StartsOf(kOther) == 3);
+  CHECK(site.Reaches("vm0", kOther, "done", duration(2'000)));
+}
+
+TEST_CASE("no VM schedules twice at once while the store and VMs come and go", "[installation]")
+{
+  fake_installation site(3, 6);
+  for (int round = 0; round < 4; ++round) {
+    const auto job =
+      fake_installation::MakeJob("00000000000000b" + std::to_string(round), 6);
+    const auto holder = site.SchedulerVm();
+    const std::string front = holder == "vm0" ? "vm1" : "vm0";
+    REQUIRE(site.Submit(front, job) == job_answer::kAccepted);
+    site.mLoop.RunFor(duration(200));
+    site.mFaults.mCuts.insert({ holder, "store" });
+    site.mLoop.RunFor(duration(3'000));
+    site.mFaults.mCuts.clear();
+    CHECK(site.Reaches(front, job.mId, "done", duration(9'000)));
+  }
+  CHECK(site.MostAtOnce() == 1);
+}
--- /dev/null
+++ b/tests/support/FakeInstallation.cpp
@@ -0,0 +1,485 @@
+#include "support/FakeInstallation.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace anvildoor {
+
+namespace {
+
+constexpr duration kHop{ 1 };
+constexpr duration kLostCall{ 900 };
+const std::string kPolicyKey = "policy";
+const std::string kWorkersKey = "workers/";
+
+fleet_policy PolicyOf(uint64_t aVersion)
+{
+  fleet_policy policy;
+  policy.mVersion = aVersion;
+  for (const auto& [name, priority] :
+       { std::pair("urgent", 0), std::pair("batch", 1), std::pair("later", 2) }) {
+    queue_rule queue;
+    queue.mName = name;
+    queue.mHost = "jobs.example";
+    queue.mPrefix = std::string("/") + name + "/";
+    queue.mPool = "pool";
+    queue.mPriority = priority;
+    queue.mMaxAttempts = 3;
+    policy.mQueues.push_back(queue);
+  }
+  workspace_rule workspace;
+  workspace.mName = "gyms";
+  workspace.mKeys = { "key" };
+  workspace.mGuaranteedAccelerators = 8;
+  policy.mWorkspaces.push_back(workspace);
+  return policy;
+}
+
+} // namespace
+
+size_t kept_log::CountOf(const std::string& aText) const
+{
+  return static_cast<size_t>(
+    std::count_if(mLines.begin(), mLines.end(), [&](const std::string& aLine) {
+      return aLine.find(aText) != std::string::npos;
+    }));
+}
+
+/** One VM: its ports towards the installation, and the node that stands on them. */
+class fake_vm
+  : public transaction_store
+  , public run_port
+  , public worker_directory
+  , public peer_query
+{
+public:
+  fake_vm(fake_installation& aSite, std::string aName, duration aDelay)
+    : mSite(aSite)
+    , mName(std::move(aName))
+    , mLoop(aSite.mLoop)
+  {
+    entry_options options;
+    options.mVm = mName;
+    options.mPeerAddress = mName;
+    options.mPolicyKey = kPolicyKey;
+    options.mElectionDelay = aDelay;
+    options.mDecodePolicy = [](const std::string& aValue) -> result<fleet_policy> {
+      return PolicyOf(std::stoull(aValue));
+    };
+    const entry_ports ports{
+      mLoop, *this, *this, *this, *this, aSite.mLog, mMetrics, [&aSite] {
+        return aSite.mLoop.Now().count();
+      }
+    };
+    mNode = std::make_unique<entry_node>(ports, options);
+    mNode->Begin();
+  }
+
+  /** The process is gone: nothing of it runs any more. */
+  void Stop() { mLoop.Stop(); }
+
+  entry_node& Node() { return *mNode; }
+
+private:
+  bool IsCut(const std::string& aOther) const
+  {
+    return mSite.mFaults.mCuts.count({ mName, aOther }) != 0;
+  }
+
+  /** Runs aTask on this VM after a hop; not at all once the VM is gone. */
+  void Later(task aTask, duration aAfter = kHop) { mLoop.RunAfter(aAfter, std::move(aTask)); }
+
+  template<typename T, typename Call>
+  void ToStore(transaction_store::done<T> aDone, bool aChange, Call aCall)
+  {
+    if (mSite.mFaults.mRefusing.count(mName) != 0) {
+      Later([done = std::move(aDone)] {
+        done(Fail(error_code::kUnavailable, "store", "store", "busy"));
+      });
+      return;
+    }
+    const auto code = aChange ? error_code::kUnknownEffect : error_code::kUnavailable;
+    const auto lost = [this, code, done = aDone] {
+      Later([code, done] { done(Fail(code, "store", "store", "no answer")); }, kLostCall);
+    };
+    if (IsCut("store")) {
+      lost();
+      return;
+    }
+    aCall([this, lost, done = std::move(aDone)](const result<T>& aAnswer) {
+      if (IsCut("store")) {
+        lost();
+        return;
+      }
+      Later([done, aAnswer] { done(aAnswer); });
+    });
+  }
+
+  void OnGet(const std::string& aKey,
+             transaction_store::done<std::optional<stored_item>> aDone) override
+  {
+    ToStore<std::optional<stored_item>>(std::move(aDone), false, [&](auto aPass) {
+      mSite.mStore.Get(aKey, aPass);
+    });
+  }
+  void OnList(const std::string& aPrefix,
+              bool aMayBeStale,
+              transaction_store::done<stored_range> aDone) override
+  {
+    ToStore<stored_range>(std::move(aDone), false, [&](auto aPass) {
+      mSite.mStore.List(aPrefix, aMayBeStale, aPass);
+    });
+  }
+  void OnWatch(const std::string& aPrefix,
+               uint64_t aRevision,
+               duration aWait,
+               transaction_store::done<stored_changes> aDone) override
+  {
+    ToStore<stored_changes>(std::move(aDone), false, [&](auto aPass) {
+      mSite.mStore.Watch(aPrefix, aRevision, aWait, aPass);
+    });
+  }
+  void OnCommit(const store_transaction& aChange,
+                transaction_store::done<transaction_outcome> aDone) override
+  {
+    if (mSite.mFaults.mLoseCommits > 0) {
+      --mSite.mFaults.mLoseCommits;
+      mSite.mStore.Commit(aChange, [](const result<transaction_outcome>&) {});
+      Later(
+        [done = std::move(aDone)] {
+          done(Fail(error_code::kUnknownEffect, "store", "store", "no answer"));
+        },
+        kLostCall);
+      return;
+    }
+    ToStore<transaction_outcome>(std::move(aDone), true, [&](auto aPass) {
+      mSite.mStore.Commit(aChange, aPass);
+    });
+  }
+  void OnGrantLease(duration aTtl, transaction_store::done<uint64_t> aDone) override
+  {
+    ToStore<uint64_t>(std::move(aDone), true, [&](auto aPass) {
+      mSite.mStore.GrantLease(aTtl, aPass);
+    });
+  }
+  void OnKeepLease(uint64_t aLease, transaction_store::done<uint64_t> aDone) override
+  {
+    ToStore<uint64_t>(std::move(aDone), true, [&](auto aPass) {
+      mSite.mStore.KeepLease(aLease, aPass);
+    });
+  }
+  void OnEndLease(uint64_t aLease, transaction_store::done<uint64_t> aDone) override
+  {
+    ToStore<uint64_t>(std::move(aDone), true, [&](auto aPass) {
+      mSite.mStore.EndLease(aLease, aPass);
+    });
+  }
+
+  run_worker* Reached(const worker_address& aWorker)
+  {
+    const auto found = mSite.mWorkers.find(aWorker.mId);
+    return IsCut(aWorker.mId) || found == mSite.mWorkers.end() ? nullptr
+                                                               : found->second.get();
+  }
+
+  void OnStart(const start_order& aOrder, run_port::done<order_answer> aDone) override
+  {
+    auto* worker = Reached(aOrder.mWorker);
+    const bool late = mSite.mFaults.mLateStarts.count(aOrder.mWorker.mId) != 0;
+    if (late) {
+      mSite.mLoop.RunAfter(mSite.mFaults.mLateBy, [&site = mSite, aOrder] {
+        const auto found = site.mWorkers.find(aOrder.mWorker.mId);
+        if (found != site.mWorkers.end()) {
+          found->second->Start(aOrder);
+        }
+      });
+    }
+    if (worker == nullptr || late) {
+      Later([done = std::move(aDone)] { done(order_answer::kNoAnswer); }, kLostCall);
+      return;
+    }
+    const auto answer = worker->Start(aOrder);
+    Later([answer, done = std::move(aDone)] { done(answer); });
+  }
+  void OnStop(const stop_order& aOrder, run_port::done<order_answer> aDone) override
+  {
+    auto* worker = Reached(aOrder.mWorker);
+    if (worker == nullptr) {
+      Later([done = std::move(aDone)] { done(order_answer::kNoAnswer); }, kLostCall);
+      return;
+    }
+    const auto answer = worker->Stop(aOrder);
+    Later([answer, done = std::move(aDone)] { done(answer); });
+  }
+  void OnHold(const hold_order& aOrder, run_port::done<hold_reply> aDone) override
+  {
+    auto* worker = Reached(aOrder.mWorker);
+    const auto answered = std::make_shared<bool>(false);
+    const auto answer = [this, answered, done = std::move(aDone)](const hold_reply& aReply) {
+      if (!*answered) {
+        *answered = true;
+        Later([done, aReply] { done(aReply); });
+      }
+    };
+    mLoop.RunAfter(aOrder.mWait + kLostCall, [answer] { answer(hold_reply()); });
+    if (worker != nullptr) {
+      const auto id = aOrder.mWorker.mId;
+      worker->Hold(aOrder, [this, id, answer](const hold_reply& aReply) {
+        if (!IsCut(id)) {
+          answer(aReply);
+        }
+      });
+    }
+  }
+
+  void OnList(worker_directory::done aDone) override
+  {
+    transaction_store::List(
+      kWorkersKey, false, [done = std::move(aDone)](const result<stored_range>& aRange) {
+        if (!aRange) {
+          done(tl::unexpected<error>(aRange.error()));
+          return;
+        }
+        std::vector<listed_worker> workers;
+        for (const auto& item : aRange->mItems) {
+          const auto text = nlohmann::json::parse(item.mValue);
+          listed_worker worker;
+          worker.mId = item.mKey.substr(kWorkersKey.size());
+          worker.mAddress = worker.mId;
+          worker.mPool = "pool";
+          worker.mRack = text.at("rack").get<std::string>();
+          worker.mLabels = { "a", worker.mRack };
+          worker.mCapacity = { 32'000, 65'536, 8 };
+          worker.mDraining = text.at("draining").get<bool>();
+          workers.push_back(worker);
+        }
+        done(workers);
+      });
+  }
+
+  void OnStateOf(const std::string& aAddress,
+                 const std::string& aJob,
+                 peer_query::done<std::string> aDone) override;
+  void OnPendingOf(const std::string& aAddress,
+                   const std::string& aQueue,
+                   peer_query::done<size_t> aDone) override;
+
+  fake_installation& mSite;
+  std::string mName;
+  scoped_loop mLoop;
+  metrics mMetrics;
+  std::unique_ptr<entry_node> mNode;
+};
+
+void fake_vm::OnStateOf(const std::string& aAddress,
+                        const std::string& aJob,
+                        peer_query::done<std::string> aDone)
+{
+  if (IsCut(aAddress) || mSite.SchedulerVm() != aAddress) {
+    Later([done = std::move(aDone)] {
+      done(Fail(error_code::kUnavailable, "ask", "peer", "no answer"));
+    });
+    return;
+  }
+  const auto state = mSite.Node(aAddress).Scheduler().StateOf(aJob);
+  Later([state, done = std::move(aDone)] { done(state); });
+}
+
+void fake_vm::OnPendingOf(const std::string& aAddress,
+                          const std::string& aQueue,
+                          peer_query::done<size_t> aDone)
+{
+  if (IsCut(aAddress) || mSite.SchedulerVm() != aAddress) {
+    Later([done = std::move(aDone)] {
+      done(Fail(error_code::kUnavailable, "ask", "peer", "no answer"));
+    });
+    return;
+  }
+  const auto count = mSite.Node(aAddress).Scheduler().PendingOf(aQueue);
+  Later([count, done = std::move(aDone)] { done(count); });
+}
+
+fake_installation::fake_installation(size_t aVms, size_t aWorkers, size_t aPerRack)
+  : mLoop(time_point(1'000'000))
+  , mPerRack(aPerRack)
+{
+  PutPolicy(1);
+  for (size_t number = 0; number < aWorkers; ++number) {
+    AddWorker("w" + std::to_string(number));
+  }
+  for (size_t number = 0; number < aVms; ++number) {
+    Restart("vm" + std::to_string(number));
+  }
+  constexpr duration kSettle{ 500 };
+  mLoop.RunFor(kSettle);
+}
+
+fake_installation::~fake_installation() = default;
+
+void fake_installation::PutPolicy(uint64_t aVersion)
+{
+  mStore.Put(kPolicyKey, std::to_string(aVersion));
+}
+
+void fake_installation::AddWorker(const std::string& aId)
+{
+  constexpr duration kLeaseMax{ 6'000 };
+  mWorkers[aId] = std::make_unique<run_worker>(
+    mLoop,
+    aId,
+    ++mBorn,
+    kLeaseMax,
+    [this](const std::string& aPayload) {
+      const auto found = mWork.find(aPayload);
+      return found == mWork.end() ? run_work() : found->second;
+    },
+    mTraces);
+  ListWorker(aId);
+}
+
+void fake_installation::ListWorker(const std::string& aId, bool aDraining)
+{
+  const auto rack = "r" + std::to_string(std::stoul(aId.substr(1)) / mPerRack);
+  mStore.Put(kWorkersKey + aId,
+             nlohmann::json{ { "rack", rack }, { "draining", aDraining } }.dump());
+}
+
+void fake_installation::CrashWorker(const std::string& aId, bool aComesBack)
+{
+  mWorkers.erase(aId);
+  if (aComesBack) {
+    AddWorker(aId);
+  } else {
+    mStore.Remove(kWorkersKey + aId);
+  }
+}
+
+void fake_installation::Kill(const std::string& aVm)
+{
+  // Kept, as answers to it are still on their way; they find nobody.
+  mVms.at(aVm)->Stop();
+  mDead.push_back(std::move(mVms.at(aVm)));
+  mVms.erase(aVm);
+}
+
+void fake_installation::Restart(const std::string& aVm)
+{
+  constexpr int64_t kStaggerMs = 10;
+  const auto rank = std::stoll(aVm.substr(2));
+  mVms[aVm] = std::make_unique<fake_vm>(*this, aVm, duration(rank * kStaggerMs));
+}
+
+std::string fake_installation::SchedulerVm() const
+{
+  for (const auto& [name, vm] : mVms) {
+    if (vm->Node().Scheduler().Active()) {
+      return name;
+    }
+  }
+  return "";
+}
+
+entry_node& fake_installation::Node(const std::string& aVm)
+{
+  return mVms.at(aVm)->Node();
+}
+
+accepted_job fake_installation::MakeJob(const std::string& aId,
+                                        uint32_t aTasks,
+                                        bool aGang,
+                                        int64_t aPriority)
+{
+  static const char* const sQueues[] = { "urgent", "batch", "later" };
+  accepted_job job;
+  job.mId = aId;
+  job.mQueue = sQueues[aPriority];
+  job.mWorkspace = "gyms";
+  job.mPool = "pool";
+  job.mPriority = aPriority;
+  job.mMaxAttempts = 3;
+  step_spec step;
+  step.mCount = aTasks;
+  step.mGang = aGang;
+  step.mPerTask = { 4'000, 1'000, 1 };
+  step.mEstimate = duration(1'000);
+  job.mSpec.mSteps.push_back(step);
+  return job;
+}
+
+std::optional<job_answer> fake_installation::Submit(const std::string& aVm,
+                                                    const accepted_job& aJob,
+                                                    duration aWithin)
+{
+  const auto answer = std::make_shared<std::optional<job_answer>>();
+  mVms.at(aVm)->Node().Jobs().Submit(
+    aJob, mLoop.Now() + aWithin, [answer](const job_reply& aReply) {
+      *answer = aReply.mAnswer;
+    });
+  mLoop.RunUntil([&] { return answer->has_value(); }, aWithin + kLostCall);
+  return *answer;
+}
+
+std::optional<job_answer> fake_installation::Cancel(const std::string& aVm,
+                                                    const std::string& aId)
+{
+  const auto answer = std::make_shared<std::optional<job_answer>>();
+  mVms.at(aVm)->Node().Jobs().Cancel(
+    aId, "gyms", [answer](const job_reply& aReply) { *answer = aReply.mAnswer; });
+  constexpr duration kWait{ 5'000 };
+  mLoop.RunUntil([&] { return answer->has_value(); }, kWait);
+  return *answer;
+}
+
+std::string fake_installation::StateAt(const std::string& aVm, const std::string& aId)
+{
+  const auto answer = std::make_shared<std::optional<job_reply>>();
+  mVms.at(aVm)->Node().Jobs().State(
+    aId, [answer](const job_reply& aReply) { *answer = aReply; });
+  constexpr duration kWait{ 3'000 };
+  mLoop.RunUntil([&] { return answer->has_value(); }, kWait);
+  if (!*answer || (*answer)->mAnswer != job_answer::kAccepted) {
+    return *answer && (*answer)->mAnswer == job_answer::kNotFound ? "not found" : "";
+  }
+  return (*answer)->mState;
+}
+
+bool fake_installation::Reaches(const std::string& aVm,
+                                const std::string& aId,
+                                const std::string& aState,
+                                duration aLimit)
+{
+  constexpr duration kPause{ 20 };
+  const auto until = mLoop.Now() + aLimit;
+  while (mLoop.Now() < until) {
+    if (StateAt(aVm, aId) == aState) {
+      return true;
+    }
+    mLoop.RunFor(kPause);
+  }
+  return false;
+}
+
+size_t fake_installation::MostAtOnce() const
+{
+  size_t most = 0;
+  for (const auto& one : mTraces) {
+    size_t now = 0;
+    for (const auto& other : mTraces) {
+      const bool before = other.mBegan <= one.mBegan;
+      const bool after = !other.mEnded || *other.mEnded > one.mBegan;
+      now += other.mTask == one.mTask && before && after ? 1 : 0;
+    }
+    most = std::max(most, now);
+  }
+  return most;
+}
+
+size_t fake_installation::StartsOf(const std::string& aJob) const
+{
+  return static_cast<size_t>(
+    std::count_if(mTraces.begin(), mTraces.end(), [&](const run_trace& aTrace) {
+      return aTrace.mTask.mJob == aJob;
+    }));
+}
+
+} // namespace anvildoor
