Starts extend the lease a worker may have; planning by rack and shape

Starts now move the time at which everything there must have ended, and a worker gets starts only once a hold has renewed its lease. Planning now goes by rack and by shape, rests three times its own cost, and the larger VM stands for the key first. Records that nothing waits for share one of 120 ms. Ruled out: the worker's clock (deadlines were within 2 ms of the estimate).

--- a/src/base/StreamLog.cpp
+++ b/src/base/StreamLog.cpp
@@ -11,6 +11,9 @@
 /** Lines held back for a slow reader; a few seconds of the busiest log. */
 constexpr size_t kHeldBytes = 262'144;
 
+/** More than this is written at once, without waiting for a flush. */
+constexpr size_t kGatherBytes = 8'192;
+
 } // namespace
 
 stream_log::stream_log(std::function<int64_t()> aUnixMs)
@@ -34,6 +37,24 @@
     mDropped = 0;
   }
   mHeld += "unix_ms=" + std::to_string(mUnixMs()) + " " + aLine + "\n";
+  if (mHeld.size() >= kGatherBytes) {
+    WriteHeld();
+  }
+}
+
+stream_log::~stream_log()
+{
+  Flush();
+}
+
+void stream_log::Flush()
+{
+  const std::lock_guard lock(mMutex);
+  WriteHeld();
+}
+
+void stream_log::WriteHeld()
+{
   while (!mHeld.empty()) {
     const auto written = ::write(STDOUT_FILENO, mHeld.data(), mHeld.size());
     if (written <= 0) {
--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -93,6 +93,23 @@
            } };
 }
 
+entry_setting Amount(const char* aSection,
+                     const char* aKey,
+                     double entry_settings::*aMember)
+{
+  return { aSection,
+           aKey,
+           "a number above 0",
+           false,
+           [aMember](const std::string& aText, entry_settings& aInto) {
+             char* end = nullptr;
+             const double value = std::strtod(aText.c_str(), &end);
+             aInto.*aMember = value;
+             return end != aText.c_str() && *end == '\0' && std::isfinite(value) &&
+                    value > 0.0;
+           } };
+}
+
 const std::vector<entry_setting>& Schema()
 {
   constexpr double kSecond = 1'000.0;
@@ -101,6 +118,8 @@
   static const std::vector<entry_setting> sSchema{
     Name("vm", "name", &entry_settings::mVm),
     Name("vm", "data_centre", &entry_settings::mDataCentre),
+    Amount("vm", "cores", &entry_settings::mCores),
+    Amount("vm", "link_mbps", &entry_settings::mLinkMbps),
     Address("listen", "jobs", &entry_settings::mListenJobs),
     Address("listen", "readiness", &entry_settings::mListenReady),
     Address("listen", "peers", &entry_settings::mListenPeers),
--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -22,6 +22,8 @@
   duration mEarly{ 250 };
   duration mStopGrace{ 6'000 };
   duration mStoreLeaseLeast{ 1'000 };
+  double mCores = 1.0;      ///< Of the processor, as a share of one core or several.
+  double mLinkMbps = 1'000; ///< Of this VM's own link.
 
   auto operator<=>(const entry_settings&) const = default;
 };
--- a/src/planner/TaskPlacement.cpp
+++ b/src/planner/TaskPlacement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <optional>
+#include <tuple>
 
 namespace anvildoor {
 
@@ -30,8 +31,12 @@
          kCoresPerAccelerator * static_cast<double>(aRoom.mAccelerators);
 }
 
+/** More than any worker's leftover: data nearby goes before a tight fit. */
+constexpr double kDataRackGain = 1'000.0;
+
 /** Where each task of a group would go; empty if it does not fit as it must. */
 using seats = std::vector<std::pair<uint32_t, size_t>>;
+using room = std::vector<task_resources>;
 
 enum class preference
 {
@@ -39,6 +44,16 @@
   kRoomiest, ///< Needs the fewest stops.
 };
 
+/** Which workers a search may use. */
+struct search
+{
+  preference mPreference = preference::kTightest;
+  std::optional<size_t> mOnlyRack;
+};
+
+/** What decides whether a group fits at all: groups alike fail alike in one round. */
+using shape = std::tuple<task_resources, std::string, std::string, bool, bool, size_t>;
+
 /** One planning round over a copy of the workers' room. */
 class placement_round
 {
@@ -47,11 +62,21 @@
     : mInput(aInput)
     , mStopped(aInput.mUnits.size(), false)
   {
-    for (const auto& worker : aInput.mWorkers) {
+    std::map<std::string, size_t> racks;
+    for (size_t number = 0; number < aInput.mWorkers.size(); ++number) {
+      const auto& worker = aInput.mWorkers[number];
       mFree.push_back(worker.mFree);
       auto soon = worker.mFree;
       Add(soon, worker.mFreeing);
       mSoon.push_back(soon);
+      const auto rack = racks.emplace(worker.mRack, racks.size()).first->second;
+      if (rack == mRacks.size()) {
+        mRacks.emplace_back();
+      }
+      mRacks[rack].push_back(number);
+    }
+    for (const auto& [name, number] : racks) {
+      mRackNames[number] = name;
     }
   }
 
@@ -64,12 +89,22 @@
   }
 
 private:
-  using room = std::vector<task_resources>;
-
   void PlaceGroup(size_t aNumber)
   {
     const auto& group = mInput.mGroups[aNumber];
-    auto found = Seat(group, group.mIndices, mFree, preference::kTightest);
+    const shape like{ NeedOf(group),
+                      group.mPool,
+                      group.mSpec.mRequiredLabel,
+                      group.mSpec.mGang,
+                      group.mSpec.mSameRack && !group.mMaySpread,
+                      group.mSpec.mGang ? group.mIndices.size() : 0 };
+    seats found;
+    if (mFailed.count(like) == 0) {
+      found = Seat(group, group.mIndices, mFree, preference::kTightest);
+      if (found.empty() && group.mAvoid.empty() && group.mSpec.mMaxPerWorker == 0) {
+        mFailed.insert(like);
+      }
+    }
     const auto need = NeedOf(group);
     for (const auto& [index, worker] : found) {
       mPlan.mStarts.push_back({ aNumber, index, worker });
@@ -80,27 +115,30 @@
       return;
     }
     mPlan.mWaiting.push_back(aNumber);
-    if (!group.mMayPreempt) {
-      return;
+    if (group.mMayPreempt) {
+      MakeRoom(group, Left(group, found));
     }
+  }
+
+  static std::vector<uint32_t> Left(const placement_group& aGroup, const seats& aFound)
+  {
     std::vector<uint32_t> left;
-    for (const auto index : group.mIndices) {
+    for (const auto index : aGroup.mIndices) {
       const bool placed =
-        std::any_of(found.begin(), found.end(), [&](const auto& aSeat) {
+        std::any_of(aFound.begin(), aFound.end(), [&](const auto& aSeat) {
           return aSeat.first == index;
         });
       if (!placed) {
         left.push_back(index);
       }
     }
-    MakeRoom(group, left);
+    return left;
   }
 
   /** Keeps room that is being freed for the group, and stops what else is in its way.
    */
   void MakeRoom(const placement_group& aGroup, const std::vector<uint32_t>& aLeft)
   {
-    const auto need = NeedOf(aGroup);
     auto kept = Seat(aGroup, aLeft, mSoon, preference::kTightest);
     if (kept.size() < aLeft.size()) {
       room reclaimable = mSoon;
@@ -113,6 +151,7 @@
       }
       kept = Seat(aGroup, aLeft, reclaimable, preference::kRoomiest);
     }
+    const auto need = NeedOf(aGroup);
     for (const auto& [index, worker] : kept) {
       Add(mSoon[worker], need, -1);
       Add(mFree[worker], need, -1);
@@ -184,6 +223,7 @@
            (label.empty() || worker.mLabels.count(label) != 0);
   }
 
+  /** How many tasks of the group may still go to the worker, by its own rule. */
   uint32_t SeatsLeft(const placement_group& aGroup, size_t aWorker) const
   {
     const auto bound = aGroup.mSpec.mMaxPerWorker;
@@ -195,7 +235,7 @@
     return used >= bound ? 0 : bound - used;
   }
 
-  /** How many tasks of the group fit on the worker. */
+  /** How many tasks of the group fit into aRoom of the worker. */
   uint32_t Capacity(const placement_group& aGroup,
                     const task_resources& aRoom,
                     size_t aWorker) const
@@ -220,46 +260,25 @@
   {
     if (aGroup.mSpec.mGang && aGroup.mSpec.mSameRack) {
       auto found = SeatInOneRack(aGroup, aIndices, aRoom, aPreference);
-      const bool mustSpread =
+      const bool maySpread =
         found.empty() && (aGroup.mMaySpread || !AnyRackHolds(aGroup));
-      return mustSpread ? SeatAnywhere(aGroup, aIndices, aRoom, "", aPreference)
-                        : found;
-    }
-    return SeatAnywhere(aGroup, aIndices, aRoom, aGroup.mSpec.mDataRack, aPreference);
-  }
-
-  std::set<std::string> Racks(const placement_group& aGroup) const
-  {
-    std::set<std::string> racks;
-    for (size_t worker = 0; worker < mInput.mWorkers.size(); ++worker) {
-      if (Suits(aGroup, worker)) {
-        racks.insert(mInput.mWorkers[worker].mRack);
-      }
+      return maySpread ? SeatOn(aGroup, aIndices, aRoom, { aPreference, std::nullopt })
+                       : found;
     }
-    return racks;
+    return SeatOn(aGroup, aIndices, aRoom, { aPreference, std::nullopt });
   }
 
   /** Returns whether the gang would fit into some rack if nothing ran there. */
   bool AnyRackHolds(const placement_group& aGroup) const
   {
-    std::map<std::string, uint64_t> capacity;
-    for (size_t worker = 0; worker < mInput.mWorkers.size(); ++worker) {
-      if (!Suits(aGroup, worker)) {
-        continue;
-      }
-      auto whole = mInput.mWorkers[worker].mFree;
-      Add(whole, mInput.mWorkers[worker].mFreeing);
-      for (const auto& unit : mInput.mUnits) {
-        for (const auto& [at, resources] : unit.mParts) {
-          if (at == worker) {
-            Add(whole, resources);
-          }
+    return std::any_of(mRacks.begin(), mRacks.end(), [&](const auto& aRack) {
+      uint64_t capacity = 0;
+      for (const auto worker : aRack) {
+        if (Suits(aGroup, worker)) {
+          capacity += Capacity(aGroup, mInput.mWorkers[worker].mWhole, worker);
         }
       }
-      capacity[mInput.mWorkers[worker].mRack] += Capacity(aGroup, whole, worker);
-    }
-    return std::any_of(capacity.begin(), capacity.end(), [&](const auto& aRack) {
-      return aRack.second >= aGroup.mIndices.size();
+      return capacity >= aGroup.mIndices.size();
     });
   }
 
@@ -270,17 +289,16 @@
   {
     seats best;
     double bestScore = 0.0;
-    for (const auto& rack : Racks(aGroup)) {
-      auto found = SeatAnywhere(aGroup, aIndices, aRoom, rack, aPreference, true);
+    for (size_t rack = 0; rack < mRacks.size(); ++rack) {
+      auto found = SeatOn(aGroup, aIndices, aRoom, { aPreference, rack });
       if (found.empty()) {
         continue;
       }
-      double score = aGroup.mSpec.mDataRack == rack ? -kDataRackGain : 0.0;
-      for (size_t worker = 0; worker < mInput.mWorkers.size(); ++worker) {
-        if (mInput.mWorkers[worker].mRack == rack) {
-          const double left = Leftover(mSoon[worker]);
-          score += aPreference == preference::kTightest ? left : -left;
-        }
+      double score =
+        aGroup.mSpec.mDataRack == mRackNames.at(rack) ? -kDataRackGain : 0.0;
+      for (const auto worker : mRacks[rack]) {
+        const double left = Leftover(mSoon[worker]);
+        score += aPreference == preference::kTightest ? left : -left;
       }
       if (best.empty() || score < bestScore) {
         best = std::move(found);
@@ -290,80 +308,104 @@
     return best;
   }
 
-  /** Seats tasks one by one; aRack is preferred, or the only one if aOnlyThere. */
-  seats SeatAnywhere(const placement_group& aGroup,
-                     const std::vector<uint32_t>& aIndices,
-                     const room& aRoom,
-                     const std::string& aRack,
-                     preference aPreference,
-                     bool aOnlyThere = false) const
+  struct candidate
   {
-    std::vector<size_t> candidates;
-    uint64_t total = 0;
-    for (size_t worker = 0; worker < mInput.mWorkers.size(); ++worker) {
-      const bool rackFits = !aOnlyThere || mInput.mWorkers[worker].mRack == aRack;
-      if (rackFits && Suits(aGroup, worker)) {
-        const auto capacity = Capacity(aGroup, aRoom[worker], worker);
-        if (capacity > 0) {
-          candidates.push_back(worker);
-          total += capacity;
-        }
+    double mScore = 0.0;
+    size_t mWorker = 0;
+    uint32_t mCapacity = 0;
+  };
+
+  std::vector<candidate> Candidates(const placement_group& aGroup,
+                                    const room& aRoom,
+                                    const search& aSearch) const
+  {
+    std::vector<candidate> candidates;
+    const auto consider = [&](size_t aWorker) {
+      if (!Suits(aGroup, aWorker)) {
+        return;
+      }
+      const auto capacity = Capacity(aGroup, aRoom[aWorker], aWorker);
+      if (capacity == 0) {
+        return;
+      }
+      const auto& about = mInput.mWorkers[aWorker];
+      const double left = Leftover(aRoom[aWorker]);
+      double score = aSearch.mPreference == preference::kTightest ? left : -left;
+      score += about.mReluctance;
+      const auto& data = aGroup.mSpec.mDataRack;
+      score -= !data.empty() && about.mRack == data ? kDataRackGain : 0.0;
+      candidates.push_back({ score, aWorker, capacity });
+    };
+    if (aSearch.mOnlyRack) {
+      std::for_each(
+        mRacks[*aSearch.mOnlyRack].begin(), mRacks[*aSearch.mOnlyRack].end(), consider);
+    } else {
+      for (size_t worker = 0; worker < mInput.mWorkers.size(); ++worker) {
+        consider(worker);
       }
     }
+    std::sort(
+      candidates.begin(), candidates.end(), [](const auto& aLeft, const auto& aRight) {
+        return std::tie(aLeft.mScore, aLeft.mWorker) <
+               std::tie(aRight.mScore, aRight.mWorker);
+      });
+    return candidates;
+  }
+
+  /** Fills one worker after the other, the best first. */
+  seats SeatOn(const placement_group& aGroup,
+               const std::vector<uint32_t>& aIndices,
+               const room& aRoom,
+               const search& aSearch) const
+  {
+    auto candidates = Candidates(aGroup, aRoom, aSearch);
+    uint64_t total = 0;
+    for (const auto& each : candidates) {
+      total += each.mCapacity;
+    }
     if (aGroup.mSpec.mGang && total < aIndices.size()) {
       return {};
     }
-    const auto need = NeedOf(aGroup);
     seats found;
-    std::map<size_t, task_resources> rest;
-    std::map<size_t, uint32_t> taken;
-    for (const auto worker : candidates) {
-      rest[worker] = aRoom[worker];
-    }
+    size_t first = 0;
     for (const auto index : aIndices) {
-      std::optional<size_t> best;
-      double bestScore = 0.0;
-      for (const auto worker : candidates) {
-        if (!Fits(need, rest[worker]) || taken[worker] >= SeatsLeft(aGroup, worker) ||
-            Avoids(aGroup, index, worker)) {
-          continue;
-        }
-        const auto& about = mInput.mWorkers[worker];
-        const double left = Leftover(rest[worker]);
-        double score = aPreference == preference::kTightest ? left : -left;
-        score += about.mReluctance;
-        score -= !aRack.empty() && about.mRack == aRack ? kDataRackGain : 0.0;
-        if (!best || score < bestScore) {
-          best = worker;
-          bestScore = score;
-        }
+      while (first < candidates.size() && candidates[first].mCapacity == 0) {
+        ++first;
       }
-      if (!best) {
+      size_t at = first;
+      while (at < candidates.size() &&
+             (candidates[at].mCapacity == 0 ||
+              Avoids(aGroup, index, candidates[at].mWorker))) {
+        ++at;
+      }
+      if (at == candidates.size()) {
         if (aGroup.mSpec.mGang) {
           return {};
         }
         continue;
       }
-      found.emplace_back(index, *best);
-      Add(rest[*best], need, -1);
-      ++taken[*best];
+      found.emplace_back(index, candidates[at].mWorker);
+      --candidates[at].mCapacity;
     }
     return found;
   }
 
   bool Avoids(const placement_group& aGroup, uint32_t aIndex, size_t aWorker) const
   {
+    if (aGroup.mAvoid.empty()) {
+      return false;
+    }
     const auto found = aGroup.mAvoid.find(aIndex);
     return found != aGroup.mAvoid.end() &&
            found->second.count(mInput.mWorkers[aWorker].mId) != 0;
   }
 
-  /** More than any worker's leftover: data nearby goes before a tight fit. */
-  static constexpr double kDataRackGain = 1'000.0;
-
   const placement_input& mInput;
   room mFree;
   room mSoon;
+  std::vector<std::vector<size_t>> mRacks;
+  std::map<size_t, std::string> mRackNames;
+  std::set<shape> mFailed;
   std::vector<bool> mStopped;
   placement_plan mPlan;
 };
--- a/src/planner/TaskPlacement.h
+++ b/src/planner/TaskPlacement.h
@@ -18,6 +18,7 @@
   std::set<std::string> mLabels;
   task_resources mFree;     ///< What no run occupies, those being stopped included.
   task_resources mFreeing;  ///< What runs being stopped will leave.
+  task_resources mWhole;    ///< What it has when nothing runs.
   bool mOpen = true;        ///< Takes new starts.
   double mReluctance = 0.0; ///< Of two workers that fit, the lower one is taken.
 
--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -57,15 +57,20 @@
   return ClockAt(aNow) + mBounds.mStartDeadline.count();
 }
 
-void worker_runs::NoteLease(time_point aNow)
+void worker_runs::ExtendLapse(time_point aNow, duration aSpan)
 {
-  const auto longest =
-    static_cast<double>(mBounds.mLeaseMax.count()) / (1.0 - mBounds.mClockDrift);
+  const auto longest = static_cast<double>(aSpan.count()) / (1.0 - mBounds.mClockDrift);
   const auto until =
     aNow + duration(static_cast<int64_t>(longest)) + mBounds.mLapseMargin;
   mLapsesAt = std::max(mLapsesAt, until);
 }
 
+void worker_runs::NoteLease(time_point aNow)
+{
+  mLeaseAsked = true;
+  ExtendLapse(aNow, mBounds.mLeaseMax);
+}
+
 void worker_runs::Order(const task_ref& aTask,
                         uint32_t aRun,
                         const task_resources& aResources,
@@ -90,10 +95,12 @@
   mRuns[aTask].mPhase = run_phase::kConfirmed;
 }
 
-void worker_runs::NoteDeadline(const task_ref& aTask,
-                               uint32_t aRun,
-                               int64_t aDeadlineOnWorker)
+void worker_runs::NoteStart(const task_ref& aTask,
+                            uint32_t aRun,
+                            int64_t aDeadlineOnWorker,
+                            time_point aNow)
 {
+  ExtendLapse(aNow, mBounds.mStartDeadline);
   const auto found = mRuns.find(aTask);
   if (found != mRuns.end() && found->second.mRun == aRun) {
     found->second.mDeadlineOnWorker =
@@ -174,6 +181,7 @@
     mBorn = aReply.mBornMs;
   }
   mFenced = true;
+  mHasLease = mLeaseAsked;
   mLastAnswer = aNow;
   mClockMs = aReply.mClockMs;
   mClockAt = aNow;
@@ -254,6 +262,8 @@
     events.push_back(Ended(task, run.mRun, aEnd));
   }
   mRuns.clear();
+  mHasLease = false;
+  mLeaseAsked = false;
   mSeen = 0;
   mOpen.clear();
   mAcknowledged = 0;
--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -93,7 +93,7 @@
   /** Returns when everything here has surely been killed if no hold arrives again. */
   time_point LapsesAt() const { return mLapsesAt; }
 
-  /** Notes that an order extending the lease is sent at aNow. */
+  /** Notes that an order extending the lease to its maximum is sent at aNow. */
   void NoteLease(time_point aNow);
 
   /** For a takeover: another scheduler may have extended leases until aUntil. */
@@ -111,8 +111,14 @@
               const task_resources& aResources,
               time_point aNow);
 
-  /** Notes the deadline that a start was sent with. */
-  void NoteDeadline(const task_ref& aTask, uint32_t aRun, int64_t aDeadlineOnWorker);
+  /** Notes that a start is sent at aNow with this deadline, which extends the lease. */
+  void NoteStart(const task_ref& aTask,
+                 uint32_t aRun,
+                 int64_t aDeadlineOnWorker,
+                 time_point aNow);
+
+  /** Returns whether a hold that extended the lease was answered. */
+  bool HasLease() const { return mHasLease; }
 
   /** Returns the ends that the answer of a start shows. */
   std::vector<run_event> OnStartAnswer(const task_ref& aTask,
@@ -151,7 +157,12 @@
 
   run_bounds mBounds;
   std::map<task_ref, run_info> mRuns;
+  /** Notes that the lease may last aSpan of the worker's clock from aNow on. */
+  void ExtendLapse(time_point aNow, duration aSpan);
+
   bool mFenced = false;
+  bool mHasLease = false;
+  bool mLeaseAsked = false;
   time_point mLastAnswer{ 0 };
   int64_t mClockMs = 0;
   time_point mClockAt{ 0 };
--- a/src/scheduler/Election.cpp
+++ b/src/scheduler/Election.cpp
@@ -2,6 +2,8 @@
 
 #include "scheduler/StoreKeys.h"
 
+#include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace anvildoor {
@@ -10,6 +12,14 @@
 
 using nlohmann::json;
 
+/** VMs of one size stand within this time; an attempt takes some ms of the store. */
+constexpr uint64_t kStaggerMs = 60;
+/** A VM of half a core and 100 Mbit/s carries the letter's grown installations. */
+constexpr double kAmpleCores = 0.5;
+constexpr double kAmpleLinkMbps = 100.0;
+/** Each halving below that waits this much longer: more than the stagger. */
+constexpr double kMsPerHalving = 90.0;
+
 std::optional<scheduler_term> DecodeTerm(const stored_item& aItem)
 {
   const auto text = json::parse(aItem.mValue, nullptr, false);
@@ -27,6 +37,17 @@
 
 } // namespace
 
+duration ElectionDelay(const std::string& aVm, const vm_size& aSize)
+{
+  const auto halvings = [](double aAmple, double aHave) {
+    return std::max(0.0, std::log2(aAmple / std::max(aHave, 0.001)));
+  };
+  const double smaller = std::max(halvings(kAmpleCores, aSize.mCores),
+                                  halvings(kAmpleLinkMbps, aSize.mLinkMbps));
+  const auto stagger = std::hash<std::string>()(aVm) % kStaggerMs;
+  return duration(std::lround(smaller * kMsPerHalving) + static_cast<int64_t>(stagger));
+}
+
 scheduler_election::scheduler_election(event_loop& aLoop,
                                        transaction_store& aStore,
                                        event_log& aLog,
--- a/src/scheduler/Election.h
+++ b/src/scheduler/Election.h
@@ -24,6 +24,22 @@
   auto operator<=>(const election_times&) const = default;
 };
 
+/** What this VM brings along for scheduling. */
+struct vm_size
+{
+  double mCores = 1.0;
+  double mLinkMbps = 1'000.0;
+
+  auto operator<=>(const vm_size&) const = default;
+};
+
+/**
+ * Returns how long a VM waits before it stands for the scheduler's key: the smaller,
+ * the longer, so that the largest VM that is there gets it; VMs of one size differ by
+ * their name. Pure.
+ */
+duration ElectionDelay(const std::string& aVm, const vm_size& aSize);
+
 /** Who schedules, as far as this VM knows. */
 struct scheduler_term
 {
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -91,6 +91,7 @@
   mWriter.End();
   mJobs.clear();
   mEarlyCancels.clear();
+  mStray.clear();
   mWorkers.clear();
 }
 
@@ -317,14 +318,17 @@
   if (outcome != job_outcome::kDone) {
     StopJob(aJob, ToString(outcome));
   }
-  WriteProgress(aJob, nullptr);
+  WriteProgress(aJob, record_writer::haste::kNow, nullptr);
 }
 
-void fleet_scheduler::WriteProgress(job_entry& aJob, std::function<void()> aDurable)
+void fleet_scheduler::WriteProgress(job_entry& aJob,
+                                    record_writer::haste aHaste,
+                                    std::function<void()> aDurable)
 {
   const auto id = aJob.mState.Job().mId;
   const auto outcome = aJob.mState.Outcome();
   mWriter.Write(store_keys::kProgress + id,
+                aHaste,
                 [this, id, outcome, durable = std::move(aDurable)] {
                   const auto found = mJobs.find(id);
                   if (found != mJobs.end()) {
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -87,7 +87,9 @@
   void TakeInboxItem(const stored_item& aItem);
   void AddJob(const accepted_job& aJob);
   void CancelJob(const std::string& aId);
-  void WriteProgress(job_entry& aJob, std::function<void()> aDurable);
+  void WriteProgress(job_entry& aJob,
+                     record_writer::haste aHaste,
+                     std::function<void()> aDurable);
   std::string EncodeRecord(const std::string& aKey) const;
   void OnOutcome(job_entry& aJob);
   void ForgetOldJobs();
@@ -117,8 +119,10 @@
   void Plan();
   placement_input BuildInput(std::vector<std::string>& aWorkerIds);
   void AddGroups(job_entry& aJob, std::vector<placement_group>& aGroups);
-  void AddUnits(const std::map<std::string, size_t>& aNumbers,
+  void AddUnits(const std::vector<std::string>& aWorkerIds,
                 std::vector<placed_unit>& aUnits) const;
+  void LogPlaced(const job_entry& aJob,
+                 const std::vector<std::pair<task_ref, uint32_t>>& aRuns) const;
   std::map<std::string, int64_t> DemandByWorkspace() const;
   bool WithinGuarantee(const accepted_job& aJob) const;
   void Execute(const placement_input& aInput,
@@ -152,6 +156,9 @@
   std::map<std::string, std::unique_ptr<job_entry>> mJobs;
   std::set<std::string> mEarlyCancels; ///< Cancels seen before their job.
   std::map<std::string, std::unique_ptr<worker_entry>> mWorkers;
+  /** Tasks that run where no record has them: not to be started before that ended. */
+  std::map<task_ref, std::string> mStray;
+  duration mPlanCost{ 0 };                ///< Of the last planning round.
   std::map<std::string, int64_t> mDemand; ///< Accelerators of priority 0, by workspace.
 };
 
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -10,6 +10,8 @@
 
 /** Events within this time share a planning round. */
 constexpr duration kPlanGather{ 3 };
+/** At most a quarter of the processor's time goes to planning. */
+constexpr int kRestPerPlan = 3;
 /** A worker whose last answer is older takes no new starts. */
 constexpr duration kFreshFor{ 2'800 };
 /** A gang may leave its rack when it has waited this part of its run time. */
@@ -33,7 +35,8 @@
     return;
   }
   mPlanScheduled = true;
-  mPorts.mLoop.RunAfter(kPlanGather, Guarded([this] {
+  mPorts.mLoop.RunAfter(std::max(kPlanGather, mPlanCost * kRestPerPlan),
+                        Guarded([this] {
                           mPlanScheduled = false;
                           Plan();
                         }));
@@ -44,12 +47,24 @@
   if (!MayOrder()) {
     return;
   }
+  const auto began = mPorts.mLoop.Now();
   std::vector<std::string> workerIds;
-  const auto input = BuildInput(workerIds);
+  auto input = BuildInput(workerIds);
   if (input.mGroups.empty()) {
     return;
   }
-  Execute(input, PlaceTasks(input), workerIds);
+  auto plan = PlaceTasks(input);
+  const bool wantsRoom =
+    std::any_of(plan.mWaiting.begin(), plan.mWaiting.end(), [&](size_t aGroup) {
+      return input.mGroups[aGroup].mMayPreempt;
+    });
+  if (wantsRoom) {
+    // What could be stopped is only looked up when somebody needs the room.
+    AddUnits(workerIds, input.mUnits);
+    plan = PlaceTasks(input);
+  }
+  Execute(input, plan, workerIds);
+  mPlanCost = mPorts.mLoop.Now() - began;
 }
 
 std::map<std::string, int64_t> fleet_scheduler::DemandByWorkspace() const
@@ -84,7 +99,7 @@
   placement_input input;
   mDemand = DemandByWorkspace();
   for (auto& [id, job] : mJobs) {
-    if (job->mState.Outcome() == job_outcome::kOpen) {
+    if (job->mState.Outcome() == job_outcome::kOpen && job->mMayWait) {
       AddGroups(*job, input.mGroups);
     }
   }
@@ -101,7 +116,6 @@
                      };
                      return key(aLeft) < key(aRight);
                    });
-  std::map<std::string, size_t> numbers;
   for (const auto& [id, worker] : mWorkers) {
     const auto& listed = worker->mListed;
     const auto used = worker->mRuns.Used();
@@ -121,15 +135,14 @@
         place.mFreeing.mAccelerators += run.mResources.mAccelerators;
       }
     }
-    place.mOpen = worker->mIsListed && !listed.mDraining && worker->mRuns.Fenced() &&
+    place.mWhole = listed.mCapacity;
+    place.mOpen = worker->mIsListed && !listed.mDraining && worker->mRuns.HasLease() &&
                   !worker->mSilent && now - worker->mRuns.LastAnswer() < kFreshFor &&
                   worker->mHealth.IsOpen(now, worker->mRuns.Runs().size());
     place.mReluctance = worker->mHealth.Reluctance();
-    numbers[id] = input.mWorkers.size();
     aWorkerIds.push_back(id);
     input.mWorkers.push_back(std::move(place));
   }
-  AddUnits(numbers, input.mUnits);
   return input;
 }
 
@@ -139,8 +152,10 @@
   const auto now = mPorts.mLoop.Now();
   const auto unixMs = mPorts.mUnixMs();
   const auto* queue = mPolicy->QueueNamed(about.mQueue);
+  aJob.mMayWait = false;
   for (uint32_t occurrence = 0; occurrence < aJob.mState.Occurrences(); ++occurrence) {
     if (aJob.mState.DueMs(occurrence) > unixMs) {
+      aJob.mMayWait = true;
       break;
     }
     for (uint32_t step = 0; step < about.mSpec.mSteps.size(); ++step) {
@@ -148,6 +163,7 @@
       if (waiting.empty()) {
         continue;
       }
+      aJob.mMayWait = true;
       placement_group group;
       group.mJob = about.mId;
       group.mOccurrence = occurrence;
@@ -167,17 +183,14 @@
         if (failed != aJob.mFailedOn.end()) {
           group.mAvoid[index] = failed->second;
         }
-        // An older run that has not ended is still listed at its worker.
-        for (const auto& [id, worker] : mWorkers) {
-          if (worker->mRuns.Runs().count(task) != 0) {
-            isSettled = false;
-          }
-        }
+        isSettled = isSettled && mStray.count(task) == 0;
         group.mIndices.push_back(index);
       }
-      for (const auto& task : aJob.mState.Placed()) {
-        if (task.mOccurrence == occurrence && task.mStep == step) {
-          ++group.mAlready[aJob.mState.Task(task).mWorker];
+      if (group.mSpec.mMaxPerWorker != 0) {
+        for (const auto& task : aJob.mState.Placed()) {
+          if (task.mOccurrence == occurrence && task.mStep == step) {
+            ++group.mAlready[aJob.mState.Task(task).mWorker];
+          }
         }
       }
       if (isSettled) {
@@ -187,13 +200,13 @@
   }
 }
 
-void fleet_scheduler::AddUnits(const std::map<std::string, size_t>& aNumbers,
+void fleet_scheduler::AddUnits(const std::vector<std::string>& aWorkerIds,
                                std::vector<placed_unit>& aUnits) const
 {
   const auto now = mPorts.mLoop.Now();
   std::map<task_ref, size_t> gangs;
-  for (const auto& [id, worker] : mWorkers) {
-    for (const auto& [task, run] : worker->mRuns.Runs()) {
+  for (size_t number = 0; number < aWorkerIds.size(); ++number) {
+    for (const auto& [task, run] : mWorkers.at(aWorkerIds[number])->mRuns.Runs()) {
       const auto found = mJobs.find(task.mJob);
       if (run.mStopping || found == mJobs.end() || !found->second->mState.Has(task)) {
         continue;
@@ -214,7 +227,7 @@
         aUnits.push_back(added);
       }
       auto& into = step.mGang ? aUnits[gangs.at(first)] : aUnits.back();
-      into.mParts.emplace_back(aNumbers.at(id), run.mResources);
+      into.mParts.emplace_back(number, run.mResources);
       const double seconds =
         static_cast<double>((now - run.mSince).count()) / kMsPerSecond;
       into.mLoss += (step.mCheckpointing ? std::min(seconds, 1.0) : seconds) *
@@ -248,7 +261,8 @@
     placed[group.mJob].emplace_back(task, run);
   }
   for (auto& [id, runs] : placed) {
-    WriteProgress(*mJobs.at(id), [this, started = runs] {
+    LogPlaced(*mJobs.at(id), runs);
+    WriteProgress(*mJobs.at(id), record_writer::haste::kNow, [this, started = runs] {
       for (const auto& [task, run] : started) {
         SendStart(task, run);
       }
@@ -266,6 +280,24 @@
   }
 }
 
+void fleet_scheduler::LogPlaced(
+  const job_entry& aJob,
+  const std::vector<std::pair<task_ref, uint32_t>>& aRuns) const
+{
+  std::string where;
+  for (const auto& [task, run] : aRuns) {
+    where += where.empty() ? "" : ",";
+    where += std::to_string(task.mOccurrence) + "." + std::to_string(task.mStep) + "." +
+             std::to_string(task.mIndex) + "/" + std::to_string(run) + "@" +
+             aJob.mState.Task(task).mWorker;
+  }
+  mPorts.mLog.Write(log_event("tasks_placed")
+                      .Add("job", aJob.mState.Job().mId)
+                      .Add("runs", where)
+                      .Add("fence", static_cast<int64_t>(mTerm.mFence))
+                      .Add("waited_ms", (mPorts.mLoop.Now() - aJob.mSeenAt).count()));
+}
+
 void fleet_scheduler::SendStart(const task_ref& aTask, uint32_t aRun)
 {
   const auto found = mJobs.find(aTask.mJob);
@@ -297,14 +329,7 @@
   order.mCheckpoint = task.mCheckpoint;
   order.mFence = mTerm.mFence;
   order.mDeadlineOnWorker = worker.mRuns.StartDeadline(now);
-  worker.mRuns.NoteDeadline(aTask, aRun, order.mDeadlineOnWorker);
-  mPorts.mLog.Write(log_event("run_start")
-                      .Add("job", aTask.mJob)
-                      .Add("step", aTask.mStep)
-                      .Add("index", aTask.mIndex)
-                      .Add("run", aRun)
-                      .Add("worker", worker.mListed.mId)
-                      .Add("waited_ms", (now - job.mSeenAt).count()));
+  worker.mRuns.NoteStart(aTask, aRun, order.mDeadlineOnWorker, now);
   const auto id = worker.mListed.mId;
   mPorts.mWorkers.Start(
     order, Guarded([this, id, aTask, aRun, now](const order_answer& aAnswer) {
--- a/src/scheduler/FleetSchedulerState.h
+++ b/src/scheduler/FleetSchedulerState.h
@@ -15,6 +15,7 @@
   job_state mState;
   job_outcome mShown = job_outcome::kOpen; ///< The outcome that is durable.
   bool mDurable = false;                   ///< A record of it is in the store.
+  bool mMayWait = true; ///< A task may be waiting; checked at the next planning round.
   time_point mSeenAt{ 0 };
   time_point mEndedAt{ 0 };
   std::map<task_ref, std::set<std::string>> mFailedOn; ///< Where its tasks failed.
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -204,22 +204,31 @@
       HoldSoon(*found->second, duration::zero());
     }
   };
+  const auto stray = mStray.find(aEvent.mTask);
+  if (stray != mStray.end() && stray->second == id) {
+    mStray.erase(stray);
+    PlanSoon();
+  }
   const auto found = mJobs.find(aEvent.mTask.mJob);
   if (found == mJobs.end() || !found->second->mState.Has(aEvent.mTask)) {
     mPorts.mLoop.Post(Guarded(acknowledge));
     return;
   }
   auto& job = *found->second;
+  job.mMayWait = true;
   const auto effect =
     job.mState.End(aEvent.mTask, aEvent.mRun, aEvent.mEnd, aEvent.mCheckpoint);
-  mPorts.mLog.Write(log_event("run_ended")
-                      .Add("job", aEvent.mTask.mJob)
-                      .Add("step", aEvent.mTask.mStep)
-                      .Add("index", aEvent.mTask.mIndex)
-                      .Add("run", aEvent.mRun)
-                      .Add("worker", id)
-                      .Add("end", ToString(aEvent.mEnd))
-                      .Add("current", effect.mKnown ? 1 : 0));
+  const bool isNews = aEvent.mEnd != run_end::kDone || !effect.mKnown;
+  if (isNews) {
+    mPorts.mLog.Write(log_event("run_ended")
+                        .Add("job", aEvent.mTask.mJob)
+                        .Add("step", aEvent.mTask.mStep)
+                        .Add("index", aEvent.mTask.mIndex)
+                        .Add("run", aEvent.mRun)
+                        .Add("worker", id)
+                        .Add("end", ToString(aEvent.mEnd))
+                        .Add("current", effect.mKnown ? 1 : 0));
+  }
   mPorts.mMetrics.Count("runs_ended_total", "end", ToString(aEvent.mEnd));
   if (!effect.mKnown) {
     mPorts.mLoop.Post(Guarded(acknowledge));
@@ -232,7 +241,7 @@
   if (effect.mFinished) {
     OnOutcome(job);
   }
-  WriteProgress(job, acknowledge);
+  WriteProgress(job, record_writer::haste::kSoon, acknowledge);
   PlanSoon();
 }
 
@@ -263,6 +272,7 @@
     if (task.mRun == aEvent.mRun && task.mWorker == aWorker.mListed.mId) {
       return;
     }
+    mStray[aEvent.mTask] = aWorker.mListed.mId;
   }
   mPorts.mLog.Write(log_event("run_unexpected")
                       .Add("job", aEvent.mTask.mJob)
--- a/src/scheduler/RecordWriter.cpp
+++ b/src/scheduler/RecordWriter.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+/** Records that nothing waits for share a transaction with those of this time. */
+constexpr duration kGather{ 120 };
 /** Pause before a transaction is sent again after the store failed. */
 constexpr duration kRetry{ 120 };
 /** Two conditions and the writer's own key leave this many records a transaction. */
@@ -39,13 +41,15 @@
   ++mRound;
   mActive = false;
   mInFlight = false;
-  mScheduled = false;
+  mSendAt.reset();
   mWaiting.clear();
   mRemovals.clear();
   mSentNotices.clear();
 }
 
-void record_writer::Write(const std::string& aKey, std::function<void()> aDurable)
+void record_writer::Write(const std::string& aKey,
+                          haste aHaste,
+                          std::function<void()> aDurable)
 {
   if (!mActive) {
     return;
@@ -54,27 +58,30 @@
   if (aDurable) {
     waiting.push_back(std::move(aDurable));
   }
-  SendSoon();
+  SendAfter(aHaste == haste::kNow ? duration::zero() : kGather);
 }
 
 void record_writer::Remove(const std::vector<std::string>& aKeys)
 {
   if (mActive) {
     mRemovals.insert(mRemovals.end(), aKeys.begin(), aKeys.end());
-    SendSoon();
+    SendAfter(kGather);
   }
 }
 
-void record_writer::SendSoon()
+void record_writer::SendAfter(duration aDelay)
 {
-  if (mInFlight || mScheduled) {
+  const auto at = mLoop.Now() + aDelay;
+  if (mSendAt && *mSendAt <= at) {
     return;
   }
-  mScheduled = true;
-  const auto round = mRound;
-  mLoop.Post([this, round] {
-    if (round == mRound) {
-      mScheduled = false;
+  mSendAt = at;
+  if (mInFlight) {
+    return;
+  }
+  const auto timer = ++mTimer;
+  mLoop.RunAfter(aDelay, [this, timer] {
+    if (timer == mTimer && !mInFlight) {
       Send();
     }
   });
@@ -86,6 +93,7 @@
     return;
   }
   mInFlight = true;
+  mSendAt.reset();
   mBatchName = std::to_string(mTerm.mFence) + "." + std::to_string(++mBatch);
   mSent = store_transaction();
   mSent.mConditions.push_back({ store_keys::kScheduler, mTerm.mRevision });
@@ -160,9 +168,12 @@
       return;
     }
   }
-  if (!mWaiting.empty() || !mRemovals.empty()) {
-    SendSoon();
+  if (mWaiting.empty() && mRemovals.empty()) {
+    return;
   }
+  const auto wanted = mSendAt.value_or(mLoop.Now());
+  mSendAt.reset();
+  SendAfter(std::max(duration::zero(), wanted - mLoop.Now()));
 }
 
 } // namespace anvildoor
--- a/src/scheduler/RecordWriter.h
+++ b/src/scheduler/RecordWriter.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace anvildoor {
@@ -41,8 +42,15 @@
   /** Ends the term: what is not written yet is forgotten. */
   void End();
 
-  /** Writes aKey soon; aDurable runs when the value of now or a later one is stored. */
-  void Write(const std::string& aKey, std::function<void()> aDurable);
+  /** How soon a record is wanted in the store. */
+  enum class haste
+  {
+    kNow,  ///< Something waits for it: an order, or a caller.
+    kSoon, ///< It may wait for others to share its transaction.
+  };
+
+  /** Writes aKey; aDurable runs when the value of now or a later one is stored. */
+  void Write(const std::string& aKey, haste aHaste, std::function<void()> aDurable);
 
   /** Removes aKeys, some time after the writes. */
   void Remove(const std::vector<std::string>& aKeys);
@@ -55,7 +63,7 @@
 private:
   using notices = std::vector<std::function<void()>>;
 
-  void SendSoon();
+  void SendAfter(duration aDelay);
   void Send();
   void Commit();
   void OnOutcome(const result<transaction_outcome>& aOutcome);
@@ -69,7 +77,8 @@
   uint64_t mRound = 0;
   bool mActive = false;
   bool mInFlight = false;
-  bool mScheduled = false;
+  uint64_t mTimer = 0; ///< Rises with each timer: older ones do nothing.
+  std::optional<time_point> mSendAt;
   uint64_t mWriterRevision = 0;
   uint64_t mBatch = 0;
   uint64_t mTransactions = 0;
--- a/src/standin/MemoryTransactionStore.cpp
+++ b/src/standin/MemoryTransactionStore.cpp
@@ -16,7 +16,8 @@
 
 } // namespace
 
-uint64_t memory_transaction_store::Put(const std::string& aKey, const std::string& aValue)
+uint64_t memory_transaction_store::Put(const std::string& aKey,
+                                       const std::string& aValue)
 {
   EndLapsed();
   ++mRevision;
@@ -197,7 +198,8 @@
     changes = ChangesAfter(aPrefix, aRevision);
   }
   if (changes.mLost || !changes.mChanges.empty()) {
-    mLoop.Post([changes = std::move(changes), done = std::move(aDone)] { done(changes); });
+    mLoop.Post(
+      [changes = std::move(changes), done = std::move(aDone)] { done(changes); });
     return;
   }
   const auto number = mNextWatch++;
@@ -256,7 +258,8 @@
     }
     WakeWatches();
   }
-  mLoop.Post([outcome = std::move(outcome), done = std::move(aDone)] { done(outcome); });
+  mLoop.Post(
+    [outcome = std::move(outcome), done = std::move(aDone)] { done(outcome); });
 }
 
 void memory_transaction_store::OnGrantLease(duration aTtl, done<uint64_t> aDone)
--- a/src/standin/MemoryTransactionStore.h
+++ b/src/standin/MemoryTransactionStore.h
@@ -8,7 +8,8 @@
 
 namespace anvildoor {
 
-/** A platform's store in memory, with leases, watches and a history that can be lost. */
+/** A platform's store in memory, with leases, watches and a history that can be lost.
+ */
 class memory_transaction_store : public transaction_store
 {
 public:
--- a/src/standin/RunWorker.cpp
+++ b/src/standin/RunWorker.cpp
@@ -90,16 +90,16 @@
   mFence = aOrder.mFence;
   auto& barred = mBarred[aOrder.mTask];
   barred = std::max(barred, aOrder.mRun);
-  mLoop.RunAfter(
-    kStopTakes, [this, alive = mAlive, task = aOrder.mTask, number = aOrder.mRun] {
-      if (!*alive) {
-        return;
-      }
-      const auto found = mRuns.find(task);
-      if (found != mRuns.end() && found->second.mRun <= number) {
-        End(task, run_end::kStopped);
-      }
-    });
+  mLoop.RunAfter(kStopTakes,
+                 [this, alive = mAlive, task = aOrder.mTask, number = aOrder.mRun] {
+                   if (!*alive) {
+                     return;
+                   }
+                   const auto found = mRuns.find(task);
+                   if (found != mRuns.end() && found->second.mRun <= number) {
+                     End(task, run_end::kStopped);
+                   }
+                 });
   return order_answer::kAccepted;
 }
 
@@ -113,7 +113,8 @@
   for (const auto& [task, run] : mRuns) {
     const auto ran = (mLoop.Now() - run.mBegan).count();
     const auto whole = std::max<int64_t>(1, run.mWork.mTime.count());
-    reply.mRunning.push_back({ task, run.mRun, "", std::min(kAll, kAll * ran / whole) });
+    reply.mRunning.push_back(
+      { task, run.mRun, "", std::min(kAll, kAll * ran / whole) });
   }
   reply.mEnded.assign(mEnds.begin(), mEnds.end());
   return reply;
--- a/src/standin/RunWorker.h
+++ b/src/standin/RunWorker.h
@@ -33,7 +33,8 @@
 
 /**
  * One worker of a platform: starts, stops and holds runs under a fence, keeps a lease,
- * lists ends until they are acknowledged. One life; a restart is a new object. One thread.
+ * lists ends until they are acknowledged. One life; a restart is a new object. One
+ * thread.
  */
 class run_worker
 {
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -48,7 +48,8 @@
   }
 }
 
-TEST_CASE("the end of a job outlives the scheduler, whenever it is killed", "[installation]")
+TEST_CASE("the end of a job outlives the scheduler, whenever it is killed",
+          "[installation]")
 {
   const auto after = GENERATE(1, 2, 5, 8, 15, 30, 300, 990, 1'005, 1'020, 1'500, 2'050);
   CAPTURE(after);
@@ -70,7 +71,8 @@
   }
 }
 
-TEST_CASE("a takeover restarts nothing on a silent worker before its lease has lapsed", "[installation]")
+TEST_CASE("a takeover restarts nothing on a silent worker before its lease has lapsed",
+          "[installation]")
 {
   fake_installation site(3, 4);
   site.mWork["long"] = { duration(20'000), false };
@@ -109,13 +111,15 @@
   const auto lost = GENERATE(1, 2);
   fake_installation site(2, 4);
   site.mFaults.mLoseCommits = lost;
-  CHECK(site.Submit("vm0", fake_installation::MakeJob(kJob, 2)) == job_answer::kAccepted);
+  CHECK(site.Submit("vm0", fake_installation::MakeJob(kJob, 2)) ==
+        job_answer::kAccepted);
   CHECK(site.Reaches("vm1", kJob, "done", duration(8'000)));
   CHECK(site.MostAtOnce() == 1);
   CHECK(site.StartsOf(kJob) == 2);
 }
 
-TEST_CASE("without an answer of the store a job is neither accepted nor refused", "[installation]")
+TEST_CASE("without an answer of the store a job is neither accepted nor refused",
+          "[installation]")
 {
   fake_installation site(2, 4);
   site.mFaults.mLoseCommits = 100;
@@ -123,7 +127,8 @@
         job_answer::kUnknown);
 }
 
-TEST_CASE("a job that the store does not take is refused, and never runs", "[installation]")
+TEST_CASE("a job that the store does not take is refused, and never runs",
+          "[installation]")
 {
   fake_installation site(2, 4);
   site.mFaults.mRefusing.insert("vm0");
@@ -148,7 +153,8 @@
   CHECK(site.StateAt("vm0", kJob) == "done");
 }
 
-TEST_CASE("an order that is carried out late is refused, and its task runs elsewhere", "[installation]")
+TEST_CASE("an order that is carried out late is refused, and its task runs elsewhere",
+          "[installation]")
 {
   const auto lateBy = GENERATE(1'600, 2'500, 6'000, 12'000);
   fake_installation site(2, 2);
@@ -216,7 +222,8 @@
   CHECK(site.Node("vm0").Policy()->mVersion == 7);
 }
 
-TEST_CASE("a VM without the store is not ready, and ready again when it is back", "[installation]")
+TEST_CASE("a VM without the store is not ready, and ready again when it is back",
+          "[installation]")
 {
   fake_installation site(3, 2);
   REQUIRE(site.Node("vm2").Ready());
@@ -229,7 +236,8 @@
   CHECK(site.Node("vm2").Ready());
 }
 
-TEST_CASE("a task that keeps failing fails its job after its attempts", "[installation]")
+TEST_CASE("a task that keeps failing fails its job after its attempts",
+          "[installation]")
 {
   fake_installation site(2, 4);
   site.mWork["bad"] = { duration(200), true };
@@ -256,7 +264,8 @@
   CHECK(site.Reaches("vm0", kOther, "done", duration(2'000)));
 }
 
-TEST_CASE("no VM schedules twice at once while the store and VMs come and go", "[installation]")
+TEST_CASE("no VM schedules twice at once while the store and VMs come and go",
+          "[installation]")
 {
   fake_installation site(3, 6);
   for (int round = 0; round < 4; ++round) {
@@ -273,3 +282,28 @@
   }
   CHECK(site.MostAtOnce() == 1);
 }
+
+TEST_CASE("a worker that comes back before its lease lapses never runs a task twice",
+          "[installation]")
+{
+  const auto silentFor = GENERATE(range(3'000, 7'600, 200));
+  CAPTURE(silentFor);
+  fake_installation site(2, 2);
+  site.mWork["long"] = { duration(9'000), false };
+  auto job = fake_installation::MakeJob(kJob, 8);
+  job.mSpec.mPayload = "long";
+  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(1'500));
+  for (const auto* vm : { "vm0", "vm1" }) {
+    site.mFaults.mCuts.insert({ vm, "w0" });
+  }
+  site.mLoop.RunFor(duration(silentFor));
+  site.mFaults.mCuts.clear();
+  // New tasks reach the worker the moment it answers again.
+  auto more = fake_installation::MakeJob(kOther, 12);
+  more.mSpec.mPayload = "long";
+  REQUIRE(site.Submit("vm0", more) == job_answer::kAccepted);
+  CHECK(site.Reaches("vm0", kOther, "done", duration(30'000)));
+  CHECK(site.Reaches("vm0", kJob, "done", duration(30'000)));
+  CHECK(site.MostAtOnce() == 1);
+}
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -66,11 +66,11 @@
     options.mDecodePolicy = [](const std::string& aValue) -> result<fleet_policy> {
       return PolicyOf(std::stoull(aValue));
     };
-    const entry_ports ports{
-      mLoop, *this, *this, *this, *this, aSite.mLog, mMetrics, [&aSite] {
-        return aSite.mLoop.Now().count();
-      }
-    };
+    const entry_ports ports{ mLoop,    *this,
+                             *this,    *this,
+                             *this,    aSite.mLog,
+                             mMetrics, [&aSite] {
+        return aSite.mLoop.Now().count(); } };
     mNode = std::make_unique<entry_node>(ports, options);
     mNode->Begin();
   }
@@ -87,7 +87,10 @@
   }
 
   /** Runs aTask on this VM after a hop; not at all once the VM is gone. */
-  void Later(task aTask, duration aAfter = kHop) { mLoop.RunAfter(aAfter, std::move(aTask)); }
+  void Later(task aTask, duration aAfter = kHop)
+  {
+    mLoop.RunAfter(aAfter, std::move(aTask));
+  }
 
   template<typename T, typename Call>
   void ToStore(transaction_store::done<T> aDone, bool aChange, Call aCall)
@@ -100,7 +103,8 @@
     }
     const auto code = aChange ? error_code::kUnknownEffect : error_code::kUnavailable;
     const auto lost = [this, code, done = aDone] {
-      Later([code, done] { done(Fail(code, "store", "store", "no answer")); }, kLostCall);
+      Later([code, done] { done(Fail(code, "store", "store", "no answer")); },
+            kLostCall);
     };
     if (IsCut("store")) {
       lost();
@@ -118,9 +122,8 @@
   void OnGet(const std::string& aKey,
              transaction_store::done<std::optional<stored_item>> aDone) override
   {
-    ToStore<std::optional<stored_item>>(std::move(aDone), false, [&](auto aPass) {
-      mSite.mStore.Get(aKey, aPass);
-    });
+    ToStore<std::optional<stored_item>>(
+      std::move(aDone), false, [&](auto aPass) { mSite.mStore.Get(aKey, aPass); });
   }
   void OnList(const std::string& aPrefix,
               bool aMayBeStale,
@@ -152,9 +155,8 @@
         kLostCall);
       return;
     }
-    ToStore<transaction_outcome>(std::move(aDone), true, [&](auto aPass) {
-      mSite.mStore.Commit(aChange, aPass);
-    });
+    ToStore<transaction_outcome>(
+      std::move(aDone), true, [&](auto aPass) { mSite.mStore.Commit(aChange, aPass); });
   }
   void OnGrantLease(duration aTtl, transaction_store::done<uint64_t> aDone) override
   {
@@ -215,12 +217,13 @@
   {
     auto* worker = Reached(aOrder.mWorker);
     const auto answered = std::make_shared<bool>(false);
-    const auto answer = [this, answered, done = std::move(aDone)](const hold_reply& aReply) {
-      if (!*answered) {
-        *answered = true;
-        Later([done, aReply] { done(aReply); });
-      }
-    };
+    const auto answer =
+      [this, answered, done = std::move(aDone)](const hold_reply& aReply) {
+        if (!*answered) {
+          *answered = true;
+          Later([done, aReply] { done(aReply); });
+        }
+      };
     mLoop.RunAfter(aOrder.mWait + kLostCall, [answer] { answer(hold_reply()); });
     if (worker != nullptr) {
       const auto id = aOrder.mWorker.mId;
@@ -235,7 +238,9 @@
   void OnList(worker_directory::done aDone) override
   {
     transaction_store::List(
-      kWorkersKey, false, [done = std::move(aDone)](const result<stored_range>& aRange) {
+      kWorkersKey,
+      false,
+      [done = std::move(aDone)](const result<stored_range>& aRange) {
         if (!aRange) {
           done(tl::unexpected<error>(aRange.error()));
           return;
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -76,7 +76,8 @@
   std::string SchedulerVm() const;
   entry_node& Node(const std::string& aVm);
 
-  /** Returns the largest number of runs of one task that were there at the same time. */
+  /** Returns the largest number of runs of one task that were there at the same time.
+   */
   size_t MostAtOnce() const;
   size_t StartsOf(const std::string& aJob) const;
 
