--- /dev/null
+++ b/tests/JobStateTest.cpp
@@ -0,0 +1,249 @@
+#include "jobs/JobState.h"
+
+#include <catch2/catch.hpp>
+
+using namespace anvildoor;
+
+namespace {
+
+accepted_job Job(std::vector<step_spec> aSteps, uint32_t aRepeats = 0)
+{
+  accepted_job job;
+  job.mId = "00000000000000a1";
+  job.mQueue = "batch";
+  job.mWorkspace = "gyms";
+  job.mPool = "pool";
+  job.mMaxAttempts = 2;
+  job.mSpec.mPayload = "p";
+  job.mSpec.mSteps = std::move(aSteps);
+  job.mSpec.mRepeats = aRepeats;
+  job.mSpec.mFirstDueMs = aRepeats == 0 ? 0 : 10'000;
+  job.mSpec.mIntervalMs = 500;
+  return job;
+}
+
+step_spec Step(uint32_t aCount, bool aGang = false, std::vector<uint32_t> aAfter = {})
+{
+  step_spec step;
+  step.mCount = aCount;
+  step.mGang = aGang;
+  step.mAfter = std::move(aAfter);
+  return step;
+}
+
+task_ref Task(uint32_t aStep, uint32_t aIndex, uint32_t aOccurrence = 0)
+{
+  return { "00000000000000a1", aOccurrence, aStep, aIndex };
+}
+
+/** Places what waits of a step; the members of a gang share their run number. */
+void PlaceAll(job_state& aState, uint32_t aStep)
+{
+  const auto waiting = aState.Waiting(0, aStep);
+  std::vector<uint32_t> runs;
+  for (const auto index : waiting) {
+    runs.push_back(aState.NextRun(0, aStep, index));
+  }
+  for (size_t number = 0; number < waiting.size(); ++number) {
+    aState.Place(Task(aStep, waiting[number]), runs[number], "w");
+  }
+}
+
+} // namespace
+
+TEST_CASE("a step waits for all tasks of the steps before it", "[jobs]")
+{
+  job_state state(Job({ Step(2), Step(1, false, { 0 }) }));
+  CHECK(state.Waiting(0, 0).size() == 2);
+  CHECK(state.Waiting(0, 1).empty());
+  PlaceAll(state, 0);
+  state.End(Task(0, 0), 1, run_end::kDone, "");
+  CHECK(state.Waiting(0, 1).empty());
+  state.End(Task(0, 1), 1, run_end::kDone, "");
+  CHECK(state.Waiting(0, 1).size() == 1);
+  CHECK(state.Outcome() == job_outcome::kOpen);
+}
+
+TEST_CASE("what an end of a single task means", "[jobs]")
+{
+  struct row
+  {
+    run_end mEnd;
+    uint32_t mTimes;
+    job_outcome mOutcome;
+  };
+  const auto [end, times, outcome] =
+    GENERATE(row{ run_end::kDone, 1, job_outcome::kDone },
+             row{ run_end::kFailed, 1, job_outcome::kOpen },
+             row{ run_end::kFailed, 2, job_outcome::kFailed },
+             row{ run_end::kStopped, 9, job_outcome::kOpen },
+             row{ run_end::kLapsed, 9, job_outcome::kOpen },
+             row{ run_end::kLost, 9, job_outcome::kOpen },
+             row{ run_end::kNotStarted, 9, job_outcome::kOpen });
+  CAPTURE(ToString(end), times);
+  job_state state(Job({ Step(1) }));
+  for (uint32_t time = 1; time <= times; ++time) {
+    REQUIRE(state.Waiting(0, 0).size() == 1);
+    PlaceAll(state, 0);
+    CHECK(state.Task(Task(0, 0)).mRun == time);
+    state.End(Task(0, 0), time, end, "");
+  }
+  CHECK(state.Outcome() == outcome);
+}
+
+TEST_CASE("a gang restarts whole, under one run number, from one checkpoint", "[jobs]")
+{
+  job_state state(Job({ Step(3, true) }));
+  PlaceAll(state, 0);
+  CHECK(state.End(Task(0, 1), 1, run_end::kFailed, "c1").mGangBroken);
+  CHECK(state.Waiting(0, 0).empty());
+  state.End(Task(0, 0), 1, run_end::kBroken, "");
+  state.End(Task(0, 2), 1, run_end::kBroken, "c2");
+  REQUIRE(state.Waiting(0, 0).size() == 3);
+  PlaceAll(state, 0);
+  for (uint32_t index = 0; index < 3; ++index) {
+    CHECK(state.Task(Task(0, index)).mRun == 2);
+    CHECK(state.Task(Task(0, index)).mCheckpoint == "c2");
+  }
+  // One end as done stands for all members.
+  CHECK(state.End(Task(0, 2), 2, run_end::kDone, "").mFinished);
+  CHECK(state.Outcome() == job_outcome::kDone);
+}
+
+TEST_CASE("ends of older runs and of others change nothing", "[jobs]")
+{
+  job_state state(Job({ Step(1) }));
+  PlaceAll(state, 0);
+  state.End(Task(0, 0), 1, run_end::kLapsed, "");
+  PlaceAll(state, 0);
+  CHECK_FALSE(state.End(Task(0, 0), 1, run_end::kDone, "").mKnown);
+  CHECK(state.Outcome() == job_outcome::kOpen);
+}
+
+TEST_CASE("an outcome stays", "[jobs]")
+{
+  job_state done(Job({ Step(1) }));
+  PlaceAll(done, 0);
+  done.End(Task(0, 0), 1, run_end::kDone, "");
+  CHECK_FALSE(done.Cancel());
+  job_state cancelled(Job({ Step(1) }));
+  PlaceAll(cancelled, 0);
+  CHECK(cancelled.Cancel());
+  CHECK(cancelled.Waiting(0, 0).empty());
+  cancelled.End(Task(0, 0), 1, run_end::kDone, "");
+  CHECK(cancelled.Outcome() == job_outcome::kCancelled);
+}
+
+TEST_CASE("occurrences have their own tasks and times", "[jobs]")
+{
+  job_state state(Job({ Step(1) }, 3));
+  CHECK(state.Occurrences() == 3);
+  CHECK(state.DueMs(2) == 11'000);
+  state.Place(Task(0, 0, 1), 1, "w");
+  state.End(Task(0, 0, 1), 1, run_end::kDone, "");
+  CHECK(state.Waiting(0, 0).size() == 1);
+  CHECK(state.Waiting(1, 0).empty());
+  CHECK(state.Outcome() == job_outcome::kOpen);
+}
+
+TEST_CASE("records are read as they were written, at every stage", "[jobs]")
+{
+  const auto stage = GENERATE(0, 1, 2, 3, 4, 5);
+  const auto job = Job({ Step(3), Step(2, true, { 0 }) });
+  job_state state(job);
+  if (stage >= 1) {
+    PlaceAll(state, 0);
+  }
+  if (stage >= 2) {
+    state.End(Task(0, 0), 1, run_end::kDone, "");
+    state.End(Task(0, 1), 1, run_end::kFailed, "c7");
+  }
+  if (stage >= 3) {
+    PlaceAll(state, 0);
+    state.End(Task(0, 1), 2, run_end::kDone, "");
+    state.End(Task(0, 2), 1, run_end::kDone, "");
+  }
+  if (stage >= 4) {
+    PlaceAll(state, 1);
+  }
+  if (stage >= 5) {
+    state.Cancel();
+  }
+  const auto again = DecodeJob(job.mId, EncodeJob(job));
+  REQUIRE(again);
+  CHECK(*again == job);
+  job_state read(*again);
+  REQUIRE(read.DecodeProgress(state.EncodeProgress()));
+  CHECK(read.Outcome() == state.Outcome());
+  CHECK(read.Begun() == state.Begun());
+  CHECK(read.Placed() == state.Placed());
+  if (state.Outcome() == job_outcome::kOpen) {
+    for (uint32_t step = 0; step < 2; ++step) {
+      CHECK(read.Waiting(0, step) == state.Waiting(0, step));
+      for (uint32_t index = 0; index < job.mSpec.mSteps[step].mCount; ++index) {
+        auto expected = state.Task(Task(step, index));
+        expected.mCheckpoint = expected.mDone ? "" : expected.mCheckpoint;
+        CHECK(read.Task(Task(step, index)) == expected);
+      }
+    }
+  }
+}
+
+TEST_CASE("records that cannot be read are errors", "[jobs]")
+{
+  const auto* text = GENERATE("",
+                              "[]",
+                              "{}",
+                              "{\"outcome\":7}",
+                              "{\"outcome\":\"odd\"}",
+                              "{\"outcome\":\"open\"}",
+                              "{\"outcome\":\"open\",\"begun\":true,\"workers\":[],"
+                              "\"tasks\":[[0,9,0,1,-1,0,0]]}",
+                              "{\"outcome\":\"open\",\"begun\":true,\"workers\":[],"
+                              "\"tasks\":[[0,0,0,1,5,0,0]]}");
+  job_state state(Job({ Step(1) }));
+  CHECK_FALSE(state.DecodeProgress(text));
+}
+
+TEST_CASE("jobs that cannot be run are refused with the step", "[jobs]")
+{
+  auto job = Job({ Step(1), Step(1) });
+  REQUIRE(CheckJob(job.mSpec));
+  SECTION("no steps")
+  {
+    job.mSpec.mSteps.clear();
+  }
+  SECTION("no tasks")
+  {
+    job.mSpec.mSteps[1].mCount = 0;
+  }
+  SECTION("too many tasks")
+  {
+    job.mSpec.mSteps[1].mCount = 1'000'000;
+  }
+  SECTION("waits for itself")
+  {
+    job.mSpec.mSteps[1].mAfter = { 1 };
+  }
+  SECTION("waits for a later step")
+  {
+    job.mSpec.mSteps[0].mAfter = { 1 };
+  }
+  SECTION("negative size")
+  {
+    job.mSpec.mSteps[0].mPerTask.mCpuMillis = -1;
+  }
+  SECTION("absurd size")
+  {
+    job.mSpec.mSteps[0].mPerTask.mMemoryMb = 1'000'000'000'000;
+  }
+  SECTION("payload")
+  {
+    job.mSpec.mPayload = std::string(4'001, 'x');
+  }
+  SECTION("too many occurrences")
+  {
+    job.mSpec.mRepeats = 1'000'000;
+  }
+  CHECK_FALSE(CheckJob(job.mSpec));
+}
--- /dev/null
+++ b/tests/WorkerRunsTest.cpp
@@ -0,0 +1,220 @@
+#include "runs/WorkerRuns.h"
+#include "runs/WorkerHealth.h"
+
+#include <catch2/catch.hpp>
+
+using namespace anvildoor;
+
+namespace {
+
+const task_ref kTask{ "00000000000000a1", 0, 0, 3 };
+const task_resources kNeed{ 4'000, 1'000, 1 };
+constexpr time_point kStart{ 100'000 };
+
+hold_reply ReplyAt(int64_t aClock, int64_t aBorn = 7)
+{
+  hold_reply reply;
+  reply.mAnswer = order_answer::kAccepted;
+  reply.mClockMs = aClock;
+  reply.mBornMs = aBorn;
+  return reply;
+}
+
+hold_reply Running(int64_t aClock, uint32_t aRun)
+{
+  auto reply = ReplyAt(aClock);
+  reply.mRunning.push_back({ kTask, aRun, "", 10 });
+  return reply;
+}
+
+hold_reply Ended(int64_t aClock, uint64_t aNumber, uint32_t aRun, run_end aEnd)
+{
+  auto reply = ReplyAt(aClock);
+  reply.mEnded.push_back({ aNumber, kTask, aRun, aEnd, "saved" });
+  return reply;
+}
+
+} // namespace
+
+TEST_CASE("a start moves the time at which everything there must have ended", "[runs]")
+{
+  struct row
+  {
+    int64_t mStartAfter;    // The start is sent so long after the last renewal.
+    int64_t mLapsesAtLeast; // So long after the renewal, on a clock 2% slow.
+  };
+  const auto [startAfter, lapsesAtLeast] = GENERATE(
+    row{ 0, 6'122 }, row{ 3'000, 6'122 }, row{ 6'000, 7'530 }, row{ 9'000, 10'530 });
+  worker_runs runs{ run_bounds() };
+  runs.NoteLease(kStart);
+  const auto at = kStart + duration(startAfter);
+  runs.Order(kTask, 1, kNeed, at);
+  runs.NoteStart(kTask, 1, 5'000, at);
+  CHECK(runs.LapsesAt() >= kStart + duration(lapsesAtLeast));
+}
+
+TEST_CASE("a worker has a lease once a hold that extends it was answered", "[runs]")
+{
+  worker_runs runs{ run_bounds() };
+  runs.OnHold(ReplyAt(1'000), kStart, kStart);
+  CHECK(runs.Fenced());
+  CHECK_FALSE(runs.HasLease());
+  runs.NoteLease(kStart);
+  runs.OnHold(ReplyAt(1'100), kStart, kStart + duration(100));
+  CHECK(runs.HasLease());
+  runs.DropAll(run_end::kLapsed);
+  CHECK_FALSE(runs.HasLease());
+}
+
+TEST_CASE("what the answer of a start means", "[runs]")
+{
+  struct row
+  {
+    order_answer mAnswer;
+    bool mGone; // The run is known never to have started.
+  };
+  const auto [answer, gone] = GENERATE(row{ order_answer::kAccepted, false },
+                                       row{ order_answer::kNoAnswer, false },
+                                       row{ order_answer::kOld, false },
+                                       row{ order_answer::kGone, false },
+                                       row{ order_answer::kLate, true },
+                                       row{ order_answer::kNoRoom, true },
+                                       row{ order_answer::kUnhealthy, true },
+                                       row{ order_answer::kInvalid, true },
+                                       row{ order_answer::kNotSent, true });
+  CAPTURE(ToString(answer));
+  worker_runs runs{ run_bounds() };
+  runs.Order(kTask, 1, kNeed, kStart);
+  const auto events = runs.OnStartAnswer(kTask, 1, answer, kStart);
+  CHECK(events.size() == (gone ? 1 : 0));
+  CHECK(runs.Runs().empty() == gone);
+}
+
+TEST_CASE("an order without an answer is settled by the worker's list", "[runs]")
+{
+  struct row
+  {
+    int64_t mClock; // Of the list; the order's deadline is 5000.
+    bool mListed;
+    bool mStopAnswered;
+    size_t mEvents;
+    bool mStays;
+  };
+  const auto [clock, listed, stopAnswered, events, stays] =
+    GENERATE(row{ 4'000, false, false, 0, true }, // It may still be carried out.
+             row{ 5'000, false, false, 0, true },
+             row{ 5'001, false, false, 1, false }, // It would be refused as late.
+             row{ 4'000, true, false, 0, true },
+             row{ 6'000, true, false, 0, true },
+             row{ 4'000, false, true, 1, false }); // A stop was answered: it is barred.
+  worker_runs runs{ run_bounds() };
+  runs.Order(kTask, 1, kNeed, kStart);
+  runs.NoteStart(kTask, 1, 5'000, kStart);
+  runs.OnStartAnswer(kTask, 1, order_answer::kNoAnswer, kStart + duration(900));
+  if (stopAnswered) {
+    runs.MarkStopping(kTask, kStart + duration(900));
+    runs.OnStopAnswer(kTask, 1, order_answer::kAccepted, kStart + duration(950));
+  }
+  const auto sentAt = kStart + duration(1'000);
+  const auto seen = runs.OnHold(
+    listed ? Running(clock, 1) : ReplyAt(clock), sentAt, sentAt + duration(1));
+  CHECK(seen.size() == events);
+  CHECK(runs.Runs().empty() != stays);
+}
+
+TEST_CASE("a run that was there and is not listed any more is lost", "[runs]")
+{
+  worker_runs runs{ run_bounds() };
+  runs.Order(kTask, 1, kNeed, kStart);
+  runs.OnStartAnswer(kTask, 1, order_answer::kAccepted, kStart + duration(5));
+  // A list asked for before the start's answer says nothing about it.
+  CHECK(runs.OnHold(ReplyAt(100), kStart + duration(2), kStart + duration(9)).empty());
+  const auto events =
+    runs.OnHold(ReplyAt(200), kStart + duration(50), kStart + duration(60));
+  REQUIRE(events.size() == 1);
+  CHECK(events.front().mEnd == run_end::kLost);
+  CHECK(runs.Used() == task_resources{});
+}
+
+TEST_CASE("another life of a worker has lost everything", "[runs]")
+{
+  worker_runs runs{ run_bounds() };
+  runs.Order(kTask, 1, kNeed, kStart);
+  runs.OnHold(Running(100, 1), kStart, kStart);
+  const auto events = runs.OnHold(ReplyAt(5, 8), kStart, kStart + duration(1));
+  REQUIRE(events.size() == 1);
+  CHECK(events.front().mEnd == run_end::kLost);
+}
+
+TEST_CASE("ends are acknowledged in order, once they are durable", "[runs]")
+{
+  worker_runs runs{ run_bounds() };
+  auto reply = ReplyAt(100);
+  for (uint64_t number = 1; number <= 3; ++number) {
+    auto task = kTask;
+    task.mIndex = static_cast<uint32_t>(number);
+    reply.mEnded.push_back({ number, task, 1, run_end::kDone, "" });
+  }
+  CHECK(runs.OnHold(reply, kStart, kStart).size() == 3);
+  CHECK(runs.OnHold(reply, kStart, kStart).empty()); // Listed again, taken in once.
+  runs.MarkDurable(7, 2);
+  CHECK(runs.Acknowledged() == 0);
+  runs.MarkDurable(7, 1);
+  CHECK(runs.Acknowledged() == 2);
+  runs.MarkDurable(6, 3); // Of an earlier life.
+  CHECK(runs.Acknowledged() == 2);
+  runs.MarkDurable(7, 3);
+  CHECK(runs.Acknowledged() == 3);
+}
+
+TEST_CASE("an end frees the room, an unexpected run is reported", "[runs]")
+{
+  worker_runs runs{ run_bounds() };
+  runs.Order(kTask, 2, kNeed, kStart);
+  CHECK(runs.Used() == kNeed);
+  const auto found = runs.OnHold(Running(10, 1), kStart, kStart);
+  REQUIRE(found.size() == 1);
+  CHECK(found.front().mKind == run_event::kind::kFound);
+  runs.OnHold(Ended(20, 1, 1, run_end::kStopped), kStart, kStart);
+  CHECK(runs.Used() == kNeed); // The older run's end leaves the newer one's room.
+  runs.OnHold(Ended(30, 2, 2, run_end::kDone), kStart, kStart);
+  CHECK(runs.Used() == task_resources{});
+}
+
+TEST_CASE("a takeover's first list settles what the records say", "[runs]")
+{
+  struct row
+  {
+    bool mListed;
+    bool mStays;
+  };
+  const auto [listed, stays] = GENERATE(row{ true, true }, row{ false, false });
+  worker_runs runs{ run_bounds() };
+  runs.Assume(kTask, 4, kNeed, kStart);
+  runs.OnHold(listed ? Running(50, 4) : ReplyAt(50), kStart, kStart + duration(2));
+  CHECK(runs.Runs().empty() != stays);
+}
+
+TEST_CASE("a worker is closed for its own failures, not for one job's", "[runs]")
+{
+  struct row
+  {
+    std::vector<std::string> mFailed;
+    bool mOpen;
+  };
+  const auto [failed, open] = GENERATE(row{ {}, true },
+                                       row{ { "a" }, true },
+                                       row{ { "a", "a", "a" }, true },
+                                       row{ { "a", "b" }, false });
+  worker_health health;
+  for (const auto& job : failed) {
+    health.OnFailed(job, kStart);
+  }
+  CHECK(health.IsOpen(kStart, 0) == open);
+  // Later it is tried with one run, and fully open once that is done.
+  const auto later = kStart + duration(5'000);
+  CHECK(health.IsOpen(later, 0));
+  CHECK(health.IsOpen(later, 1) == open);
+  health.OnDone();
+  CHECK(health.IsOpen(later, 5));
+}
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -186,6 +186,10 @@
 
   void OnStart(const start_order& aOrder, run_port::done<order_answer> aDone) override
   {
+    if (mSite.mFaults.mUnreachable.count(aOrder.mWorker.mId) != 0) {
+      Later([done = std::move(aDone)] { done(order_answer::kNotSent); });
+      return;
+    }
     auto* worker = Reached(aOrder.mWorker);
     const bool late = mSite.mFaults.mLateStarts.count(aOrder.mWorker.mId) != 0;
     if (late) {
@@ -215,6 +219,14 @@
   }
   void OnHold(const hold_order& aOrder, run_port::done<hold_reply> aDone) override
   {
+    if (mSite.mFaults.mUnreachable.count(aOrder.mWorker.mId) != 0) {
+      Later([done = std::move(aDone)] {
+        hold_reply reply;
+        reply.mAnswer = order_answer::kNotSent;
+        done(reply);
+      });
+      return;
+    }
     auto* worker = Reached(aOrder.mWorker);
     const auto answered = std::make_shared<bool>(false);
     const auto answer =
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -28,9 +28,10 @@
 struct fake_faults
 {
   std::set<std::pair<std::string, std::string>> mCuts; ///< No call, no answer.
-  std::set<std::string> mRefusing;   ///< The store answers that it is busy, to these.
-  int mLoseCommits = 0;              ///< So many next commits happen unanswered.
-  std::set<std::string> mLateStarts; ///< Starts at these workers come mLateBy later.
+  std::set<std::string> mRefusing;    ///< The store answers that it is busy, to these.
+  std::set<std::string> mUnreachable; ///< Workers to which nothing can be sent.
+  int mLoseCommits = 0;               ///< So many next commits happen unanswered.
+  std::set<std::string> mLateStarts;  ///< Starts at these workers come mLateBy later.
   duration mLateBy{ 4'000 };
 };
 
