--- a/src/http/HttpPool.cpp
+++ b/src/http/HttpPool.cpp
@@ -146,10 +146,10 @@
     mStream->async_connect(
       *endpoint, [self = this->shared_from_this()](beast::error_code aFailed) {
         if (aFailed) {
-          self->Finish(Fail(error_code::kUnavailable,
-                            self->mTarget,
-                            self->mAddress,
-                            aFailed.message()));
+          // A first copy of the call may have been carried out all the same.
+          const auto code =
+            self->mSent ? error_code::kUnknownEffect : error_code::kUnavailable;
+          self->Finish(Fail(code, self->mTarget, self->mAddress, aFailed.message()));
           return;
         }
         beast::error_code ignored;
@@ -161,6 +161,7 @@
 private:
   void Write()
   {
+    mSent = true;
     mStream->expires_at(mDeadline);
     SetUserTimeout();
     http::async_write(
@@ -244,6 +245,7 @@
   std::string mTarget;
   bool mRepeatable;
   bool mReused = false;
+  bool mSent = false; ///< Something of the call may have left.
   http_pool::done mDone;
   std::chrono::steady_clock::time_point mDeadline;
   std::unique_ptr<beast::tcp_stream> mStream;
--- /dev/null
+++ b/tests/HttpPoolTest.cpp
@@ -0,0 +1,210 @@
+#include "http/HttpPool.h"
+#include "http/LightServer.h"
+
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+#include <optional>
+
+using namespace anvildoor;
+
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+/** What a peer does with a call that it has read. */
+enum class peer_act
+{
+  kAnswer,
+  kBreak,        ///< Ends the connection without an answer.
+  kBreakForGood, ///< As above, and takes no new connections.
+  kIgnore,
+};
+
+/** Answers calls on loopback as a list says, one act a call. */
+class scripted_peer
+{
+public:
+  scripted_peer(asio::io_context& aContext, std::vector<peer_act> aActs)
+    : mAcceptor(aContext, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    , mActs(std::move(aActs))
+  {
+    Accept();
+  }
+
+  std::string Address() const
+  {
+    return "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port());
+  }
+
+  void StopListening() { mAcceptor.close(); }
+  size_t Calls() const { return mCalls; }
+
+private:
+  void Accept()
+  {
+    mAcceptor.async_accept(
+      [this](const boost::system::error_code& aFailed, tcp::socket aSocket) {
+        if (aFailed) {
+          return;
+        }
+        mSockets.push_back(std::make_unique<tcp::socket>(std::move(aSocket)));
+        Read(*mSockets.back());
+        Accept();
+      });
+  }
+
+  void Read(tcp::socket& aSocket)
+  {
+    auto text = std::make_shared<std::string>();
+    asio::async_read_until(
+      aSocket,
+      asio::dynamic_buffer(*text),
+      "\r\n\r\n",
+      [this, &aSocket, text](const boost::system::error_code& aFailed, size_t) {
+        if (!aFailed) {
+          Act(aSocket);
+        }
+      });
+  }
+
+  void Act(tcp::socket& aSocket)
+  {
+    const auto act = mCalls < mActs.size() ? mActs[mCalls] : peer_act::kAnswer;
+    ++mCalls;
+    if (act == peer_act::kIgnore) {
+      return;
+    }
+    if (act == peer_act::kAnswer) {
+      static const std::string sAnswer =
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+      asio::write(aSocket, asio::buffer(sAnswer));
+      Read(aSocket);
+      return;
+    }
+    if (act == peer_act::kBreakForGood) {
+      mAcceptor.close();
+    }
+    aSocket.close();
+  }
+
+  tcp::acceptor mAcceptor;
+  std::vector<peer_act> mActs;
+  std::vector<std::unique_ptr<tcp::socket>> mSockets;
+  size_t mCalls = 0;
+};
+
+result<http_answer> CallOnce(asio::io_context& aContext,
+                             http_pool& aPool,
+                             const pooled_call& aCall)
+{
+  std::optional<result<http_answer>> answer;
+  aPool.Call(aCall, [&](result<http_answer> aAnswer) { answer = std::move(aAnswer); });
+  constexpr auto kLongest = std::chrono::seconds(5);
+  const auto until = std::chrono::steady_clock::now() + kLongest;
+  while (!answer && std::chrono::steady_clock::now() < until) {
+    aContext.run_one_until(until);
+  }
+  return answer.value_or(
+    Fail(error_code::kInvalid, "test", "peer", "no answer at all"));
+}
+
+} // namespace
+
+TEST_CASE("what a broken call may have done", "[http]")
+{
+  struct row
+  {
+    std::vector<peer_act> mActs; // The first call warms the connection up.
+    bool mRepeatable;
+    std::optional<error_code> mError;
+    size_t mCalls;
+  };
+  using act = peer_act;
+  const auto [acts, repeatable, failed, calls] = GENERATE(
+    row{ { act::kAnswer, act::kAnswer }, true, std::nullopt, 2 },
+    row{ { act::kAnswer, act::kBreak, act::kAnswer }, true, std::nullopt, 3 },
+    row{ { act::kAnswer, act::kBreak }, false, error_code::kUnknownEffect, 2 },
+    // The first copy was read: that the second cannot be sent does not undo it.
+    row{ { act::kAnswer, act::kBreakForGood }, true, error_code::kUnknownEffect, 2 },
+    row{
+      { act::kAnswer, act::kBreak, act::kBreak }, true, error_code::kUnknownEffect, 3 },
+    row{ { act::kAnswer, act::kIgnore }, true, error_code::kUnknownEffect, 2 });
+  asio::io_context context;
+  scripted_peer peer(context, acts);
+  http_pool pool(context);
+  pooled_call call;
+  call.mAddress = peer.Address();
+  call.mTarget = "/";
+  call.mTimeout = duration(300);
+  call.mRepeatable = repeatable;
+  REQUIRE(CallOnce(context, pool, call));
+  const auto answer = CallOnce(context, pool, call);
+  CHECK(answer.has_value() == !failed.has_value());
+  if (!answer && failed) {
+    CHECK(answer.error().mCode == *failed);
+  }
+  CHECK(peer.Calls() == calls);
+}
+
+TEST_CASE("a call to nobody was not sent", "[http]")
+{
+  asio::io_context context;
+  scripted_peer peer(context, {});
+  pooled_call call;
+  call.mAddress = peer.Address();
+  call.mTarget = "/";
+  peer.StopListening();
+  http_pool pool(context);
+  const auto answer = CallOnce(context, pool, call);
+  REQUIRE_FALSE(answer);
+  CHECK(answer.error().mCode == error_code::kUnavailable);
+}
+
+TEST_CASE("a server answers calls on one connection, and refuses what is malformed",
+          "[http]")
+{
+  struct row
+  {
+    std::string mMethod;
+    size_t mBodyBytes;
+    unsigned mStatus;
+  };
+  const auto [method, bytes, status] = GENERATE(row{ "POST", 10, 200 },
+                                                row{ "POST", 100, 200 },
+                                                row{ "POST", 101, 413 },
+                                                row{ "GET", 0, 200 },
+                                                row{ "DELETE", 0, 200 });
+  asio::io_context context;
+  tcp::acceptor port(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  const auto address = "127.0.0.1:" + std::to_string(port.local_endpoint().port());
+  port.close();
+  light_server server(
+    context, [](const light_request& aRequest, const light_server::respond& aRespond) {
+      light_reply reply;
+      reply.mBody = aRequest.mMethod + std::to_string(aRequest.mBody.size());
+      aRespond(reply);
+    });
+  light_limits limits;
+  limits.mBodyBytes = 100;
+  server.SetLimits(limits);
+  REQUIRE(server.Listen(address));
+  http_pool pool(context);
+  pooled_call call;
+  call.mAddress = address;
+  call.mMethod = method;
+  call.mTarget = "/x";
+  call.mBody = std::string(bytes, 'b');
+  for (int time = 0; time < 2; ++time) {
+    const auto answer = CallOnce(context, pool, call);
+    REQUIRE(answer);
+    CHECK(answer->mStatus == status);
+    if (status == 200) {
+      CHECK(answer->mBody == method + std::to_string(bytes));
+    }
+  }
+  CHECK(server.Active() == 0);
+  if (status == 200) {
+    CHECK(pool.Opened() == 1);
+  }
+}
