Runs are stopped where least is thrown away, and only if that is worth it

Now each rack's cheapest set of stops is worked out and the cheapest rack is cleared; without a guarantee at most three times the work that gets the room is thrown away. Ruled out: letting such gangs spread (three times as slow: late in any case).

--- a/src/planner/TaskPlacement.cpp
+++ b/src/planner/TaskPlacement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <numeric>
 #include <optional>
 #include <tuple>
 
@@ -9,12 +10,6 @@
 
 namespace {
 
-bool Fits(const task_resources& aNeed, const task_resources& aRoom)
-{
-  return aNeed.mCpuMillis <= aRoom.mCpuMillis && aNeed.mMemoryMb <= aRoom.mMemoryMb &&
-         aNeed.mAccelerators <= aRoom.mAccelerators;
-}
-
 void Add(task_resources& aTo, const task_resources& aWhat, int64_t aTimes = 1)
 {
   aTo.mCpuMillis += aTimes * aWhat.mCpuMillis;
@@ -34,20 +29,27 @@
 /** More than any worker's leftover: data nearby goes before a tight fit. */
 constexpr double kDataRackGain = 1'000.0;
 
+/**
+ * Work may be thrown away up to this many times the work that gets its room. The
+ * letter's urgent jobs are worth four a job, and thrown-away work costs a seventh of
+ * that.
+ */
+constexpr double kWorthwhile = 3.0;
+/** A step that gives no estimate counts as this long. */
+constexpr duration kLeastEstimate{ 1'000 };
+/** Core-seconds that any stop costs besides the lost work: its job is late. */
+constexpr double kCostOfAnyStop = 2.0;
+/** Lost work of a job of priority 1 against that of lower ones: three to one in worth.
+ */
+constexpr double kHigherPriority = 2.0;
+
 /** Where each task of a group would go; empty if it does not fit as it must. */
 using seats = std::vector<std::pair<uint32_t, size_t>>;
 using room = std::vector<task_resources>;
 
-enum class preference
-{
-  kTightest, ///< Keeps large rooms whole.
-  kRoomiest, ///< Needs the fewest stops.
-};
-
 /** Which workers a search may use. */
 struct search
 {
-  preference mPreference = preference::kTightest;
   std::optional<size_t> mOnlyRack;
 };
 
@@ -100,7 +102,7 @@
                       group.mSpec.mGang ? group.mIndices.size() : 0 };
     seats found;
     if (mFailed.count(like) == 0) {
-      found = Seat(group, group.mIndices, mFree, preference::kTightest);
+      found = Seat(group, group.mIndices, mFree);
       if (found.empty() && group.mAvoid.empty() && group.mSpec.mMaxPerWorker == 0) {
         mFailed.insert(like);
       }
@@ -116,14 +118,16 @@
     }
     mPlan.mWaiting.push_back(aNumber);
     if (group.mMayPreempt) {
-      MakeRoom(group, Left(group, found));
+      MakeRoom(group, Left(group.mIndices, found));
     }
   }
 
-  static std::vector<uint32_t> Left(const placement_group& aGroup, const seats& aFound)
+  /** Returns those of aIndices that are not seated. */
+  static std::vector<uint32_t> Left(const std::vector<uint32_t>& aIndices,
+                                    const seats& aFound)
   {
     std::vector<uint32_t> left;
-    for (const auto index : aGroup.mIndices) {
+    for (const auto index : aIndices) {
       const bool placed =
         std::any_of(aFound.begin(), aFound.end(), [&](const auto& aSeat) {
           return aSeat.first == index;
@@ -135,27 +139,35 @@
     return left;
   }
 
-  /** Keeps room that is being freed for the group, and stops what else is in its way.
-   */
+  /** Keeps what is being freed for the group, and stops what else is in its way. */
   void MakeRoom(const placement_group& aGroup, const std::vector<uint32_t>& aLeft)
   {
-    auto kept = Seat(aGroup, aLeft, mSoon, preference::kTightest);
-    if (kept.size() < aLeft.size()) {
-      room reclaimable = mSoon;
-      for (size_t unit = 0; unit < mInput.mUnits.size(); ++unit) {
-        if (MayStop(unit, aGroup)) {
-          for (const auto& [worker, resources] : mInput.mUnits[unit].mParts) {
-            Add(reclaimable[worker], resources);
-          }
-        }
+    const auto kept = Seat(aGroup, aLeft, mSoon);
+    Keep(aGroup, kept);
+    const auto missing = Left(aLeft, kept);
+    if (missing.empty()) {
+      return;
+    }
+    const auto freed = CheapestStops(aGroup, missing);
+    if (!freed) {
+      return;
+    }
+    for (const auto unit : freed->mUnits) {
+      mStopped[unit] = true;
+      mPlan.mStops.push_back(unit);
+      for (const auto& [worker, resources] : mInput.mUnits[unit].mParts) {
+        Add(mSoon[worker], resources);
       }
-      kept = Seat(aGroup, aLeft, reclaimable, preference::kRoomiest);
     }
+    Keep(aGroup, SeatOn(aGroup, missing, mSoon, freed->mSearch));
+  }
+
+  void Keep(const placement_group& aGroup, const seats& aSeats)
+  {
     const auto need = NeedOf(aGroup);
-    for (const auto& [index, worker] : kept) {
+    for (const auto& [index, worker] : aSeats) {
       Add(mSoon[worker], need, -1);
       Add(mFree[worker], need, -1);
-      StopUntilFits(worker, aGroup);
     }
   }
 
@@ -168,41 +180,125 @@
     return !mStopped[aUnit] && lower;
   }
 
-  void StopUntilFits(size_t aWorker, const placement_group& aGroup)
+  /** A set of runs to stop, and where the room is that they leave. */
+  struct stops
   {
-    while (!Fits(task_resources{}, mSoon[aWorker])) {
-      std::optional<size_t> cheapest;
-      for (size_t unit = 0; unit < mInput.mUnits.size(); ++unit) {
-        if (!MayStop(unit, aGroup) || !IsOn(unit, aWorker)) {
-          continue;
-        }
-        if (!cheapest || Cost(unit) < Cost(*cheapest)) {
-          cheapest = unit;
+    std::vector<size_t> mUnits;
+    double mCost = 0.0;
+    search mSearch;
+  };
+
+  /** Returns the cheapest stops that make room; nothing if they are not worth it. */
+  std::optional<stops> CheapestStops(const placement_group& aGroup,
+                                     const std::vector<uint32_t>& aMissing) const
+  {
+    std::optional<stops> best;
+    const bool oneRack = aGroup.mSpec.mGang && aGroup.mSpec.mSameRack &&
+                         !aGroup.mMaySpread && AnyRackHolds(aGroup);
+    if (oneRack) {
+      for (size_t rack = 0; rack < mRacks.size(); ++rack) {
+        auto found = StopsOn(aGroup, aMissing.size(), mRacks[rack]);
+        if (found && (!best || found->mCost < best->mCost)) {
+          best = std::move(found);
+          best->mSearch.mOnlyRack = rack;
         }
       }
-      if (!cheapest) {
-        return;
-      }
-      mStopped[*cheapest] = true;
-      mPlan.mStops.push_back(*cheapest);
-      for (const auto& [worker, resources] : mInput.mUnits[*cheapest].mParts) {
-        Add(mSoon[worker], resources);
-      }
+    } else {
+      std::vector<size_t> all(mInput.mWorkers.size());
+      std::iota(all.begin(), all.end(), size_t(0));
+      best = StopsOn(aGroup, aMissing.size(), all);
+    }
+    // A guarantee is kept at any price; else more must be gained than is thrown away.
+    if (best && !aGroup.mGuaranteed &&
+        best->mCost > kWorthwhile * WorkOf(aGroup, aMissing.size())) {
+      return std::nullopt;
     }
+    return best;
   }
 
-  bool IsOn(size_t aUnit, size_t aWorker) const
+  /** Core-seconds that aTasks of the group are expected to take. */
+  static double WorkOf(const placement_group& aGroup, size_t aTasks)
   {
-    const auto& parts = mInput.mUnits[aUnit].mParts;
-    return std::any_of(parts.begin(), parts.end(), [&](const auto& aPart) {
-      return aPart.first == aWorker;
-    });
+    constexpr double kMsPerSecond = 1'000.0;
+    const auto estimate = std::max(aGroup.mSpec.mEstimate, kLeastEstimate);
+    return static_cast<double>(aTasks) * Leftover(aGroup.mSpec.mPerTask) *
+           static_cast<double>(estimate.count()) / kMsPerSecond;
   }
 
-  std::pair<int64_t, double> Cost(size_t aUnit) const
+  double CostOf(size_t aUnit) const
   {
     const auto& unit = mInput.mUnits[aUnit];
-    return { -unit.mPriority, unit.mLoss };
+    // Each stop also delays its job, and a job of a higher priority is worth more.
+    return (unit.mLoss + kCostOfAnyStop) *
+           (unit.mPriority <= 1 ? kHigherPriority : 1.0);
+  }
+
+  /** Frees aSeats on some of aWorkers: the cheapest runs first, then none too many. */
+  std::optional<stops> StopsOn(const placement_group& aGroup,
+                               size_t aSeats,
+                               const std::vector<size_t>& aWorkers) const
+  {
+    std::map<size_t, task_resources> left;
+    int64_t seatsThere = 0;
+    for (const auto worker : aWorkers) {
+      if (Suits(aGroup, worker)) {
+        left[worker] = mSoon[worker];
+        seatsThere += Capacity(aGroup, mSoon[worker], worker);
+      }
+    }
+    std::vector<size_t> units;
+    for (size_t unit = 0; unit < mInput.mUnits.size(); ++unit) {
+      const auto& parts = mInput.mUnits[unit].mParts;
+      const bool isThere =
+        std::any_of(parts.begin(), parts.end(), [&](const auto& aPart) {
+          return left.count(aPart.first) != 0;
+        });
+      if (isThere && MayStop(unit, aGroup)) {
+        units.push_back(unit);
+      }
+    }
+    std::sort(units.begin(), units.end(), [this](size_t aLeft, size_t aRight) {
+      return std::make_pair(CostOf(aLeft), aLeft) <
+             std::make_pair(CostOf(aRight), aRight);
+    });
+    const auto wanted = static_cast<int64_t>(aSeats);
+    const auto change = [&](size_t aUnit, int64_t aSign) {
+      int64_t gained = 0;
+      for (const auto& [worker, resources] : mInput.mUnits[aUnit].mParts) {
+        const auto at = left.find(worker);
+        if (at != left.end()) {
+          gained -= Capacity(aGroup, at->second, worker);
+          Add(at->second, resources, aSign);
+          gained += Capacity(aGroup, at->second, worker);
+        }
+      }
+      return gained;
+    };
+    stops found;
+    for (const auto unit : units) {
+      if (seatsThere >= wanted) {
+        break;
+      }
+      seatsThere += change(unit, 1);
+      found.mUnits.push_back(unit);
+    }
+    if (seatsThere < wanted && (aGroup.mSpec.mGang || found.mUnits.empty())) {
+      return std::nullopt;
+    }
+    const auto enough = std::min(wanted, seatsThere);
+    for (size_t at = found.mUnits.size(); at-- > 0;) {
+      const auto lost = change(found.mUnits[at], -1);
+      if (seatsThere + lost >= enough) {
+        seatsThere += lost;
+        found.mUnits.erase(found.mUnits.begin() + static_cast<std::ptrdiff_t>(at));
+      } else {
+        change(found.mUnits[at], 1);
+      }
+    }
+    for (const auto unit : found.mUnits) {
+      found.mCost += CostOf(unit);
+    }
+    return found;
   }
 
   static task_resources NeedOf(const placement_group& aGroup)
@@ -256,17 +352,15 @@
 
   seats Seat(const placement_group& aGroup,
              const std::vector<uint32_t>& aIndices,
-             const room& aRoom,
-             preference aPreference) const
+             const room& aRoom) const
   {
     if (aGroup.mSpec.mGang && aGroup.mSpec.mSameRack) {
-      auto found = SeatInOneRack(aGroup, aIndices, aRoom, aPreference);
+      auto found = SeatInOneRack(aGroup, aIndices, aRoom);
       const bool maySpread =
         found.empty() && (aGroup.mMaySpread || !AnyRackHolds(aGroup));
-      return maySpread ? SeatOn(aGroup, aIndices, aRoom, { aPreference, std::nullopt })
-                       : found;
+      return maySpread ? SeatOn(aGroup, aIndices, aRoom, search()) : found;
     }
-    return SeatOn(aGroup, aIndices, aRoom, { aPreference, std::nullopt });
+    return SeatOn(aGroup, aIndices, aRoom, search());
   }
 
   /** Returns whether the gang would fit into some rack if nothing ran there. */
@@ -285,21 +379,19 @@
 
   seats SeatInOneRack(const placement_group& aGroup,
                       const std::vector<uint32_t>& aIndices,
-                      const room& aRoom,
-                      preference aPreference) const
+                      const room& aRoom) const
   {
     seats best;
     double bestScore = 0.0;
     for (size_t rack = 0; rack < mRacks.size(); ++rack) {
-      auto found = SeatOn(aGroup, aIndices, aRoom, { aPreference, rack });
+      auto found = SeatOn(aGroup, aIndices, aRoom, search{ rack });
       if (found.empty()) {
         continue;
       }
       double score =
         aGroup.mSpec.mDataRack == mRackNames.at(rack) ? -kDataRackGain : 0.0;
       for (const auto worker : mRacks[rack]) {
-        const double left = Leftover(mSoon[worker]);
-        score += aPreference == preference::kTightest ? left : -left;
+        score += Leftover(mSoon[worker]);
       }
       if (best.empty() || score < bestScore) {
         best = std::move(found);
@@ -330,9 +422,7 @@
         return;
       }
       const auto& about = mInput.mWorkers[aWorker];
-      const double left = Leftover(aRoom[aWorker]);
-      double score = aSearch.mPreference == preference::kTightest ? left : -left;
-      score += about.mReluctance;
+      double score = Leftover(aRoom[aWorker]) + about.mReluctance;
       const auto& data = aGroup.mSpec.mDataRack;
       score -= !data.empty() && about.mRack == data ? kDataRackGain : 0.0;
       candidates.push_back({ score, aWorker, capacity });
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -199,6 +199,51 @@
   }
 }
 
+TEST_CASE("stops must be worth it, except for a guarantee", "[placement]")
+{
+  struct row
+  {
+    double mLoss; // Core-seconds of each of two runs in the way.
+    bool mGuaranteed;
+    size_t mStops;
+  };
+  // The group's work is 2 tasks x 36 cores x 1 s; three times that may be thrown away.
+  const auto [loss, guaranteed, stops] = GENERATE(row{ 10.0, false, 2 },
+                                                  row{ 105.0, false, 2 },
+                                                  row{ 107.0, false, 0 },
+                                                  row{ 1'000.0, false, 0 },
+                                                  row{ 1'000.0, true, 2 });
+  auto input = Fleet(1, 1);
+  for (int each = 0; each < 2; ++each) {
+    Occupy(input, 0, 4, 2);
+    input.mUnits.back().mLoss = loss;
+  }
+  auto group = Group(2, 4);
+  group.mSpec.mEstimate = duration(1'000);
+  group.mPriority = 0;
+  group.mMayPreempt = true;
+  group.mGuaranteed = guaranteed;
+  input.mGroups.push_back(group);
+  CHECK(PlaceTasks(input).mStops.size() == stops);
+}
+
+TEST_CASE("of several racks the one where least is lost is cleared", "[placement]")
+{
+  auto input = Fleet(3, 2);
+  const double losses[] = { 9.0, 9.0, 3.0, 4.0, 9.0, 1.0 };
+  for (size_t worker = 0; worker < 6; ++worker) {
+    Occupy(input, worker, 8, 2);
+    input.mUnits.back().mLoss = losses[worker];
+  }
+  auto group = Group(2, 8);
+  group.mSpec.mGang = true;
+  group.mSpec.mSameRack = true;
+  group.mPriority = 0;
+  group.mMayPreempt = true;
+  input.mGroups.push_back(group);
+  CHECK(PlaceTasks(input).mStops == std::vector<size_t>{ 2, 3 });
+}
+
 TEST_CASE("room that is being freed is kept, and nothing else is stopped for it",
           "[placement]")
 {
