A gang's finished member does not stand still; order by what a job can still reach

Seen by logging the percents. Now only runs below 100 percent stand still. Waiting work is ordered by priority, then guarantee, then what it can still reach, then arrival; only what can be on time stops others.

--- a/src/jobs/JobState.h
+++ b/src/jobs/JobState.h
@@ -84,6 +84,12 @@
   /** Returns the Unix time before which aOccurrence must not start; 0: none. */
   int64_t DueMs(uint32_t aOccurrence) const;
 
+  /** Returns whether every task of aStep is done. */
+  bool IsDone(uint32_t aOccurrence, uint32_t aStep) const
+  {
+    return StepDone(aOccurrence, aStep);
+  }
+
   /** Returns whether every task of the steps before aStep is done. */
   bool IsReady(uint32_t aOccurrence, uint32_t aStep) const;
 
--- /dev/null
+++ b/src/planner/JobOutlook.cpp
@@ -0,0 +1,54 @@
+#include "planner/JobOutlook.h"
+
+#include <algorithm>
+
+namespace anvildoor {
+
+namespace {
+
+/** A job is late, but not in vain, up to this many times its objective. */
+constexpr int kLateTimes = 3;
+/** Estimates are off by a fifth to a half; what may be on time is not given up. */
+constexpr double kTrustInEstimates = 0.7;
+
+} // namespace
+
+duration ChainOf(const job_state& aJob, uint32_t aOccurrence, bool aOnlyLeft)
+{
+  const auto& steps = aJob.Job().mSpec.mSteps;
+  std::vector<duration> until(steps.size(), duration::zero());
+  duration longest{ 0 };
+  for (uint32_t step = 0; step < steps.size(); ++step) {
+    duration before{ 0 };
+    for (const auto earlier : steps[step].mAfter) {
+      before = std::max(before, until[earlier]);
+    }
+    const bool counts = !aOnlyLeft || !aJob.IsDone(aOccurrence, step);
+    until[step] = before + (counts ? steps[step].mEstimate : duration::zero());
+    longest = std::max(longest, until[step]);
+  }
+  return longest;
+}
+
+job_deadlines DeadlinesOf(const job_state& aJob, uint32_t aOccurrence)
+{
+  const auto& job = aJob.Job();
+  const auto due = aJob.DueMs(aOccurrence);
+  const auto from = due == 0 ? job.mAcceptedAtMs : due;
+  const auto chain = static_cast<double>(ChainOf(aJob, aOccurrence, false).count());
+  const auto span = static_cast<int64_t>(job.mStretch * chain) + job.mObjective.count();
+  return { from + span, from + kLateTimes * span };
+}
+
+job_outlook OutlookOf(const job_state& aJob, uint32_t aOccurrence, int64_t aUnixMs)
+{
+  const auto deadlines = DeadlinesOf(aJob, aOccurrence);
+  const auto left = static_cast<double>(ChainOf(aJob, aOccurrence, true).count());
+  const auto end = aUnixMs + static_cast<int64_t>(kTrustInEstimates * left);
+  if (end <= deadlines.mOnTimeMs) {
+    return job_outlook::kOnTime;
+  }
+  return end <= deadlines.mLateMs ? job_outlook::kLate : job_outlook::kHopeless;
+}
+
+} // namespace anvildoor
--- a/src/planner/TaskPlacement.h
+++ b/src/planner/TaskPlacement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/JobState.h"
+#include "planner/JobOutlook.h"
 
 #include <map>
 #include <set>
@@ -35,6 +36,7 @@
   step_spec mSpec;
   std::string mPool;
   int64_t mPriority = 0;
+  job_outlook mOutlook = job_outlook::kOnTime;
   bool mMayPreempt = false; ///< Stops runs of higher mPriority numbers.
   bool mGuaranteed = false; ///< Within its workspace's guarantee.
   bool mMaySpread = false;  ///< mSameRack has waited long enough to give way.
--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -14,6 +14,12 @@
   return kNames[static_cast<size_t>(aAnswer)];
 }
 
+bool StandsStill(const run_info& aRun, duration aLimit, time_point aNow)
+{
+  constexpr int64_t kAll = 100;
+  return aRun.mPercent < kAll && aNow - aRun.mProgressAt > aLimit;
+}
+
 run_event worker_runs::Ended(const task_ref& aTask, uint32_t aRun, run_end aEnd) const
 {
   run_event event;
--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -41,6 +41,12 @@
   auto operator<=>(const run_info&) const = default;
 };
 
+/**
+ * Returns whether a run has made no progress for longer than aLimit. A member of a gang
+ * at 100 percent waits for the others and stands still by rights. Pure.
+ */
+bool StandsStill(const run_info& aRun, duration aLimit, time_point aNow);
+
 /** What became known about a run. */
 struct run_event
 {
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -16,7 +16,7 @@
 constexpr duration kFreshFor{ 2'800 };
 /** A gang may leave its rack when it has waited this part of its run time. */
 constexpr double kSpreadAfterRuns = 3.0;
-constexpr double kMillisPerCore = 1'000.0;
+* / constexpr double kMillisPerCore = 1'000.0;
 constexpr double kMsPerSecond = 1'000.0;
 /** The platform's own price of work: an accelerator counts as eight cores. */
 constexpr double kCoresPerAccelerator = 8.0;
@@ -111,8 +111,11 @@
                    [this](const placement_group& aLeft, const placement_group& aRight) {
                      const auto key = [this](const placement_group& aGroup) {
                        const auto& job = mJobs.at(aGroup.mJob)->mState.Job();
-                       return std::make_tuple(
-                         aGroup.mPriority, !aGroup.mGuaranteed, job.mAcceptedAtMs);
+                       return std::make_tuple(aGroup.mOutlook == job_outlook::kHopeless,
+                                              aGroup.mPriority,
+                                              !aGroup.mGuaranteed,
+                                              aGroup.mOutlook,
+                                              job.mAcceptedAtMs);
                      };
                      return key(aLeft) < key(aRight);
                    });
@@ -171,8 +174,10 @@
       group.mSpec = about.mSpec.mSteps[step];
       group.mPool = queue != nullptr ? queue->mPool : about.mPool;
       group.mPriority = about.mPriority;
-      group.mMayPreempt = about.mPriority == 0;
+      group.mOutlook = OutlookOf(aJob.mState, occurrence, unixMs);
       group.mGuaranteed = WithinGuarantee(about);
+      group.mMayPreempt = about.mPriority == 0 &&
+                          (group.mGuaranteed || group.mOutlook == job_outlook::kOnTime);
       const auto patience = duration(static_cast<int64_t>(
         kSpreadAfterRuns * static_cast<double>(group.mSpec.mEstimate.count())));
       group.mMaySpread = now - aJob.mSeenAt > patience;
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -398,7 +398,7 @@
       std::max<duration>(kStandstillLeast, step.mEstimate * kStandstillEstimates);
     const auto& state = found->second->mState.Task(task);
     const bool current = state.mRun == run.mRun && !state.mDone;
-    if (current && !step.mLongRunning && aNow - run.mProgressAt > limit) {
+    if (current && !step.mLongRunning && StandsStill(run, limit, aNow)) {
       stuck.push_back(task);
     }
   }
--- /dev/null
+++ b/tests/JobOutlookTest.cpp
@@ -0,0 +1,67 @@
+#include "planner/JobOutlook.h"
+
+#include <catch2/catch.hpp>
+
+using namespace anvildoor;
+
+namespace {
+
+/** Two steps in a row of 2 s and 3 s, one beside them of 4 s; accepted at 100 s. */
+accepted_job Job(int64_t aFirstDueMs = 0)
+{
+  accepted_job job;
+  job.mId = "00000000000000a1";
+  job.mStretch = 2.0;
+  job.mObjective = duration(500);
+  job.mAcceptedAtMs = 100'000;
+  job.mSpec.mRepeats = aFirstDueMs == 0 ? 0 : 3;
+  job.mSpec.mFirstDueMs = aFirstDueMs;
+  job.mSpec.mIntervalMs = 10'000;
+  for (const auto& [estimate, after] :
+       { std::pair(2'000, -1), std::pair(3'000, 0), std::pair(4'000, -1) }) {
+    step_spec step;
+    step.mEstimate = duration(estimate);
+    if (after >= 0) {
+      step.mAfter.push_back(static_cast<uint32_t>(after));
+    }
+    job.mSpec.mSteps.push_back(step);
+  }
+  return job;
+}
+
+} // namespace
+
+TEST_CASE("the chain of a job is its longest way through the steps", "[outlook]")
+{
+  job_state state(Job());
+  CHECK(ChainOf(state, 0, false) == duration(5'000));
+  state.Place({ "00000000000000a1", 0, 1, 0 }, 1, "w");
+  state.End({ "00000000000000a1", 0, 1, 0 }, 1, run_end::kDone, "");
+  CHECK(ChainOf(state, 0, false) == duration(5'000));
+  CHECK(ChainOf(state, 0, true) == duration(4'000));
+}
+
+TEST_CASE("what a job can still reach", "[outlook]")
+{
+  struct row
+  {
+    int64_t mNowMs;
+    job_outlook mOutlook;
+  };
+  // On time until 100 s + 2 x 5 s + 0.5 s, late until three times that span; 0.7 of the
+  // chain of 5 s still has to fit.
+  const auto [now, outlook] = GENERATE(row{ 100'000, job_outlook::kOnTime },
+                                       row{ 107'000, job_outlook::kOnTime },
+                                       row{ 107'001, job_outlook::kLate },
+                                       row{ 128'000, job_outlook::kLate },
+                                       row{ 128'001, job_outlook::kHopeless });
+  CAPTURE(now);
+  CHECK(OutlookOf(job_state(Job()), 0, now) == outlook);
+}
+
+TEST_CASE("an occurrence counts from its due time", "[outlook]")
+{
+  const job_state state(Job(200'000));
+  CHECK(DeadlinesOf(state, 0) == job_deadlines{ 210'500, 231'500 });
+  CHECK(DeadlinesOf(state, 2) == job_deadlines{ 230'500, 251'500 });
+}
