--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -16,7 +16,7 @@
 constexpr duration kFreshFor{ 2'800 };
 /** A gang may leave its rack when it has waited this part of its run time. */
 constexpr double kSpreadAfterRuns = 3.0;
-* / constexpr double kMillisPerCore = 1'000.0;
+constexpr double kMillisPerCore = 1'000.0;
 constexpr double kMsPerSecond = 1'000.0;
 /** The platform's own price of work: an accelerator counts as eight cores. */
 constexpr double kCoresPerAccelerator = 8.0;
