--- a/src/jobs/JobSpec.h
+++ b/src/jobs/JobSpec.h
@@ -40,6 +40,14 @@
   auto operator<=>(const step_spec&) const = default;
 };
 
+/** Returns what a task of aStep takes of its worker's capacity. */
+inline task_resources OccupiedBy(const step_spec& aStep)
+{
+  auto occupied = aStep.mPerTask;
+  occupied.mCpuMillis = aStep.mFills ? 0 : occupied.mCpuMillis;
+  return occupied;
+}
+
 struct job_spec
 {
   std::string mPayload; ///< Handed to every task as it stands.
--- a/src/jobs/JobState.cpp
+++ b/src/jobs/JobState.cpp
@@ -191,7 +191,7 @@
   task.mWorker.clear();
   const bool gang = StepOf(aTask).mGang;
   auto& members = mSteps[aTask.mOccurrence][aTask.mStep];
-  if (aEnd == run_end::kDone) {
+  if (aEnd == run_end::kDone && !StepOf(aTask).mLongRunning) {
     if (gang) {
       for (auto& member : members) {
         member.mDone = true;
--- a/src/planner/TaskPlacement.cpp
+++ b/src/planner/TaskPlacement.cpp
@@ -303,11 +303,7 @@
 
   static task_resources NeedOf(const placement_group& aGroup)
   {
-    auto need = aGroup.mSpec.mPerTask;
-    if (aGroup.mSpec.mFills) {
-      need.mCpuMillis = 0;
-    }
-    return need;
+    return OccupiedBy(aGroup.mSpec);
   }
 
   /** Returns whether the group's tasks may run on the worker at all. */
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -175,7 +175,7 @@
     for (const auto& task : job->mState.Placed()) {
       const auto& about = job->mState.Task(task);
       auto& worker = WorkerNamed(about.mWorker);
-      worker.mRuns.Assume(task, about.mRun, job->mState.StepOf(task).mPerTask, now);
+      worker.mRuns.Assume(task, about.mRun, OccupiedBy(job->mState.StepOf(task)), now);
     }
   }
   mLoaded = true;
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -258,11 +258,7 @@
     }
     const auto& workerId = aWorkerIds[start.mWorker];
     job.mState.Place(task, run, workerId);
-    auto resources = group.mSpec.mPerTask;
-    if (group.mSpec.mFills) {
-      resources.mCpuMillis = 0;
-    }
-    mWorkers.at(workerId)->mRuns.Order(task, run, resources, now);
+    mWorkers.at(workerId)->mRuns.Order(task, run, OccupiedBy(group.mSpec), now);
     placed[group.mJob].emplace_back(task, run);
   }
   for (auto& [id, runs] : placed) {
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -267,7 +267,7 @@
     const auto& task = state.Task(aEvent.mTask);
     if (aWorker.mRuns.Runs().count(aEvent.mTask) == 0) {
       aWorker.mRuns.Assume(
-        aEvent.mTask, aEvent.mRun, state.StepOf(aEvent.mTask).mPerTask, now);
+        aEvent.mTask, aEvent.mRun, OccupiedBy(state.StepOf(aEvent.mTask)), now);
     }
     if (task.mRun == aEvent.mRun && task.mWorker == aWorker.mListed.mId) {
       return;
--- a/tests/JobStateTest.cpp
+++ b/tests/JobStateTest.cpp
@@ -247,3 +247,17 @@
   }
   CHECK_FALSE(CheckJob(job.mSpec));
 }
+
+TEST_CASE("a long-running task is started again however it ends", "[jobs]")
+{
+  const auto end = GENERATE(run_end::kDone, run_end::kFailed, run_end::kLapsed);
+  auto step = Step(1);
+  step.mLongRunning = true;
+  job_state state(Job({ step }));
+  for (uint32_t run = 1; run <= 5; ++run) {
+    PlaceAll(state, 0);
+    state.End(Task(0, 0), run, end, "");
+    CHECK(state.Waiting(0, 0).size() == 1);
+  }
+  CHECK(state.Outcome() == job_outcome::kOpen);
+}
