--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -294,11 +294,13 @@
     site.mStore.Compact();
   }
   const auto before = site.mStore.Calls();
-  constexpr int64_t kSeconds = 20;
-  site.mLoop.RunFor(duration(kSeconds * 1'000));
+  constexpr uint64_t kSeconds = 20;
+  site.mLoop.RunFor(std::chrono::seconds(kSeconds));
   // The letter's 400 writes and 2,000 reads a second serve 9 VMs and their jobs; ten
   // calls a second and VM leave the rest to the jobs.
-  CHECK(site.mStore.Calls() - before <= 10 * 4 * kSeconds);
+  constexpr uint64_t kCallsPerSecond = 10;
+  constexpr uint64_t kVms = 4;
+  CHECK(site.mStore.Calls() - before <= kCallsPerSecond * kVms * kSeconds);
 }
 
 TEST_CASE("a worker that comes back before its lease lapses never runs a task twice",
