--- /dev/null
+++ b/tests/platform/check_platform.py
@@ -0,0 +1,214 @@
+"""The path on the users' platform with real processes: three entry VMs on a stand-in.
+
+A job of two steps with a gang runs through; the scheduler is killed in between. Fails if
+a task ran twice or after it was done, if an answer is wrong, or if a process ends badly.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+BUILD = sys.argv[1]
+WORKERS = 4
+VMS = 3
+WAIT_S = 30
+
+checks = {"failed": 0}
+
+
+def expect(what, holds, seen=""):
+    checks["failed"] += 0 if holds else 1
+    print(f"  {'ok  ' if holds else 'FAIL'} {what}" + (f": {seen}" if seen != "" else ""))
+
+
+def free_ports(count):
+    held = [socket.socket() for _ in range(count)]
+    for each in held:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in held]
+    for each in held:
+        each.close()
+    return ports
+
+
+def call(port, method, path, body=None, key="key", host="jobs.example"):
+    data = body.encode() if isinstance(body, str) else body and json.dumps(body).encode()
+    request = urllib.request.Request(f"http://127.0.0.1:{port}{path}", data, method=method)
+    request.add_header("Host", host)
+    request.add_header("X-Api-Key", key)
+    try:
+        with urllib.request.urlopen(request, timeout=5) as answer:
+            return answer.status, json.loads(answer.read() or "{}")
+    except urllib.error.HTTPError as refused:
+        return refused.code, {}
+    except (OSError, ValueError):
+        return 0, {}
+
+
+def until(done, what):
+    end = time.monotonic() + WAIT_S
+    while time.monotonic() < end:
+        if done():
+            return True
+        time.sleep(0.02)
+    expect(what, False, f"not within {WAIT_S} s")
+    return False
+
+
+class Vm:
+    """One entry process."""
+
+    def __init__(self, folder, name, ports, store):
+        self.name, self.jobs, self.ready = name, ports[0], ports[1]
+        self.file = os.path.join(folder, f"{name}.ini")
+        with open(self.file, "w", encoding="utf-8") as text:
+            text.write(f"[vm]\nname = {name}\ndata_centre = z\n[listen]\n"
+                       f"jobs = 127.0.0.1:{ports[0]}\nreadiness = 127.0.0.1:{ports[1]}\n"
+                       f"peers = 127.0.0.1:{ports[2]}\nmetrics = 127.0.0.1:{ports[3]}\n"
+                       f"[store]\naddress = 127.0.0.1:{store}\n")
+        self.metrics = ports[3]
+        self.log = open(os.path.join(folder, f"{name}.log"), "w", encoding="utf-8")
+        self.process = subprocess.Popen([f"{BUILD}/anvildoor-entry", "--config", self.file],
+                                        stdout=self.log)
+
+    def is_ready(self):
+        return call(self.ready, "GET", "/ready")[0] == 200
+
+    def schedules(self):
+        url = f"http://127.0.0.1:{self.metrics}/metrics"
+        try:
+            with urllib.request.urlopen(url, timeout=5) as answer:
+                return "anvildoor_schedules 1" in answer.read().decode()
+        except OSError:
+            return False
+
+
+POLICY = {
+    "version": 7,
+    "routes": [{"name": "q", "host": "jobs.example", "prefix": "/q/", "service": "pool",
+                "priority": 1, "max_attempts": 3, "stretch": 3.0, "slo_ms": 1000}],
+    "services": [{"name": "pool", "admission_check": False}],
+    "limits": {"max_body_bytes": 20000},
+    "tenants": [{"name": "t", "api_keys": ["key"], "guaranteed": {"gpu": 8}}],
+}
+
+
+def main():
+    started = []
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            return run(folder, started)
+        finally:
+            for process in started:
+                if process.poll() is None:
+                    process.kill()
+                process.wait()
+
+
+def run(folder, started):
+    ports = free_ports(1 + WORKERS + 4 * VMS)
+    store = ports[0]
+    standin = subprocess.Popen([f"{BUILD}/tests/platform-standin"] +
+                               [str(port) for port in ports[:1 + WORKERS]])
+    started.append(standin)
+    until(lambda: call(store, "GET", "/traces")[0] == 200, "the stand-in listens")
+
+    print("1. Entry VMs on the stand-in")
+    vms = []
+    for number in range(VMS):
+        first = 1 + WORKERS + 4 * number
+        vms.append(Vm(folder, f"e{number}", ports[first:first + 4], store))
+        started.append(vms[-1].process)
+    until(lambda: all(call(vm.jobs, "GET", "/q/")[0] == 503 for vm in vms),
+          "503 before the first desired state")
+    expect("503 before the first desired state", True)
+    call(store, "POST", "/put", {"key": "op/config", "value": json.dumps(POLICY)})
+    until(lambda: all(vm.is_ready() for vm in vms), "all are ready")
+    until(lambda: sum(vm.schedules() for vm in vms) == 1, "one schedules")
+    scheduler = next(vm for vm in vms if vm.schedules())
+    fronts = [vm for vm in vms if vm is not scheduler]
+    expect("one of them schedules", True, scheduler.name)
+
+    print("2. Answers to wrong calls")
+    good = {"spec": "300", "steps": [{"count": 1, "cpu": 1000}]}
+    name = "00000000000000a0"
+    for what, status, arguments in (
+        ("a body that is no JSON", 400, ("POST", f"/q/{name}", "no json")),
+        ("an id of other digits", 400, ("POST", "/q/xyz", good)),
+        ("a step after itself", 400,
+         ("POST", f"/q/{name}", {"spec": "", "steps": [{"count": 1, "after": [0]}]})),
+        ("a body that is too large", 413, ("POST", f"/q/{name}", "x" * 30000)),
+        ("an unknown queue", 404, ("POST", f"/r/{name}", good)),
+        ("an unknown key", 401, ("POST", f"/q/{name}", good, "other")),
+        ("a job that nobody sent", 410, ("GET", f"/q/{name}")),
+        ("a cancel of it", 410, ("DELETE", f"/q/{name}")),
+    ):
+        seen = call(fronts[0].jobs, *arguments)[0]
+        expect(f"{what} gets {status}", seen == status, seen)
+
+    print("3. A job of two steps with a gang; the scheduler is killed in between")
+    job = "00000000000000a1"
+    steps = [{"count": 3, "cpu": 4000, "gpu": 1, "estimate_ms": 700},
+             {"count": 4, "cpu": 4000, "gpu": 1, "estimate_ms": 700, "after": [0],
+              "gang": True, "same_rack": True}]
+    body = {"spec": "700", "steps": steps}
+    expect("accepted", call(fronts[0].jobs, "POST", f"/q/{job}", body)[0] == 200)
+    expect("a repeat at another VM is the same job",
+           call(fronts[1].jobs, "POST", f"/q/{job}", body)[0] == 200)
+    until(lambda: len(call(store, "GET", "/traces")[1]) >= 3, "the first step runs")
+    scheduler.process.send_signal(signal.SIGKILL)
+    until(lambda: call(fronts[0].jobs, "GET", f"/q/{job}")[1].get("state") == "done",
+          "the job is done")
+    traces = call(store, "GET", "/traces")[1]
+    tasks = [row["task"] for row in traces if row["end"] == "done"]
+    expect("every task ran once", len(traces) == 7 and len(set(tasks)) == 7, len(traces))
+    until(lambda: call(fronts[1].jobs, "GET", f"/q/{job}")[1].get("state") == "done",
+          "done at the other VM")
+    expect("another VM schedules", any(vm.schedules() for vm in fronts))
+
+    print("4. A cancel")
+    long_job = "00000000000000a2"
+    call(fronts[0].jobs, "POST", f"/q/{long_job}",
+         {"spec": "60000", "steps": [{"count": 2, "cpu": 1000}]})
+    until(lambda: call(fronts[0].jobs, "GET", f"/q/{long_job}")[1].get("state") == "running",
+          "it runs")
+    expect("acknowledged", call(fronts[1].jobs, "DELETE", f"/q/{long_job}")[0] == 200)
+    until(lambda: all(row["end"] for row in call(store, "GET", "/traces")[1]), "it is stopped")
+    until(lambda: call(fronts[0].jobs, "GET", f"/q/{long_job}")[1].get("state") == "cancelled",
+          "shown as cancelled")
+    expect("its runs end and it is shown as cancelled", True)
+    expect("nothing is pending", call(fronts[0].jobs, "GET", "/q/")[1].get("pending") == 0)
+
+    print("5. Settings and the end")
+    with open(fronts[0].file, "a", encoding="utf-8") as text:
+        text.write("[new]\nkey = 1\n")
+    fronts[0].process.send_signal(signal.SIGHUP)
+    fronts[1].process.send_signal(signal.SIGTERM)
+    until(lambda: not fronts[1].is_ready(), "not ready after SIGTERM")
+    expect("it ends with status 0", fronts[1].process.wait(WAIT_S) == 0)
+    fronts[0].process.send_signal(signal.SIGTERM)
+    expect("so does the other", fronts[0].process.wait(WAIT_S) == 0)
+    with open(os.path.join(folder, f"{fronts[0].name}.log"), encoding="utf-8") as log:
+        text = log.read()
+    expect("the reload is logged", "event=settings_reloaded" in text)
+    bad = os.path.join(folder, "bad.ini")
+    with open(bad, "w", encoding="utf-8") as text:
+        text.write("[vm]\nname =\n")
+    ended = subprocess.run([f"{BUILD}/anvildoor-entry", "--config", bad],
+                           stderr=subprocess.PIPE, check=False)
+    expect("wrong settings end with status 2 and name the key",
+           ended.returncode == 2 and b"[vm] name" in ended.stderr, ended.stderr.decode().strip())
+    standin.terminate()
+    print(f"{checks['failed']} of the expectations failed")
+    return 1 if checks["failed"] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/platform/platform-standin.cpp
@@ -0,0 +1,342 @@
+/**
+ * A stand-in of the users' platform for checks without their bench: the store and the
+ * workers over HTTP on loopback, in one process. Standard input may hold nothing; it
+ * runs until SIGTERM. GET /traces at the store's address lists every run that there
+ * was.
+ */
+#include "base/JsonText.h"
+#include "http/AsioLoop.h"
+#include "http/LightServer.h"
+#include "platform/Base64.h"
+#include "platform/Wire.h"
+#include "standin/MemoryTransactionStore.h"
+#include "standin/RunWorker.h"
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include <boost/asio.hpp>
+
+using namespace anvildoor;
+using nlohmann::json;
+
+namespace {
+
+light_reply JsonReply(unsigned aStatus, const json& aBody)
+{
+  light_reply reply;
+  reply.mStatus = aStatus;
+  reply.mBody = aBody.dump(-1, ' ', false, kReplaceBadText);
+  return reply;
+}
+
+std::string Parameter(const std::string& aTarget, const std::string& aName)
+{
+  const auto query = aTarget.find('?');
+  const auto at = query == std::string::npos
+                    ? query
+                    : ("&" + aTarget.substr(query + 1)).find("&" + aName + "=");
+  if (at == std::string::npos) {
+    return "";
+  }
+  const auto text = aTarget.substr(query + 1 + at + aName.size() + 1);
+  return text.substr(0, text.find('&'));
+}
+
+json ItemJson(const stored_item& aItem)
+{
+  return { { "key", aItem.mKey },
+           { "value", EncodeBase64(aItem.mValue) },
+           { "revision", aItem.mRevision },
+           { "created", aItem.mCreated },
+           { "lease", aItem.mLease } };
+}
+
+/** The store's calls in the platform's form, on a store in memory. */
+class store_front
+{
+public:
+  store_front(memory_transaction_store& aStore, const std::vector<run_trace>& aTraces)
+    : mStore(aStore)
+    , mTraces(aTraces)
+  {
+  }
+
+  void Serve(const light_request& aRequest, const light_server::respond& aRespond)
+  {
+    const auto path = aRequest.mTarget.substr(0, aRequest.mTarget.find('?'));
+    if (path == "/kv-key") {
+      Get(Parameter(aRequest.mTarget, "key"), aRespond);
+    } else if (path == "/kv-range") {
+      List(Parameter(aRequest.mTarget, "prefix"), aRespond);
+    } else if (path == "/kv-watch") {
+      Watch(aRequest.mTarget, aRespond);
+    } else if (path == "/kv-txn") {
+      Commit(json::parse(aRequest.mBody), aRespond);
+    } else if (path == "/kv-lease") {
+      const duration ttl(json::parse(aRequest.mBody).at("ttl_ms").get<int64_t>());
+      mStore.GrantLease(ttl, [ttl, aRespond](const result<uint64_t>& aLease) {
+        aRespond(JsonReply(200, { { "lease", *aLease }, { "ttl_ms", ttl.count() } }));
+      });
+    } else if (path.rfind("/kv-keep/", 0) == 0) {
+      mStore.KeepLease(std::stoull(path.substr(9)), LeaseAnswer(aRespond));
+    } else if (path.rfind("/kv-lease-end/", 0) == 0) {
+      mStore.EndLease(std::stoull(path.substr(14)), LeaseAnswer(aRespond));
+    } else if (path == "/put") {
+      const auto body = json::parse(aRequest.mBody);
+      mStore.Put(body.at("key").get<std::string>(),
+                 body.at("value").get<std::string>());
+      aRespond(JsonReply(200, json::object()));
+    } else if (path == "/traces") {
+      Traces(aRespond);
+    } else {
+      aRespond(JsonReply(404, json::object()));
+    }
+  }
+
+private:
+  static transaction_store::done<uint64_t> LeaseAnswer(
+    const light_server::respond& aRespond)
+  {
+    return [aRespond](const result<uint64_t>& aLease) {
+      aRespond(JsonReply(aLease ? 200 : 404, json::object()));
+    };
+  }
+
+  void Get(const std::string& aKey, const light_server::respond& aRespond)
+  {
+    const auto item = mStore.Peek(aKey);
+    auto body = item ? ItemJson(*item) : json::object();
+    body["current_rev"] = mStore.Revision();
+    aRespond(JsonReply(item ? 200 : 404, body));
+  }
+
+  void List(const std::string& aPrefix, const light_server::respond& aRespond)
+  {
+    mStore.List(aPrefix, false, [aRespond](const result<stored_range>& aRange) {
+      json items = json::array();
+      for (const auto& item : aRange->mItems) {
+        items.push_back(ItemJson(item));
+      }
+      aRespond(JsonReply(200,
+                         { { "items", items },
+                           { "more_pages", false },
+                           { "current_rev", aRange->mRevision } }));
+    });
+  }
+
+  void Watch(const std::string& aTarget, const light_server::respond& aRespond)
+  {
+    mStore.Watch(Parameter(aTarget, "prefix"),
+                 std::stoull(Parameter(aTarget, "after")),
+                 duration(std::stoll(Parameter(aTarget, "wait_ms"))),
+                 [aRespond](const result<stored_changes>& aChanges) {
+                   json events = json::array();
+                   for (const auto& change : aChanges->mChanges) {
+                     auto event = ItemJson(change.mItem);
+                     if (change.mRemoved) {
+                       event = { { "key", change.mItem.mKey },
+                                 { "revision", change.mItem.mRevision },
+                                 { "removed", true } };
+                     }
+                     events.push_back(event);
+                   }
+                   aRespond(JsonReply(
+                     aChanges->mLost ? 410 : 200,
+                     { { "events", events }, { "current_rev", aChanges->mRevision } }));
+                 });
+  }
+
+  void Commit(const json& aBody, const light_server::respond& aRespond)
+  {
+    store_transaction change;
+    for (const auto& row : aBody.value("precondition", json::array())) {
+      change.mConditions.push_back(
+        { row.at("key").get<std::string>(), row.at("revision").get<uint64_t>() });
+    }
+    for (const auto& row : aBody.value("puts", json::array())) {
+      change.mPuts.push_back({ row.at("key").get<std::string>(),
+                               DecodeBase64(row.at("value").get<std::string>()).value(),
+                               row.value("lease", uint64_t(0)) });
+    }
+    change.mRemovals = aBody.value("remove", std::vector<std::string>());
+    mStore.Commit(change, [aRespond](const result<transaction_outcome>& aOutcome) {
+      if (!aOutcome) {
+        const bool noLease = aOutcome.error().mCode == error_code::kNotFound;
+        aRespond(JsonReply(noLease ? 404 : 400, json::object()));
+        return;
+      }
+      json items = json::array();
+      for (const auto& item : aOutcome->mCurrent) {
+        items.push_back(ItemJson(item));
+      }
+      aRespond(JsonReply(aOutcome->mCommitted ? 200 : 412,
+                         { { "revision", aOutcome->mRevision }, { "items", items } }));
+    });
+  }
+
+  void Traces(const light_server::respond& aRespond)
+  {
+    json rows = json::array();
+    for (const auto& trace : mTraces) {
+      rows.push_back({ { "task", wire::TaskName(trace.mTask) },
+                       { "run", trace.mRun },
+                       { "worker", trace.mWorker },
+                       { "began", trace.mBegan.count() },
+                       { "ended", trace.mEnded ? trace.mEnded->count() : 0 },
+                       { "end", trace.mEnded ? ToString(trace.mEnd) : "" } });
+    }
+    aRespond(JsonReply(200, rows));
+  }
+
+  memory_transaction_store& mStore;
+  const std::vector<run_trace>& mTraces;
+};
+
+light_reply OrderReply(const run_worker& aWorker, order_answer aAnswer)
+{
+  json body{ { "clock_ms", aWorker.ClockMs() } };
+  static const std::pair<order_answer, const char*> sReasons[] = {
+    { order_answer::kFenced, "fence" },
+    { order_answer::kOld, "old" },
+    { order_answer::kLate, "late" }
+  };
+  for (const auto& [answer, reason] : sReasons) {
+    if (aAnswer == answer) {
+      body["reason"] = reason;
+    }
+  }
+  return JsonReply(aAnswer == order_answer::kAccepted ? 200 : 409, body);
+}
+
+light_reply HoldReply(const hold_reply& aReply)
+{
+  if (aReply.mAnswer != order_answer::kAccepted) {
+    return JsonReply(409, { { "reason", "fence" } });
+  }
+  json running = json::array();
+  for (const auto& row : aReply.mRunning) {
+    running.push_back(
+      { wire::TaskName(row.mTask), row.mRun, row.mCheckpoint, row.mPercent });
+  }
+  json finished = json::array();
+  for (const auto& row : aReply.mEnded) {
+    finished.push_back({ row.mNumber,
+                         wire::TaskName(row.mTask),
+                         row.mRun,
+                         ToString(row.mEnd),
+                         row.mCheckpoint });
+  }
+  return JsonReply(200,
+                   { { "clock_ms", aReply.mClockMs },
+                     { "born", aReply.mBornMs },
+                     { "running", running },
+                     { "finished", finished } });
+}
+
+void ServeWorker(run_worker& aWorker,
+                 const light_request& aRequest,
+                 const light_server::respond& aRespond)
+{
+  const auto body = json::parse(aRequest.mBody);
+  const auto task = wire::ParseTaskName(body.value("task", ""));
+  if (aRequest.mTarget == "/run-start" && task) {
+    start_order order;
+    order.mTask = *task;
+    order.mRun = body.at("run").get<uint32_t>();
+    order.mPayload = body.at("spec").get<std::string>();
+    order.mDeadlineOnWorker = body.at("deadline_ms").get<int64_t>();
+    order.mFence = body.value("fencing_token", uint64_t(0));
+    aRespond(OrderReply(aWorker, aWorker.Start(order)));
+  } else if (aRequest.mTarget == "/run-stop" && task) {
+    stop_order order;
+    order.mTask = *task;
+    order.mRun = body.at("run").get<uint32_t>();
+    order.mFence = body.value("fencing_token", uint64_t(0));
+    aRespond(OrderReply(aWorker, aWorker.Stop(order)));
+  } else if (aRequest.mTarget == "/hold") {
+    hold_order order;
+    order.mAcknowledged = body.at("acked_seq").get<uint64_t>();
+    order.mFence = body.value("fencing_token", uint64_t(0));
+    order.mWait = duration(body.value("wait_ms", int64_t(0)));
+    if (body.contains("deadline_ms")) {
+      order.mDeadlineOnWorker = body.at("deadline_ms").get<int64_t>();
+    }
+    aWorker.Hold(order,
+                 [aRespond](const hold_reply& aReply) { aRespond(HoldReply(aReply)); });
+  } else {
+    aRespond(JsonReply(400, json::object()));
+  }
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  if (aCount < 3) {
+    std::fprintf(stderr, "usage: platform-standin STORE_PORT WORKER_PORT...\n");
+    return 2;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  boost::asio::io_context context(1);
+  asio_loop loop(context);
+  memory_transaction_store store(loop);
+  std::vector<run_trace> traces;
+  store_front front(store, traces);
+  light_server storeServer(
+    context, [&](const light_request& aRequest, const light_server::respond& aRespond) {
+      front.Serve(aRequest, aRespond);
+    });
+  light_limits limits;
+  limits.mBodyBytes = 1'000'000;
+  storeServer.SetLimits(limits);
+  const auto address = [&](int aNumber) {
+    return std::string("127.0.0.1:") + aArguments[aNumber];
+  };
+  if (const auto listening = storeServer.Listen(address(1)); !listening) {
+    std::fprintf(stderr, "%s\n", Describe(listening.error()).c_str());
+    return 1;
+  }
+  std::vector<std::unique_ptr<run_worker>> workers;
+  std::vector<std::unique_ptr<light_server>> servers;
+  for (int number = 2; number < aCount; ++number) {
+    constexpr duration kLeaseMax{ 6'000 };
+    const auto id = "i-" + std::to_string(number);
+    workers.push_back(std::make_unique<run_worker>(
+      loop,
+      id,
+      number,
+      kLeaseMax,
+      // A task's payload is how long it runs, in milliseconds.
+      [](const std::string& aPayload) {
+        return run_work{ duration(std::max(1L, std::atol(aPayload.c_str()))), false };
+      },
+      traces));
+    auto* worker = workers.back().get();
+    servers.push_back(std::make_unique<light_server>(
+      context,
+      [worker](const light_request& aRequest, const light_server::respond& aRespond) {
+        ServeWorker(*worker, aRequest, aRespond);
+      }));
+    if (const auto listening = servers.back()->Listen(address(number)); !listening) {
+      std::fprintf(stderr, "%s\n", Describe(listening.error()).c_str());
+      return 1;
+    }
+    store.Put(
+      wire::kWorkersPrefix + id,
+      json{ { "service", "pool" },
+            { "address", address(number) },
+            { "zone", "z" },
+            { "state", "ready" },
+            { "capacity", { { "cpu", 32'000 }, { "mem_mb", 65'536 }, { "gpu", 8 } } },
+            { "labels", { "a", "r1" } } }
+        .dump());
+  }
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&](const boost::system::error_code&, int) { context.stop(); });
+  context.run();
+  return 0;
+}
