--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -20,6 +20,7 @@
   duration mLeaseMax{ 6'000 };
   duration mStatusKept{ 120'000 };
   duration mEarly{ 250 };
+  duration mWorkerBeat{ 1'500 };
   duration mStopGrace{ 6'000 };
   duration mStoreLeaseLeast{ 1'000 };
   double mCores = 1.0;      ///< Of the processor, as a share of one core or several.
--- a/src/runs/WorkerDirectory.h
+++ b/src/runs/WorkerDirectory.h
@@ -22,6 +22,7 @@
   task_resources mCapacity;
   bool mDraining = false;
   int64_t mBornMs = 0;      ///< Unix time of this life's start; 0: not said.
+  uint64_t mBeat = 0;       ///< Rises each time that the worker writes its entry.
   duration mRemaining{ 0 }; ///< While draining: the least time that is left.
 
   auto operator<=>(const listed_worker&) const = default;
--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -20,6 +20,13 @@
   return aRun.mPercent < kAll && aNow - aRun.mProgressAt > aLimit;
 }
 
+bool HasLeft(const entry_sight& aSight, duration aBeat, time_point aNow)
+{
+  constexpr int kBeatsOfOneAlive = 2;
+  const bool wasFollowed = aNow - aSight.mSeenAt <= aBeat;
+  return wasFollowed && aNow - aSight.mBeatAt < kBeatsOfOneAlive * aBeat;
+}
+
 run_event worker_runs::Ended(const task_ref& aTask, uint32_t aRun, run_end aEnd) const
 {
   run_event event;
--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -12,6 +12,7 @@
   duration mLeaseMax{ 6'000 };      ///< A worker shortens longer leases to this.
   double mClockDrift = 0.02;        ///< A worker's clock may be this much slow.
   duration mLapseMargin{ 250 };     ///< Delay of a call on its way, and rounding.
+  duration mBeat{ 1'500 };          ///< Workers write their entry about this often.
   duration mStartDeadline{ 1'500 }; ///< A start carried out later than this is refused.
 
   auto operator<=>(const run_bounds&) const = default;
@@ -47,6 +48,23 @@
  */
 bool StandsStill(const run_info& aRun, duration aLimit, time_point aNow);
 
+/** When a worker's entry was seen last, and when the worker last wrote it. */
+struct entry_sight
+{
+  uint64_t mBeat = 0;
+  time_point mBeatAt{ 0 }; ///< When a new mBeat was seen.
+  time_point mSeenAt{ 0 }; ///< In the last list that held the entry.
+
+  auto operator<=>(const entry_sight&) const = default;
+};
+
+/**
+ * Returns whether a worker whose entry is gone from the list at aNow has left of its
+ * own accord, and not fallen silent: an entry is removed after three beats of silence,
+ * so one that was written within two has been taken back. Pure.
+ */
+bool HasLeft(const entry_sight& aSight, duration aBeat, time_point aNow);
+
 /** What became known about a run. */
 struct run_event
 {
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -53,6 +53,7 @@
 
 void fleet_scheduler::OnListed(const std::vector<listed_worker>& aListed)
 {
+  const auto now = mPorts.mLoop.Now();
   std::set<std::string> seen;
   for (const auto& listed : aListed) {
     seen.insert(listed.mId);
@@ -64,6 +65,11 @@
                           .Add("worker", listed.mId)
                           .Add("address", listed.mAddress));
     }
+    if (!worker.mIsListed || listed.mBeat != worker.mSight.mBeat) {
+      worker.mSight.mBeat = listed.mBeat;
+      worker.mSight.mBeatAt = now;
+    }
+    worker.mSight.mSeenAt = now;
     worker.mListed = listed;
     worker.mIsListed = true;
     if (isNew && !worker.mHolding) {
@@ -73,7 +79,15 @@
   for (auto& [id, worker] : mWorkers) {
     if (worker->mIsListed && seen.count(id) == 0) {
       worker->mIsListed = false;
-      mPorts.mLog.Write(log_event("worker_unlisted").Add("worker", id));
+      const bool left = HasLeft(worker->mSight, mBounds.mRuns.mBeat, now);
+      mPorts.mLog.Write(log_event("worker_unlisted")
+                          .Add("worker", id)
+                          .Add("beat_age_ms", (now - worker->mSight.mBeatAt).count())
+                          .Add("left", left ? 1 : 0));
+      if (left) {
+        // Nothing runs on a worker that has left; its lease need not lapse first.
+        Apply(*worker, worker->mRuns.DropAll(run_end::kLost));
+      }
     }
   }
   PlanSoon();
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -330,3 +330,41 @@
   CHECK(site.Reaches("vm0", kOther, "done", duration(30'000)));
   CHECK(site.MostAtOnce() == 1);
 }
+
+TEST_CASE(
+  "the tasks of a worker that left start elsewhere at once, of a silent one later",
+  "[installation]")
+{
+  struct row
+  {
+    int64_t mSilentMs; // Since the worker last wrote its entry.
+    bool mWaitsForLease;
+  };
+  const auto [silent, waits] =
+    GENERATE(row{ 500, false }, row{ 2'000, false }, row{ 5'000, true });
+  CAPTURE(silent);
+  fake_installation site(2, 2);
+  site.mWork["long"] = { duration(20'000), false };
+  auto job = fake_installation::MakeJob(kJob, 2);
+  job.mSpec.mPayload = "long";
+  job.mSpec.mSteps.front().mMaxPerWorker = 1;
+  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(1'000));
+  job.mSpec.mSteps.front().mMaxPerWorker = 0;
+  site.ListWorker("w0", true);
+  site.mLoop.RunFor(duration(silent));
+  site.mStore.Remove("workers/w0");
+  if (waits) {
+    site.mFaults.mUnreachable.insert("w0"); // Cut off: it runs on.
+  } else {
+    site.CrashWorker("w0", false);
+  }
+  site.ListWorker("w1");
+  auto other = fake_installation::MakeJob(kOther, 1);
+  REQUIRE(site.Submit("vm0", other) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(3'000));
+  CHECK(site.mLog.CountOf("event=worker_unlisted worker=w0") == 1);
+  CHECK(site.mLog.CountOf("left=1") == (waits ? 0 : 1));
+  CHECK(site.mLog.CountOf("end=lost") == (waits ? 0 : 1));
+  CHECK(site.MostAtOnce() == 1);
+}
--- a/tests/WorkerRunsTest.cpp
+++ b/tests/WorkerRunsTest.cpp
@@ -239,3 +239,24 @@
   run.mProgressAt = kStart;
   CHECK(StandsStill(run, duration(5'000), kStart + duration(unchanged)) == standsStill);
 }
+
+TEST_CASE("whether a worker whose entry is gone has left or fell silent", "[runs]")
+{
+  struct row
+  {
+    int64_t mBeatAge; // Since a new beat was seen; beats come each 1.5 s.
+    int64_t mSeenAge; // Since the last list that was read.
+    bool mLeft;
+  };
+  const auto [beatAge, seenAge, left] =
+    GENERATE(row{ 700, 700, true },
+             row{ 2'900, 700, true },
+             row{ 3'000, 700, false },
+             row{ 4'500, 700, false },
+             // The store was away: nothing is known.
+             row{ 2'000, 1'600, false });
+  entry_sight sight;
+  sight.mBeatAt = kStart - duration(beatAge);
+  sight.mSeenAt = kStart - duration(seenAge);
+  CHECK(HasLeft(sight, duration(1'500), kStart) == left);
+}
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -267,6 +267,7 @@
           worker.mRack = text.at("rack").get<std::string>();
           worker.mLabels = { "a", worker.mRack };
           worker.mCapacity = { 32'000, 65'536, 8 };
+          worker.mBeat = item.mRevision;
           worker.mDraining = text.at("draining").get<bool>();
           workers.push_back(worker);
         }
