An entry seen for the first time is no sign of life

Ruled out: a change of beat seen late (polls are 0.7 s apart, two beats are 3 s). Now only a change that this scheduler saw counts. The test failed before (left=1 once) and passes; the test of a worker that left lets it beat first.

--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -65,10 +65,11 @@
                           .Add("worker", listed.mId)
                           .Add("address", listed.mAddress));
     }
-    if (!worker.mIsListed || listed.mBeat != worker.mSight.mBeat) {
-      worker.mSight.mBeat = listed.mBeat;
+    if (worker.mIsListed && listed.mBeat != worker.mSight.mBeat) {
+      // Only a change is a beat: an entry seen for the first time may be old.
       worker.mSight.mBeatAt = now;
     }
+    worker.mSight.mBeat = listed.mBeat;
     worker.mSight.mSeenAt = now;
     worker.mListed = listed;
     worker.mIsListed = true;
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -350,6 +350,8 @@
   job.mSpec.mSteps.front().mMaxPerWorker = 1;
   REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
   site.mLoop.RunFor(duration(1'000));
+  site.ListWorker("w0");
+  site.mLoop.RunFor(duration(800)); // The scheduler sees that the worker lives.
   site.ListWorker("w0", true);
   site.mLoop.RunFor(duration(silent));
   site.mStore.Remove("workers/w0");
@@ -364,3 +366,25 @@
   CHECK(site.mLog.CountOf("end=lost") == (waits ? 0 : 1));
   CHECK(site.MostAtOnce() == 1);
 }
+
+TEST_CASE("a new scheduler does not take an old entry for a sign of life",
+          "[installation]")
+{
+  fake_installation site(3, 2);
+  site.mWork["long"] = { duration(20'000), false };
+  auto job = fake_installation::MakeJob(kJob, 2);
+  job.mSpec.mPayload = "long";
+  job.mSpec.mSteps.front().mMaxPerWorker = 1;
+  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(1'000));
+  // The worker is cut off with its rack; its entry is removed after three silent beats,
+  // just after another VM has begun to schedule.
+  site.mFaults.mUnreachable.insert("w0");
+  site.Kill(site.SchedulerVm());
+  site.mLoop.RunFor(duration(3'000));
+  REQUIRE_FALSE(site.SchedulerVm().empty());
+  site.mStore.Remove("workers/w0");
+  site.mLoop.RunFor(duration(2'500));
+  CHECK(site.mLog.CountOf("left=1") == 0);
+  CHECK(site.MostAtOnce() == 1);
+}
