Unread state and an unused setting removed; what the final code reaches

Cause: the last reading found members and functions that nothing reads (Adopt, mDurable, mLastContact, Submitting, early_ms).

--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -128,7 +128,6 @@
     Span("store", "lease_least_ms", &entry_settings::mStoreLeaseLeast, 1.0, sMs),
     Span("bounds", "lease_max_ms", &entry_settings::mLeaseMax, 1.0, sMs),
     Span("bounds", "status_kept_s", &entry_settings::mStatusKept, kSecond, sSeconds),
-    Span("bounds", "early_ms", &entry_settings::mEarly, 1.0, sMs),
     Span("bounds", "worker_beat_ms", &entry_settings::mWorkerBeat, 1.0, sMs),
     Span("bounds", "stop_grace_s", &entry_settings::mStopGrace, kSecond, sSeconds),
   };
--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -19,7 +19,6 @@
   std::string mStore;         ///< IP:port of the platform's store.
   duration mLeaseMax{ 6'000 };
   duration mStatusKept{ 120'000 };
-  duration mEarly{ 250 };
   duration mWorkerBeat{ 1'500 };
   duration mStopGrace{ 6'000 };
   duration mStoreLeaseLeast{ 1'000 };
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -71,9 +71,6 @@
   /** Answers with the number of the queue's jobs without a started task. */
   void Pending(const std::string& aQueue, respond aRespond);
 
-  /** Returns the calls of Submit that have no answer yet. */
-  size_t Submitting() const { return mOpen.size(); }
-
 private:
   struct submission
   {
--- a/src/jobs/JobState.cpp
+++ b/src/jobs/JobState.cpp
@@ -153,14 +153,6 @@
   mBegun = true;
 }
 
-void job_state::Adopt(const task_ref& aTask, uint32_t aRun, const std::string& aWorker)
-{
-  auto& task = At(aTask);
-  task.mRun = aRun;
-  task.mWorker = aWorker;
-  mBegun = true;
-}
-
 void job_state::Save(const task_ref& aTask,
                      uint32_t aRun,
                      const std::string& aCheckpoint)
--- a/src/jobs/JobState.h
+++ b/src/jobs/JobState.h
@@ -111,9 +111,6 @@
   /** Records that a run is about to be ordered. The task must be waiting. */
   void Place(const task_ref& aTask, uint32_t aRun, const std::string& aWorker);
 
-  /** Records a run that a worker reports and this state did not know of. */
-  void Adopt(const task_ref& aTask, uint32_t aRun, const std::string& aWorker);
-
   /** Records the newest checkpoint of a run; of a gang, for all its members. */
   void Save(const task_ref& aTask, uint32_t aRun, const std::string& aCheckpoint);
 
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -169,7 +169,6 @@
                           .Add("error", Describe(read.error())));
       continue;
     }
-    job->mDurable = true;
     job->mShown = job->mState.Outcome();
     job->mEndedAt = now;
     for (const auto& task : job->mState.Placed()) {
@@ -331,11 +330,8 @@
                 aHaste,
                 [this, id, outcome, durable = std::move(aDurable)] {
                   const auto found = mJobs.find(id);
-                  if (found != mJobs.end()) {
-                    found->second->mDurable = true;
-                    if (outcome != job_outcome::kOpen) {
-                      found->second->mShown = outcome;
-                    }
+                  if (found != mJobs.end() && outcome != job_outcome::kOpen) {
+                    found->second->mShown = outcome;
                   }
                   if (durable) {
                     durable();
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -33,7 +33,6 @@
   run_bounds mRuns;
   duration mOrdersPastTerm{ 4'000 }; ///< How long a former holder may go on.
   duration mStatusKept{ 120'000 };   ///< Outcomes are shown at least this long.
-  duration mEarly{ 250 };            ///< An occurrence may start this much early.
 
   auto operator<=>(const scheduler_bounds&) const = default;
 };
@@ -61,6 +60,9 @@
 
   bool Active() const { return mActive; }
 
+  /** Returns the transactions that this VM has sent as the scheduler. */
+  uint64_t Transactions() const { return mWriter.Transactions(); }
+
   /** Sets until when orders may be given; moves on as the term is renewed. */
   void SetOrdersUntil(std::function<time_point()> aUntil);
 
--- a/src/scheduler/FleetSchedulerState.h
+++ b/src/scheduler/FleetSchedulerState.h
@@ -14,7 +14,6 @@
 
   job_state mState;
   job_outcome mShown = job_outcome::kOpen; ///< The outcome that is durable.
-  bool mDurable = false;                   ///< A record of it is in the store.
   bool mMayWait = true; ///< A task may be waiting; checked at the next planning round.
   time_point mSeenAt{ 0 };
   time_point mEndedAt{ 0 };
@@ -38,7 +37,6 @@
   bool mHolding = false;   ///< A hold is on its way.
   uint64_t mHoldRound = 0; ///< Rises with each planned hold: older timers end.
   bool mSilent = false;    ///< The last call got no answer.
-  time_point mLastContact{ 0 };
 };
 
 /** Wraps a callback so that it does nothing once the term has ended. */
