One check of an address serves both settings readers

Cause: the entry VM's settings had a copy of the check that the daemon's settings had before; it is in src/base/Address now. A member of the stand-in worker that nothing read is gone. Behaviour stays.

--- /dev/null
+++ b/src/base/Address.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <string>
+
+namespace anvildoor {
+
+/** Returns whether aText is an IPv4 number and a port from 1 to 65535. Thread-safe. */
+bool IsAddress(const std::string& aText);
+
+} // namespace anvildoor
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -1,7 +1,8 @@
 #include "anvildoor/Settings.h"
 
+#include "base/Address.h"
+
 #include <algorithm>
-#include <arpa/inet.h>
 #include <cstdlib>
 #include <fstream>
 #include <ini.h>
@@ -16,7 +17,6 @@
 
 constexpr size_t kDigestDigits = 64;
 constexpr size_t kMinSecretBytes = 16;
-constexpr int64_t kMaxPort = 65'535;
 
 struct name_text
 {};
@@ -134,19 +134,6 @@
   return std::nullopt;
 }
 
-bool IsAddress(const std::string& aText)
-{
-  const auto colon = aText.rfind(':');
-  if (colon == std::string::npos) {
-    return false;
-  }
-  char* end = nullptr;
-  const auto port = std::strtoll(aText.c_str() + colon + 1, &end, 10);
-  in_addr parsed{};
-  return inet_pton(AF_INET, aText.substr(0, colon).c_str(), &parsed) == 1 &&
-         *end == '\0' && port > 0 && port <= kMaxPort;
-}
-
 bool IsDigestList(const std::string& aText)
 {
   std::istringstream stream(aText);
--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -1,6 +1,7 @@
 #include "entry/EntrySettings.h"
 
-#include <arpa/inet.h>
+#include "base/Address.h"
+
 #include <cmath>
 #include <cstdlib>
 #include <fstream>
@@ -29,20 +30,6 @@
 using text_member = std::string entry_settings::*;
 using span_member = duration entry_settings::*;
 
-bool IsAddress(const std::string& aText)
-{
-  const auto colon = aText.rfind(':');
-  if (colon == std::string::npos) {
-    return false;
-  }
-  constexpr int64_t kMaxPort = 65'535;
-  char* end = nullptr;
-  const auto port = std::strtoll(aText.c_str() + colon + 1, &end, 10);
-  in_addr parsed{};
-  return inet_pton(AF_INET, aText.substr(0, colon).c_str(), &parsed) == 1 &&
-         *end == '\0' && port > 0 && port <= kMaxPort;
-}
-
 entry_setting Name(const char* aSection, const char* aKey, text_member aMember)
 {
   return { aSection,
--- a/src/standin/RunWorker.h
+++ b/src/standin/RunWorker.h
@@ -58,7 +58,6 @@
 
   int64_t ClockMs() const { return (mLoop.Now() - mBegan).count() + 1; }
   const std::string& Id() const { return mId; }
-  size_t Running() const { return mRuns.size(); }
 
 private:
   struct active_run
