A run stands still after two seconds without progress, not after its estimate

The percentages that workers report now live in run_progress, with the rate; a run is given up after 2 s, or a twelfth of its estimate for long ones, without a change. A gang is judged once all its members are confirmed, as before that they wait by rights.

Test: "a task that stands still starts elsewhere, whatever its estimate says" fails on the former limit for the estimate of 24 s.

--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -14,12 +14,6 @@
   return kNames[static_cast<size_t>(aAnswer)];
 }
 
-bool StandsStill(const run_info& aRun, duration aLimit, time_point aNow)
-{
-  constexpr int64_t kAll = 100;
-  return aRun.mPercent < kAll && aNow - aRun.mProgressAt > aLimit;
-}
-
 bool HasLeft(const entry_sight& aSight, duration aBeat, time_point aNow)
 {
   constexpr int kBeatsOfOneAlive = 2;
@@ -87,22 +81,26 @@
 void worker_runs::Order(const task_ref& aTask,
                         uint32_t aRun,
                         const task_resources& aResources,
-                        time_point aNow)
+                        time_point aNow,
+                        duration aEstimate,
+                        bool aResumes)
 {
   run_info run;
   run.mRun = aRun;
   run.mResources = aResources;
   run.mSince = aNow;
-  run.mProgressAt = aNow;
+  run.mProgress = run_progress(aNow, aEstimate, aResumes);
   mRuns[aTask] = run;
 }
 
 void worker_runs::Assume(const task_ref& aTask,
                          uint32_t aRun,
                          const task_resources& aResources,
-                         time_point aNow)
+                         time_point aNow,
+                         duration aEstimate,
+                         bool aResumes)
 {
-  Order(aTask, aRun, aResources, aNow);
+  Order(aTask, aRun, aResources, aNow, aEstimate, aResumes);
   // Confirmed at time 0: the first list under this fence settles whether it is here, as
   // orders under older fences are refused from then on.
   mRuns[aTask].mPhase = run_phase::kConfirmed;
@@ -135,6 +133,7 @@
       if (found->second.mPhase == run_phase::kOrdered) {
         found->second.mPhase = run_phase::kConfirmed;
         found->second.mConfirmedAt = aNow;
+        found->second.mProgress.Begin(aNow);
       }
       return {};
     case order_answer::kLate:
@@ -231,11 +230,9 @@
     if (run.mPhase == run_phase::kOrdered) {
       run.mPhase = run_phase::kConfirmed;
       run.mConfirmedAt = aNow;
+      run.mProgress.Begin(aNow);
     }
-    if (run.mPercent != row.mPercent) {
-      run.mPercent = row.mPercent;
-      run.mProgressAt = aNow;
-    }
+    run.mProgress.Report(row.mPercent, aNow);
     if (!row.mCheckpoint.empty()) {
       run_event event;
       event.mKind = run_event::kind::kCheckpoint;
--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "runs/RunPort.h"
+#include "runs/RunProgress.h"
 
 #include <map>
 
@@ -36,18 +37,11 @@
   bool mStopAnswered = false;
   time_point mStopAnsweredAt{ 0 };
   time_point mStopSentAt{ 0 };
-  int64_t mPercent = 0;
-  time_point mProgressAt{ 0 }; ///< When mPercent last changed.
+  run_progress mProgress;
 
   auto operator<=>(const run_info&) const = default;
 };
 
-/**
- * Returns whether a run has made no progress for longer than aLimit. A member of a gang
- * at 100 percent waits for the others and stands still by rights. Pure.
- */
-bool StandsStill(const run_info& aRun, duration aLimit, time_point aNow);
-
 /** When a worker's entry was seen last, and when the worker last wrote it. */
 struct entry_sight
 {
@@ -123,17 +117,24 @@
   /** For a takeover: another scheduler may have extended leases until aUntil. */
   void AssumeLease(time_point aUntil) { mLapsesAt = std::max(mLapsesAt, aUntil); }
 
-  /** Registers a start before it is sent. */
+  /**
+   * Registers a start before it is sent. aEstimate: of its time; 0: none. aResumes:
+   * from a checkpoint.
+   */
   void Order(const task_ref& aTask,
              uint32_t aRun,
              const task_resources& aResources,
-             time_point aNow);
+             time_point aNow,
+             duration aEstimate = duration::zero(),
+             bool aResumes = false);
 
   /** Registers a run that may be here, as the store's records say. */
   void Assume(const task_ref& aTask,
               uint32_t aRun,
               const task_resources& aResources,
-              time_point aNow);
+              time_point aNow,
+              duration aEstimate = duration::zero(),
+              bool aResumes = false);
 
   /** Notes that a start is sent at aNow with this deadline, which extends the lease. */
   void NoteStart(const task_ref& aTask,
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -174,7 +174,9 @@
     for (const auto& task : job->mState.Placed()) {
       const auto& about = job->mState.Task(task);
       auto& worker = WorkerNamed(about.mWorker);
-      worker.mRuns.Assume(task, about.mRun, OccupiedBy(job->mState.StepOf(task)), now);
+      const auto& step = job->mState.StepOf(task);
+      worker.mRuns.Assume(
+        task, about.mRun, OccupiedBy(step), now, step.mEstimate, true);
     }
   }
   mLoaded = true;
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -111,14 +111,26 @@
   void StopRun(worker_entry& aWorker, const task_ref& aTask, uint32_t aRun);
   void StopTask(const job_entry& aJob, const task_ref& aTask, const char* aReason);
   void StopJob(const job_entry& aJob, const char* aReason);
-  void StopGang(const job_entry& aJob, const task_ref& aTask, uint32_t aRun);
+  void StopGang(const job_entry& aJob,
+                const task_ref& aTask,
+                uint32_t aRun,
+                const char* aReason);
   void Tick();
   void CheckWorker(worker_entry& aWorker, time_point aNow);
+
+  // Runs that do not get on (FleetSchedulerProgress.cpp).
   void CheckProgress(worker_entry& aWorker, time_point aNow);
+  void MoveRun(worker_entry& aWorker, const task_ref& aTask);
+  bool IsAtWork(const job_entry& aJob,
+                const task_ref& aTask,
+                const run_info& aRun,
+                time_point aNow) const;
 
   // Planning and starting (FleetSchedulerPlanning.cpp).
   void PlanSoon();
   void Plan();
+  static task_resources FreeOf(const worker_entry& aWorker);
+  static bool TakesStarts(const worker_entry& aWorker, time_point aNow);
   placement_input BuildInput(std::vector<std::string>& aWorkerIds);
   void AddGroups(job_entry& aJob, std::vector<placement_group>& aGroups);
   void AddUnits(const std::vector<std::string>& aWorkerIds,
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -17,6 +17,8 @@
 /** A gang may leave its rack when it has waited this part of its run time. */
 constexpr double kSpreadAfterRuns = 3.0;
 constexpr double kMillisPerCore = 1'000.0;
+/** Why a run is stopped for another. */
+constexpr const char* kRoomNeeded = "its room is needed by a higher priority";
 constexpr double kMsPerSecond = 1'000.0;
 /** The platform's own price of work: an accelerator counts as eight cores. */
 constexpr double kCoresPerAccelerator = 8.0;
@@ -93,6 +95,23 @@
          demand->second <= found->mGuaranteedAccelerators;
 }
 
+task_resources fleet_scheduler::FreeOf(const worker_entry& aWorker)
+{
+  auto free = aWorker.mListed.mCapacity;
+  const auto used = aWorker.mRuns.Used();
+  free.mCpuMillis -= used.mCpuMillis;
+  free.mMemoryMb -= used.mMemoryMb;
+  free.mAccelerators -= used.mAccelerators;
+  return free;
+}
+
+bool fleet_scheduler::TakesStarts(const worker_entry& aWorker, time_point aNow)
+{
+  return aWorker.mIsListed && !aWorker.mListed.mDraining && aWorker.mRuns.HasLease() &&
+         !aWorker.mSilent && aNow - aWorker.mRuns.LastAnswer() < kFreshFor &&
+         aWorker.mHealth.IsOpen(aNow, aWorker.mRuns.Runs().size());
+}
+
 placement_input fleet_scheduler::BuildInput(std::vector<std::string>& aWorkerIds)
 {
   const auto now = mPorts.mLoop.Now();
@@ -121,16 +140,12 @@
                    });
   for (const auto& [id, worker] : mWorkers) {
     const auto& listed = worker->mListed;
-    const auto used = worker->mRuns.Used();
     placement_worker place;
     place.mId = id;
     place.mPool = listed.mPool;
     place.mRack = listed.mRack;
     place.mLabels = listed.mLabels;
-    place.mFree = listed.mCapacity;
-    place.mFree.mCpuMillis -= used.mCpuMillis;
-    place.mFree.mMemoryMb -= used.mMemoryMb;
-    place.mFree.mAccelerators -= used.mAccelerators;
+    place.mFree = FreeOf(*worker);
     for (const auto& [task, run] : worker->mRuns.Runs()) {
       if (run.mStopping) {
         place.mFreeing.mCpuMillis += run.mResources.mCpuMillis;
@@ -139,9 +154,7 @@
       }
     }
     place.mWhole = listed.mCapacity;
-    place.mOpen = worker->mIsListed && !listed.mDraining && worker->mRuns.HasLease() &&
-                  !worker->mSilent && now - worker->mRuns.LastAnswer() < kFreshFor &&
-                  worker->mHealth.IsOpen(now, worker->mRuns.Runs().size());
+    place.mOpen = TakesStarts(*worker, now);
     place.mReluctance = worker->mHealth.Reluctance();
     aWorkerIds.push_back(id);
     input.mWorkers.push_back(std::move(place));
@@ -258,7 +271,12 @@
     }
     const auto& workerId = aWorkerIds[start.mWorker];
     job.mState.Place(task, run, workerId);
-    mWorkers.at(workerId)->mRuns.Order(task, run, OccupiedBy(group.mSpec), now);
+    mWorkers.at(workerId)->mRuns.Order(task,
+                                       run,
+                                       OccupiedBy(group.mSpec),
+                                       now,
+                                       group.mSpec.mEstimate,
+                                       !job.mState.Task(task).mCheckpoint.empty());
     placed[group.mJob].emplace_back(task, run);
   }
   for (auto& [id, runs] : placed) {
@@ -274,9 +292,9 @@
     const auto& job = *mJobs.at(unit.mTask.mJob);
     const auto run = job.mState.Task(unit.mTask).mRun;
     if (job.mState.StepOf(unit.mTask).mGang) {
-      StopGang(job, unit.mTask, run);
+      StopGang(job, unit.mTask, run, kRoomNeeded);
     } else {
-      StopTask(job, unit.mTask, "its room is needed by a higher priority");
+      StopTask(job, unit.mTask, kRoomNeeded);
     }
   }
 }
--- a/src/scheduler/FleetSchedulerState.h
+++ b/src/scheduler/FleetSchedulerState.h
@@ -20,6 +20,9 @@
   std::map<task_ref, std::set<std::string>> mFailedOn; ///< Where its tasks failed.
 };
 
+/** Why the members of a gang stop when one has ended. */
+constexpr const char* kGangBroken = "its gang is broken";
+
 /** One worker during a term. */
 struct fleet_scheduler::worker_entry
 {
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -19,10 +19,6 @@
 constexpr duration kSilentAfter{ 2'000 };
 /** A stop without an end is repeated after this; it takes at most 400 ms. */
 constexpr duration kStopRepeat{ 700 };
-/** A task counts as standing still after this part of its estimate, and no sooner... */
-constexpr int kStandstillEstimates = 1;
-/** ...than this, several times the rate at which progress is reported. */
-constexpr duration kStandstillLeast{ 3'500 };
 
 } // namespace
 
@@ -153,6 +149,7 @@
   aWorker.mSilent = false;
   const auto events = aWorker.mRuns.OnHold(aReply, aSentAt, mPorts.mLoop.Now());
   Apply(aWorker, events);
+  CheckProgress(aWorker, mPorts.mLoop.Now());
   const bool isOpen = std::any_of(events.begin(), events.end(), [](const auto& aEvent) {
     return aEvent.mNumber != 0;
   });
@@ -251,7 +248,7 @@
   }
   JudgeWorker(aWorker, aEvent);
   if (effect.mGangBroken) {
-    StopGang(job, aEvent.mTask, aEvent.mRun);
+    StopGang(job, aEvent.mTask, aEvent.mRun, kGangBroken);
   }
   if (effect.mFinished) {
     OnOutcome(job);
@@ -281,8 +278,12 @@
     const auto& state = found->second->mState;
     const auto& task = state.Task(aEvent.mTask);
     if (aWorker.mRuns.Runs().count(aEvent.mTask) == 0) {
-      aWorker.mRuns.Assume(
-        aEvent.mTask, aEvent.mRun, OccupiedBy(state.StepOf(aEvent.mTask)), now);
+      aWorker.mRuns.Assume(aEvent.mTask,
+                           aEvent.mRun,
+                           OccupiedBy(state.StepOf(aEvent.mTask)),
+                           now,
+                           state.StepOf(aEvent.mTask).mEstimate,
+                           true);
     }
     if (task.mRun == aEvent.mRun && task.mWorker == aWorker.mListed.mId) {
       return;
@@ -362,13 +363,14 @@
 
 void fleet_scheduler::StopGang(const job_entry& aJob,
                                const task_ref& aTask,
-                               uint32_t aRun)
+                               uint32_t aRun,
+                               const char* aReason)
 {
   for (const auto& member : aJob.mState.Placed()) {
     const bool sameGang =
       member.mOccurrence == aTask.mOccurrence && member.mStep == aTask.mStep;
     if (sameGang && aJob.mState.Task(member).mRun == aRun) {
-      StopTask(aJob, member, "its gang is broken");
+      StopTask(aJob, member, aReason);
     }
   }
 }
@@ -394,35 +396,6 @@
   for (const auto& [task, run] : repeat) {
     StopRun(aWorker, task, run);
   }
-  CheckProgress(aWorker, aNow);
-}
-
-void fleet_scheduler::CheckProgress(worker_entry& aWorker, time_point aNow)
-{
-  if (aWorker.mSilent || aNow - aWorker.mRuns.LastAnswer() > kHoldWait * 2) {
-    return;
-  }
-  std::vector<task_ref> stuck;
-  for (const auto& [task, run] : aWorker.mRuns.Runs()) {
-    const auto found = mJobs.find(task.mJob);
-    if (run.mStopping || found == mJobs.end() || !found->second->mState.Has(task)) {
-      continue;
-    }
-    const auto& step = found->second->mState.StepOf(task);
-    const auto limit =
-      std::max<duration>(kStandstillLeast, step.mEstimate * kStandstillEstimates);
-    const auto& state = found->second->mState.Task(task);
-    const bool current = state.mRun == run.mRun && !state.mDone;
-    if (current && !step.mLongRunning && StandsStill(run, limit, aNow)) {
-      stuck.push_back(task);
-    }
-  }
-  for (const auto& task : stuck) {
-    const auto& job = *mJobs.at(task.mJob);
-    aWorker.mHealth.OnFailed(task.mJob, aNow);
-    mJobs.at(task.mJob)->mFailedOn[task].insert(aWorker.mListed.mId);
-    StopTask(job, task, "it makes no progress");
-  }
 }
 
 } // namespace anvildoor
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -388,3 +388,21 @@
   CHECK(site.mLog.CountOf("left=1") == 0);
   CHECK(site.MostAtOnce() == 1);
 }
+
+TEST_CASE("a task that stands still starts elsewhere, whatever its estimate says",
+          "[installation]")
+{
+  const auto estimate = GENERATE(1'000, 24'000);
+  CAPTURE(estimate);
+  fake_installation site(2, 3);
+  constexpr int kStandsStill = 100'000;
+  site.mFaults.mSlowBy["w0"] = kStandsStill;
+  auto job = fake_installation::MakeJob(kJob, 3);
+  job.mSpec.mSteps.front().mMaxPerWorker = 1;
+  job.mSpec.mSteps.front().mEstimate = duration(estimate);
+  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  // Two reports without progress, a stop, and a second of work elsewhere.
+  CHECK(site.Reaches("vm0", kJob, "done", duration(5'500)));
+  CHECK(site.mLog.CountOf("it makes no progress") == 1);
+  CHECK(site.MostAtOnce() == 1);
+}
--- /dev/null
+++ b/tests/RunProgressTest.cpp
@@ -0,0 +1,86 @@
+#include "runs/RunProgress.h"
+
+#include <catch2/catch.hpp>
+
+using namespace anvildoor;
+
+namespace {
+
+constexpr time_point kStart{ 100'000 };
+
+/** A run of which a report comes each aEvery, at aPerSecond percent a second. */
+run_progress RunAt(double aPerSecond,
+                   duration aEvery,
+                   duration aFor,
+                   duration aEstimate)
+{
+  run_progress progress(kStart, aEstimate);
+  for (auto at = aEvery; at <= aFor; at += aEvery) {
+    const auto percent = aPerSecond * static_cast<double>(at.count()) / 1'000.0;
+    progress.Report(static_cast<int64_t>(percent), kStart + at);
+  }
+  return progress;
+}
+
+} // namespace
+
+TEST_CASE("which runs stand still", "[runs]")
+{
+  struct row
+  {
+    int64_t mPercent;
+    int64_t mUnchangedMs;
+    bool mStandsStill;
+  };
+  const auto [percent, unchanged, standsStill] =
+    GENERATE(row{ 0, 3'000, false },
+             row{ 0, 5'001, true },
+             row{ 40, 5'001, true },
+             row{ 40, 4'999, false },
+             // A gang's member that is done waits for the others.
+             row{ 100, 60'000, false });
+  run_progress progress(kStart);
+  progress.Report(percent, kStart);
+  CHECK(StandsStill(progress, duration(5'000), kStart + duration(unchanged)) ==
+        standsStill);
+}
+
+TEST_CASE("the rate of a run and the time that it leaves", "[runs]")
+{
+  struct row
+  {
+    double mPerSecond;
+    int64_t mEveryMs; // Between two reports.
+    int64_t mForMs;
+    int64_t mEstimateMs;
+    bool mIsKnown;
+    int64_t mLeftMs; // To within a tenth.
+  };
+  const auto [perSecond, every, lasted, estimate, isKnown, left] =
+    GENERATE(row{ 40.0, 1'000, 1'000, 2'500, true, 1'500 },
+             row{ 40.0, 300, 1'200, 2'500, true, 1'300 },
+             row{ 40.0, 300, 600, 2'500, false, 0 }, // Too early to tell.
+             row{ 5.0, 1'000, 2'000, 2'500, true, 18'000 },
+             row{ 0.0, 1'000, 1'000, 2'500, true, run_progress::kNever.count() },
+             // An hour's work gains one percent in 36 s: ten seconds tell nothing.
+             row{ 0.028, 1'000, 10'000, 3'600'000, false, 0 });
+  CAPTURE(perSecond, every, lasted, estimate);
+  const auto run =
+    RunAt(perSecond, duration(every), duration(lasted), duration(estimate));
+  const auto found = run.Left(kStart + duration(lasted));
+  REQUIRE(found.has_value() == isKnown);
+  if (isKnown) {
+    CHECK(found->count() >= left * 9 / 10);
+    CHECK(found->count() <= left * 11 / 10);
+  }
+}
+
+TEST_CASE("a worker that turns slow shows in the rate of its runs", "[runs]")
+{
+  auto run = RunAt(10.0, duration(1'000), duration(4'000), duration(10'000));
+  run.Report(41, kStart + duration(5'000));
+  run.Report(42, kStart + duration(6'000));
+  const auto left = run.Left(kStart + duration(6'000));
+  REQUIRE(left);
+  CHECK(*left > duration(40'000));
+}
--- a/tests/WorkerRunsTest.cpp
+++ b/tests/WorkerRunsTest.cpp
@@ -219,27 +219,6 @@
   CHECK(health.IsOpen(later, 5));
 }
 
-TEST_CASE("which runs stand still", "[runs]")
-{
-  struct row
-  {
-    int64_t mPercent;
-    int64_t mUnchangedMs;
-    bool mStandsStill;
-  };
-  const auto [percent, unchanged, standsStill] =
-    GENERATE(row{ 0, 3'000, false },
-             row{ 0, 5'001, true },
-             row{ 40, 5'001, true },
-             row{ 40, 4'999, false },
-             // A gang's member that is done waits for the others.
-             row{ 100, 60'000, false });
-  run_info run;
-  run.mPercent = percent;
-  run.mProgressAt = kStart;
-  CHECK(StandsStill(run, duration(5'000), kStart + duration(unchanged)) == standsStill);
-}
-
 TEST_CASE("whether a worker whose entry is gone has left or fell silent", "[runs]")
 {
   struct row
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -347,9 +347,12 @@
     aId,
     ++mBorn,
     kLeaseMax,
-    [this](const std::string& aPayload) {
+    [this, aId](const std::string& aPayload) {
       const auto found = mWork.find(aPayload);
-      return found == mWork.end() ? run_work() : found->second;
+      auto work = found == mWork.end() ? run_work() : found->second;
+      const auto slow = mFaults.mSlowBy.find(aId);
+      work.mTime *= slow == mFaults.mSlowBy.end() ? 1 : slow->second;
+      return work;
     },
     mTraces);
   ListWorker(aId);
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -33,6 +33,8 @@
   int mLoseCommits = 0;               ///< So many next commits happen unanswered.
   std::set<std::string> mLateStarts;  ///< Starts at these workers come mLateBy later.
   duration mLateBy{ 4'000 };
+  /** Runs that begin at these workers take so many times as long. */
+  std::map<std::string, int> mSlowBy;
 };
 
 class fake_vm;
