A worker where a task failed before is avoided, not excluded: no more thrashing

One guaranteed gang of ten whole workers did nearly all of it: room was made for it in each planning round by a count that knew nothing of workers to be avoided, but seating a member there was refused, so the gang was never placed, the room went to small tasks, and the next round cleared it again. The same rule would have kept a task waiting for ever on a fleet where it had failed once on every worker that suits it.

Workers to be avoided now come last instead of never. Ruled out: the loss of a room that was kept (seen, but it settles in one round), flapping workers.

Tests: "a worker to be avoided is used where no other has room" and "room made for a gang is taken by it, also where a member failed before"; five checks fail on the code before.

--- a/src/planner/TaskPlacement.cpp
+++ b/src/planner/TaskPlacement.cpp
@@ -466,10 +466,11 @@
         ++at;
       }
       if (at == candidates.size()) {
-        if (aGroup.mSpec.mGang) {
-          return {};
-        }
-        continue;
+        // Better where it failed before than nowhere: the room was counted with it.
+        at = first;
+      }
+      if (at == candidates.size()) {
+        break;
       }
       found.emplace_back(index, candidates[at].mWorker);
       --candidates[at].mCapacity;
--- a/src/planner/TaskPlacement.h
+++ b/src/planner/TaskPlacement.h
@@ -41,7 +41,8 @@
   bool mGuaranteed = false; ///< Within its workspace's guarantee.
   bool mMaySpread = false;  ///< mSameRack has waited long enough to give way.
   std::map<std::string, uint32_t> mAlready; ///< Tasks of the occurrence by worker.
-  std::map<uint32_t, std::set<std::string>> mAvoid; ///< Workers not to use, by index.
+  /** Workers to use only if no other has room, by index. */
+  std::map<uint32_t, std::set<std::string>> mAvoid;
 
   auto operator<=>(const placement_group&) const = default;
 };
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -1,5 +1,6 @@
 #include "planner/TaskPlacement.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <numeric>
 
@@ -164,6 +165,58 @@
   }
 }
 
+TEST_CASE("a worker to be avoided is used where no other has room", "[placement]")
+{
+  struct row
+  {
+    bool mGang;
+    uint32_t mTasks; // Each of them fills a worker; there are three.
+    size_t mPlaced;
+    bool mAvoided; // The avoided worker is among those used.
+  };
+  const auto [gang, tasks, placed, avoided] = GENERATE(row{ false, 2, 2, false },
+                                                       row{ true, 2, 2, false },
+                                                       row{ false, 3, 3, true },
+                                                       row{ true, 3, 3, true });
+  CAPTURE(gang, tasks);
+  auto input = Fleet(1, 3);
+  auto group = Group(tasks, 8);
+  group.mSpec.mGang = gang;
+  for (uint32_t index = 0; index < tasks; ++index) {
+    group.mAvoid[index] = { "w0-0" };
+  }
+  input.mGroups.push_back(group);
+  const auto plan = PlaceTasks(input);
+  CHECK(plan.mStarts.size() == placed);
+  CHECK(std::any_of(plan.mStarts.begin(), plan.mStarts.end(), [](const auto& aStart) {
+          return aStart.mWorker == 0;
+        }) == avoided);
+}
+
+TEST_CASE("room made for a gang is taken by it, also where a member failed before",
+          "[placement]")
+{
+  auto input = Fleet(1, 3);
+  for (size_t worker = 0; worker < 3; ++worker) {
+    Occupy(input, worker, 1, 2);
+  }
+  auto group = Group(3, 8);
+  group.mSpec.mGang = true;
+  group.mPriority = 0;
+  group.mMayPreempt = true;
+  group.mGuaranteed = true;
+  group.mAvoid[2] = { "w0-0", "w0-1", "w0-2" };
+  input.mGroups.push_back(group);
+  const auto plan = PlaceTasks(input);
+  REQUIRE(plan.mStops.size() == 3);
+  // The runs have ended: the next round finds the room free.
+  for (auto& worker : input.mWorkers) {
+    worker.mFree = worker.mWhole;
+  }
+  input.mUnits.clear();
+  CHECK(PlaceTasks(input).mStarts.size() == 3);
+}
+
 TEST_CASE("whose runs are stopped for a group", "[placement]")
 {
   struct row
