What a leaving worker cannot finish starts elsewhere before it leaves

Cause: runs on a draining worker were left to be lost.

At the notice each run is weighed: its expected time left (by its rate, else by what tasks of its queue took) against the time for which the worker surely stays. What outlasts it is stopped if its work is saved or there is room elsewhere; without either it may still end there. A worker that does not say how long it stays is left alone. Expected times come from a model by queue now (duration_model), as estimates are up to ten times off; the outlook of jobs uses it too.

Ruled out: moving whatever runs there (planned leavers stay 7 s, most runs end in that).

Tests: "what a leaving worker cannot finish starts elsewhere before it leaves" and "what was seen of a queue counts for more than an estimate".

--- a/src/planner/JobOutlook.cpp
+++ b/src/planner/JobOutlook.cpp
@@ -13,8 +13,12 @@
 
 } // namespace
 
-duration ChainOf(const job_state& aJob, uint32_t aOccurrence, bool aOnlyLeft)
+duration ChainOf(const job_state& aJob,
+                 uint32_t aOccurrence,
+                 bool aOnlyLeft,
+                 const duration_model& aModel)
 {
+  const auto& queue = aJob.Job().mQueue;
   const auto& steps = aJob.Job().mSpec.mSteps;
   std::vector<duration> until(steps.size(), duration::zero());
   duration longest{ 0 };
@@ -24,26 +28,34 @@
       before = std::max(before, until[earlier]);
     }
     const bool counts = !aOnlyLeft || !aJob.IsDone(aOccurrence, step);
-    until[step] = before + (counts ? steps[step].mEstimate : duration::zero());
+    const auto expected = aModel.Expected(queue, steps[step].mEstimate);
+    until[step] = before + (counts ? expected : duration::zero());
     longest = std::max(longest, until[step]);
   }
   return longest;
 }
 
-job_deadlines DeadlinesOf(const job_state& aJob, uint32_t aOccurrence)
+job_deadlines DeadlinesOf(const job_state& aJob,
+                          uint32_t aOccurrence,
+                          const duration_model& aModel)
 {
   const auto& job = aJob.Job();
   const auto due = aJob.DueMs(aOccurrence);
   const auto from = due == 0 ? job.mAcceptedAtMs : due;
-  const auto chain = static_cast<double>(ChainOf(aJob, aOccurrence, false).count());
+  const auto chain =
+    static_cast<double>(ChainOf(aJob, aOccurrence, false, aModel).count());
   const auto span = static_cast<int64_t>(job.mStretch * chain) + job.mObjective.count();
   return { from + span, from + kLateTimes * span };
 }
 
-job_outlook OutlookOf(const job_state& aJob, uint32_t aOccurrence, int64_t aUnixMs)
+job_outlook OutlookOf(const job_state& aJob,
+                      uint32_t aOccurrence,
+                      int64_t aUnixMs,
+                      const duration_model& aModel)
 {
-  const auto deadlines = DeadlinesOf(aJob, aOccurrence);
-  const auto left = static_cast<double>(ChainOf(aJob, aOccurrence, true).count());
+  const auto deadlines = DeadlinesOf(aJob, aOccurrence, aModel);
+  const auto left =
+    static_cast<double>(ChainOf(aJob, aOccurrence, true, aModel).count());
   const auto end = aUnixMs + static_cast<int64_t>(kTrustInEstimates * left);
   if (end <= deadlines.mOnTimeMs) {
     return job_outlook::kOnTime;
--- a/src/planner/JobOutlook.h
+++ b/src/planner/JobOutlook.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/JobState.h"
+#include "planner/DurationModel.h"
 
 namespace anvildoor {
 
@@ -22,19 +23,27 @@
 };
 
 /**
- * Returns the longest chain of estimated work in the steps of an occurrence; steps that
+ * Returns the longest chain of expected work in the steps of an occurrence; steps that
  * are done count unless aOnlyLeft. Pure.
  */
-duration ChainOf(const job_state& aJob, uint32_t aOccurrence, bool aOnlyLeft);
+duration ChainOf(const job_state& aJob,
+                 uint32_t aOccurrence,
+                 bool aOnlyLeft,
+                 const duration_model& aModel);
 
 /** Returns the deadlines of an occurrence, counted from its due time if it has one. */
-job_deadlines DeadlinesOf(const job_state& aJob, uint32_t aOccurrence);
+job_deadlines DeadlinesOf(const job_state& aJob,
+                          uint32_t aOccurrence,
+                          const duration_model& aModel);
 
 /**
  * Returns what an occurrence can still reach at aUnixMs. Estimates are rough, so that a
  * chain counts for less than it says. For loads above capacity: work that can no longer
  * be on time must not make the rest late as well.
  */
-job_outlook OutlookOf(const job_state& aJob, uint32_t aOccurrence, int64_t aUnixMs);
+job_outlook OutlookOf(const job_state& aJob,
+                      uint32_t aOccurrence,
+                      int64_t aUnixMs,
+                      const duration_model& aModel);
 
 } // namespace anvildoor
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -93,6 +93,7 @@
   mEarlyCancels.clear();
   mStray.clear();
   mWorkers.clear();
+  mDurations = duration_model();
 }
 
 void fleet_scheduler::Load()
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -4,6 +4,7 @@
 #include "base/EventLoop.h"
 #include "base/Metrics.h"
 #include "config/FleetPolicy.h"
+#include "planner/DurationModel.h"
 #include "planner/TaskPlacement.h"
 #include "runs/WorkerDirectory.h"
 #include "runs/WorkerHealth.h"
@@ -120,11 +121,33 @@
 
   // Runs that do not get on (FleetSchedulerProgress.cpp).
   void CheckProgress(worker_entry& aWorker, time_point aNow);
-  void MoveRun(worker_entry& aWorker, const task_ref& aTask);
+  enum class slow_run
+  {
+    kNo,
+    kStandsStill,
+    kLeaving, ///< Its worker drains and leaves before its end.
+  };
+  slow_run JudgeRun(worker_entry& aWorker,
+                    job_entry& aJob,
+                    const task_ref& aTask,
+                    const run_info& aRun,
+                    time_point aNow);
+  void MoveRun(worker_entry& aWorker, const task_ref& aTask, slow_run aVerdict);
+  /** Returns how long a run, or its whole gang, is expected to take from now on. */
+  duration ExpectedLeft(const job_entry& aJob,
+                        const task_ref& aTask,
+                        time_point aNow) const;
   bool IsAtWork(const job_entry& aJob,
                 const task_ref& aTask,
                 const run_info& aRun,
                 time_point aNow) const;
+  bool IsFarFromItsRack(const job_entry& aJob,
+                        const task_ref& aTask,
+                        const worker_entry& aWorker) const;
+  bool HasRoomElsewhere(const worker_entry& aWorker,
+                        const job_entry& aJob,
+                        const task_ref& aTask,
+                        time_point aNow) const;
 
   // Planning and starting (FleetSchedulerPlanning.cpp).
   void PlanSoon();
@@ -172,6 +195,7 @@
   std::map<std::string, std::unique_ptr<worker_entry>> mWorkers;
   /** Tasks that run where no record has them: not to be started before that ended. */
   std::map<task_ref, std::string> mStray;
+  duration_model mDurations;              ///< Learned during this term.
   duration mPlanCost{ 0 };                ///< Of the last planning round.
   std::map<std::string, int64_t> mDemand; ///< Accelerators of priority 0, by workspace.
 };
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -187,7 +187,7 @@
       group.mSpec = about.mSpec.mSteps[step];
       group.mPool = queue != nullptr ? queue->mPool : about.mPool;
       group.mPriority = about.mPriority;
-      group.mOutlook = OutlookOf(aJob.mState, occurrence, unixMs);
+      group.mOutlook = OutlookOf(aJob.mState, occurrence, unixMs, mDurations);
       group.mGuaranteed = WithinGuarantee(about);
       group.mMayPreempt = about.mPriority == 0 &&
                           (group.mGuaranteed || group.mOutlook == job_outlook::kOnTime);
--- a/src/scheduler/FleetSchedulerProgress.cpp
+++ b/src/scheduler/FleetSchedulerProgress.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace anvildoor {
 
@@ -16,48 +17,123 @@
 constexpr duration kTogether{ 150 };
 /** A later member's gang is judged once two reports came since. */
 constexpr duration kTwoReports{ 1'500 };
+/** From here on the rate of a run tells how long its like take. */
+constexpr int64_t kTellingPercent = 20;
+constexpr int64_t kAll = 100;
+constexpr double kMsPerSecond = 1'000.0;
 
 } // namespace
 
 void fleet_scheduler::CheckProgress(worker_entry& aWorker, time_point aNow)
 {
-  std::vector<task_ref> stuck;
+  std::vector<std::pair<task_ref, slow_run>> moves;
   for (const auto& [task, run] : aWorker.mRuns.Runs()) {
     const auto found = mJobs.find(task.mJob);
     if (run.mStopping || found == mJobs.end() || !found->second->mState.Has(task)) {
       continue;
     }
     const auto& state = found->second->mState;
-    const auto& step = state.StepOf(task);
     const auto& about = state.Task(task);
-    const bool isJudged = about.mRun == run.mRun && !about.mDone &&
-                          !step.mLongRunning && run.mPhase == run_phase::kConfirmed;
+    const bool isJudged =
+      about.mRun == run.mRun && !about.mDone && run.mPhase == run_phase::kConfirmed;
     if (!isJudged) {
       continue;
     }
-    const auto limit = std::max(kStandstillLeast, step.mEstimate / kStandstillParts);
-    if (StandsStill(run.mProgress, limit, aNow) &&
-        IsAtWork(*found->second, task, run, aNow)) {
-      stuck.push_back(task);
+    const auto verdict = JudgeRun(aWorker, *found->second, task, run, aNow);
+    if (verdict != slow_run::kNo) {
+      moves.emplace_back(task, verdict);
     }
   }
-  for (const auto& task : stuck) {
-    MoveRun(aWorker, task);
+  for (const auto& [task, verdict] : moves) {
+    MoveRun(aWorker, task, verdict);
   }
 }
 
-void fleet_scheduler::MoveRun(worker_entry& aWorker, const task_ref& aTask)
+fleet_scheduler::slow_run fleet_scheduler::JudgeRun(worker_entry& aWorker,
+                                                    job_entry& aJob,
+                                                    const task_ref& aTask,
+                                                    const run_info& aRun,
+                                                    time_point aNow)
+{
+  const auto& step = aJob.mState.StepOf(aTask);
+  const auto& progress = aRun.mProgress;
+  if (aWorker.mLeavesAt &&
+      aNow + ExpectedLeft(aJob, aTask, aNow) > *aWorker.mLeavesAt) {
+    // Without a checkpoint nor room elsewhere it may still end before its worker goes.
+    const bool isWorthMoving =
+      step.mCheckpointing || HasRoomElsewhere(aWorker, aJob, aTask, aNow);
+    return isWorthMoving ? slow_run::kLeaving : slow_run::kNo;
+  }
+  if (step.mLongRunning) {
+    return slow_run::kNo;
+  }
+  const auto limit = std::max(kStandstillLeast, step.mEstimate / kStandstillParts);
+  if (StandsStill(progress, limit, aNow) && IsAtWork(aJob, aTask, aRun, aNow)) {
+    return slow_run::kStandsStill;
+  }
+  const auto rate = progress.Rate();
+  const bool isComparable = rate && progress.Percent() < kAll && !step.mFills &&
+                            !IsFarFromItsRack(aJob, aTask, aWorker) &&
+                            IsAtWork(aJob, aTask, aRun, aNow);
+  if (!isComparable) {
+    return slow_run::kNo;
+  }
+  if (*rate > 0.0 && progress.Percent() >= kTellingPercent) {
+    const auto whole = kAll * kMsPerSecond / *rate;
+    mDurations.Learn(aJob.mState.Job().mQueue, duration(std::lround(whole)));
+  }
+  return slow_run::kNo;
+}
+
+void fleet_scheduler::MoveRun(worker_entry& aWorker,
+                              const task_ref& aTask,
+                              slow_run aVerdict)
 {
   auto& job = *mJobs.at(aTask.mJob);
   const auto run = job.mState.Task(aTask).mRun;
   job.mFailedOn[aTask].insert(aWorker.mListed.mId);
-  aWorker.mHealth.OnFailed(aTask.mJob, mPorts.mLoop.Now());
-  StopTask(job, aTask, "it makes no progress");
+  const char* reason = "its worker leaves before its end";
+  if (aVerdict == slow_run::kStandsStill) {
+    reason = "it makes no progress";
+    aWorker.mHealth.OnFailed(aTask.mJob, mPorts.mLoop.Now());
+  }
+  StopTask(job, aTask, reason);
   if (job.mState.StepOf(aTask).mGang) {
     StopGang(job, aTask, run, kGangBroken);
   }
 }
 
+duration fleet_scheduler::ExpectedLeft(const job_entry& aJob,
+                                       const task_ref& aTask,
+                                       time_point aNow) const
+{
+  const auto& state = aJob.mState;
+  const auto& step = state.StepOf(aTask);
+  if (step.mLongRunning) {
+    return run_progress::kNever;
+  }
+  duration longest{ 0 };
+  for (const auto& member : state.Placed()) {
+    const bool isOfGang =
+      member.mOccurrence == aTask.mOccurrence && member.mStep == aTask.mStep;
+    if (member != aTask && !(step.mGang && isOfGang)) {
+      continue;
+    }
+    const auto worker = mWorkers.find(state.Task(member).mWorker);
+    assert(worker != mWorkers.end());
+    const auto& runs = worker->second->mRuns.Runs();
+    const auto run = runs.find(member);
+    if (run == runs.end()) {
+      continue;
+    }
+    const auto whole = mDurations.Expected(state.Job().mQueue, step.mEstimate);
+    const auto left =
+      run->second.mProgress.Left(aNow).value_or(whole - (aNow - run->second.mSince));
+    longest = std::max(longest, left);
+  }
+  return longest;
+}
+
 bool fleet_scheduler::IsAtWork(const job_entry& aJob,
                                const task_ref& aTask,
                                const run_info& aRun,
@@ -85,4 +161,56 @@
   return since - aRun.mConfirmedAt < kTogether || aNow - since > kTwoReports;
 }
 
+bool fleet_scheduler::IsFarFromItsRack(const job_entry& aJob,
+                                       const task_ref& aTask,
+                                       const worker_entry& aWorker) const
+{
+  const auto& step = aJob.mState.StepOf(aTask);
+  if (!step.mDataRack.empty() && step.mDataRack != aWorker.mListed.mRack) {
+    return true;
+  }
+  if (!step.mGang || !step.mSameRack) {
+    return false;
+  }
+  const auto placed = aJob.mState.Placed();
+  return std::any_of(placed.begin(), placed.end(), [&](const task_ref& aMember) {
+    const auto worker = mWorkers.find(aJob.mState.Task(aMember).mWorker);
+    return aMember.mOccurrence == aTask.mOccurrence && aMember.mStep == aTask.mStep &&
+           worker != mWorkers.end() &&
+           worker->second->mListed.mRack != aWorker.mListed.mRack;
+  });
+}
+
+bool fleet_scheduler::HasRoomElsewhere(const worker_entry& aWorker,
+                                       const job_entry& aJob,
+                                       const task_ref& aTask,
+                                       time_point aNow) const
+{
+  const auto& step = aJob.mState.StepOf(aTask);
+  const auto need = OccupiedBy(step);
+  const bool oneRack = step.mGang && step.mSameRack;
+  const auto placed = aJob.mState.Placed();
+  const auto mayTakeOneMore = [&](const std::string& aId) {
+    const auto there =
+      std::count_if(placed.begin(), placed.end(), [&](const task_ref& aOther) {
+        return aOther.mOccurrence == aTask.mOccurrence && aOther.mStep == aTask.mStep &&
+               aJob.mState.Task(aOther).mWorker == aId;
+      });
+    return step.mMaxPerWorker == 0 || there < step.mMaxPerWorker;
+  };
+  return std::any_of(mWorkers.begin(), mWorkers.end(), [&](const auto& aOther) {
+    const auto& other = *aOther.second;
+    const auto free = FreeOf(other);
+    const bool fits = free.mCpuMillis >= need.mCpuMillis &&
+                      free.mMemoryMb >= need.mMemoryMb &&
+                      free.mAccelerators >= need.mAccelerators;
+    const bool suits = other.mListed.mPool == aWorker.mListed.mPool &&
+                       (step.mRequiredLabel.empty() ||
+                        other.mListed.mLabels.count(step.mRequiredLabel) != 0) &&
+                       (!oneRack || other.mListed.mRack == aWorker.mListed.mRack);
+    return &other != &aWorker && fits && suits && mayTakeOneMore(aOther.first) &&
+           TakesStarts(other, aNow) && other.mHealth.Reluctance() == 0.0;
+  });
+}
+
 } // namespace anvildoor
--- a/src/scheduler/FleetSchedulerState.h
+++ b/src/scheduler/FleetSchedulerState.h
@@ -40,6 +40,8 @@
   bool mHolding = false;   ///< A hold is on its way.
   uint64_t mHoldRound = 0; ///< Rises with each planned hold: older timers end.
   bool mSilent = false;    ///< The last call got no answer.
+  /** While it drains: until then it surely stays. */
+  std::optional<time_point> mLeavesAt;
 };
 
 /** Wraps a callback so that it does nothing once the term has ended. */
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -59,7 +59,13 @@
     if (isNew || drains) {
       mPorts.mLog.Write(log_event(drains ? "worker_draining" : "worker_listed")
                           .Add("worker", listed.mId)
-                          .Add("address", listed.mAddress));
+                          .Add("address", listed.mAddress)
+                          .Add("remaining_ms", listed.mRemaining.count()));
+    }
+    if (drains && listed.mRemaining > duration::zero()) {
+      worker.mLeavesAt = now + listed.mRemaining;
+    } else if (!listed.mDraining) {
+      worker.mLeavesAt.reset();
     }
     if (worker.mIsListed && listed.mBeat != worker.mSight.mBeat) {
       // Only a change is a beat: an entry seen for the first time may be old.
@@ -69,6 +75,9 @@
     worker.mSight.mSeenAt = now;
     worker.mListed = listed;
     worker.mIsListed = true;
+    if (drains) {
+      CheckProgress(worker, now);
+    }
     if (isNew && !worker.mHolding) {
       HoldSoon(worker, duration::zero());
     }
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/StoreKeys.h"
 #include "support/FakeInstallation.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace anvildoor;
@@ -406,3 +407,43 @@
   CHECK(site.mLog.CountOf("it makes no progress") == 1);
   CHECK(site.MostAtOnce() == 1);
 }
+
+TEST_CASE("what a leaving worker cannot finish starts elsewhere before it leaves",
+          "[installation]")
+{
+  struct row
+  {
+    int64_t mWorkMs;
+    int64_t mRemainingMs; // 0: the worker does not say.
+    bool mCheckpointing;
+    bool mRoomElsewhere;
+    bool mMoves;
+  };
+  const auto [work, remaining, checkpointing, room, moves] =
+    GENERATE(row{ 20'000, 2'000, false, true, true },
+             row{ 2'500, 7'000, false, true, false },
+             row{ 20'000, 0, false, true, false },
+             row{ 20'000, 2'000, false, false, false }, // It may still end there.
+             row{ 20'000, 2'000, true, false, true });  // Its work is saved.
+  CAPTURE(work, remaining, checkpointing, room);
+  fake_installation site(2, 2);
+  site.mWork["work"] = { duration(work), false };
+  auto job = fake_installation::MakeJob(kJob, room ? 1 : 16);
+  job.mSpec.mPayload = "work";
+  job.mSpec.mSteps.front().mEstimate = duration(work);
+  job.mSpec.mSteps.front().mCheckpointing = checkpointing;
+  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(1'000));
+  const auto worker = site.mTraces.front().mWorker;
+  const auto runsThere = static_cast<size_t>(
+    std::count_if(site.mTraces.begin(), site.mTraces.end(), [&](const auto& aTrace) {
+      return aTrace.mWorker == worker;
+    }));
+  site.ListWorker(worker, true, duration(remaining));
+  site.mLoop.RunFor(duration(1'500));
+  CHECK(site.mLog.CountOf("its worker leaves before its end") ==
+        (moves ? runsThere : 0));
+  const size_t tasks = room ? 1 : 16;
+  CHECK(site.StartsOf(kJob) == tasks + (moves && room ? 1 : 0));
+  CHECK(site.MostAtOnce() == 1);
+}
--- a/tests/JobOutlookTest.cpp
+++ b/tests/JobOutlookTest.cpp
@@ -34,11 +34,11 @@
 TEST_CASE("the chain of a job is its longest way through the steps", "[outlook]")
 {
   job_state state(Job());
-  CHECK(ChainOf(state, 0, false) == duration(5'000));
+  CHECK(ChainOf(state, 0, false, duration_model()) == duration(5'000));
   state.Place({ "00000000000000a1", 0, 1, 0 }, 1, "w");
   state.End({ "00000000000000a1", 0, 1, 0 }, 1, run_end::kDone, "");
-  CHECK(ChainOf(state, 0, false) == duration(5'000));
-  CHECK(ChainOf(state, 0, true) == duration(4'000));
+  CHECK(ChainOf(state, 0, false, duration_model()) == duration(5'000));
+  CHECK(ChainOf(state, 0, true, duration_model()) == duration(4'000));
 }
 
 TEST_CASE("what a job can still reach", "[outlook]")
@@ -56,12 +56,40 @@
                                        row{ 128'000, job_outlook::kLate },
                                        row{ 128'001, job_outlook::kHopeless });
   CAPTURE(now);
-  CHECK(OutlookOf(job_state(Job()), 0, now) == outlook);
+  CHECK(OutlookOf(job_state(Job()), 0, now, duration_model()) == outlook);
 }
 
 TEST_CASE("an occurrence counts from its due time", "[outlook]")
 {
   const job_state state(Job(200'000));
-  CHECK(DeadlinesOf(state, 0) == job_deadlines{ 210'500, 231'500 });
-  CHECK(DeadlinesOf(state, 2) == job_deadlines{ 230'500, 251'500 });
+  CHECK(DeadlinesOf(state, 0, duration_model()) == job_deadlines{ 210'500, 231'500 });
+  CHECK(DeadlinesOf(state, 2, duration_model()) == job_deadlines{ 230'500, 251'500 });
+}
+
+TEST_CASE("what was seen of a queue counts for more than an estimate", "[outlook]")
+{
+  struct row
+  {
+    int mSeen; // Tasks of 8 s.
+    int64_t mEstimateMs;
+    int64_t mAtLeastMs;
+    int64_t mAtMostMs;
+  };
+  const auto [seen, estimate, atLeast, atMost] =
+    GENERATE(row{ 0, 1'000, 1'000, 1'000 },
+             row{ 4, 1'000, 1'000, 1'000 },
+             // An estimate eight times off is at most half off in the end.
+             row{ 5, 1'000, 5'000, 8'000 },
+             row{ 100, 1'000, 5'000, 8'000 },
+             row{ 100, 64'000, 8'000, 13'000 },
+             row{ 100, 0, 8'000, 8'000 });
+  CAPTURE(seen, estimate);
+  duration_model model;
+  for (int number = 0; number < seen; ++number) {
+    model.Learn("queue", duration(8'000));
+  }
+  const auto expected = model.Expected("queue", duration(estimate));
+  CHECK(expected.count() >= atLeast);
+  CHECK(expected.count() <= atMost);
+  CHECK(model.Expected("other", duration(estimate)) == duration(estimate));
 }
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -269,6 +269,7 @@
           worker.mCapacity = { 32'000, 65'536, 8 };
           worker.mBeat = item.mRevision;
           worker.mDraining = text.at("draining").get<bool>();
+          worker.mRemaining = duration(text.at("remaining").get<int64_t>());
           workers.push_back(worker);
         }
         done(workers);
@@ -358,11 +359,16 @@
   ListWorker(aId);
 }
 
-void fake_installation::ListWorker(const std::string& aId, bool aDraining)
+void fake_installation::ListWorker(const std::string& aId,
+                                   bool aDraining,
+                                   duration aRemaining)
 {
   const auto rack = "r" + std::to_string(std::stoul(aId.substr(1)) / mPerRack);
   mStore.Put(kWorkersKey + aId,
-             nlohmann::json{ { "rack", rack }, { "draining", aDraining } }.dump());
+             nlohmann::json{ { "rack", rack },
+                             { "draining", aDraining },
+                             { "remaining", aRemaining.count() } }
+               .dump());
 }
 
 void fake_installation::CrashWorker(const std::string& aId, bool aComesBack)
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -73,7 +73,9 @@
   void Kill(const std::string& aVm);
   void Restart(const std::string& aVm);
   void CrashWorker(const std::string& aId, bool aComesBack);
-  void ListWorker(const std::string& aId, bool aDraining = false);
+  void ListWorker(const std::string& aId,
+                  bool aDraining = false,
+                  duration aRemaining = duration::zero());
 
   /** Returns the VM that schedules, or "". */
   std::string SchedulerVm() const;
