The room kept for a gang stays its own from round to round

Traced by the seats of each round: a round kept room for a waiting gang, but the next one chose among all workers anew, the tightest and first ones; each worker that became whole shifted the choice, the worker given up went to small tasks, and the gang next in line had these stopped again.

A plan now tells which room it keeps; the next round holds that room for the group, lets no other have it, and prefers it when it seats the group.

Ruled out: closed workers (all were open), a group served before it (the same with one group), the outlook changing.

Tests: "the room kept for a group stays its own from round to round" and "room kept for one group is not made the room of another".

--- a/src/planner/TaskPlacement.cpp
+++ b/src/planner/TaskPlacement.cpp
@@ -28,6 +28,8 @@
 
 /** More than any worker's leftover: data nearby goes before a tight fit. */
 constexpr double kDataRackGain = 1'000.0;
+/** The room kept for a group goes before a tight fit, too, and after data nearby. */
+constexpr double kReservedGain = 500.0;
 
 /**
  * Work may be thrown away up to this many times the work that gets its room. The
@@ -80,6 +82,7 @@
     for (const auto& [name, number] : racks) {
       mRackNames[number] = name;
     }
+    HoldReserved();
   }
 
   placement_plan Run()
@@ -91,9 +94,46 @@
   }
 
 private:
+  /** Takes the room that the last round kept out of what others may have. */
+  void HoldReserved()
+  {
+    std::map<std::string, size_t> numbers;
+    for (size_t number = 0; number < mInput.mWorkers.size(); ++number) {
+      numbers[mInput.mWorkers[number].mId] = number;
+    }
+    mHeld.resize(mInput.mGroups.size());
+    for (size_t number = 0; number < mInput.mGroups.size(); ++number) {
+      const auto& group = mInput.mGroups[number];
+      for (const auto& id : group.mReserved) {
+        const auto worker = numbers.find(id);
+        if (worker != numbers.end() && Suits(group, worker->second)) {
+          mHeld[number].push_back(worker->second);
+          Take(group, worker->second, 1);
+        }
+      }
+    }
+  }
+
+  /** Takes the room of aSeats tasks of the group on a worker; gives it if negative. */
+  void Take(const placement_group& aGroup, size_t aWorker, int64_t aSeats)
+  {
+    const auto need = NeedOf(aGroup);
+    Add(mFree[aWorker], need, -aSeats);
+    Add(mSoon[aWorker], need, -aSeats);
+  }
+
+  bool IsHeldFor(const placement_group& aGroup, size_t aWorker) const
+  {
+    const auto& held = mHeld[static_cast<size_t>(&aGroup - mInput.mGroups.data())];
+    return std::find(held.begin(), held.end(), aWorker) != held.end();
+  }
+
   void PlaceGroup(size_t aNumber)
   {
     const auto& group = mInput.mGroups[aNumber];
+    for (const auto worker : mHeld[aNumber]) {
+      Take(group, worker, -1);
+    }
     const shape like{ NeedOf(group),
                       group.mPool,
                       group.mSpec.mRequiredLabel,
@@ -101,17 +141,15 @@
                       group.mSpec.mSameRack && !group.mMaySpread,
                       group.mSpec.mGang ? group.mIndices.size() : 0 };
     seats found;
-    if (mFailed.count(like) == 0) {
+    if (mFailed.count(like) == 0 || !mHeld[aNumber].empty()) {
       found = Seat(group, group.mIndices, mFree);
       if (found.empty() && group.mAvoid.empty() && group.mSpec.mMaxPerWorker == 0) {
         mFailed.insert(like);
       }
     }
-    const auto need = NeedOf(group);
     for (const auto& [index, worker] : found) {
       mPlan.mStarts.push_back({ aNumber, index, worker });
-      Add(mFree[worker], need, -1);
-      Add(mSoon[worker], need, -1);
+      Take(group, worker, 1);
     }
     if (found.size() == group.mIndices.size()) {
       return;
@@ -164,10 +202,10 @@
 
   void Keep(const placement_group& aGroup, const seats& aSeats)
   {
-    const auto need = NeedOf(aGroup);
+    const auto number = static_cast<size_t>(&aGroup - mInput.mGroups.data());
     for (const auto& [index, worker] : aSeats) {
-      Add(mSoon[worker], need, -1);
-      Add(mFree[worker], need, -1);
+      mPlan.mReserved.push_back({ number, worker });
+      Take(aGroup, worker, 1);
     }
   }
 
@@ -388,6 +426,7 @@
         aGroup.mSpec.mDataRack == mRackNames.at(rack) ? -kDataRackGain : 0.0;
       for (const auto worker : mRacks[rack]) {
         score += Leftover(mSoon[worker]);
+        score -= IsHeldFor(aGroup, worker) ? kReservedGain : 0.0;
       }
       if (best.empty() || score < bestScore) {
         best = std::move(found);
@@ -421,6 +460,7 @@
       double score = Leftover(aRoom[aWorker]) + about.mReluctance;
       const auto& data = aGroup.mSpec.mDataRack;
       score -= !data.empty() && about.mRack == data ? kDataRackGain : 0.0;
+      score -= IsHeldFor(aGroup, aWorker) ? kReservedGain : 0.0;
       candidates.push_back({ score, aWorker, capacity });
     };
     if (aSearch.mOnlyRack) {
@@ -494,6 +534,7 @@
   std::vector<std::vector<size_t>> mRacks;
   std::map<size_t, std::string> mRackNames;
   std::set<shape> mFailed;
+  std::vector<std::vector<size_t>> mHeld; ///< Workers by group, one entry a seat.
   std::vector<bool> mStopped;
   placement_plan mPlan;
 };
--- a/src/planner/TaskPlacement.h
+++ b/src/planner/TaskPlacement.h
@@ -41,6 +41,8 @@
   bool mGuaranteed = false; ///< Within its workspace's guarantee.
   bool mMaySpread = false;  ///< mSameRack has waited long enough to give way.
   std::map<std::string, uint32_t> mAlready; ///< Tasks of the occurrence by worker.
+  /** Workers whose room the last round kept for it, one entry a seat. */
+  std::vector<std::string> mReserved;
   /** Workers to use only if no other has room, by index. */
   std::map<uint32_t, std::set<std::string>> mAvoid;
 
@@ -77,11 +79,21 @@
   auto operator<=>(const placement&) const = default;
 };
 
+/** Room that is or becomes free and is kept for a group that waits. */
+struct reservation
+{
+  size_t mGroup = 0;
+  size_t mWorker = 0;
+
+  auto operator<=>(const reservation&) const = default;
+};
+
 struct placement_plan
 {
   std::vector<placement> mStarts;
-  std::vector<size_t> mStops;   ///< Units to stop so that a group fits.
-  std::vector<size_t> mWaiting; ///< Groups of which something was not placed.
+  std::vector<reservation> mReserved; ///< To be handed in with the next round.
+  std::vector<size_t> mStops;         ///< Units to stop so that a group fits.
+  std::vector<size_t> mWaiting;       ///< Groups of which something was not placed.
 
   auto operator<=>(const placement_plan&) const = default;
 };
@@ -90,7 +102,9 @@
  * Places what fits, group by group. A gang goes whole or not at all, into one rack if
  * it asks for that; single tasks go where they fit best. A group that may preempt and
  * does not fit gets the room of the cheapest runs of lower priority: they are named to
- * be stopped and their room is kept for it. Pure and deterministic. Thread-safe.
+ * be stopped and their room is kept for it. The next round keeps the same room for it
+ * and lets no other group have it: else the room goes to small tasks, which the round
+ * after stops again. Pure and deterministic. Thread-safe.
  */
 placement_plan PlaceTasks(const placement_input& aInput);
 
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -93,6 +93,7 @@
   mEarlyCancels.clear();
   mStray.clear();
   mWorkers.clear();
+  mReserved.clear();
   mDurations = duration_model();
 }
 
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -195,6 +195,8 @@
   std::map<std::string, std::unique_ptr<worker_entry>> mWorkers;
   /** Tasks that run where no record has them: not to be started before that ended. */
   std::map<task_ref, std::string> mStray;
+  /** Room kept by the last planning round: workers by a step's first task. */
+  std::map<task_ref, std::vector<std::string>> mReserved;
   duration_model mDurations;              ///< Learned during this term.
   duration mPlanCost{ 0 };                ///< Of the last planning round.
   std::map<std::string, int64_t> mDemand; ///< Accelerators of priority 0, by workspace.
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -53,6 +53,7 @@
   std::vector<std::string> workerIds;
   auto input = BuildInput(workerIds);
   if (input.mGroups.empty()) {
+    mReserved.clear();
     return;
   }
   auto plan = PlaceTasks(input);
@@ -194,6 +195,10 @@
       const auto patience = duration(static_cast<int64_t>(
         kSpreadAfterRuns * static_cast<double>(group.mSpec.mEstimate.count())));
       group.mMaySpread = now - aJob.mSeenAt > patience;
+      const auto reserved = mReserved.find({ about.mId, occurrence, step, 0 });
+      if (group.mMayPreempt && reserved != mReserved.end()) {
+        group.mReserved = reserved->second;
+      }
       bool isSettled = true;
       for (const auto index : waiting) {
         const task_ref task{ about.mId, occurrence, step, index };
@@ -259,6 +264,12 @@
                               const std::vector<std::string>& aWorkerIds)
 {
   const auto now = mPorts.mLoop.Now();
+  mReserved.clear();
+  for (const auto& [number, worker] : aPlan.mReserved) {
+    const auto& group = aInput.mGroups[number];
+    mReserved[{ group.mJob, group.mOccurrence, group.mStep, 0 }].push_back(
+      aWorkerIds[worker]);
+  }
   std::map<std::string, std::vector<std::pair<task_ref, uint32_t>>> placed;
   std::map<size_t, uint32_t> gangRuns;
   for (const auto& start : aPlan.mStarts) {
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -312,3 +312,51 @@
   CHECK(plan.mStarts.empty());
   CHECK(plan.mStops.empty());
 }
+
+TEST_CASE("the room kept for a group stays its own from round to round", "[placement]")
+{
+  // Whole workers are being cleared for a gang of three when another one becomes free:
+  // small tasks may have that one, and none of those that were cleared.
+  const auto reserved = GENERATE(false, true);
+  auto input = Fleet(1, 4);
+  for (const size_t freeing : { 1, 2 }) {
+    input.mWorkers[freeing].mFreeing = input.mWorkers[freeing].mWhole;
+    input.mWorkers[freeing].mFree = task_resources();
+  }
+  auto gang = Group(3, 8);
+  gang.mSpec.mGang = true;
+  gang.mPriority = 0;
+  gang.mMayPreempt = true;
+  if (reserved) {
+    gang.mReserved = { "w0-1", "w0-2", "w0-3" };
+  }
+  auto small = Group(16, 1);
+  small.mJob = "small";
+  input.mGroups = { gang, small };
+  const auto plan = PlaceTasks(input);
+  REQUIRE(plan.mStarts.size() == 8);
+  CHECK(plan.mStarts.front().mWorker == (reserved ? 0 : 3));
+  REQUIRE(plan.mReserved.size() == 3);
+  CHECK(plan.mReserved.front().mWorker == (reserved ? 1 : 0));
+}
+
+TEST_CASE("room kept for one group is not made the room of another", "[placement]")
+{
+  auto input = Fleet(1, 2);
+  input.mWorkers[0].mFreeing = input.mWorkers[0].mWhole;
+  input.mWorkers[0].mFree = task_resources();
+  Occupy(input, 1, 4, 2);
+  auto first = Group(1, 8);
+  first.mSpec.mGang = true;
+  first.mPriority = 0;
+  first.mMayPreempt = true;
+  auto second = first;
+  second.mJob = "second";
+  second.mReserved = { "w0-0" };
+  input.mGroups = { first, second };
+  const auto plan = PlaceTasks(input);
+  CHECK(plan.mStops.size() == 1); // The first one has the other worker cleared.
+  REQUIRE(plan.mReserved.size() == 2);
+  CHECK(plan.mReserved[0] == reservation{ 0, 1 });
+  CHECK(plan.mReserved[1] == reservation{ 1, 0 });
+}
