Tasks whose work is saved at a stop give way before those that lose theirs

Which ones was decided by the time they had run, up to a second for tasks that save their work at the stop; so a task that loses half a second went before one that loses nothing.

What a stop costs a checkpointing task is 0.2 s now: a restore takes 0.1 s.

Test: "tasks whose work is saved give way before younger ones that lose theirs" fails on the code before.

--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -17,6 +17,9 @@
 /** A gang may leave its rack when it has waited this part of its run time. */
 constexpr double kSpreadAfterRuns = 3.0;
 constexpr double kMillisPerCore = 1'000.0;
+/** Seconds that a stop costs a task whose work is saved at it: a restore takes 0.1 s.
+ */
+constexpr double kResumeLoss = 0.2;
 /** Why a run is stopped for another. */
 constexpr const char* kRoomNeeded = "its room is needed by a higher priority";
 constexpr double kMsPerSecond = 1'000.0;
@@ -253,7 +256,7 @@
       into.mParts.emplace_back(number, run.mResources);
       const double seconds =
         static_cast<double>((now - run.mSince).count()) / kMsPerSecond;
-      into.mLoss += (step.mCheckpointing ? std::min(seconds, 1.0) : seconds) *
+      into.mLoss += (step.mCheckpointing ? std::min(seconds, kResumeLoss) : seconds) *
                     CoresOf(run.mResources);
     }
   }
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -447,3 +447,28 @@
   CHECK(site.StartsOf(kJob) == tasks + (moves && room ? 1 : 0));
   CHECK(site.MostAtOnce() == 1);
 }
+
+TEST_CASE("tasks whose work is saved give way before younger ones that lose theirs",
+          "[installation]")
+{
+  fake_installation site(2, 1);
+  site.mWork["long"] = { duration(20'000), false };
+  const std::string saves = "00000000000000b1";
+  const std::string loses = "00000000000000b2";
+  for (const auto& id : { saves, loses }) {
+    auto filler = fake_installation::MakeJob(id, 4, false, 2);
+    filler.mSpec.mPayload = "long";
+    filler.mSpec.mSteps.front().mCheckpointing = id == saves;
+    REQUIRE(site.Submit("vm0", filler) == job_answer::kAccepted);
+    site.mLoop.RunFor(duration(700));
+  }
+  REQUIRE(site.Submit("vm0", fake_installation::MakeJob(kOther, 3, true, 0)) ==
+          job_answer::kAccepted);
+  site.mLoop.RunFor(duration(1'000));
+  REQUIRE(site.StartsOf(kOther) == 3);
+  for (const auto& trace : site.mTraces) {
+    if (trace.mEnd == run_end::kStopped) {
+      CHECK(trace.mTask.mJob == saves);
+    }
+  }
+}
