Of a long-running step no more is stopped than may be away at once

Cause: may_miss was read and never used: runs of a serving step were stopped for a higher priority like any other, all of them if need be.

What may be stopped of such a step is counted from what is not at work, on a silent worker or being stopped already; a gang only goes as a whole. Evacuation of a leaving worker is not bound by it, as its tasks end anyway.

Test: "of a long-running step no more is stopped than may be away"; two rows fail on the code before. The stand-in worker learnt tasks that last.

--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -156,6 +156,8 @@
   static bool TakesStarts(const worker_entry& aWorker, time_point aNow);
   placement_input BuildInput(std::vector<std::string>& aWorkerIds);
   void AddGroups(job_entry& aJob, std::vector<placement_group>& aGroups);
+  /** Returns how many tasks of a long-running step are not at work. */
+  int64_t AwayOf(const job_state& aState, const task_ref& aFirst) const;
   void AddUnits(const std::vector<std::string>& aWorkerIds,
                 std::vector<placed_unit>& aUnits) const;
   void LogPlaced(const job_entry& aJob,
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -226,11 +226,31 @@
   }
 }
 
+int64_t fleet_scheduler::AwayOf(const job_state& aState, const task_ref& aFirst) const
+{
+  constexpr int64_t kAtWork = 100;
+  int64_t atWork = 0;
+  for (const auto& task : aState.Placed()) {
+    const auto worker = mWorkers.find(aState.Task(task).mWorker);
+    if (task.mOccurrence != aFirst.mOccurrence || task.mStep != aFirst.mStep ||
+        worker == mWorkers.end() || worker->second->mSilent) {
+      continue;
+    }
+    const auto& runs = worker->second->mRuns.Runs();
+    const auto run = runs.find(task);
+    const bool works = run != runs.end() && !run->second.mStopping &&
+                       run->second.mProgress.Percent() >= kAtWork;
+    atWork += works ? 1 : 0;
+  }
+  return int64_t(aState.StepOf(aFirst).mCount) - atWork;
+}
+
 void fleet_scheduler::AddUnits(const std::vector<std::string>& aWorkerIds,
                                std::vector<placed_unit>& aUnits) const
 {
   const auto now = mPorts.mLoop.Now();
   std::map<task_ref, size_t> gangs;
+  std::map<task_ref, int64_t> mayStop; // By a step's first task.
   for (size_t number = 0; number < aWorkerIds.size(); ++number) {
     for (const auto& [task, run] : mWorkers.at(aWorkerIds[number])->mRuns.Runs()) {
       const auto found = mJobs.find(task.mJob);
@@ -241,6 +261,16 @@
       const auto& step = state.StepOf(task);
       auto first = task;
       first.mIndex = 0;
+      if (step.mLongRunning && step.mMayMiss > 0) {
+        const auto [left, isNew] = mayStop.emplace(first, 0);
+        if (isNew) {
+          left->second = int64_t(step.mMayMiss) - AwayOf(state, first);
+        }
+        if (left->second < (step.mGang ? int64_t(step.mCount) : 1)) {
+          continue;
+        }
+        left->second -= step.mGang ? 0 : 1;
+      }
       auto unit = gangs.find(first);
       if (!step.mGang || unit == gangs.end()) {
         placed_unit added;
--- a/src/standin/RunWorker.cpp
+++ b/src/standin/RunWorker.cpp
@@ -74,7 +74,8 @@
         return;
       }
       const auto found = mRuns.find(task);
-      if (found != mRuns.end() && found->second.mRun == number) {
+      const bool isThere = found != mRuns.end() && found->second.mRun == number;
+      if (isThere && !found->second.mWork.mLasts) {
         End(task, found->second.mWork.mFails ? run_end::kFailed : run_end::kDone);
       }
     });
--- a/src/standin/RunWorker.h
+++ b/src/standin/RunWorker.h
@@ -14,6 +14,7 @@
 {
   duration mTime{ 1'000 };
   bool mFails = false;
+  bool mLasts = false; ///< Runs until it is stopped; at work after mTime.
 
   auto operator<=>(const run_work&) const = default;
 };
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -472,3 +472,37 @@
     }
   }
 }
+
+TEST_CASE("of a long-running step no more is stopped than may be away",
+          "[installation]")
+{
+  struct row
+  {
+    uint32_t mMayMiss;
+    uint32_t mNeeded; // Accelerators that an urgent gang needs, one a task.
+    size_t mStopped;
+  };
+  const auto [mayMiss, needed, stopped] =
+    GENERATE(row{ 2, 2, 2 }, row{ 2, 3, 0 }, row{ 1, 1, 1 }, row{ 1, 2, 0 });
+  CAPTURE(mayMiss, needed);
+  fake_installation site(2, 1);
+  run_work lasting;
+  lasting.mTime = duration(300);
+  lasting.mLasts = true;
+  site.mWork["serves"] = lasting;
+  auto service = fake_installation::MakeJob(kJob, 8, false, 2);
+  service.mSpec.mPayload = "serves";
+  service.mSpec.mSteps.front().mLongRunning = true;
+  service.mSpec.mSteps.front().mMayMiss = mayMiss;
+  REQUIRE(site.Submit("vm0", service) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(3'000));
+  REQUIRE(site.StartsOf(kJob) == 8);
+  REQUIRE(site.Submit("vm0", fake_installation::MakeJob(kOther, needed, true, 0)) ==
+          job_answer::kAccepted);
+  site.mLoop.RunFor(duration(800));
+  CHECK(site.StartsOf(kOther) == stopped);
+  CHECK(static_cast<size_t>(std::count_if(
+          site.mTraces.begin(), site.mTraces.end(), [](const auto& aTrace) {
+            return aTrace.mEnd == run_end::kStopped;
+          })) == stopped);
+}
