A lost renewal ends no term, and the scheduler's lease is 1.2 s

Cause: a renewal was sent 400 ms after the answer to the one before, and an answer that does not come is given up after 1.5 s; so one lost call of the store left 1.9 s between two renewals of a lease of 1.5 s. A cut of 300 ms ended the term in six of eight phases.

Renewals are sent each 400 ms whatever became of the last one. Two may be lost in a row within 1.2 s, so that a successor waits 0.3 s less.

Ruled out: a shorter timeout of the store's calls, as a slow store takes 240 ms and more.

Test: "a moment without the store does not end the scheduler's term".

--- a/src/scheduler/Election.cpp
+++ b/src/scheduler/Election.cpp
@@ -244,6 +244,8 @@
     RetryLook(duration::zero());
     return;
   }
+  // The next one does not wait for this answer: it may be lost, and the lease with it.
+  RenewSoon();
   mStore.KeepLease(mLease, [this, round, asked](const result<uint64_t>& aKept) {
     if (round != mRound) {
       return;
@@ -256,9 +258,9 @@
       return;
     }
     if (aKept) {
-      mOrdersUntil = asked + mTimes.mTtl + mTimes.mGoOnFor;
+      const auto until = asked + mTimes.mTtl + mTimes.mGoOnFor;
+      mOrdersUntil = std::max(mOrdersUntil, until);
     }
-    RenewSoon();
   });
 }
 
--- a/src/scheduler/Election.h
+++ b/src/scheduler/Election.h
@@ -13,8 +13,8 @@
 struct election_times
 {
   /** Short, as a takeover waits for it; the store grants no less than 1 s. */
-  duration mTtl{ 1'500 };
-  duration mRenewEvery{ 400 };
+  duration mTtl{ 1'200 };
+  duration mRenewEvery{ 400 }; ///< Two renewals may be lost in a row.
   /** A holder without the store goes on this long past its lease, fenced by workers. */
   duration mGoOnFor{ 4'000 };
   duration mRetry{ 150 };
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -506,3 +506,20 @@
             return aTrace.mEnd == run_end::kStopped;
           })) == stopped);
 }
+
+TEST_CASE("a moment without the store does not end the scheduler's term",
+          "[installation]")
+{
+  const auto phase = GENERATE(range(0, 400, 50));
+  CAPTURE(phase);
+  fake_installation site(3, 2);
+  const auto holder = site.SchedulerVm();
+  REQUIRE_FALSE(holder.empty());
+  site.mLoop.RunFor(duration(phase));
+  site.mFaults.mCuts.insert({ holder, "store" });
+  site.mLoop.RunFor(duration(300));
+  site.mFaults.mCuts.clear();
+  site.mLoop.RunFor(duration(4'000));
+  CHECK(site.SchedulerVm() == holder);
+  CHECK(site.mLog.CountOf("event=scheduler_won") == 1);
+}
