Workers whose ends cannot be recorded are asked each 400 ms, not without pause

Cause: a worker answers a hold at once while it lists ends. The pause of 400 ms only followed an answer with new ends.

A hold now follows at once only if it can acknowledge something or no end is listed; the end of a write still sends one at once.

Ruled out: the 300 ms between calls of silent workers (not taken up here).

Test: "workers are not asked more often while the store is away" fails on the code before (12,000 against 36, three calls a second and worker).

--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -13,7 +13,8 @@
 constexpr duration kHoldWait{ 1'000 };
 /** A hold of a worker that answers badly or not at all is repeated after this pause. */
 constexpr duration kHoldRetry{ 300 };
-/** Ends are acknowledged as soon as they are durable, or asked about after this. */
+/** Ends are acknowledged as soon as they are durable; until then a worker is asked so
+ * often. */
 constexpr duration kHoldWhileOpen{ 400 };
 /** A worker silent for longer gets no new lease, so that what it holds can lapse. */
 constexpr duration kSilentAfter{ 2'000 };
@@ -159,11 +160,10 @@
   const auto events = aWorker.mRuns.OnHold(aReply, aSentAt, mPorts.mLoop.Now());
   Apply(aWorker, events);
   CheckProgress(aWorker, mPorts.mLoop.Now());
-  const bool isOpen = std::any_of(events.begin(), events.end(), [](const auto& aEvent) {
-    return aEvent.mNumber != 0;
-  });
-  const bool next = aWorker.mRuns.HasUnsentAcknowledgement() || !isOpen;
-  HoldSoon(aWorker, next ? duration::zero() : kHoldWhileOpen);
+  // A worker answers at once while it lists ends: without a pause it would be asked
+  // without end when the store is away and they cannot become durable.
+  const bool isDue = aWorker.mRuns.HasUnsentAcknowledgement() || aReply.mEnded.empty();
+  HoldSoon(aWorker, isDue ? duration::zero() : kHoldWhileOpen);
   if (first) {
     PlanSoon();
   }
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -523,3 +523,22 @@
   CHECK(site.SchedulerVm() == holder);
   CHECK(site.mLog.CountOf("event=scheduler_won") == 1);
 }
+
+TEST_CASE("workers are not asked more often while the store is away", "[installation]")
+{
+  constexpr size_t kWorkers = 4;
+  fake_installation site(2, kWorkers);
+  auto job = fake_installation::MakeJob(kJob, 4);
+  job.mSpec.mSteps.front().mMaxPerWorker = 1;
+  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(500));
+  site.mFaults.mRefusing = { "vm0", "vm1" };
+  site.mLoop.RunFor(duration(1'000)); // The tasks end; that cannot be recorded.
+  const auto before = site.mHolds;
+  constexpr size_t kSeconds = 3;
+  site.mLoop.RunFor(std::chrono::seconds(kSeconds));
+  // The letter counts each call: three a second and worker are enough to see an end.
+  CHECK(site.mHolds - before <= 3 * kWorkers * kSeconds);
+  site.mFaults.mRefusing.clear();
+  CHECK(site.Reaches("vm0", kJob, "done", duration(3'000)));
+}
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -228,6 +228,7 @@
       return;
     }
     auto* worker = Reached(aOrder.mWorker);
+    mSite.mHolds += worker != nullptr ? 1 : 0;
     const auto answered = std::make_shared<bool>(false);
     const auto answer =
       [this, answered, done = std::move(aDone)](const hold_reply& aReply) {
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -93,6 +93,7 @@
   fake_faults mFaults;
   kept_log mLog;
   std::vector<run_trace> mTraces;
+  size_t mHolds = 0; ///< Calls that reached a worker.
   std::map<std::string, std::unique_ptr<run_worker>> mWorkers;
   std::map<std::string, run_work> mWork; ///< By payload.
 
