A VM that the store is silent to answers its callers soon

Cause: a submission whose write got no answer waited for its caller's deadline, 2.9 s, also when this VM knew after 1.2 s that the store is silent to it and refused all new ones. Another VM may be served.

After 1.2 s without any answer of the store a submission is answered: 504 if something was sent (a repeat of the id tells), 503 if nothing was.

Ruled out: refusing what is in flight as not run, which would not be known to be true.

Test: "a VM that the store is silent to gives its callers up soon, and truly" fails on the code before (3,000 ms).

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -55,7 +55,9 @@
             aPorts.mLog,
             aPorts.mMetrics,
             mElection,
-            mScheduler })
+            mScheduler,
+            [this] { return StoreReached(); },
+            kStoreSilent })
 {
   mScheduler.SetOrdersUntil([this] { return mElection.OrdersUntil(); });
 }
--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -36,21 +36,27 @@
   open.mUntil = aUntil;
   const auto id = aJob.mId;
   const auto left = std::max(duration::zero(), aUntil - mPorts.mLoop.Now());
-  mPorts.mLoop.RunAfter(left, [this, id, aUntil] { OnTimeout(id, aUntil); });
+  mPorts.mLoop.RunAfter(
+    left, [this, id, aUntil] { GiveUp(id, aUntil, "no answer of the store in time"); });
+  // A store that says nothing to anybody here will not say more by the deadline, and
+  // another VM may reach it.
+  mPorts.mLoop.RunAfter(mPorts.mStoreSilent, [this, id, aUntil] {
+    if (!mPorts.mStoreReached()) {
+      GiveUp(id, aUntil, "the store is silent");
+    }
+  });
   mQueue.push_back(id);
   SendSoon(kGather);
 }
 
-void job_service::OnTimeout(const std::string& aId, time_point aUntil)
+void job_service::GiveUp(const std::string& aId, time_point aUntil, const char* aReason)
 {
   const auto found = mOpen.find(aId);
   if (found == mOpen.end() || found->second.mUntil != aUntil) {
     return;
   }
   const bool nothingSent = !found->second.mInFlight && !found->second.mMaybeStored;
-  Finish(aId,
-         nothingSent ? job_answer::kNotAccepted : job_answer::kUnknown,
-         "no answer of the store in time");
+  Finish(aId, nothingSent ? job_answer::kNotAccepted : job_answer::kUnknown, aReason);
 }
 
 void job_service::SendSoon(duration aAfter)
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -54,12 +54,15 @@
     metrics& mMetrics;
     const scheduler_election& mElection;
     const fleet_scheduler& mScheduler;
+    /** Returns whether the store has answered within the last mStoreSilent. */
+    std::function<bool()> mStoreReached;
+    duration mStoreSilent{ 0 };
   };
 
   /** Everything in aPorts must outlive the service and its calls. */
   explicit job_service(const ports& aPorts);
 
-  /** Stores aJob, or says by aUntil what is known. */
+  /** Stores aJob, or says by aUntil what is known; sooner if the store is silent. */
   void Submit(const accepted_job& aJob, time_point aUntil, respond aRespond);
 
   /** Records that the job is to end. aWorkspace: whose job it must be; empty: any. */
@@ -92,7 +95,7 @@
   void OnStored(const std::vector<std::string>& aIds,
                 const result<transaction_outcome>& aOutcome);
   void Finish(const std::string& aId, job_answer aAnswer, const char* aReason);
-  void OnTimeout(const std::string& aId, time_point aUntil);
+  void GiveUp(const std::string& aId, time_point aUntil, const char* aReason);
   void StateFromStore(const std::string& aId, const respond& aRespond);
   void PendingFromCache(const std::string& aQueue, const respond& aRespond);
 
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -542,3 +542,19 @@
   site.mFaults.mRefusing.clear();
   CHECK(site.Reaches("vm0", kJob, "done", duration(3'000)));
 }
+
+TEST_CASE("a VM that the store is silent to gives its callers up soon, and truly",
+          "[installation]")
+{
+  fake_installation site(2, 2);
+  site.mFaults.mCuts.insert({ "vm0", "store" });
+  const auto began = site.mLoop.Now();
+  // The write may still arrive: a repeat of the id at another VM finds out.
+  CHECK(site.Submit("vm0", fake_installation::MakeJob(kJob, 1)) ==
+        job_answer::kUnknown);
+  CHECK(site.mLoop.Now() - began <= duration(1'500));
+  CHECK(site.Submit("vm1", fake_installation::MakeJob(kJob, 1)) ==
+        job_answer::kAccepted);
+  CHECK(site.Reaches("vm1", kJob, "done", duration(3'000)));
+  CHECK(site.StartsOf(kJob) == 1);
+}
