--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -119,24 +119,27 @@
   void Tick();
   void CheckWorker(worker_entry& aWorker, time_point aNow);
 
-  // Runs that do not get on (FleetSchedulerProgress.cpp).
+  // Runs that had better start elsewhere (FleetSchedulerProgress.cpp).
   void CheckProgress(worker_entry& aWorker, time_point aNow);
-  enum class slow_run
+  enum class run_verdict
   {
-    kNo,
+    kStays,
     kStandsStill,
-    kLeaving, ///< Its worker drains and leaves before its end.
+    kLeaves, ///< Its worker drains and leaves before its end.
   };
-  slow_run JudgeRun(worker_entry& aWorker,
-                    job_entry& aJob,
-                    const task_ref& aTask,
-                    const run_info& aRun,
-                    time_point aNow);
-  void MoveRun(worker_entry& aWorker, const task_ref& aTask, slow_run aVerdict);
+  /** Says whether a run stays where it is, and learns from it how long its like take.
+   */
+  run_verdict JudgeRun(worker_entry& aWorker,
+                       job_entry& aJob,
+                       const task_ref& aTask,
+                       const run_info& aRun,
+                       time_point aNow);
+  void MoveRun(worker_entry& aWorker, const task_ref& aTask, run_verdict aVerdict);
   /** Returns how long a run, or its whole gang, is expected to take from now on. */
   duration ExpectedLeft(const job_entry& aJob,
                         const task_ref& aTask,
                         time_point aNow) const;
+  /** Returns whether the run, or its whole gang, has had the time to show progress. */
   bool IsAtWork(const job_entry& aJob,
                 const task_ref& aTask,
                 const run_info& aRun,
--- a/src/scheduler/FleetSchedulerProgress.cpp
+++ b/src/scheduler/FleetSchedulerProgress.cpp
@@ -26,7 +26,7 @@
 
 void fleet_scheduler::CheckProgress(worker_entry& aWorker, time_point aNow)
 {
-  std::vector<std::pair<task_ref, slow_run>> moves;
+  std::vector<std::pair<task_ref, run_verdict>> moves;
   for (const auto& [task, run] : aWorker.mRuns.Runs()) {
     const auto found = mJobs.find(task.mJob);
     if (run.mStopping || found == mJobs.end() || !found->second->mState.Has(task)) {
@@ -40,7 +40,7 @@
       continue;
     }
     const auto verdict = JudgeRun(aWorker, *found->second, task, run, aNow);
-    if (verdict != slow_run::kNo) {
+    if (verdict != run_verdict::kStays) {
       moves.emplace_back(task, verdict);
     }
   }
@@ -49,11 +49,11 @@
   }
 }
 
-fleet_scheduler::slow_run fleet_scheduler::JudgeRun(worker_entry& aWorker,
-                                                    job_entry& aJob,
-                                                    const task_ref& aTask,
-                                                    const run_info& aRun,
-                                                    time_point aNow)
+fleet_scheduler::run_verdict fleet_scheduler::JudgeRun(worker_entry& aWorker,
+                                                       job_entry& aJob,
+                                                       const task_ref& aTask,
+                                                       const run_info& aRun,
+                                                       time_point aNow)
 {
   const auto& step = aJob.mState.StepOf(aTask);
   const auto& progress = aRun.mProgress;
@@ -62,38 +62,38 @@
     // Without a checkpoint nor room elsewhere it may still end before its worker goes.
     const bool isWorthMoving =
       step.mCheckpointing || HasRoomElsewhere(aWorker, aJob, aTask, aNow);
-    return isWorthMoving ? slow_run::kLeaving : slow_run::kNo;
+    return isWorthMoving ? run_verdict::kLeaves : run_verdict::kStays;
   }
   if (step.mLongRunning) {
-    return slow_run::kNo;
+    return run_verdict::kStays;
   }
   const auto limit = std::max(kStandstillLeast, step.mEstimate / kStandstillParts);
   if (StandsStill(progress, limit, aNow) && IsAtWork(aJob, aTask, aRun, aNow)) {
-    return slow_run::kStandsStill;
+    return run_verdict::kStandsStill;
   }
   const auto rate = progress.Rate();
   const bool isComparable = rate && progress.Percent() < kAll && !step.mFills &&
                             !IsFarFromItsRack(aJob, aTask, aWorker) &&
                             IsAtWork(aJob, aTask, aRun, aNow);
   if (!isComparable) {
-    return slow_run::kNo;
+    return run_verdict::kStays;
   }
   if (*rate > 0.0 && progress.Percent() >= kTellingPercent) {
     const auto whole = kAll * kMsPerSecond / *rate;
     mDurations.Learn(aJob.mState.Job().mQueue, duration(std::lround(whole)));
   }
-  return slow_run::kNo;
+  return run_verdict::kStays;
 }
 
 void fleet_scheduler::MoveRun(worker_entry& aWorker,
                               const task_ref& aTask,
-                              slow_run aVerdict)
+                              run_verdict aVerdict)
 {
   auto& job = *mJobs.at(aTask.mJob);
   const auto run = job.mState.Task(aTask).mRun;
   job.mFailedOn[aTask].insert(aWorker.mListed.mId);
   const char* reason = "its worker leaves before its end";
-  if (aVerdict == slow_run::kStandsStill) {
+  if (aVerdict == run_verdict::kStandsStill) {
     reason = "it makes no progress";
     aWorker.mHealth.OnFailed(aTask.mJob, mPorts.mLoop.Now());
   }
