A submission refused at once leaves a line with its id and the reason

One test changed: "no VM schedules twice at once" submitted at a VM in the moment after its cut was healed, past the check that platform/ made then; it now waits until that VM is ready, at most 1.5 s, and is otherwise the same.

Test: "a refusal at once leaves a line with the id and the reason".

--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -26,6 +26,14 @@
 
 void job_service::Submit(const accepted_job& aJob, time_point aUntil, respond aRespond)
 {
+  if (!mPorts.mStoreReached()) {
+    // Known not to be served here: the caller had better try another VM at once.
+    Report(aJob, job_answer::kNotAccepted, "the store is silent");
+    job_reply reply;
+    reply.mAnswer = job_answer::kNotAccepted;
+    aRespond(reply);
+    return;
+  }
   auto& open = mOpen[aJob.mId];
   open.mResponds.push_back(std::move(aRespond));
   if (open.mResponds.size() > 1) {
@@ -138,24 +146,31 @@
   }
 }
 
-void job_service::Finish(const std::string& aId,
+void job_service::Report(const accepted_job& aJob,
                          job_answer aAnswer,
                          const char* aReason)
 {
-  const auto found = mOpen.find(aId);
-  const auto open = std::move(found->second);
-  mOpen.erase(found);
   static constexpr const char* kNames[] = {
     "accepted", "not_accepted", "unknown", "not_found", "unavailable"
   };
   const auto* name = kNames[static_cast<size_t>(aAnswer)];
   mPorts.mLog.Write(log_event("job_submitted")
-                      .Add("job", aId)
-                      .Add("queue", open.mJob.mQueue)
-                      .Add("workspace", open.mJob.mWorkspace)
+                      .Add("job", aJob.mId)
+                      .Add("queue", aJob.mQueue)
+                      .Add("workspace", aJob.mWorkspace)
                       .Add("answer", name)
                       .Add("reason", aReason));
   mPorts.mMetrics.Count("submissions_total", "answer", name);
+}
+
+void job_service::Finish(const std::string& aId,
+                         job_answer aAnswer,
+                         const char* aReason)
+{
+  const auto found = mOpen.find(aId);
+  const auto open = std::move(found->second);
+  mOpen.erase(found);
+  Report(open.mJob, aAnswer, aReason);
   job_reply reply;
   reply.mAnswer = aAnswer;
   for (const auto& each : open.mResponds) {
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -62,7 +62,10 @@
   /** Everything in aPorts must outlive the service and its calls. */
   explicit job_service(const ports& aPorts);
 
-  /** Stores aJob, or says by aUntil what is known; sooner if the store is silent. */
+  /**
+   * Stores aJob, or says by aUntil what is known; sooner if the store falls silent, and
+   * at once, possibly inside this call, if it is known to be.
+   */
   void Submit(const accepted_job& aJob, time_point aUntil, respond aRespond);
 
   /** Records that the job is to end. aWorkspace: whose job it must be; empty: any. */
@@ -94,6 +97,8 @@
   void Send();
   void OnStored(const std::vector<std::string>& aIds,
                 const result<transaction_outcome>& aOutcome);
+  /** Logs and counts what a submission was answered. */
+  void Report(const accepted_job& aJob, job_answer aAnswer, const char* aReason);
   void Finish(const std::string& aId, job_answer aAnswer, const char* aReason);
   void GiveUp(const std::string& aId, time_point aUntil, const char* aReason);
   void StateFromStore(const std::string& aId, const respond& aRespond);
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -274,6 +274,10 @@
       fake_installation::MakeJob("00000000000000b" + std::to_string(round), 6);
     const auto holder = site.SchedulerVm();
     const std::string front = holder == "vm0" ? "vm1" : "vm0";
+    // The VM that was cut off in the last round takes calls once it has the store
+    // again.
+    REQUIRE(
+      site.mLoop.RunUntil([&] { return site.Node(front).Ready(); }, duration(1'500)));
     REQUIRE(site.Submit(front, job) == job_answer::kAccepted);
     site.mLoop.RunFor(duration(200));
     site.mFaults.mCuts.insert({ holder, "store" });
@@ -558,3 +562,20 @@
   CHECK(site.Reaches("vm1", kJob, "done", duration(3'000)));
   CHECK(site.StartsOf(kJob) == 1);
 }
+
+TEST_CASE("a refusal at once leaves a line with the id and the reason",
+          "[installation]")
+{
+  fake_installation site(2, 2);
+  site.mFaults.mCuts.insert({ "vm0", "store" });
+  site.mLoop.RunFor(duration(2'500));
+  const auto began = site.mLoop.Now();
+  CHECK(site.Submit("vm0", fake_installation::MakeJob(kJob, 1)) ==
+        job_answer::kNotAccepted);
+  CHECK(site.mLoop.Now() == began);
+  CHECK(site.mLog.CountOf("event=job_submitted job=" + kJob) == 1);
+  CHECK(site.mLog.CountOf("answer=not_accepted reason=\"the store is silent\"") == 1);
+  site.mFaults.mCuts.clear();
+  site.mLoop.RunFor(duration(5'000));
+  CHECK(site.StartsOf(kJob) == 0);
+}
