--- a/src/jobs/JobSpec.h
+++ b/src/jobs/JobSpec.h
@@ -19,6 +19,30 @@
   auto operator<=>(const task_resources&) const = default;
 };
 
+/** Adds aWhat to aTo so many times; a negative number takes it away. */
+inline void Add(task_resources& aTo, const task_resources& aWhat, int64_t aTimes = 1)
+{
+  aTo.mCpuMillis += aTimes * aWhat.mCpuMillis;
+  aTo.mMemoryMb += aTimes * aWhat.mMemoryMb;
+  aTo.mAccelerators += aTimes * aWhat.mAccelerators;
+}
+
+/** Returns whether aNeed fits into aRoom. */
+inline bool Fits(const task_resources& aNeed, const task_resources& aRoom)
+{
+  return aRoom.mCpuMillis >= aNeed.mCpuMillis && aRoom.mMemoryMb >= aNeed.mMemoryMb &&
+         aRoom.mAccelerators >= aNeed.mAccelerators;
+}
+
+/** Returns aResources in units of one core; an accelerator weighs as eight. */
+inline double CoresOf(const task_resources& aResources)
+{
+  constexpr double kMillisPerCore = 1'000.0;
+  constexpr double kCoresPerAccelerator = 8.0; // The platform's own price of work.
+  return static_cast<double>(aResources.mCpuMillis) / kMillisPerCore +
+         kCoresPerAccelerator * static_cast<double>(aResources.mAccelerators);
+}
+
 /** Equal tasks of a job that become ready together. */
 struct step_spec
 {
--- a/src/jobs/JobState.cpp
+++ b/src/jobs/JobState.cpp
@@ -120,12 +120,20 @@
   std::vector<task_ref> placed;
   for (uint32_t occurrence = 0; occurrence < Occurrences(); ++occurrence) {
     for (uint32_t step = 0; step < mSteps[occurrence].size(); ++step) {
-      const auto& tasks = mSteps[occurrence][step];
-      for (uint32_t index = 0; index < tasks.size(); ++index) {
-        if (!tasks[index].mWorker.empty()) {
-          placed.push_back({ mJob.mId, occurrence, step, index });
-        }
-      }
+      const auto ofStep = PlacedIn(occurrence, step);
+      placed.insert(placed.end(), ofStep.begin(), ofStep.end());
+    }
+  }
+  return placed;
+}
+
+std::vector<task_ref> job_state::PlacedIn(uint32_t aOccurrence, uint32_t aStep) const
+{
+  std::vector<task_ref> placed;
+  const auto& tasks = mSteps[aOccurrence][aStep];
+  for (uint32_t index = 0; index < tasks.size(); ++index) {
+    if (!tasks[index].mWorker.empty()) {
+      placed.push_back({ mJob.mId, aOccurrence, aStep, index });
     }
   }
   return placed;
--- a/src/jobs/JobState.h
+++ b/src/jobs/JobState.h
@@ -105,6 +105,9 @@
   /** Returns every task that may be on a worker. */
   std::vector<task_ref> Placed() const;
 
+  /** Returns those of one step in one occurrence. */
+  std::vector<task_ref> PlacedIn(uint32_t aOccurrence, uint32_t aStep) const;
+
   /** Returns the run number for the next start of a step's tasks. */
   uint32_t NextRun(uint32_t aOccurrence, uint32_t aStep, uint32_t aIndex) const;
 
--- a/src/planner/TaskPlacement.cpp
+++ b/src/planner/TaskPlacement.cpp
@@ -10,23 +10,7 @@
 
 namespace {
 
-void Add(task_resources& aTo, const task_resources& aWhat, int64_t aTimes = 1)
-{
-  aTo.mCpuMillis += aTimes * aWhat.mCpuMillis;
-  aTo.mMemoryMb += aTimes * aWhat.mMemoryMb;
-  aTo.mAccelerators += aTimes * aWhat.mAccelerators;
-}
-
-/** What is left on a worker in units of one core; an accelerator weighs as eight. */
-double Leftover(const task_resources& aRoom)
-{
-  constexpr double kMillisPerCore = 1000.0;
-  constexpr double kCoresPerAccelerator = 8.0; // The platform's own price of work.
-  return static_cast<double>(aRoom.mCpuMillis) / kMillisPerCore +
-         kCoresPerAccelerator * static_cast<double>(aRoom.mAccelerators);
-}
-
-/** More than any worker's leftover: data nearby goes before a tight fit. */
+/** More than any worker's free cores: data nearby goes before a tight fit. */
 constexpr double kDataRackGain = 1'000.0;
 /** The room kept for a group goes before a tight fit, too, and after data nearby. */
 constexpr double kReservedGain = 500.0;
@@ -259,7 +243,7 @@
   {
     constexpr double kMsPerSecond = 1'000.0;
     const auto estimate = std::max(aGroup.mSpec.mEstimate, kLeastEstimate);
-    return static_cast<double>(aTasks) * Leftover(aGroup.mSpec.mPerTask) *
+    return static_cast<double>(aTasks) * CoresOf(aGroup.mSpec.mPerTask) *
            static_cast<double>(estimate.count()) / kMsPerSecond;
   }
 
@@ -425,7 +409,7 @@
       double score =
         aGroup.mSpec.mDataRack == mRackNames.at(rack) ? -kDataRackGain : 0.0;
       for (const auto worker : mRacks[rack]) {
-        score += Leftover(mSoon[worker]);
+        score += CoresOf(mSoon[worker]);
         score -= IsHeldFor(aGroup, worker) ? kReservedGain : 0.0;
       }
       if (best.empty() || score < bestScore) {
@@ -457,7 +441,7 @@
         return;
       }
       const auto& about = mInput.mWorkers[aWorker];
-      double score = Leftover(aRoom[aWorker]) + about.mReluctance;
+      double score = CoresOf(aRoom[aWorker]) + about.mReluctance;
       const auto& data = aGroup.mSpec.mDataRack;
       score -= !data.empty() && about.mRack == data ? kDataRackGain : 0.0;
       score -= IsHeldFor(aGroup, aWorker) ? kReservedGain : 0.0;
--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -34,9 +34,7 @@
 {
   task_resources used;
   for (const auto& [task, run] : mRuns) {
-    used.mCpuMillis += run.mResources.mCpuMillis;
-    used.mMemoryMb += run.mResources.mMemoryMb;
-    used.mAccelerators += run.mResources.mAccelerators;
+    Add(used, run.mResources);
   }
   return used;
 }
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -135,6 +135,8 @@
                        const run_info& aRun,
                        time_point aNow);
   void MoveRun(worker_entry& aWorker, const task_ref& aTask, run_verdict aVerdict);
+  /** Returns what is known of a placed task's run at its worker; null: nothing. */
+  const run_info* PlacedRun(const job_state& aState, const task_ref& aTask) const;
   /** Returns how long a run, or its whole gang, is expected to take from now on. */
   duration ExpectedLeft(const job_entry& aJob,
                         const task_ref& aTask,
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -16,21 +16,12 @@
 constexpr duration kFreshFor{ 2'800 };
 /** A gang may leave its rack when it has waited this part of its run time. */
 constexpr double kSpreadAfterRuns = 3.0;
-constexpr double kMillisPerCore = 1'000.0;
 /** Seconds that a stop costs a task whose work is saved at it: a restore takes 0.1 s.
  */
 constexpr double kResumeLoss = 0.2;
 /** Why a run is stopped for another. */
 constexpr const char* kRoomNeeded = "its room is needed by a higher priority";
 constexpr double kMsPerSecond = 1'000.0;
-/** The platform's own price of work: an accelerator counts as eight cores. */
-constexpr double kCoresPerAccelerator = 8.0;
-
-double CoresOf(const task_resources& aResources)
-{
-  return static_cast<double>(aResources.mCpuMillis) / kMillisPerCore +
-         kCoresPerAccelerator * static_cast<double>(aResources.mAccelerators);
-}
 
 } // namespace
 
@@ -102,10 +93,7 @@
 task_resources fleet_scheduler::FreeOf(const worker_entry& aWorker)
 {
   auto free = aWorker.mListed.mCapacity;
-  const auto used = aWorker.mRuns.Used();
-  free.mCpuMillis -= used.mCpuMillis;
-  free.mMemoryMb -= used.mMemoryMb;
-  free.mAccelerators -= used.mAccelerators;
+  Add(free, aWorker.mRuns.Used(), -1);
   return free;
 }
 
@@ -152,9 +140,7 @@
     place.mFree = FreeOf(*worker);
     for (const auto& [task, run] : worker->mRuns.Runs()) {
       if (run.mStopping) {
-        place.mFreeing.mCpuMillis += run.mResources.mCpuMillis;
-        place.mFreeing.mMemoryMb += run.mResources.mMemoryMb;
-        place.mFreeing.mAccelerators += run.mResources.mAccelerators;
+        Add(place.mFreeing, run.mResources);
       }
     }
     place.mWhole = listed.mCapacity;
@@ -213,10 +199,8 @@
         group.mIndices.push_back(index);
       }
       if (group.mSpec.mMaxPerWorker != 0) {
-        for (const auto& task : aJob.mState.Placed()) {
-          if (task.mOccurrence == occurrence && task.mStep == step) {
-            ++group.mAlready[aJob.mState.Task(task).mWorker];
-          }
+        for (const auto& task : aJob.mState.PlacedIn(occurrence, step)) {
+          ++group.mAlready[aJob.mState.Task(task).mWorker];
         }
       }
       if (isSettled) {
@@ -230,16 +214,11 @@
 {
   constexpr int64_t kAtWork = 100;
   int64_t atWork = 0;
-  for (const auto& task : aState.Placed()) {
-    const auto worker = mWorkers.find(aState.Task(task).mWorker);
-    if (task.mOccurrence != aFirst.mOccurrence || task.mStep != aFirst.mStep ||
-        worker == mWorkers.end() || worker->second->mSilent) {
-      continue;
-    }
-    const auto& runs = worker->second->mRuns.Runs();
-    const auto run = runs.find(task);
-    const bool works = run != runs.end() && !run->second.mStopping &&
-                       run->second.mProgress.Percent() >= kAtWork;
+  for (const auto& task : aState.PlacedIn(aFirst.mOccurrence, aFirst.mStep)) {
+    const auto* run = PlacedRun(aState, task);
+    const bool works = run != nullptr && !run->mStopping &&
+                       !mWorkers.at(aState.Task(task).mWorker)->mSilent &&
+                       run->mProgress.Percent() >= kAtWork;
     atWork += works ? 1 : 0;
   }
   return int64_t(aState.StepOf(aFirst).mCount) - atWork;
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -375,10 +375,8 @@
                                uint32_t aRun,
                                const char* aReason)
 {
-  for (const auto& member : aJob.mState.Placed()) {
-    const bool sameGang =
-      member.mOccurrence == aTask.mOccurrence && member.mStep == aTask.mStep;
-    if (sameGang && aJob.mState.Task(member).mRun == aRun) {
+  for (const auto& member : aJob.mState.PlacedIn(aTask.mOccurrence, aTask.mStep)) {
+    if (aJob.mState.Task(member).mRun == aRun) {
       StopTask(aJob, member, aReason);
     }
   }
