A takeover learns from the former scheduler what the store does not know

Workers that left meanwhile are in no list, so their tasks were held for 14.5 s, until 4 s of grace and a whole lease had passed. Change: a scheduler whose term has ended keeps a summary (records not known to be stored, lease end by worker) and gives it to a successor with a higher fencing token; a term still in progress ends first, so its lease ends are final. The takeover waits for the answer at most 150 ms and otherwise assumes the worst as before. A VM that is elected again uses its own summary. Outcomes from a summary are shown only once this term has stored them. Ruled out: taking unlisted workers as gone 2 s after the store's return (a worker that is cut off from the store may run on: TWICE); a shorter grace (leases would lapse in longer outages of the store); the last hold in the records (a write for each hold). The summary is lost with its VM; then the old bound holds.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -30,28 +30,35 @@
                 mPolicyListener(std::move(aPolicy));
               }
             })
-  , mScheduler({ aPorts.mLoop,
-                 aPorts.mStore,
-                 aPorts.mWorkers,
-                 aPorts.mDirectory,
-                 aPorts.mLog,
-                 aPorts.mMetrics,
-                 aPorts.mUnixMs },
-               aOptions.mScheduler,
-               [this](const std::string& aReason) { mElection.StepDown(aReason); })
-  , mElection(aPorts.mLoop,
-              aPorts.mStore,
-              aPorts.mLog,
-              { aOptions.mVm, aOptions.mPeerAddress, 0, 0 },
-              aOptions.mElectionDelay,
-              aOptions.mElection,
-              { [this](const scheduler_term& aTerm) { mScheduler.Begin(aTerm); },
-                [this](const std::string&) { mScheduler.End(); },
-                [this](bool aReached) {
-                  if (aReached) {
-                    mStoreAnsweredAt = mPorts.mLoop.Now();
-                  }
-                } })
+  , mScheduler(
+      { aPorts.mLoop,
+        aPorts.mStore,
+        aPorts.mWorkers,
+        aPorts.mDirectory,
+        aPorts.mLog,
+        aPorts.mMetrics,
+        aPorts.mUnixMs,
+        [this](const std::string& aAddress, uint64_t aFence, summary_callback aDone) {
+          mPorts.mPeers.SummaryOf(aAddress, aFence, std::move(aDone));
+        } },
+      aOptions.mScheduler,
+      [this](const std::string& aReason) { mElection.StepDown(aReason); })
+  , mElection(
+      aPorts.mLoop,
+      aPorts.mStore,
+      aPorts.mLog,
+      { aOptions.mVm, aOptions.mPeerAddress, 0, 0 },
+      aOptions.mElectionDelay,
+      aOptions.mElection,
+      { [this](const scheduler_term& aTerm, const scheduler_term& aPredecessor) {
+         mScheduler.Begin(aTerm, aPredecessor);
+       },
+        [this](const std::string&) { mScheduler.End(); },
+        [this](bool aReached) {
+          if (aReached) {
+            mStoreAnsweredAt = mPorts.mLoop.Now();
+          }
+        } })
   , mJobs({ aPorts.mLoop,
             aPorts.mStore,
             aPorts.mPeers,
@@ -78,6 +85,14 @@
   mElection.Resign();
 }
 
+std::optional<term_summary> entry_node::SummaryForSuccessor(uint64_t aFence)
+{
+  if (mElection.IsHolder() && mElection.Current().mFence < aFence) {
+    mElection.StepDown("a successor has fencing token " + std::to_string(aFence));
+  }
+  return mScheduler.LastTermSummary(aFence);
+}
+
 bool entry_node::IsStoreReachable() const
 {
   return mPorts.mLoop.Now() - mStoreAnsweredAt < kStoreAnswerTimeout;
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -56,6 +56,13 @@
   }
   job_service& Jobs() { return mJobs; }
   const fleet_scheduler& Scheduler() const { return mScheduler; }
+
+  /**
+   * Returns the summary of this VM's last term for a successor with the fencing token
+   * aFence; nothing if this VM had no earlier term. A term still in progress ends.
+   */
+  std::optional<term_summary> SummaryForSuccessor(uint64_t aFence);
+
   const scheduler_election& Election() const { return mElection; }
 
   /** Sets the callback for each new version of the desired state. */
--- a/src/entry/PeerApi.cpp
+++ b/src/entry/PeerApi.cpp
@@ -1,5 +1,6 @@
 #include "entry/PeerApi.h"
 
+#include <charconv>
 #include <cstdlib>
 
 namespace anvildoor {
@@ -8,12 +9,16 @@
 
 const std::string kStatePath = "/state/";
 const std::string kPendingPath = "/pending/";
+const std::string kSummaryPath = "/term-summary/";
 /**
  * A peer in another data centre answers within milliseconds. After this time the caller
  * falls back to the store or to a cached count.
  */
 constexpr duration kPeerTimeout{ 400 };
+/** A takeover waits for the summary at most this long. */
+constexpr duration kSummaryTimeout{ 150 };
 constexpr unsigned kOk = 200;
+constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kNotScheduler = 421;
 
@@ -47,14 +52,17 @@
   server_reply reply;
   reply.mContentType = "text/plain";
   const auto& target = aRequest.mTarget;
-  if (!mScheduler.Active()) {
+  const auto& scheduler = mNode.Scheduler();
+  if (target.compare(0, kSummaryPath.size(), kSummaryPath) == 0) {
+    reply = SummaryFor(target.substr(kSummaryPath.size()));
+  } else if (!scheduler.Active()) {
     reply.mStatus = kNotScheduler;
   } else if (target.compare(0, kStatePath.size(), kStatePath) == 0) {
-    const auto state = mScheduler.StateOf(target.substr(kStatePath.size()));
+    const auto state = scheduler.StateOf(target.substr(kStatePath.size()));
     reply.mStatus = state ? kOk : kNotFound;
     reply.mBody = state.value_or("");
   } else if (target.compare(0, kPendingPath.size(), kPendingPath) == 0) {
-    const auto count = mScheduler.PendingOf(target.substr(kPendingPath.size()));
+    const auto count = scheduler.PendingOf(target.substr(kPendingPath.size()));
     reply.mStatus = count ? kOk : kNotScheduler;
     reply.mBody = count ? std::to_string(*count) : "";
   } else {
@@ -63,6 +71,23 @@
   aRespond(reply);
 }
 
+server_reply peer_api::SummaryFor(const std::string& aFence) const
+{
+  server_reply reply;
+  reply.mContentType = "application/json";
+  uint64_t fence = 0;
+  const auto end = aFence.data() + aFence.size();
+  const auto parsed = std::from_chars(aFence.data(), end, fence);
+  if (parsed.ec != std::errc() || parsed.ptr != end || fence == 0) {
+    reply.mStatus = kBadRequest;
+    return reply;
+  }
+  const auto summary = mNode.SummaryForSuccessor(fence);
+  reply.mStatus = summary ? kOk : kNotFound;
+  reply.mBody = summary ? EncodeSummary(*summary) : "";
+  return reply;
+}
+
 void http_peer_query::OnStateOf(const std::string& aAddress,
                                 const std::string& aJob,
                                 done<std::string> aDone)
@@ -94,4 +119,21 @@
              });
 }
 
+void http_peer_query::OnSummaryOf(const std::string& aAddress,
+                                  uint64_t aFence,
+                                  done<std::string> aDone)
+{
+  auto call = MakeCall(aAddress, kSummaryPath + std::to_string(aFence));
+  call.mTimeout = kSummaryTimeout;
+  mPool.Call(call, [done = std::move(aDone)](const result<pooled_response>& aAnswer) {
+    if (aAnswer && aAnswer->mStatus == kOk) {
+      done(std::optional<std::string>(aAnswer->mBody));
+    } else if (aAnswer && aAnswer->mStatus == kNotFound) {
+      done(std::optional<std::string>());
+    } else {
+      done(PeerError(aAnswer, "get term summary"));
+    }
+  });
+}
+
 } // namespace anvildoor
--- a/src/entry/PeerApi.h
+++ b/src/entry/PeerApi.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "entry/EntryNode.h"
 #include "entry/PeerQuery.h"
 #include "http/HttpPool.h"
 #include "http/SingleThreadServer.h"
-#include "scheduler/FleetScheduler.h"
 
 namespace anvildoor {
 
@@ -14,18 +14,23 @@
 class peer_api
 {
 public:
-  /** aScheduler must outlive the API. */
-  explicit peer_api(const fleet_scheduler& aScheduler)
-    : mScheduler(aScheduler)
+  /** aNode must outlive the API. */
+  explicit peer_api(entry_node& aNode)
+    : mNode(aNode)
   {
   }
 
-  /** Answers 200, 404 for an unknown job, or 421 if this VM is not the scheduler. */
+  /**
+   * Answers 200, 400 for a malformed fencing token, 404 for what is unknown, or 421 if
+   * this VM is not the scheduler.
+   */
   void Serve(const server_request& aRequest,
              const single_thread_server::respond& aRespond) const;
 
 private:
-  const fleet_scheduler& mScheduler;
+  server_reply SummaryFor(const std::string& aFence) const;
+
+  entry_node& mNode;
 };
 
 /** Sends peer queries over HTTP. Not thread-safe: all calls come from one thread. */
@@ -45,6 +50,9 @@
   void OnPendingOf(const std::string& aAddress,
                    const std::string& aQueue,
                    done<size_t> aDone) override;
+  void OnSummaryOf(const std::string& aAddress,
+                   uint64_t aFence,
+                   done<std::string> aDone) override;
 
 private:
   http_pool& mPool;
--- a/src/entry/PeerQuery.h
+++ b/src/entry/PeerQuery.h
@@ -2,6 +2,7 @@
 
 #include "anvildoor/Error.h"
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -36,6 +37,15 @@
     OnPendingOf(aAddress, aQueue, std::move(aDone));
   }
 
+  /**
+   * Gets the summary of the term that the VM at aAddress has ended or ends now, because
+   * a successor with the fencing token aFence exists; empty if it has none.
+   */
+  void SummaryOf(const std::string& aAddress, uint64_t aFence, done<std::string> aDone)
+  {
+    OnSummaryOf(aAddress, aFence, std::move(aDone));
+  }
+
 protected:
   virtual void OnStateOf(const std::string& aAddress,
                          const std::string& aJob,
@@ -43,6 +53,9 @@
   virtual void OnPendingOf(const std::string& aAddress,
                            const std::string& aQueue,
                            done<size_t> aDone) = 0;
+  virtual void OnSummaryOf(const std::string& aAddress,
+                           uint64_t aFence,
+                           done<std::string> aDone) = 0;
 };
 
 } // namespace anvildoor
--- a/src/scheduler/Election.cpp
+++ b/src/scheduler/Election.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace anvildoor {
 
@@ -149,6 +150,7 @@
   const bool isNewTerm = term && term->mFence != mCurrent.mFence;
   if (isNewTerm) {
     mCurrent = *term;
+    mLastKnown = *term;
     mLog.Write(log_event("scheduler_seen")
                  .Add("vm", mCurrent.mVm)
                  .Add("fence", static_cast<int64_t>(mCurrent.mFence)));
@@ -233,7 +235,8 @@
   mRequestDeadline = aLeaseRequestedAt + mTimes.mTtl + mTimes.mRequestGrace;
   mLog.Write(log_event("scheduler_won").Add("fence", static_cast<int64_t>(aFence)));
   ScheduleRenewal();
-  mCallbacks.mOnElected(mCurrent);
+  const auto predecessor = std::exchange(mLastKnown, mCurrent);
+  mCallbacks.mOnElected(mCurrent, predecessor);
 }
 
 void scheduler_election::ScheduleRenewal()
--- a/src/scheduler/Election.h
+++ b/src/scheduler/Election.h
@@ -69,7 +69,9 @@
 public:
   struct callbacks
   {
-    std::function<void(const scheduler_term&)> mOnElected;
+    /** Passes the new term and the last one known before; its fence is 0 if none is. */
+    std::function<void(const scheduler_term&, const scheduler_term& aPredecessor)>
+      mOnElected;
     std::function<void(const std::string& aReason)> mOnTermEnded;
     /** Reports whether a call to the store succeeded, for the readiness check. */
     std::function<void(bool aReached)> mOnStoreReachability;
@@ -129,6 +131,7 @@
   election_times mTimes;
   callbacks mCallbacks;
   scheduler_term mCurrent;
+  scheduler_term mLastKnown; ///< Like mCurrent, but kept after the end of the term.
   bool mIsHolder = false;
   bool mResigned = false;
   bool mIsStoreReachable = true;
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -23,12 +23,14 @@
 /** Results of the reads that begin a takeover. */
 struct fleet_scheduler::takeover_state
 {
-  int mPendingReads = 4;
+  int mPendingReads = 5;
   std::optional<error> mError;
   stored_range mInbox;
   stored_range mProgress;
   uint64_t mWriterRevision = 0;
   std::vector<listed_worker> mWorkers;
+  std::optional<term_summary> mSummary;
+  time_point mSummaryReceivedAt{ 0 };
 };
 
 fleet_scheduler::fleet_scheduler(const scheduler_ports& aPorts,
@@ -73,10 +75,12 @@
   }
 }
 
-void fleet_scheduler::Begin(const scheduler_term& aTerm)
+void fleet_scheduler::Begin(const scheduler_term& aTerm,
+                            const scheduler_term& aPredecessor)
 {
   End();
   mTerm = aTerm;
+  mPredecessor = aPredecessor;
   mActive = true;
   mTermBegunAt = mPorts.mLoop.Now();
   Load();
@@ -84,6 +88,9 @@
 
 void fleet_scheduler::End()
 {
+  if (mLoaded) {
+    SaveSummary();
+  }
   ++mGeneration;
   mActive = false;
   mLoaded = false;
@@ -98,6 +105,80 @@
   mDurations = duration_model();
 }
 
+void fleet_scheduler::SaveSummary()
+{
+  const auto now = mPorts.mLoop.Now();
+  term_summary summary;
+  summary.mFence = mTerm.mFence;
+  for (const auto& key : mWriter.UnconfirmedKeys()) {
+    const auto id = store_keys::StripPrefix(key, store_keys::kProgress);
+    if (id && mJobs.count(*id) != 0) {
+      summary.mRecords[*id] = mJobs.at(*id)->mState.EncodeProgress();
+    }
+  }
+  for (const auto& [id, worker] : mWorkers) {
+    const auto left = worker->mRuns.LeaseExpiresAt() - now;
+    summary.mLeasesLeft[id] = std::max(duration::zero(), duration(left));
+  }
+  mLastSummary = std::move(summary);
+  mSummaryAt = now;
+}
+
+std::optional<term_summary> fleet_scheduler::LastTermSummary(uint64_t aFence) const
+{
+  if (mActive || !mLastSummary || mLastSummary->mFence >= aFence) {
+    return std::nullopt;
+  }
+  return AgedSummary();
+}
+
+term_summary fleet_scheduler::AgedSummary() const
+{
+  auto summary = *mLastSummary;
+  const auto age = mPorts.mLoop.Now() - mSummaryAt;
+  for (auto& [worker, left] : summary.mLeasesLeft) {
+    left = std::max(duration::zero(), left - age);
+  }
+  return summary;
+}
+
+void fleet_scheduler::OnSummaryAnswer(takeover_state& aTakeover,
+                                      const result<std::optional<std::string>>& aAnswer)
+{
+  std::string outcome = "none";
+  if (!aAnswer) {
+    outcome = Describe(aAnswer.error());
+  } else if (*aAnswer) {
+    const auto summary = DecodeSummary(**aAnswer);
+    if (!summary) {
+      outcome = Describe(summary.error());
+    } else if (summary->mFence != mPredecessor.mFence) {
+      outcome = "of another term";
+    } else {
+      outcome = "received";
+      aTakeover.mSummary = *summary;
+      aTakeover.mSummaryReceivedAt = mPorts.mLoop.Now();
+    }
+  }
+  mPorts.mLog.Write(
+    log_event("term_summary")
+      .Add("predecessor", mPredecessor.mVm)
+      .Add("fence", static_cast<int64_t>(mPredecessor.mFence))
+      .Add("answer", outcome)
+      .Add("records",
+           aTakeover.mSummary ? int64_t(aTakeover.mSummary->mRecords.size()) : 0));
+}
+
+void fleet_scheduler::ApplyLeases(const term_summary& aSummary, time_point aReceivedAt)
+{
+  for (const auto& [id, left] : aSummary.mLeasesLeft) {
+    const auto worker = mWorkers.find(id);
+    if (worker != mWorkers.end()) {
+      worker->second->mRuns.SetLeaseExpiry(aReceivedAt + left);
+    }
+  }
+}
+
 void fleet_scheduler::Load()
 {
   const auto state = std::make_shared<takeover_state>();
@@ -123,6 +204,22 @@
       finish();
     };
   };
+  if (mPredecessor.mFence != 0 && mPredecessor.mAddress != mTerm.mAddress) {
+    mPorts.mAskForSummary(
+      mPredecessor.mAddress,
+      mTerm.mFence,
+      UnlessTermEnded(
+        [this, state, finish](const result<std::optional<std::string>>& aAnswer) {
+          OnSummaryAnswer(*state, aAnswer);
+          finish();
+        }));
+  } else {
+    if (mLastSummary && mLastSummary->mFence == mPredecessor.mFence) {
+      state->mSummary = AgedSummary();
+      state->mSummaryReceivedAt = mPorts.mLoop.Now();
+    }
+    mPorts.mLoop.Post(UnlessTermEnded(finish));
+  }
   mPorts.mStore.List(
     store_keys::kInbox, false, UnlessTermEnded(storeRangeIn(&takeover_state::mInbox)));
   mPorts.mStore.List(store_keys::kProgress,
@@ -163,6 +260,12 @@
       HandleInboxItem(item);
     }
   }
+  if (aTakeover.mSummary) {
+    // The former scheduler knew at least what it had written.
+    for (const auto& [id, record] : aTakeover.mSummary->mRecords) {
+      progress[id] = record;
+    }
+  }
   const auto now = mPorts.mLoop.Now();
   for (auto& [id, job] : mJobs) {
     const auto found = progress.find(id);
@@ -191,6 +294,17 @@
     }
   }
   mLoaded = true;
+  if (aTakeover.mSummary) {
+    ApplyLeases(*aTakeover.mSummary, aTakeover.mSummaryReceivedAt);
+    for (const auto& [id, record] : aTakeover.mSummary->mRecords) {
+      const auto job = mJobs.find(id);
+      if (job != mJobs.end()) {
+        // Shown as ended only once this term has stored it.
+        job->second->mDurableOutcome = job_outcome::kOpen;
+        WriteProgress(*job->second, record_writer::urgency::kBatched, nullptr);
+      }
+    }
+  }
   // Applies cancellations after the progress records, so that a finished job keeps its
   // outcome.
   for (const auto& item : aTakeover.mInbox.mItems) {
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -11,6 +11,7 @@
 #include "runs/WorkerHealth.h"
 #include "runs/WorkerRuns.h"
 #include "scheduler/RecordWriter.h"
+#include "scheduler/TermSummary.h"
 
 #include <map>
 #include <memory>
@@ -18,6 +19,9 @@
 
 namespace anvildoor {
 
+/** Receives an encoded term_summary, nothing, or why it could not be had. */
+using summary_callback = std::function<void(const result<std::optional<std::string>>&)>;
+
 /** The scheduler's interfaces to its environment. All must outlive it. */
 struct scheduler_ports
 {
@@ -28,6 +32,10 @@
   event_log& mLog;
   metrics& mMetrics;
   std::function<int64_t()> mUnixMs; ///< Returns the Unix time in ms.
+  /** Asks the VM at an address for the encoded summary of a term before aFence. */
+  std::function<
+    void(const std::string& aAddress, uint64_t aFence, summary_callback aDone)>
+    mAskForSummary;
 };
 
 struct scheduler_bounds
@@ -58,13 +66,20 @@
 
   /**
    * Begins a term: reads the records from the store, then contacts every worker under
-   * the new fencing token and continues scheduling.
+   * the new fencing token and continues scheduling. aPredecessor, if its fence is not
+   * 0, is asked what the store does not know.
    */
-  void Begin(const scheduler_term& aTerm);
+  void Begin(const scheduler_term& aTerm, const scheduler_term& aPredecessor);
 
   /** Ends the term: sends no further requests and discards all state. */
   void End();
 
+  /**
+   * Returns the summary of the last term that this VM has ended; nothing if there was
+   * none, or none before aFence.
+   */
+  std::optional<term_summary> LastTermSummary(uint64_t aFence) const;
+
   bool Active() const { return mActive; }
 
   /** Returns the number of transactions that this VM has sent as the scheduler. */
@@ -96,6 +111,14 @@
   // Jobs and their records (FleetScheduler.cpp).
   void Load();
   void OnLoaded(takeover_state& aTakeover);
+  /** Keeps what a successor cannot read in the store. */
+  void SaveSummary();
+  /** Returns the saved summary, its leases counted from now. */
+  term_summary AgedSummary() const;
+  void OnSummaryAnswer(takeover_state& aTakeover,
+                       const result<std::optional<std::string>>& aAnswer);
+  /** Applies the lease ends of the former scheduler instead of the assumed ones. */
+  void ApplyLeases(const term_summary& aSummary, time_point aReceivedAt);
   void WatchInbox();
   void RelistInbox();
   void HandleInboxItem(const stored_item& aItem);
@@ -211,6 +234,9 @@
   std::shared_ptr<const fleet_policy> mPolicy;
   record_writer mWriter;
   scheduler_term mTerm;
+  scheduler_term mPredecessor;
+  std::optional<term_summary> mLastSummary; ///< Leases left count from mSummaryAt.
+  time_point mSummaryAt{ 0 };
   /** Rises with each Begin and End; callbacks of older generations do nothing. */
   uint64_t mGeneration = 0;
   bool mActive = false;
--- a/src/scheduler/RecordWriter.cpp
+++ b/src/scheduler/RecordWriter.cpp
@@ -45,6 +45,21 @@
   mPendingWrites.clear();
   mRemovals.clear();
   mInFlightCallbacks.clear();
+  mInFlightTransaction = store_transaction();
+}
+
+std::vector<std::string> record_writer::UnconfirmedKeys() const
+{
+  std::vector<std::string> keys;
+  for (const auto& [key, callbacks] : mPendingWrites) {
+    keys.push_back(key);
+  }
+  for (const auto& put : mInFlightTransaction.mPuts) {
+    if (put.mKey != store_keys::kWriter && mPendingWrites.count(put.mKey) == 0) {
+      keys.push_back(put.mKey);
+    }
+  }
+  return keys;
 }
 
 void record_writer::Write(const std::string& aKey,
--- a/src/scheduler/RecordWriter.h
+++ b/src/scheduler/RecordWriter.h
@@ -57,6 +57,9 @@
   /** Returns whether all writes are stored. */
   bool IsIdle() const { return mPendingWrites.empty() && !mInFlight; }
 
+  /** Returns the keys whose last write may not be stored yet. */
+  std::vector<std::string> UnconfirmedKeys() const;
+
   uint64_t TransactionCount() const { return mTransactions; }
 
 private:
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -377,6 +377,68 @@
   CHECK(site.MaxConcurrentRuns() == 1);
 }
 
+TEST_CASE("a takeover learns from the former scheduler what the store does not know",
+          "[installation]")
+{
+  struct row
+  {
+    bool mEndsBeforeCut;     // Whether w0's task ends before w0 is unreachable.
+    bool mFormerIsReachable; // Whether the new scheduler reaches the former one.
+    size_t mStarts;          // Starts of the job's two tasks.
+    int64_t mDoneWithinMs;
+  };
+  // A worker's lease lasts 6 s and may be assumed to be extended for 4 s more.
+  const auto [endsBeforeCut, formerIsReachable, starts, doneWithinMs] =
+    GENERATE(row{ true, true, 2, 4'000 },
+             row{ true, false, 3, 15'000 },
+             row{ false, true, 3, 9'500 },
+             row{ false, false, 3, 15'000 });
+  CAPTURE(endsBeforeCut, formerIsReachable);
+  fake_installation site(2, 2);
+  site.mBehaviourByPayload["short"] = { duration(endsBeforeCut ? 1'400 : 2'000),
+                                        false };
+  auto job = fake_installation::MakeJob(kJob, 2);
+  job.mSpec.mPayload = "short";
+  job.mSpec.mSteps.front().mMaxPerWorker = 1;
+  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(1'000));
+  REQUIRE(site.CountStarts(kJob) == 2);
+  const auto former = site.SchedulerVm();
+  const std::string successor = former == "vm0" ? "vm1" : "vm0";
+  site.mFaults.mStoreBusyFor.insert(former);
+  if (!formerIsReachable) {
+    site.mFaults.mBlockedLinks.insert({ successor, former });
+  }
+  site.mLoop.RunFor(duration(600));
+  site.mFaults.mUnreachableWorkers.insert("w0"); // Cut off, but still running.
+  site.mStore.Remove("workers/w0");
+  site.mLoop.RunFor(duration(1'400));
+  REQUIRE(site.SchedulerVm() == successor);
+  CHECK(site.ReachesState(successor, kJob, "done", duration(doneWithinMs)));
+  CHECK(site.CountStarts(kJob) == starts);
+  CHECK(site.MaxConcurrentRuns() == 1);
+}
+
+TEST_CASE("the summary of an ended term is kept only for its successors",
+          "[installation]")
+{
+  struct row
+  {
+    int64_t mFenceOffset; // Of the asking scheduler, from the present token.
+    bool mIsAnswered;
+  };
+  const auto [offset, isAnswered] =
+    GENERATE(row{ -1, false }, row{ 0, false }, row{ 1, true });
+  fake_installation site(1, 1);
+  site.mLoop.RunFor(duration(2'000));
+  auto& node = site.Node("vm0");
+  REQUIRE(node.Election().IsHolder());
+  const auto fence = node.Election().Current().mFence;
+  const auto asking = static_cast<uint64_t>(static_cast<int64_t>(fence) + offset);
+  CHECK(node.SummaryForSuccessor(asking).has_value() == isAnswered);
+  CHECK(node.Election().IsHolder() != isAnswered);
+}
+
 TEST_CASE("a new scheduler does not take an old directory entry for a heartbeat",
           "[installation]")
 {
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -291,6 +291,9 @@
   void OnPendingOf(const std::string& aAddress,
                    const std::string& aQueue,
                    peer_query::done<size_t> aDone) override;
+  void OnSummaryOf(const std::string& aAddress,
+                   uint64_t aFence,
+                   peer_query::done<std::string> aDone) override;
 
   fake_installation& mSite;
   std::string mName;
@@ -327,6 +330,23 @@
   RunLater([count, done = std::move(aDone)] { done(count); });
 }
 
+void fake_vm::OnSummaryOf(const std::string& aAddress,
+                          uint64_t aFence,
+                          peer_query::done<std::string> aDone)
+{
+  if (IsBlocked(aAddress) || !mSite.IsUp(aAddress)) {
+    RunLater([done = std::move(aDone)] {
+      done(Fail(error_code::kUnavailable, "ask", "peer", "no answer"));
+    });
+    return;
+  }
+  std::optional<std::string> text;
+  if (const auto summary = mSite.Node(aAddress).SummaryForSuccessor(aFence)) {
+    text = EncodeSummary(*summary);
+  }
+  RunLater([text, done = std::move(aDone)] { done(text); });
+}
+
 fake_installation::fake_installation(size_t aVmCount,
                                      size_t aWorkerCount,
                                      size_t aWorkersPerRack)
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -84,6 +84,7 @@
   /** Returns the VM that is the scheduler, or "". */
   std::string SchedulerVm() const;
   entry_node& Node(const std::string& aVm);
+  bool IsUp(const std::string& aVm) const { return mVms.count(aVm) != 0; }
 
   /** Returns the largest number of concurrent runs of one task. */
   size_t MaxConcurrentRuns() const;
