Waiting tasks are explained, the search for preemptions is bounded per rack

Cause: nothing told how much capacity is free yet unusable, or why a job waits; and each urgent gang for one rack went through every run of the fleet once per rack. Change: planner/CapacityReport (free, waiting and fragmented capacity in workers; reason of the oldest waiting group: no eligible worker, headroom, capacity, fragmentation), as gauges and as one line tasks_waiting at most every 2 s. Plans are the same: order and costs of the candidates are unchanged.

--- a/src/planner/TaskPlacement.cpp
+++ b/src/planner/TaskPlacement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <numeric>
 #include <optional>
 #include <tuple>
@@ -73,6 +74,13 @@
     for (const auto& [name, number] : racks) {
       mRackNames[number] = name;
     }
+    mUnitsOnWorker.resize(aInput.mWorkers.size());
+    for (size_t unit = 0; unit < aInput.mPreemptionUnits.size(); ++unit) {
+      for (const auto& [worker, used] :
+           aInput.mPreemptionUnits[unit].mResourcesByWorker) {
+        mUnitsOnWorker[worker].push_back(unit);
+      }
+    }
     ApplyReservations();
   }
 
@@ -328,16 +336,15 @@
       }
     }
     std::vector<size_t> units;
-    for (size_t unit = 0; unit < mInput.mPreemptionUnits.size(); ++unit) {
-      const auto& parts = mInput.mPreemptionUnits[unit].mResourcesByWorker;
-      const bool isOnWorkers =
-        std::any_of(parts.begin(), parts.end(), [&](const auto& aPart) {
-          return left.count(aPart.first) != 0;
-        });
-      if (isOnWorkers && MayPreempt(unit, aGroup)) {
-        units.push_back(unit);
-      }
-    }
+    for (const auto& [worker, free] : left) {
+      std::copy_if(mUnitsOnWorker[worker].begin(),
+                   mUnitsOnWorker[worker].end(),
+                   std::back_inserter(units),
+                   [&](size_t aUnit) { return MayPreempt(aUnit, aGroup); });
+    }
+    // A unit with runs on several workers occurs several times.
+    std::sort(units.begin(), units.end());
+    units.erase(std::unique(units.begin(), units.end()), units.end());
     std::sort(units.begin(), units.end(), [this](size_t aLeft, size_t aRight) {
       return std::make_pair(PreemptionCost(aLeft), aLeft) <
              std::make_pair(PreemptionCost(aRight), aRight);
@@ -586,6 +593,7 @@
   std::set<fit_key> mUnplaceable;
   /** Reserved workers by group; one entry per task. */
   std::vector<std::vector<size_t>> mReservedWorkers;
+  std::vector<std::vector<size_t>> mUnitsOnWorker; ///< Preemption units by worker.
   std::vector<bool> mStopped;
   placement_plan mPlan;
 };
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -208,6 +208,8 @@
    */
   void AddPreemptibleUnits(const std::vector<std::string>& aWorkerIds,
                            placement_input& aInput) const;
+  /** Logs and counts, at most once in kCapacityLogPeriod, what waits and why. */
+  void ReportWaiting(const placement_input& aInput, const placement_plan& aPlan);
   void LogPlacements(const job_entry& aJob,
                      const std::vector<std::pair<task_ref, uint32_t>>& aRuns) const;
   std::map<std::string, int64_t> DemandByWorkspace() const;
@@ -254,6 +256,7 @@
   capacity_headroom mHeadroom;
   duration_model mDurations;       ///< Learnt from the runs of this term.
   duration mLastPlanDuration{ 0 }; ///< Duration of the last planning round.
+  time_point mCapacityLoggedAt{ 0 };
   /** Accelerators of the open jobs of priority 0, by workspace. */
   std::map<std::string, int64_t> mPriorityZeroDemand;
 };
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -1,8 +1,10 @@
+#include "planner/CapacityReport.h"
 #include "scheduler/FleetScheduler.h"
 #include "scheduler/FleetSchedulerState.h"
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace anvildoor {
 
@@ -21,6 +23,8 @@
 constexpr double kSpanRacksAfterEstimates = 3.0;
 /** Work that a stopped checkpointing task loses; a restore takes 0.1 s. */
 constexpr double kResumeLossSeconds = 0.2;
+/** Shortest time between two reports of waiting tasks. */
+constexpr duration kCapacityLogPeriod{ 2'000 };
 /** Reason logged for a preempted run. */
 constexpr const char* kPreemptedReason = "preempted by a job of higher priority";
 constexpr double kMsPerSecond = 1'000.0;
@@ -72,6 +76,45 @@
   }
   ExecutePlan(input, plan, workerIds);
   mLastPlanDuration = mPorts.mLoop.Now() - began;
+  ReportWaiting(input, plan);
+}
+
+void fleet_scheduler::ReportWaiting(const placement_input& aInput,
+                                    const placement_plan& aPlan)
+{
+  const auto now = mPorts.mLoop.Now();
+  if (now - mCapacityLoggedAt < kCapacityLogPeriod) {
+    return;
+  }
+  mCapacityLoggedAt = now;
+  const auto report = ReportCapacity(aInput, aPlan);
+  mPorts.mMetrics.Set("placement_free_workers", report.mFree);
+  mPorts.mMetrics.Set("placement_waiting_workers", report.mWaiting);
+  mPorts.mMetrics.Set("placement_fragmented_workers", report.mFragmented);
+  mPorts.mMetrics.Set("placement_round_seconds",
+                      static_cast<double>(mLastPlanDuration.count()) / kMsPerSecond);
+  if (aPlan.mWaiting.empty()) {
+    return;
+  }
+  const auto waitedSince = [&](size_t aGroup) {
+    return mJobs.at(aInput.mGroups[aGroup].mJob)->mFirstSeenAt;
+  };
+  const auto oldest = *std::min_element(
+    aPlan.mWaiting.begin(), aPlan.mWaiting.end(), [&](size_t aLeft, size_t aRight) {
+      return waitedSince(aLeft) < waitedSince(aRight);
+    });
+  const auto& group = aInput.mGroups[oldest];
+  const auto rounded = [](double aWorkers) { return int64_t(std::lround(aWorkers)); };
+  mPorts.mLog.Write(log_event("tasks_waiting")
+                      .Add("groups", static_cast<int64_t>(aPlan.mWaiting.size()))
+                      .Add("waiting_workers", rounded(report.mWaiting))
+                      .Add("free_workers", rounded(report.mFree))
+                      .Add("fragmented_workers", rounded(report.mFragmented))
+                      .Add("round_ms", mLastPlanDuration.count())
+                      .Add("oldest_job", group.mJob)
+                      .Add("oldest_step", group.mStep)
+                      .Add("oldest_waited_ms", (now - waitedSince(oldest)).count())
+                      .Add("reason", ToString(ExplainWaiting(aInput, aPlan, oldest))));
 }
 
 std::map<std::string, int64_t> fleet_scheduler::DemandByWorkspace() const
