--- a/src/planner/CapacityReport.cpp
+++ b/src/planner/CapacityReport.cpp
@@ -36,13 +36,6 @@
   return static_cast<int64_t>(aInput.mGroups[aGroup].mIndices.size()) - placed;
 }
 
-bool IsEligible(const placement_worker& aWorker, const placement_group& aGroup)
-{
-  const auto& label = aGroup.mSpec.mRequiredLabel;
-  return aWorker.mAcceptsTasks && aWorker.mPool == aGroup.mPool &&
-         (label.empty() || aWorker.mLabels.count(label) != 0);
-}
-
 /** Returns the share of a free worker; resources in use beyond the total count as 0. */
 double FreeShare(const task_resources& aFree, const task_resources& aTotal)
 {
--- a/src/planner/TaskPlacement.cpp
+++ b/src/planner/TaskPlacement.cpp
@@ -105,7 +105,8 @@
       const auto& group = mInput.mGroups[number];
       for (const auto& id : group.mReserved) {
         const auto worker = numbers.find(id);
-        if (worker != numbers.end() && IsEligible(group, worker->second)) {
+        if (worker != numbers.end() &&
+            IsEligible(mInput.mWorkers[worker->second], group)) {
           mReservedWorkers[number].push_back(worker->second);
           Allocate(group, worker->second, 1);
         }
@@ -330,7 +331,7 @@
     std::map<size_t, task_resources> left;
     int64_t freeSlots = 0;
     for (const auto worker : aWorkers) {
-      if (IsEligible(aGroup, worker)) {
+      if (IsEligible(mInput.mWorkers[worker], aGroup)) {
         left[worker] = mFreeAfterStops[worker];
         freeSlots += CountSlots(aGroup, mFreeAfterStops[worker], worker);
       }
@@ -395,15 +396,6 @@
     return OccupiedBy(aGroup.mSpec);
   }
 
-  /** Returns whether the worker satisfies the group's constraints, capacity aside. */
-  bool IsEligible(const placement_group& aGroup, size_t aWorker) const
-  {
-    const auto& worker = mInput.mWorkers[aWorker];
-    const auto& label = aGroup.mSpec.mRequiredLabel;
-    return worker.mAcceptsTasks && worker.mPool == aGroup.mPool &&
-           (label.empty() || worker.mLabels.count(label) != 0);
-  }
-
   /** Returns how many more tasks mMaxPerWorker allows on the worker. */
   uint32_t RemainingSlots(const placement_group& aGroup, size_t aWorker) const
   {
@@ -455,7 +447,7 @@
     return std::any_of(mRacks.begin(), mRacks.end(), [&](const auto& aRack) {
       uint64_t capacity = 0;
       for (const auto worker : aRack) {
-        if (IsEligible(aGroup, worker)) {
+        if (IsEligible(mInput.mWorkers[worker], aGroup)) {
           capacity += CountSlots(aGroup, mInput.mWorkers[worker].mTotal, worker);
         }
       }
@@ -502,7 +494,7 @@
   {
     std::vector<candidate> candidates;
     const auto consider = [&](size_t aWorker) {
-      if (!IsEligible(aGroup, aWorker)) {
+      if (!IsEligible(mInput.mWorkers[aWorker], aGroup)) {
         return;
       }
       const auto capacity = CountSlots(aGroup, aFree[aWorker], aWorker);
@@ -600,6 +592,13 @@
 
 } // namespace
 
+bool IsEligible(const placement_worker& aWorker, const placement_group& aGroup)
+{
+  const auto& label = aGroup.mSpec.mRequiredLabel;
+  return aWorker.mAcceptsTasks && aWorker.mPool == aGroup.mPool &&
+         (label.empty() || aWorker.mLabels.count(label) != 0);
+}
+
 placement_plan PlaceTasks(const placement_input& aInput)
 {
   return placement_round(aInput).Run();
--- a/src/planner/TaskPlacement.h
+++ b/src/planner/TaskPlacement.h
@@ -116,6 +116,12 @@
   auto operator<=>(const placement_plan&) const = default;
 };
 
+/**
+ * Returns whether the worker satisfies the group's constraints, capacity aside. Pure;
+ * thread-safe.
+ */
+bool IsEligible(const placement_worker& aWorker, const placement_group& aGroup);
+
 /**
  * Places the groups in order. A gang is placed completely or not at all, and in one
  * rack if it requires that; single tasks are placed by best fit. If a group that may
