A term summary is used only if its term has written last

Change: the name of the last transaction in the store must be of the summary's term, else term_summary_outdated is logged and the store's records hold. Lease ends are no longer handed over: a term in between may extend leases without writing anything, so that no check in the store can tell.

--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -130,12 +130,6 @@
     mLeaseExpiresAt = std::max(mLeaseExpiresAt, aUntil);
   }
 
-  /**
-   * For a takeover: the previous scheduler has told when the lease ends. No request of
-   * its term may be sent any more, and none of this term may have been sent yet.
-   */
-  void SetLeaseExpiry(time_point aUntil) { mLeaseExpiresAt = aUntil; }
-
   /**
    * Registers a run before its start is sent. aEstimate is the expected run time, 0 if
    * unknown. aResumes: the run starts from a checkpoint.
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -28,9 +28,9 @@
   stored_range mInbox;
   stored_range mProgress;
   uint64_t mWriterRevision = 0;
+  std::string mLastWrite; ///< Name of the last transaction of any scheduler.
   std::vector<listed_worker> mWorkers;
   std::optional<term_summary> mSummary;
-  time_point mSummaryReceivedAt{ 0 };
 };
 
 fleet_scheduler::fleet_scheduler(const scheduler_ports& aPorts,
@@ -107,7 +107,6 @@
 
 void fleet_scheduler::SaveSummary()
 {
-  const auto now = mPorts.mLoop.Now();
   term_summary summary;
   summary.mFence = mTerm.mFence;
   for (const auto& key : mWriter.UnconfirmedKeys()) {
@@ -116,12 +115,7 @@
       summary.mRecords[*id] = mJobs.at(*id)->mState.EncodeProgress();
     }
   }
-  for (const auto& [id, worker] : mWorkers) {
-    const auto left = worker->mRuns.LeaseExpiresAt() - now;
-    summary.mLeasesLeft[id] = std::max(duration::zero(), duration(left));
-  }
   mLastSummary = std::move(summary);
-  mSummaryAt = now;
 }
 
 std::optional<term_summary> fleet_scheduler::LastTermSummary(uint64_t aFence) const
@@ -129,17 +123,7 @@
   if (mActive || !mLastSummary || mLastSummary->mFence >= aFence) {
     return std::nullopt;
   }
-  return AgedSummary();
-}
-
-term_summary fleet_scheduler::AgedSummary() const
-{
-  auto summary = *mLastSummary;
-  const auto age = mPorts.mLoop.Now() - mSummaryAt;
-  for (auto& [worker, left] : summary.mLeasesLeft) {
-    left = std::max(duration::zero(), left - age);
-  }
-  return summary;
+  return mLastSummary;
 }
 
 void fleet_scheduler::OnSummaryAnswer(takeover_state& aTakeover,
@@ -157,7 +141,6 @@
     } else {
       outcome = "received";
       aTakeover.mSummary = *summary;
-      aTakeover.mSummaryReceivedAt = mPorts.mLoop.Now();
     }
   }
   mPorts.mLog.Write(
@@ -169,16 +152,6 @@
            aTakeover.mSummary ? int64_t(aTakeover.mSummary->mRecords.size()) : 0));
 }
 
-void fleet_scheduler::ApplyLeases(const term_summary& aSummary, time_point aReceivedAt)
-{
-  for (const auto& [id, left] : aSummary.mLeasesLeft) {
-    const auto worker = mWorkers.find(id);
-    if (worker != mWorkers.end()) {
-      worker->second->mRuns.SetLeaseExpiry(aReceivedAt + left);
-    }
-  }
-}
-
 void fleet_scheduler::Load()
 {
   const auto state = std::make_shared<takeover_state>();
@@ -215,8 +188,7 @@
         }));
   } else {
     if (mLastSummary && mLastSummary->mFence == mPredecessor.mFence) {
-      state->mSummary = AgedSummary();
-      state->mSummaryReceivedAt = mPorts.mLoop.Now();
+      state->mSummary = mLastSummary;
     }
     mPorts.mLoop.Post(UnlessTermEnded(finish));
   }
@@ -232,6 +204,7 @@
         state->mError = aItem.error();
       } else if (*aItem) {
         state->mWriterRevision = (*aItem)->mRevision;
+        state->mLastWrite = (*aItem)->mValue;
       }
       finish();
     }));
@@ -249,6 +222,14 @@
 void fleet_scheduler::OnLoaded(takeover_state& aTakeover)
 {
   mWriter.Begin(mTerm, aTakeover.mWriterRevision);
+  if (aTakeover.mSummary &&
+      !record_writer::IsOfTerm(aTakeover.mLastWrite, aTakeover.mSummary->mFence)) {
+    // A term in between, of which this VM knows nothing, has written newer records.
+    mPorts.mLog.Write(log_event("term_summary_outdated")
+                        .Add("fence", static_cast<int64_t>(aTakeover.mSummary->mFence))
+                        .Add("last_write", aTakeover.mLastWrite));
+    aTakeover.mSummary.reset();
+  }
   std::map<std::string, std::string> progress;
   for (const auto& item : aTakeover.mProgress.mItems) {
     if (const auto id = store_keys::StripPrefix(item.mKey, store_keys::kProgress)) {
@@ -295,7 +276,6 @@
   }
   mLoaded = true;
   if (aTakeover.mSummary) {
-    ApplyLeases(*aTakeover.mSummary, aTakeover.mSummaryReceivedAt);
     for (const auto& [id, record] : aTakeover.mSummary->mRecords) {
       const auto job = mJobs.find(id);
       if (job != mJobs.end()) {
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -113,12 +113,8 @@
   void OnLoaded(takeover_state& aTakeover);
   /** Keeps what a successor cannot read in the store. */
   void SaveSummary();
-  /** Returns the saved summary, its leases counted from now. */
-  term_summary AgedSummary() const;
   void OnSummaryAnswer(takeover_state& aTakeover,
                        const result<std::optional<std::string>>& aAnswer);
-  /** Applies the lease ends of the former scheduler instead of the assumed ones. */
-  void ApplyLeases(const term_summary& aSummary, time_point aReceivedAt);
   void WatchInbox();
   void RelistInbox();
   void HandleInboxItem(const stored_item& aItem);
@@ -237,8 +233,7 @@
   record_writer mWriter;
   scheduler_term mTerm;
   scheduler_term mPredecessor;
-  std::optional<term_summary> mLastSummary; ///< Leases left count from mSummaryAt.
-  time_point mSummaryAt{ 0 };
+  std::optional<term_summary> mLastSummary;
   /** Rises with each Begin and End; callbacks of older generations do nothing. */
   uint64_t mGeneration = 0;
   bool mActive = false;
--- a/src/scheduler/RecordWriter.cpp
+++ b/src/scheduler/RecordWriter.cpp
@@ -62,6 +62,12 @@
   return keys;
 }
 
+bool record_writer::IsOfTerm(const std::string& aName, uint64_t aFence)
+{
+  const auto prefix = std::to_string(aFence) + ".";
+  return aName.compare(0, prefix.size(), prefix) == 0;
+}
+
 void record_writer::Write(const std::string& aKey,
                           urgency aUrgency,
                           std::function<void()> aDurable)
--- a/src/scheduler/RecordWriter.h
+++ b/src/scheduler/RecordWriter.h
@@ -60,6 +60,12 @@
   /** Returns the keys whose last write may not be stored yet. */
   std::vector<std::string> UnconfirmedKeys() const;
 
+  /**
+   * Returns whether aName, a value of the writer's key, names a transaction of the term
+   * with the fencing token aFence. Thread-safe.
+   */
+  static bool IsOfTerm(const std::string& aName, uint64_t aFence);
+
   uint64_t TransactionCount() const { return mTransactions; }
 
 private:
--- a/src/scheduler/TermSummary.cpp
+++ b/src/scheduler/TermSummary.cpp
@@ -8,15 +8,10 @@
 
 std::string EncodeSummary(const term_summary& aSummary)
 {
-  json leases = json::object();
-  for (const auto& [worker, left] : aSummary.mLeasesLeft) {
-    leases[worker] = left.count();
-  }
-  return json{
-    { "fence", aSummary.mFence },
-    { "records", aSummary.mRecords },
-    { "leases_left_ms", leases }
-  }.dump();
+  json text;
+  text["fence"] = aSummary.mFence;
+  text["records"] = aSummary.mRecords;
+  return text.dump();
 }
 
 result<term_summary> DecodeSummary(const std::string& aText)
@@ -26,13 +21,6 @@
     term_summary summary;
     summary.mFence = text.at("fence").get<uint64_t>();
     summary.mRecords = text.at("records").get<std::map<std::string, std::string>>();
-    for (const auto& [worker, left] : text.at("leases_left_ms").items()) {
-      const auto ms = left.get<int64_t>();
-      if (ms < 0) {
-        return Fail(error_code::kInvalid, "decode summary", worker, "negative lease");
-      }
-      summary.mLeasesLeft[worker] = duration(ms);
-    }
     return summary;
   } catch (const json::exception& failure) {
     return Fail(error_code::kInvalid, "decode summary", "predecessor", failure.what());
--- a/src/scheduler/TermSummary.h
+++ b/src/scheduler/TermSummary.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "anvildoor/Error.h"
-#include "anvildoor/Time.h"
 
 #include <cstdint>
 #include <map>
@@ -18,8 +17,6 @@
   uint64_t mFence = 0; ///< Fencing token of the ended term.
   /** Progress records that were not yet durable, by job ID. */
   std::map<std::string, std::string> mRecords;
-  /** Time after which all runs on a worker have certainly been killed, by worker ID. */
-  std::map<std::string, duration> mLeasesLeft;
 
   auto operator<=>(const term_summary&) const = default;
 };
