--- a/src/entry/PeerApi.cpp
+++ b/src/entry/PeerApi.cpp
@@ -44,6 +44,24 @@
               "status " + std::to_string(aAnswer->mStatus));
 }
 
+/** Passes on the body of the answer, or nothing if the peer does not know of it. */
+void CallForText(http_pool& aPool,
+                 const pooled_call& aCall,
+                 const char* aStep,
+                 peer_query::done<std::string> aDone)
+{
+  aPool.Call(aCall,
+             [aStep, done = std::move(aDone)](const result<pooled_response>& aAnswer) {
+               if (aAnswer && aAnswer->mStatus == kOk) {
+                 done(std::optional<std::string>(aAnswer->mBody));
+               } else if (aAnswer && aAnswer->mStatus == kNotFound) {
+                 done(std::optional<std::string>());
+               } else {
+                 done(PeerError(aAnswer, aStep));
+               }
+             });
+}
+
 } // namespace
 
 void peer_api::Serve(const server_request& aRequest,
@@ -92,16 +110,8 @@
                                 const std::string& aJob,
                                 done<std::string> aDone)
 {
-  mPool.Call(MakeCall(aAddress, kStatePath + aJob),
-             [done = std::move(aDone)](const result<pooled_response>& aAnswer) {
-               if (aAnswer && aAnswer->mStatus == kOk) {
-                 done(std::optional<std::string>(aAnswer->mBody));
-               } else if (aAnswer && aAnswer->mStatus == kNotFound) {
-                 done(std::optional<std::string>());
-               } else {
-                 done(PeerError(aAnswer, "get job state"));
-               }
-             });
+  CallForText(
+    mPool, MakeCall(aAddress, kStatePath + aJob), "get job state", std::move(aDone));
 }
 
 void http_peer_query::OnPendingOf(const std::string& aAddress,
@@ -125,15 +135,7 @@
 {
   auto call = MakeCall(aAddress, kSummaryPath + std::to_string(aFence));
   call.mTimeout = kSummaryTimeout;
-  mPool.Call(call, [done = std::move(aDone)](const result<pooled_response>& aAnswer) {
-    if (aAnswer && aAnswer->mStatus == kOk) {
-      done(std::optional<std::string>(aAnswer->mBody));
-    } else if (aAnswer && aAnswer->mStatus == kNotFound) {
-      done(std::optional<std::string>());
-    } else {
-      done(PeerError(aAnswer, "get term summary"));
-    }
-  });
+  CallForText(mPool, call, "get term summary", std::move(aDone));
 }
 
 } // namespace anvildoor
--- a/src/planner/CapacityReport.cpp
+++ b/src/planner/CapacityReport.cpp
@@ -45,29 +45,19 @@
   return std::clamp(1.0 - DominantShare(used, aTotal), 0.0, 1.0);
 }
 
-} // namespace
-
-const char* ToString(waiting_reason aReason)
+/** Like ExplainWaiting; aFree is the result of FreeAfter. */
+waiting_reason ReasonOf(const placement_input& aInput,
+                        const placement_plan& aPlan,
+                        const std::vector<task_resources>& aFree,
+                        size_t aGroup)
 {
-  static constexpr const char* kNames[] = {
-    "no_eligible_worker", "headroom", "capacity", "fragmentation"
-  };
-  return kNames[static_cast<size_t>(aReason)];
-}
-
-waiting_reason ExplainWaiting(const placement_input& aInput,
-                              const placement_plan& aPlan,
-                              size_t aGroup)
-{
-  assert(aGroup < aInput.mGroups.size());
   const auto& group = aInput.mGroups[aGroup];
-  const auto free = FreeAfter(aInput, aPlan);
   task_resources sum;
   bool isAnyEligible = false;
-  for (size_t number = 0; number < free.size(); ++number) {
+  for (size_t number = 0; number < aFree.size(); ++number) {
     if (IsEligible(aInput.mWorkers[number], group)) {
       isAnyEligible = true;
-      Add(sum, free[number]);
+      Add(sum, aFree[number]);
     }
   }
   if (!isAnyEligible) {
@@ -84,6 +74,24 @@
            : waiting_reason::kFragmentation;
 }
 
+} // namespace
+
+const char* ToString(waiting_reason aReason)
+{
+  static constexpr const char* kNames[] = {
+    "no_eligible_worker", "headroom", "capacity", "fragmentation"
+  };
+  return kNames[static_cast<size_t>(aReason)];
+}
+
+waiting_reason ExplainWaiting(const placement_input& aInput,
+                              const placement_plan& aPlan,
+                              size_t aGroup)
+{
+  assert(aGroup < aInput.mGroups.size());
+  return ReasonOf(aInput, aPlan, FreeAfter(aInput, aPlan), aGroup);
+}
+
 capacity_report ReportCapacity(const placement_input& aInput,
                                const placement_plan& aPlan)
 {
@@ -103,7 +111,7 @@
                       DominantShare(OccupiedBy(waiting.mSpec), typical->second);
     report.mWaiting += need;
     if (waiting.mSpec.mGang &&
-        ExplainWaiting(aInput, aPlan, group) == waiting_reason::kFragmentation) {
+        ReasonOf(aInput, aPlan, free, group) == waiting_reason::kFragmentation) {
       report.mFragmented = std::min(report.mFree, report.mFragmented + need);
     }
   }
