review: case 5 becomes the pending count; the gang's attempts are left out

Cause: a job counts as begun when a task is placed, before the start is sent; a refused start doesn't take that back, so that jobs that wait are not counted as pending. Change: a script and its claim take the place of the gang whose members fail together.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""Two members of a gang fail in the same run, each on an executor that fails all it starts."""
+"""An unhealthy executor refuses every start; its jobs are no longer counted as pending."""
 
 import asyncio
 import os
@@ -8,40 +8,50 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standin"))
 import platform_standin as platform  # noqa: E402
 
-EXECUTORS = 24
-GREY = ["i-00", "i-01"]  # A twelfth of the executors; the site's largest share is 0.085.
-GREY_S = 6.5             # The site's longest span.
-MAX_ATTEMPTS = 2
-FAIL_AFTER_MS = 100      # Sooner than the other executor hears of the end (200 ms).
+EXECUTORS = 12
+UNHEALTHY_S = 6.4    # The site's longest span is 6.5 s.
+JOBS = 6
+COUNT_AFTER_S = 5.2  # visible_ms and 2 s after the last acceptance.
 
 
 async def case(make_site, record, trouble):
     site = make_site()
     await site.start(vms=3, executors=EXECUTORS, routes=[
-        {"name": "r-roster", "prefix": "/roster/", "priority": 0, "slo_ms": 250,
-         "max_attempts": MAX_ATTEMPTS, "stretch": 1.5}])
+        {"name": "r-check", "prefix": "/check/", "priority": 2, "max_attempts": 2}])
     await asyncio.sleep(3)
-    jobs = [f"{0xbbbb0000 + number:016x}" for number in range(3)]
-    until = platform.now() + GREY_S
-    record.line(f"trouble: {', '.join(GREY) if trouble else 'no executors'} fail all they start")
-    for ident in jobs:
-        failing = {each: FAIL_AFTER_MS for each in GREY} if trouble else {}
-        gang = platform.job([{"count": 2, "cpu": 3700, "mem_mb": 7600, "gpu": 8,
-                              "estimate_ms": 1000, "gang": True}],
-                            {"ms": 1000, "gang": 2, "fail_on": failing})
-        if await site.submit(f"/roster/{ident}", gang) != 200:
+    # All executors but one are in use for a minute.
+    full = platform.job([{"count": EXECUTORS - 1, "cpu": 30000, "mem_mb": 60000, "gpu": 8,
+                          "estimate_ms": 60000}], {"ms": 60000})
+    if await site.submit("/check/00000000eeee0000", full) != 200:
+        raise platform.CouldNotRun("the first job was not accepted")
+    await asyncio.sleep(2)
+    idle = [each for each in site.fleet.executors.values() if not each.runs]
+    if len(idle) != 1:
+        raise platform.CouldNotRun("the first job does not run")
+    last = idle[0]  # One executor in twelve.
+    last.unhealthy = trouble
+    began = platform.now()
+    record.line(f"trouble: {last.id} refuses starts with 503" if trouble else "trouble: none")
+    ids = [f"{0xeeee1000 + number:016x}" for number in range(JOBS)]
+    for ident in ids:
+        small = platform.job([{"count": 1, "cpu": 2800, "mem_mb": 4100, "gpu": 1,
+                               "estimate_ms": 1000}], {"ms": 1000})
+        if await site.submit(f"/check/{ident}", small) != 200:
             raise platform.CouldNotRun("a job was not accepted")
-        await asyncio.sleep(1)
-    await asyncio.sleep(max(0.0, until - platform.now()) + 4)
-    wrong = 0
-    for ident in jobs:
-        _, answer = await site.request(site.vms[0], "GET", f"/roster/{ident}")
-        failed_runs = {run for _, task, run, _, how in site.fleet.ends
-                       if task.startswith(ident) and how == "failed"}
-        state = (answer or {}).get("state")
-        record.line(f"{ident}: shown as {state}; runs of the gang that failed: "
-                    f"{sorted(failed_runs)} of {MAX_ATTEMPTS} allowed")
-        wrong += state == "failed" and len(failed_runs) < MAX_ATTEMPTS
+    await asyncio.sleep(COUNT_AFTER_S)
+    wrong = False
+    for vm in site.vms:
+        status, answer = await site.request(vm, "GET", "/check/")
+        begun = {task.split(".")[0] for _, task, *_ in site.fleet.starts}
+        waiting = [ident for ident in ids if ident not in begun]
+        record.line(f"{vm.name} counts {answer} pending; {len(waiting)} of {JOBS} jobs that "
+                    f"were accepted over 5 s before have not begun")
+        wrong = wrong or (status == 200 and waiting and
+                          answer["pending"] < len(waiting) / 2)
+    for ident in ids:
+        await site.request(site.vms[0], "GET", f"/check/{ident}")
+    await asyncio.sleep(max(0.0, UNHEALTHY_S - (platform.now() - began)))
+    last.unhealthy = False
     return platform.BROKEN if wrong else platform.HELD
 
 
