--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -189,6 +189,11 @@
         self.history.append(dict(self.items[key]))
         self._notify()
 
+    def remove(self, key):
+        """Removes a key as a change of its own."""
+        self.revision += 1 if key in self.items else 0
+        self._remove(key)
+
     def _remove(self, key):
         if self.items.pop(key, None) is not None:
             self.history.append({"key": key, "revision": self.revision, "removed": True})
@@ -332,7 +337,7 @@
         self.runs, self.refused_up_to = {}, {}
         self.ends, self.next_end, self.acked = [], 1, 0
         self.ended = asyncio.Event()
-        self.seq = 0
+        self.seq, self.first_beat_after, self.last_beat = 0, 0.0, now()
         self.unhealthy = False
         self.server = HttpServer(self.serve)
 
@@ -346,7 +351,12 @@
 
     async def beat(self):
         while True:
+            await asyncio.sleep(0 if self.seq else self.first_beat_after)
             self.seq += 1
+            if not self.fleet.reaches_store(self):
+                await asyncio.sleep(HEARTBEAT_S)
+                continue
+            self.last_beat = now()
             self.fleet.store.put(f"servers/{self.id}", json.dumps({
                 "service": self.service, "address": self.server.address, "zone": "z1",
                 "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
@@ -468,10 +478,12 @@
         self.store, self.record = store, record
         self.executors, self.gangs = {}, {}
         self.starts, self.ends, self.noted = [], [], []
+        self.reaches_store = lambda executor: True
 
-    async def add(self, ident, service="pool", rack="r1", capacity=None):
+    async def add(self, ident, service="pool", rack="r1", capacity=None, first_beat_after=0.0):
         executor = Executor(self, ident, service, rack,
                             capacity or {"cpu": 32000, "mem_mb": 65536, "gpu": 8})
+        executor.first_beat_after = first_beat_after
         self.executors[ident] = executor
         await executor.start()
         return executor
@@ -616,7 +628,8 @@
             "tenants": [{"name": "t1", "api_keys": ["key-of-t1"], "priority": 1,
                          "guaranteed": {"gpu": 0}}]}).encode())
         for number in range(executors):
-            await self.fleet.add(f"i-{number:02d}", rack=f"r1-{number // 8}")
+            await self.fleet.add(f"i-{number:02d}", rack=f"r1-{number // 8}",
+                                 first_beat_after=number * HEARTBEAT_S / executors)
         self.vms = [Vm(self, number) for number in range(1, vms + 1)]
         for vm in self.vms:
             vm.start()
