review: run.sh reads TROUBLE itself

Cause: the scripts left it to the stand-ins to read TROUBLE, where a reader of run.sh doesn't see it.

--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -717,9 +717,15 @@
 
 
 def main(case, folder):
-    """Runs `case(site factory, trouble)`, which returns HELD or BROKEN."""
+    """Runs `case(site factory, record, trouble)`, which returns HELD or BROKEN.
+
+    run.sh says by an argument whether there is trouble.
+    """
+    if sys.argv[1:] not in (["--with-trouble"], ["--without-trouble"]):
+        print("usage: case.py --with-trouble | --without-trouble; or use run.sh", file=sys.stderr)
+        sys.exit(COULD_NOT_RUN)
+    trouble = sys.argv[1] == "--with-trouble"
     record = Record(os.path.join(folder, "record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     scratch = tempfile.mkdtemp(prefix="anvildoor-review-")
     sites = []
 
