Ends that a term summary told are acknowledged once stored

Cause: a scheduler that takes over learns unstored ends from its predecessor and queues their records. When a worker lists such an end again, it changes nothing, and ApplyRunEnd took that for stored and acknowledged it at once, 0.1 s before the write. If the write fails, the next scheduler finds neither the record nor the end. Ruled out: ends of the latest run (acknowledged with their write), ends of unknown jobs (a run exists only if its job was in the inbox before the term). Change: record_writer::WhenStored; an end without effect waits for earlier writes of its job's record. The transaction in flight is forgotten once committed, so that UnconfirmedKeys no longer names stored records.

--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/FleetScheduler.h"
 #include "scheduler/FleetSchedulerState.h"
+#include "scheduler/StoreKeys.h"
 
 #include <cassert>
 
@@ -266,7 +267,10 @@
   }
   mPorts.mMetrics.Count("runs_ended_total", "end", ToString(aEvent.mEnd));
   if (!effect.mIsLatestRun) {
-    mPorts.mLoop.Post(UnlessTermEnded(acknowledge));
+    // The job knows more than this end tells it, for example from a former scheduler,
+    // but that may still have to be stored.
+    mWriter.WhenStored(store_keys::kProgress + aEvent.mTask.mJob,
+                       UnlessTermEnded(acknowledge));
     return;
   }
   UpdateWorkerHealth(aWorker, aEvent);
--- a/src/scheduler/RecordWriter.cpp
+++ b/src/scheduler/RecordWriter.cpp
@@ -82,6 +82,33 @@
   ScheduleSend(aUrgency == urgency::kImmediate ? duration::zero() : kBatchDelay);
 }
 
+bool record_writer::IsInFlight(const std::string& aKey) const
+{
+  const auto& puts = mInFlightTransaction.mPuts;
+  return std::any_of(puts.begin(), puts.end(), [&](const store_put& aPut) {
+    return aPut.mKey == aKey;
+  });
+}
+
+void record_writer::WhenStored(const std::string& aKey, std::function<void()> aDurable)
+{
+  if (!mActive) {
+    return;
+  }
+  const auto pending = mPendingWrites.find(aKey);
+  if (pending != mPendingWrites.end()) {
+    pending->second.push_back(std::move(aDurable));
+  } else if (IsInFlight(aKey)) {
+    mInFlightCallbacks.push_back(std::move(aDurable));
+  } else {
+    mLoop.Post([this, generation = mGeneration, durable = std::move(aDurable)] {
+      if (generation == mGeneration) {
+        durable();
+      }
+    });
+  }
+}
+
 void record_writer::Remove(const std::vector<std::string>& aKeys)
 {
   if (mActive) {
@@ -185,6 +212,7 @@
 {
   mWriterRevision = aRevision;
   mInFlight = false;
+  mInFlightTransaction = store_transaction();
   const auto generation = mGeneration;
   const auto durableCallbacks = std::move(mInFlightCallbacks);
   mInFlightCallbacks.clear();
--- a/src/scheduler/RecordWriter.h
+++ b/src/scheduler/RecordWriter.h
@@ -51,6 +51,12 @@
   /** Writes aKey; aDurable runs when the current value or a later one is stored. */
   void Write(const std::string& aKey, urgency aUrgency, std::function<void()> aDurable);
 
+  /**
+   * Runs aDurable once every earlier write of aKey is stored; never before this call
+   * returns, and not after the end of the term. Writes nothing itself.
+   */
+  void WhenStored(const std::string& aKey, std::function<void()> aDurable);
+
   /** Removes aKeys; pending writes are sent first. */
   void Remove(const std::vector<std::string>& aKeys);
 
@@ -76,6 +82,8 @@
   void Commit();
   void OnCommitResult(const result<transaction_outcome>& aOutcome);
   void OnCommitted(uint64_t aRevision);
+  /** Returns whether the transaction in flight writes aKey. */
+  bool IsInFlight(const std::string& aKey) const;
 
   event_loop& mLoop;
   transaction_store& mStore;
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -419,6 +419,39 @@
   CHECK(site.MaxConcurrentRuns() == 1);
 }
 
+// Guards against an end that is acknowledged although only a summary knows of it.
+TEST_CASE("ends told by a former scheduler are stored before they are acknowledged",
+          "[installation]")
+{
+  const auto killedAfterMs = GENERATE(10, 30, 60, 100);
+  CAPTURE(killedAfterMs);
+  fake_installation site(3, 2);
+  site.mBehaviourByPayload["short"] = { duration(1'400), false };
+  auto ending = fake_installation::MakeJob(kJob, 4);
+  ending.mSpec.mPayload = "short";
+  REQUIRE(site.Submit("vm0", ending) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(1'000));
+  const auto first = site.SchedulerVm();
+  // The tasks end, but their scheduler cannot store it.
+  site.mFaults.mStoreBusyFor.insert(first);
+  REQUIRE(site.mLoop.RunUntil(
+    [&] { return site.mLog.CountLines("event=takeover ") == 2; }, duration(4'000)));
+  const auto second = site.SchedulerVm();
+  REQUIRE(second != first);
+  REQUIRE(site.mLog.CountLines("event=term_summary predecessor=" + first) == 1);
+  // Nor can its successor, which then ends.
+  site.mFaults.mStoreBusyFor.insert(second);
+  site.mLoop.RunFor(duration(killedAfterMs));
+  site.Kill(second);
+  site.Kill(first);
+  site.mFaults.mStoreBusyFor.clear();
+  const std::string third = site.IsUp("vm0")   ? "vm0"
+                            : site.IsUp("vm1") ? "vm1"
+                                               : "vm2";
+  CHECK(site.ReachesState(third, kJob, "done", duration(12'000)));
+  CHECK(site.CountStarts(kJob) == 4);
+}
+
 TEST_CASE("a summary is of use only while its term has written last", "[scheduler]")
 {
   struct row
