A term summary is used until a later term has written

Cause: a scheduler that ends before its first write hands over its summary, but the successor took it only if that term had written last, and only from its direct predecessor; a term that ended before it had loaded kept nothing of what it had been told. Change: the newest summary told or kept is used unless the store's last write is of a later term. Terms without a write have started and acknowledged nothing, so the summary is the newest knowledge. A summary told is kept until the own term has one. Test: 'a term that wrote nothing hands on what it was told' failed in each of 3 rows (3 starts instead of 2). 'a summary is of use only while its term has written last' asked for the condition that is at fault; it is replaced by 'a summary is of use until a later term has written', which keeps its rows for later terms and adds malformed names.

--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -136,11 +136,13 @@
     const auto summary = DecodeSummary(**aAnswer);
     if (!summary) {
       outcome = Describe(summary.error());
-    } else if (summary->mFence != mPredecessor.mFence) {
-      outcome = "of another term";
     } else {
       outcome = "received";
       aTakeover.mSummary = *summary;
+      if (!mLastSummary || mLastSummary->mFence < summary->mFence) {
+        // This term may end before it has written anything.
+        mLastSummary = *summary;
+      }
     }
   }
   mPorts.mLog.Write(
@@ -187,9 +189,6 @@
           finish();
         }));
   } else {
-    if (mLastSummary && mLastSummary->mFence == mPredecessor.mFence) {
-      state->mSummary = mLastSummary;
-    }
     mPorts.mLoop.Post(UnlessTermEnded(finish));
   }
   mPorts.mStore.List(
@@ -222,9 +221,14 @@
 void fleet_scheduler::OnLoaded(takeover_state& aTakeover)
 {
   mWriter.Begin(mTerm, aTakeover.mWriterRevision);
+  if (mLastSummary &&
+      (!aTakeover.mSummary || aTakeover.mSummary->mFence < mLastSummary->mFence)) {
+    aTakeover.mSummary = mLastSummary;
+  }
   if (aTakeover.mSummary &&
-      !record_writer::IsOfTerm(aTakeover.mLastWrite, aTakeover.mSummary->mFence)) {
-    // A term in between, of which this VM knows nothing, has written newer records.
+      record_writer::IsOfLaterTerm(aTakeover.mLastWrite, aTakeover.mSummary->mFence)) {
+    // Records of a later term are newer. Terms that wrote nothing also started and
+    // acknowledged nothing.
     mPorts.mLog.Write(log_event("term_summary_outdated")
                         .Add("fence", static_cast<int64_t>(aTakeover.mSummary->mFence))
                         .Add("last_write", aTakeover.mLastWrite));
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -75,8 +75,8 @@
   void End();
 
   /**
-   * Returns the summary of the last term that this VM has ended; nothing if there was
-   * none, or none before aFence.
+   * Returns the newest summary that this VM has, of its own last term or one that it
+   * was told; nothing if there is none before aFence.
    */
   std::optional<term_summary> LastTermSummary(uint64_t aFence) const;
 
@@ -233,7 +233,7 @@
   record_writer mWriter;
   scheduler_term mTerm;
   scheduler_term mPredecessor;
-  std::optional<term_summary> mLastSummary;
+  std::optional<term_summary> mLastSummary; ///< The newest known; see LastTermSummary.
   /** Rises with each Begin and End; callbacks of older generations do nothing. */
   uint64_t mGeneration = 0;
   bool mActive = false;
--- a/src/scheduler/RecordWriter.cpp
+++ b/src/scheduler/RecordWriter.cpp
@@ -3,6 +3,7 @@
 #include "scheduler/StoreKeys.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace anvildoor {
 
@@ -62,10 +63,17 @@
   return keys;
 }
 
-bool record_writer::IsOfTerm(const std::string& aName, uint64_t aFence)
+bool record_writer::IsOfLaterTerm(const std::string& aName, uint64_t aFence)
 {
-  const auto prefix = std::to_string(aFence) + ".";
-  return aName.compare(0, prefix.size(), prefix) == 0;
+  if (aName.empty()) {
+    return false;
+  }
+  uint64_t fence = 0;
+  const auto end = aName.data() + aName.size();
+  const auto parsed = std::from_chars(aName.data(), end, fence);
+  const bool isWellFormed =
+    parsed.ec == std::errc() && parsed.ptr != end && *parsed.ptr == '.';
+  return !isWellFormed || fence > aFence;
 }
 
 void record_writer::Write(const std::string& aKey,
--- a/src/scheduler/RecordWriter.h
+++ b/src/scheduler/RecordWriter.h
@@ -67,10 +67,11 @@
   std::vector<std::string> UnconfirmedKeys() const;
 
   /**
-   * Returns whether aName, a value of the writer's key, names a transaction of the term
-   * with the fencing token aFence. Thread-safe.
+   * Returns whether aName, a value of the writer's key, names a transaction of a term
+   * after the one with the fencing token aFence. False if aName is empty, as no term
+   * has written then; true if it is malformed. Thread-safe.
    */
-  static bool IsOfTerm(const std::string& aName, uint64_t aFence);
+  static bool IsOfLaterTerm(const std::string& aName, uint64_t aFence);
 
   uint64_t TransactionCount() const { return mTransactions; }
 
