An end as done completes its task, whichever run it is of

Callers: a task whose run had been given up (its worker out of reach beyond its lease) ran in full again, although the worker then listed the first run as done; if the second run was placed but not yet sent, it was started just after that end had been acknowledged.

Cause: job_state::End ignored ends that are not of the latest run, and they were acknowledged. Change: end_effect::mTaskDone; such an end is stored before it is acknowledged, newer runs are stopped, and a start that is not sent yet is withheld. 'an end as done of a run that was given up completes the task' failed before (the second run went on), and so did 'a run that ends before its worker's new life is noticed is not repeated' (6 starts instead of 3).

--- a/src/jobs/JobState.cpp
+++ b/src/jobs/JobState.cpp
@@ -187,14 +187,19 @@
 {
   end_effect effect;
   auto& task = MutableTask(aTask);
-  if (task.mRun != aRun || task.mWorker.empty()) {
+  const bool isDone = aEnd == run_end::kDone && !StepOf(aTask).mLongRunning;
+  const bool hadThisRun = aRun != 0 && aRun <= task.mRun;
+  effect.mIsLatestRun = task.mRun == aRun && !task.mWorker.empty();
+  effect.mTaskDone = isDone && hadThisRun && !task.mDone;
+  if (!effect.mIsLatestRun && !effect.mTaskDone) {
     return effect;
   }
-  effect.mIsLatestRun = true;
-  task.mWorker.clear();
+  if (effect.mIsLatestRun) {
+    task.mWorker.clear();
+  }
   const bool isGang = StepOf(aTask).mGang;
   auto& members = mSteps[aTask.mOccurrence][aTask.mStep];
-  if (aEnd == run_end::kDone && !StepOf(aTask).mLongRunning) {
+  if (isDone) {
     if (isGang) {
       for (auto& member : members) {
         member.mDone = true;
--- a/src/jobs/JobState.h
+++ b/src/jobs/JobState.h
@@ -59,6 +59,7 @@
 struct end_effect
 {
   bool mIsLatestRun = false; ///< The run was the latest one of its task.
+  bool mTaskDone = false;    ///< The task was not done before this end.
   bool mJobFinished = false; ///< This end decided the outcome of the job.
   bool mGangBroken = false;  ///< The other members of the gang must stop.
 
@@ -124,7 +125,11 @@
                       uint32_t aRun,
                       const std::string& aCheckpoint);
 
-  /** Applies the end of a run. Ends of older runs are ignored. */
+  /**
+   * Applies the end of a run. An end as done completes the task whichever of its runs
+   * it is of; a newer run then stays placed until its own end. Other ends of older runs
+   * are ignored.
+   */
   end_effect End(const task_ref& aTask,
                  uint32_t aRun,
                  run_end aEnd,
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -148,6 +148,8 @@
                 const task_ref& aTask,
                 uint32_t aRun,
                 const char* aReason);
+  /** Stops the runs of a task, or of its whole gang, that is done without them. */
+  void StopNewerRuns(const job_entry& aJob, const task_ref& aTask);
   void Tick();
   void CheckWorker(worker_entry& aWorker, time_point aNow);
 
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -432,6 +432,7 @@
   const auto run = worker.mRuns.Runs().find(aTask);
   const bool isStillWanted = run != worker.mRuns.Runs().end() &&
                              run->second.mRun == aRun && !run->second.mStopping &&
+                             !task.mDone &&
                              job.mState.Outcome() == job_outcome::kOpen;
   if (!isStillWanted || !MaySendRequests() || worker.mListed.mDraining ||
       !worker.mIsListed) {
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -266,7 +266,7 @@
                         .Add("current", effect.mIsLatestRun ? 1 : 0));
   }
   mPorts.mMetrics.Count("runs_ended_total", "end", ToString(aEvent.mEnd));
-  if (!effect.mIsLatestRun) {
+  if (!effect.mIsLatestRun && !effect.mTaskDone) {
     // The job knows more than this end tells it, for example from a former scheduler,
     // but that may still have to be stored.
     mWriter.WhenStored(store_keys::kProgress + aEvent.mTask.mJob,
@@ -274,6 +274,9 @@
     return;
   }
   UpdateWorkerHealth(aWorker, aEvent);
+  if (!effect.mIsLatestRun) {
+    StopNewerRuns(job, aEvent.mTask);
+  }
   if (effect.mGangBroken) {
     StopGang(job, aEvent.mTask, aEvent.mRun, kGangMemberEndedReason);
   }
@@ -404,6 +407,16 @@
   }
 }
 
+void fleet_scheduler::StopNewerRuns(const job_entry& aJob, const task_ref& aTask)
+{
+  constexpr const char* kReason = "an earlier run of the task has ended as done";
+  if (aJob.mState.StepOf(aTask).mGang) {
+    StopGang(aJob, aTask, aJob.mState.Task(aTask).mRun, kReason);
+  } else if (!aJob.mState.Task(aTask).mWorker.empty()) {
+    StopTask(aJob, aTask, kReason);
+  }
+}
+
 void fleet_scheduler::CheckWorker(worker_entry& aWorker, time_point aNow)
 {
   if (aWorker.mRuns.Runs().empty()) {
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -204,6 +204,50 @@
   CHECK(site.CountStarts(kJob) == 4);
 }
 
+// Guards against runs of a worker's new life that count as lost with its former life.
+TEST_CASE("a run that ends before its worker's new life is noticed is not repeated",
+          "[installation]")
+{
+  const auto submittedAfterMs = GENERATE(0, 100, 300, 600);
+  CAPTURE(submittedAfterMs);
+  fake_installation site(2, 1);
+  site.mBehaviourByPayload["short"] = { duration(200), false };
+  site.mLoop.RunFor(duration(300));
+  site.CrashWorker("w0", true);
+  site.mLoop.RunFor(duration(submittedAfterMs));
+  auto job = fake_installation::MakeJob(kJob, 3);
+  job.mSpec.mPayload = "short";
+  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  CHECK(site.ReachesState("vm0", kJob, "done", duration(6'000)));
+  CHECK(site.CountStarts(kJob) == 3);
+}
+
+// Guards against work done twice after a worker was out of reach.
+TEST_CASE("an end as done of a run that was given up completes the task",
+          "[installation]")
+{
+  const auto isGang = GENERATE(false, true);
+  CAPTURE(isGang);
+  fake_installation site(2, 2);
+  site.mBehaviourByPayload["long"] = { duration(2'000), false };
+  auto job = fake_installation::MakeJob(kJob, 1, isGang);
+  job.mSpec.mPayload = "long";
+  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(1'000));
+  REQUIRE(site.mTraces.size() == 1);
+  const auto worker = site.mTraces.front().mWorker;
+  site.mFaults.mUnreachableWorkers.insert(worker);
+  // The repetition would take long.
+  site.mBehaviourByPayload["long"] = { duration(60'000), false };
+  REQUIRE(site.mLoop.RunUntil([&] { return site.mTraces.size() == 2; },
+                              duration(12'000)));
+  site.mFaults.mUnreachableWorkers.clear();
+  CHECK(site.ReachesState("vm0", kJob, "done", duration(1'000)));
+  site.mLoop.RunFor(duration(1'000));
+  CHECK(site.CountStarts(kJob) == 2);
+  CHECK(site.mTraces.back().mEnd == run_end::kStopped);
+}
+
 TEST_CASE("a draining worker gets no new tasks", "[installation]")
 {
   fake_installation site(2, 2);
