A worker's new life keeps the runs that it lists or may still get

Cause: the first reply of a new life ended all registered runs as lost, also those that the reply lists. A start without an answer counted as lost, too, but may still arrive: its deadline is on the former life's clock and doesn't hold on the new one. Change: DropFormerLife keeps runs that the reply lists, runs confirmed after the hold was sent, and unanswered starts, which are stopped first.

--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -195,7 +195,7 @@
   std::vector<run_event> events;
   if (aReply.mStartedAtMs != 0 && mWorkerStartedAtMs != 0 &&
       aReply.mStartedAtMs != mWorkerStartedAtMs) {
-    events = DropAll(run_end::kLost);
+    events = DropFormerLife(aReply, aSentAt);
   }
   if (aReply.mStartedAtMs != 0) {
     mWorkerStartedAtMs = aReply.mStartedAtMs;
@@ -280,13 +280,49 @@
     events.push_back(MakeEndEvent(task, run.mRun, aEnd));
   }
   mRuns.clear();
+  ForgetLeaseAndEnds();
+  return events;
+}
+
+std::vector<run_event> worker_runs::DropFormerLife(const hold_reply& aReply,
+                                                   time_point aSentAt)
+{
+  std::vector<run_event> events;
+  const auto isListed = [&](const auto& aReported, const task_ref& aTask, uint32_t aRun) {
+    return std::any_of(aReported.begin(), aReported.end(), [&](const auto& aEach) {
+      return aEach.mTask == aTask && aEach.mRun == aRun;
+    });
+  };
+  for (auto at = mRuns.begin(); at != mRuns.end();) {
+    auto& [task, run] = *at;
+    const bool isOfNewLife = isListed(aReply.mRunning, task, run.mRun) ||
+                             isListed(aReply.mEnded, task, run.mRun);
+    const bool isConfirmed = run.mPhase == run_phase::kConfirmed;
+    if (!isOfNewLife && isConfirmed && run.mConfirmedAt <= aSentAt) {
+      events.push_back(MakeEndEvent(task, run.mRun, run_end::kLost));
+      at = mRuns.erase(at);
+      continue;
+    }
+    if (!isOfNewLife && !isConfirmed && run.mWorkerDeadlineMs != 0) {
+      // The deadline is on the clock of the former life, so only a stop prevents a late
+      // start.
+      run.mStopping = true;
+      run.mStopSentAt = time_point(0);
+    }
+    ++at;
+  }
+  ForgetLeaseAndEnds();
+  return events;
+}
+
+void worker_runs::ForgetLeaseAndEnds()
+{
   mHasLease = false;
   mLeaseRequested = false;
   mHighestSeenEnd = 0;
   mUnacknowledgedEnds.clear();
   mAcknowledged = 0;
   mAckSent = 0;
-  return events;
 }
 
 void worker_runs::MarkDurable(int64_t aWorkerStartedAtMs, uint64_t aNumber)
--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -197,6 +197,13 @@
 
 private:
   run_event MakeEndEvent(const task_ref& aTask, uint32_t aRun, run_end aEnd) const;
+  /**
+   * Ends as lost the runs of the worker's former life. Runs that aReply lists are of
+   * its new life and stay, as do those confirmed after aSentAt, which a later reply
+   * decides, and those whose start may still arrive; the latter are marked as stopping.
+   */
+  std::vector<run_event> DropFormerLife(const hold_reply& aReply, time_point aSentAt);
+  void ForgetLeaseAndEnds();
 
   run_bounds mBounds;
   std::map<task_ref, run_info> mRuns;
--- a/tests/WorkerRunsTest.cpp
+++ b/tests/WorkerRunsTest.cpp
@@ -148,6 +148,70 @@
   CHECK(events.front().mEnd == run_end::kLost);
 }
 
+// Guards against runs of a new life that are given up, and repeated, with the former's.
+TEST_CASE("a worker's new life keeps the runs that it has or may still get", "[runs]")
+{
+  enum class start
+  {
+    kNotSent,
+    kUnanswered,
+    kAccepted,           // Before the hold was sent.
+    kAcceptedAfterwards, // After the hold was sent.
+  };
+  enum class listed
+  {
+    kNo,
+    kRunning,
+    kDone,
+  };
+  struct row
+  {
+    start mStart;
+    listed mListed;
+    size_t mEvents;
+    run_end mEnd; // Of the only event.
+    bool mStays;
+    bool mStopping;
+  };
+  const auto [started, isListed, events, end, stays, stopping] = GENERATE(
+    row{ start::kNotSent, listed::kNo, 0, run_end::kLost, true, false },
+    row{ start::kUnanswered, listed::kNo, 0, run_end::kLost, true, true },
+    row{ start::kAccepted, listed::kNo, 1, run_end::kLost, false, false },
+    row{ start::kAcceptedAfterwards, listed::kNo, 0, run_end::kLost, true, false },
+    row{ start::kUnanswered, listed::kRunning, 0, run_end::kLost, true, false },
+    row{ start::kAccepted, listed::kRunning, 0, run_end::kLost, true, false },
+    row{ start::kUnanswered, listed::kDone, 1, run_end::kDone, false, false },
+    row{ start::kAccepted, listed::kDone, 1, run_end::kDone, false, false });
+  CAPTURE(static_cast<int>(started), static_cast<int>(isListed));
+  worker_runs runs{ run_bounds() };
+  runs.OnHoldReply(ReplyAt(90'000), kStart, kStart);
+  runs.RegisterStart(kTask, 1, kNeed, kStart);
+  const auto sentAt = kStart + duration(100);
+  if (started != start::kNotSent) {
+    runs.RecordStartRequest(kTask, 1, 91'500, kStart);
+  }
+  if (started == start::kAccepted || started == start::kAcceptedAfterwards) {
+    const auto answeredAt = sentAt + duration(started == start::kAccepted ? -50 : 50);
+    runs.OnStartAnswer(kTask, 1, run_request_status::kAccepted, answeredAt);
+  }
+  auto reply = ReplyAt(60, 8);
+  if (isListed == listed::kRunning) {
+    reply.mRunning.push_back({ kTask, 1, "", 10 });
+  } else if (isListed == listed::kDone) {
+    reply.mEnded.push_back({ 1, kTask, 1, run_end::kDone, "" });
+  }
+  const auto seen = runs.OnHoldReply(reply, sentAt, sentAt + duration(200));
+  REQUIRE(seen.size() == events);
+  if (events != 0) {
+    CHECK(seen.front().mEnd == end);
+  }
+  const auto run = runs.Runs().find(kTask);
+  CHECK((run != runs.Runs().end()) == stays);
+  if (stays) {
+    CHECK(run->second.mStopping == stopping);
+  }
+}
+
 TEST_CASE("ends are acknowledged in order once they are durable", "[runs]")
 {
   worker_runs runs{ run_bounds() };
