A worker has left only if its entry can't have expired

Cause: the time at which a list first showed a heartbeat was taken for the time of its writing. After a gap between two lists (the store silent for 2 s) the heartbeat was older by the gap. The entry then expired after three periods, looked younger than two, and counted as removed by its worker, whose runs were given up while they went on. Ruled out: freezes of the scheduler (its clock counts them). Change: ObserveEntry counts a heartbeat's age from the request of the last list without it; HasDeregistered allows three periods less half a one. worker_unlisted logs beat_max_age_ms (-1: unknown) and draining. 'a missing entry means deregistered only if it was updated recently' counted the age from the wrong time; its replacement has the same rows on the new age, with the limit of the directory, and the gap is a row of 'a heartbeat may be as old as the last list without it'.

--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -18,10 +18,27 @@
                      duration aHeartbeatPeriod,
                      time_point aNow)
 {
-  constexpr int kMaxHeartbeatAgePeriods = 2;
-  const bool isListRecent = aNow - aObservation.mSeenAt <= aHeartbeatPeriod;
-  return isListRecent &&
-         aNow - aObservation.mHeartbeatAt < kMaxHeartbeatAgePeriods * aHeartbeatPeriod;
+  constexpr int kExpiryPeriods = 3;
+  // Covers inaccuracies of the directory's clock and of the worker's period.
+  const auto margin = aHeartbeatPeriod / 2;
+  return aObservation.mHeartbeatSince != time_point(0) &&
+         aNow - aObservation.mHeartbeatSince <
+           kExpiryPeriods * aHeartbeatPeriod - margin;
+}
+
+void ObserveEntry(entry_observation& aObservation,
+                  uint64_t aHeartbeat,
+                  bool aWasListed,
+                  time_point aRequestedAt)
+{
+  if (!aWasListed) {
+    // An entry read for the first time may be old.
+    aObservation.mHeartbeatSince = time_point(0);
+  } else if (aHeartbeat != aObservation.mHeartbeat) {
+    aObservation.mHeartbeatSince = aObservation.mSeenAt;
+  }
+  aObservation.mHeartbeat = aHeartbeat;
+  aObservation.mSeenAt = aRequestedAt;
 }
 
 run_event worker_runs::MakeEndEvent(const task_ref& aTask,
--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -44,21 +44,34 @@
   auto operator<=>(const run_info&) const = default;
 };
 
-/** When a worker's directory entry was last listed and last updated. */
+/** What the lists have shown of a worker's directory entry. */
 struct entry_observation
 {
-  uint64_t mHeartbeat = 0;      ///< The heartbeat counter of the entry.
-  time_point mHeartbeatAt{ 0 }; ///< When mHeartbeat last changed.
-  time_point mSeenAt{ 0 };      ///< When a list last contained the entry.
+  uint64_t mHeartbeat = 0; ///< The heartbeat counter of the entry.
+  /**
+   * The earliest time at which the worker can have written mHeartbeat: when the last
+   * list that still showed an earlier one was requested. 0: unknown.
+   */
+  time_point mHeartbeatSince{ 0 };
+  time_point mSeenAt{ 0 }; ///< When the last list with the entry was requested.
 
   auto operator<=>(const entry_observation&) const = default;
 };
 
 /**
- * Returns whether a worker whose entry is missing from the list at aNow has removed the
- * entry itself. The directory removes an entry after three heartbeat periods without an
- * update, so an entry updated within the last two was removed by its worker. False if
- * the last list with the entry is older than one period. Pure.
+ * Updates aObservation with the entry of a list that was requested at aRequestedAt.
+ * aWasListed: whether the previous list contained the entry. Pure.
+ */
+void ObserveEntry(entry_observation& aObservation,
+                  uint64_t aHeartbeat,
+                  bool aWasListed,
+                  time_point aRequestedAt);
+
+/**
+ * Returns whether a worker whose entry is missing from the list received at aNow has
+ * removed the entry itself, so that nothing runs on it any more. The directory removes
+ * an entry after three heartbeat periods without an update, so one that may be older
+ * can belong to a worker that runs on without reaching the directory. Pure.
  */
 bool HasDeregistered(const entry_observation& aObservation,
                      duration aHeartbeatPeriod,
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -24,6 +24,7 @@
 struct fleet_scheduler::takeover_state
 {
   int mPendingReads = 5;
+  time_point mRequestedAt{ 0 }; ///< When the reads were sent.
   std::optional<error> mError;
   stored_range mInbox;
   stored_range mProgress;
@@ -157,6 +158,7 @@
 void fleet_scheduler::Load()
 {
   const auto state = std::make_shared<takeover_state>();
+  state->mRequestedAt = mPorts.mLoop.Now();
   const auto finish = [this, state] {
     if (--state->mPendingReads > 0) {
       return;
@@ -302,7 +304,7 @@
                       .Add("jobs", static_cast<int64_t>(mJobs.size()))
                       .Add("workers", static_cast<int64_t>(aTakeover.mWorkers.size()))
                       .Add("ms", (now - mTermBegunAt).count()));
-  OnWorkersListed(aTakeover.mWorkers);
+  OnWorkersListed(aTakeover.mWorkers, aTakeover.mRequestedAt);
   for (auto& [id, job] : mJobs) {
     if (job->mState.Outcome() != job_outcome::kOpen) {
       StopJob(*job, "the job has ended");
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -129,7 +129,9 @@
 
   // Workers: hold calls, ends of runs, stops (FleetSchedulerWorkers.cpp).
   void PollDirectory();
-  void OnWorkersListed(const std::vector<listed_worker>& aListed);
+  /** Applies a list that was requested at aRequestedAt. */
+  void OnWorkersListed(const std::vector<listed_worker>& aListed,
+                       time_point aRequestedAt);
   worker_entry& FindOrAddWorker(const std::string& aId);
   void ScheduleHold(worker_entry& aWorker, duration aAfter);
   void Hold(worker_entry& aWorker);
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -48,17 +48,20 @@
 void fleet_scheduler::PollDirectory()
 {
   mPorts.mLoop.RunAfter(kDirectoryPeriod, UnlessTermEnded([this] {
+                          const auto requestedAt = mPorts.mLoop.Now();
                           mPorts.mDirectory.List(UnlessTermEnded(
-                            [this](const result<std::vector<listed_worker>>& aListed) {
+                            [this, requestedAt](
+                              const result<std::vector<listed_worker>>& aListed) {
                               if (aListed) {
-                                OnWorkersListed(*aListed);
+                                OnWorkersListed(*aListed, requestedAt);
                               }
                               PollDirectory();
                             }));
                         }));
 }
 
-void fleet_scheduler::OnWorkersListed(const std::vector<listed_worker>& aListed)
+void fleet_scheduler::OnWorkersListed(const std::vector<listed_worker>& aListed,
+                                      time_point aRequestedAt)
 {
   const auto now = mPorts.mLoop.Now();
   std::set<std::string> seen;
@@ -78,13 +81,8 @@
     } else if (!listed.mDraining) {
       worker.mEarliestShutdown.reset();
     }
-    if (worker.mIsListed && listed.mHeartbeat != worker.mObservation.mHeartbeat) {
-      // Only a change counts as a heartbeat: an entry read for the first time may be
-      // old.
-      worker.mObservation.mHeartbeatAt = now;
-    }
-    worker.mObservation.mHeartbeat = listed.mHeartbeat;
-    worker.mObservation.mSeenAt = now;
+    ObserveEntry(
+      worker.mObservation, listed.mHeartbeat, worker.mIsListed, aRequestedAt);
     worker.mListed = listed;
     worker.mIsListed = true;
     if (beganDraining) {
@@ -102,7 +100,11 @@
       mPorts.mLog.Write(
         log_event("worker_unlisted")
           .Add("worker", id)
-          .Add("beat_age_ms", (now - worker->mObservation.mHeartbeatAt).count())
+          .Add("draining", worker->mListed.mDraining ? 1 : 0)
+          .Add("beat_max_age_ms",
+               worker->mObservation.mHeartbeatSince == time_point(0)
+                 ? -1
+                 : (now - worker->mObservation.mHeartbeatSince).count())
           .Add("left", hasLeft ? 1 : 0));
       if (hasLeft) {
         // A worker that left has no runs any more, so its lease need not expire first.
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -421,6 +421,39 @@
   CHECK(site.MaxConcurrentRuns() == 1);
 }
 
+// Guards against runs that are given up while they go on, after a gap in the lists.
+TEST_CASE("a worker whose entry expires after a store outage has not left",
+          "[installation]")
+{
+  constexpr int64_t kEntryLifeMs = 4'500; // Three heartbeats.
+  constexpr int64_t kOutageMs = 1'950;
+  const auto heartbeatAfterMs = GENERATE(range(0, 700, 50));
+  const auto isDraining = GENERATE(false, true);
+  CAPTURE(heartbeatAfterMs, isDraining);
+  fake_installation site(1, 3);
+  site.mBehaviourByPayload["long"] = { duration(20'000), false };
+  auto job = fake_installation::MakeJob(kJob, 2);
+  job.mSpec.mPayload = "long";
+  job.mSpec.mSteps.front().mMaxPerWorker = 1;
+  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(1'000));
+  site.ListWorker("w0", isDraining);
+  site.mLoop.RunFor(duration(1'000 + heartbeatAfterMs));
+  // The worker's last heartbeat before it is cut from the store. The scheduler reads it
+  // late, as its own lists get no answer for a while.
+  site.ListWorker("w0", isDraining);
+  site.mLoop.RunFor(duration(1));
+  site.mFaults.mBlockedLinks.insert({ "vm0", "directory" });
+  site.mLoop.RunFor(duration(kOutageMs));
+  site.mFaults.mBlockedLinks.clear();
+  site.mLoop.RunFor(duration(kEntryLifeMs - kOutageMs));
+  site.mStore.Remove("workers/w0");
+  site.mLoop.RunFor(duration(2'000));
+  CHECK(site.mLog.CountLines("event=worker_unlisted worker=w0") == 1);
+  CHECK(site.mLog.CountLines("left=1") == 0);
+  CHECK(site.MaxConcurrentRuns() == 1);
+}
+
 TEST_CASE("a takeover learns from the former scheduler what the store does not know",
           "[installation]")
 {
--- a/tests/WorkerRunsTest.cpp
+++ b/tests/WorkerRunsTest.cpp
@@ -287,24 +287,49 @@
   CHECK(health.AcceptsRuns(later, 5));
 }
 
-TEST_CASE("a missing entry means deregistered only if it was updated recently",
-          "[runs]")
+TEST_CASE("a missing entry means deregistered only if it can't have expired", "[runs]")
 {
   struct row
   {
-    int64_t mHeartbeatAgeMs; // Since the last update, ms; the period is 1.5 s.
-    int64_t mSeenAgeMs;      // Since the last list that contained the entry, ms.
+    int64_t mHeartbeatAgeMs; // At most; the period is 1.5 s. -1: unknown.
     bool mHasDeregistered;
   };
-  const auto [heartbeatAgeMs, seenAgeMs, hasDeregistered] =
-    GENERATE(row{ 700, 700, true },
-             row{ 2'900, 700, true },
-             row{ 3'000, 700, false },
-             row{ 4'500, 700, false },
-             // The store was unreachable, so the last list is too old.
-             row{ 2'000, 1'600, false });
+  const auto [heartbeatAgeMs, hasDeregistered] = GENERATE(row{ 700, true },
+                                                          row{ 2'900, true },
+                                                          row{ 3'749, true },
+                                                          row{ 3'750, false },
+                                                          row{ 4'500, false },
+                                                          row{ -1, false });
+  CAPTURE(heartbeatAgeMs);
   entry_observation observation;
-  observation.mHeartbeatAt = kStart - duration(heartbeatAgeMs);
-  observation.mSeenAt = kStart - duration(seenAgeMs);
+  observation.mHeartbeatSince =
+    heartbeatAgeMs < 0 ? time_point(0) : kStart - duration(heartbeatAgeMs);
   CHECK(HasDeregistered(observation, duration(1'500), kStart) == hasDeregistered);
 }
+
+// Guards against taking the time at which a heartbeat is read for that of its writing.
+TEST_CASE("a heartbeat may be as old as the last list without it", "[runs]")
+{
+  struct row
+  {
+    std::vector<std::pair<int64_t, uint64_t>> mLists; // Request time and heartbeat.
+    int64_t mHeartbeatSinceMs;                        // 0: unknown.
+  };
+  const auto [lists, heartbeatSinceMs] =
+    GENERATE(row{ { { 700, 1 } }, 0 },
+             row{ { { 700, 1 }, { 1'400, 1 } }, 0 },
+             row{ { { 700, 1 }, { 1'400, 2 } }, 700 },
+             row{ { { 700, 1 }, { 1'400, 2 }, { 2'100, 2 } }, 700 },
+             row{ { { 700, 1 }, { 1'400, 1 }, { 2'100, 2 } }, 1'400 },
+             row{ { { 700, 1 }, { 4'900, 2 } }, 700 }); // After a gap.
+  entry_observation observation;
+  bool wasListed = false;
+  for (const auto& [requestedAt, heartbeat] : lists) {
+    ObserveEntry(observation, heartbeat, wasListed, time_point(requestedAt));
+    wasListed = true;
+  }
+  CHECK(observation.mHeartbeatSince == time_point(heartbeatSinceMs));
+  // An entry that was away for a time counts as read for the first time.
+  ObserveEntry(observation, 7, false, time_point(9'000));
+  CHECK(observation.mHeartbeatSince == time_point(0));
+}
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -258,6 +258,14 @@
 
   void OnList(worker_directory::done aDone) override
   {
+    if (IsBlocked("directory")) {
+      RunLater(
+        [done = std::move(aDone)] {
+          done(Fail(error_code::kUnavailable, "list", "directory", "no answer"));
+        },
+        kCallTimeout);
+      return;
+    }
     transaction_store::List(
       kWorkersKey,
       false,
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -25,10 +25,10 @@
   void OnWrite(const std::string& aLine) override { mLines.push_back(aLine); }
 };
 
-/** Injected faults. Names are those of a VM, of a worker, or "store". */
+/** Injected faults. Names are those of a VM, of a worker, "store" or "directory". */
 struct fake_faults
 {
-  /** Pairs of a VM and the peer, worker or store that it cannot reach. */
+  /** Pairs of a VM and the peer, worker, store or directory that it cannot reach. */
   std::set<std::pair<std::string, std::string>> mBlockedLinks;
   std::set<std::string> mStoreBusyFor;       ///< VMs to which the store answers "busy".
   std::set<std::string> mUnreachableWorkers; ///< Workers to which no call can be sent.
