All records of a job are removed in one transaction

Cause: the keys of all expired jobs were removed as one flat list, 29 a transaction, so that two transactions in three ended between the keys of one job, the progress going before the job. If the term ended there, the next scheduler found a job without progress: a new one. Change: record_writer::Remove takes what belongs together; a job is forgotten once that is removed. Expiry waits for the job's own record instead of an idle writer, which a busy installation never has, so that jobs ended long ago were kept in memory. Test: 'all records of a job are removed together' failed in each of 5 rows (jobs without progress, 41 starts instead of 40).

--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -497,27 +497,27 @@
 void fleet_scheduler::RemoveExpiredJobs()
 {
   const auto now = mPorts.mLoop.Now();
-  std::vector<std::string> keys;
-  for (auto at = mJobs.begin(); at != mJobs.end();) {
-    const auto& job = *at->second;
+  for (auto& [id, job] : mJobs) {
     const bool isExpired =
-      job.mDurableOutcome != job_outcome::kOpen &&
-      now - job.mEndedAt > kRetentionFactor * mBounds.mMinStatusRetention &&
-      job.mState.PlacedTasks().empty() && mWriter.IsIdle();
+      !job->mIsBeingRemoved && job->mDurableOutcome != job_outcome::kOpen &&
+      now - job->mEndedAt > kRetentionFactor * mBounds.mMinStatusRetention &&
+      job->mState.PlacedTasks().empty() &&
+      mWriter.IsStored(store_keys::kProgress + id);
     if (!isExpired) {
-      ++at;
       continue;
     }
-    keys.push_back(store_keys::kJobs + at->first);
-    keys.push_back(store_keys::kCancels + at->first);
-    keys.push_back(store_keys::kProgress + at->first);
-    at = mJobs.erase(at);
-  }
-  if (!keys.empty()) {
-    mWriter.Remove(keys);
+    job->mIsBeingRemoved = true;
+    mWriter.Remove(
+      { store_keys::kJobs + id, store_keys::kCancels + id, store_keys::kProgress + id },
+      [this, removed = id] { OnJobRemoved(removed); });
   }
 }
 
+void fleet_scheduler::OnJobRemoved(const std::string& aId)
+{
+  mJobs.erase(aId);
+}
+
 void fleet_scheduler::Tick()
 {
   const auto now = mPorts.mLoop.Now();
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -126,6 +126,8 @@
   std::string EncodeRecord(const std::string& aKey) const;
   void OnJobEnded(job_entry& aJob);
   void RemoveExpiredJobs();
+  /** Forgets a job whose records have been removed from the store. */
+  void OnJobRemoved(const std::string& aId);
 
   // Workers: hold calls, ends of runs, stops (FleetSchedulerWorkers.cpp).
   void PollDirectory();
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -248,7 +248,8 @@
     SchedulePlan();
   }
   const auto found = mJobs.find(aEvent.mTask.mJob);
-  if (found == mJobs.end() || !found->second->mState.HasTask(aEvent.mTask)) {
+  if (found == mJobs.end() || found->second->mIsBeingRemoved ||
+      !found->second->mState.HasTask(aEvent.mTask)) {
     mPorts.mLoop.Post(UnlessTermEnded(acknowledge));
     return;
   }
--- a/src/scheduler/RecordWriter.cpp
+++ b/src/scheduler/RecordWriter.cpp
@@ -3,6 +3,7 @@
 #include "scheduler/StoreKeys.h"
 
 #include <algorithm>
+#include <cassert>
 #include <charconv>
 
 namespace anvildoor {
@@ -13,8 +14,6 @@
 constexpr duration kBatchDelay{ 120 };
 /** Delay before a transaction is sent again after a failed call to the store. */
 constexpr duration kRetryDelay{ 120 };
-/** Limit on entries, less the two conditions and the put of the writer's key. */
-constexpr size_t kMaxRecordsPerTransaction = store_transaction::kMaxEntries - 3;
 
 } // namespace
 
@@ -117,10 +116,12 @@
   }
 }
 
-void record_writer::Remove(const std::vector<std::string>& aKeys)
+void record_writer::Remove(const std::vector<std::string>& aKeys,
+                           std::function<void()> aDurable)
 {
+  assert(aKeys.size() <= kMaxRecordsPerTransaction);
   if (mActive) {
-    mRemovals.insert(mRemovals.end(), aKeys.begin(), aKeys.end());
+    mRemovals.push_back({ aKeys, std::move(aDurable) });
     ScheduleSend(kBatchDelay);
   }
 }
@@ -167,10 +168,13 @@
     mPendingWrites.erase(first);
     --recordsLeft;
   }
-  while (recordsLeft > 0 && !mRemovals.empty()) {
-    mInFlightTransaction.mRemovals.push_back(std::move(mRemovals.back()));
-    mRemovals.pop_back();
-    --recordsLeft;
+  auto& removedKeys = mInFlightTransaction.mRemovals;
+  while (!mRemovals.empty() && mRemovals.front().mKeys.size() <= recordsLeft) {
+    auto& next = mRemovals.front();
+    recordsLeft -= next.mKeys.size();
+    std::move(next.mKeys.begin(), next.mKeys.end(), std::back_inserter(removedKeys));
+    mInFlightCallbacks.push_back(std::move(next.mDurable));
+    mRemovals.pop_front();
   }
   Commit();
 }
--- a/src/scheduler/RecordWriter.h
+++ b/src/scheduler/RecordWriter.h
@@ -5,6 +5,7 @@
 #include "scheduler/Election.h"
 #include "store/TransactionStore.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -57,11 +58,17 @@
    */
   void WhenStored(const std::string& aKey, std::function<void()> aDurable);
 
-  /** Removes aKeys; pending writes are sent first. */
-  void Remove(const std::vector<std::string>& aKeys);
+  /**
+   * Removes aKeys, at most kMaxRecordsPerTransaction, in one transaction; aDurable runs
+   * once they are removed. Pending writes are sent first.
+   */
+  void Remove(const std::vector<std::string>& aKeys, std::function<void()> aDurable);
 
-  /** Returns whether all writes are stored. */
-  bool IsIdle() const { return mPendingWrites.empty() && !mInFlight; }
+  /** Returns whether every write of aKey is stored. */
+  bool IsStored(const std::string& aKey) const
+  {
+    return mPendingWrites.count(aKey) == 0 && !IsInFlight(aKey);
+  }
 
   /** Returns the keys whose last write may not be stored yet. */
   std::vector<std::string> UnconfirmedKeys() const;
@@ -75,9 +82,20 @@
 
   uint64_t TransactionCount() const { return mTransactions; }
 
+  /** Limit on entries, less the two conditions and the put of the writer's key. */
+  static constexpr size_t kMaxRecordsPerTransaction =
+    store_transaction::kMaxEntries - 3;
+
 private:
   using durable_callbacks = std::vector<std::function<void()>>;
 
+  /** Keys that are removed together. */
+  struct removal
+  {
+    std::vector<std::string> mKeys;
+    std::function<void()> mDurable;
+  };
+
   void ScheduleSend(duration aDelay);
   void Send();
   void Commit();
@@ -101,7 +119,7 @@
   uint64_t mTransactions = 0;
   std::string mBatchName;
   std::map<std::string, durable_callbacks> mPendingWrites;
-  std::vector<std::string> mRemovals;
+  std::deque<removal> mRemovals;
   store_transaction mInFlightTransaction;
   durable_callbacks mInFlightCallbacks;
 };
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -855,3 +855,58 @@
   site.mLoop.RunFor(duration(5'000));
   CHECK(site.CountStarts(kJob) == 0);
 }
+
+namespace {
+
+constexpr duration kRetention{ 240'000 }; // Twice the default minimum.
+
+/** Runs jobs of one task to their end and then lets another VM take over. */
+std::vector<std::string> RunJobsAndTakeOver(fake_installation& aSite, size_t aJobs)
+{
+  std::vector<std::string> ids;
+  aSite.mBehaviourByPayload["short"] = { duration(50), false };
+  for (size_t number = 0; number < aJobs; ++number) {
+    ids.push_back("00000000000000" + std::to_string(10 + number));
+    auto job = fake_installation::MakeJob(ids.back(), 1);
+    job.mSpec.mPayload = "short";
+    REQUIRE(aSite.Submit("vm0", job) == job_answer::kAccepted);
+  }
+  aSite.mLoop.RunFor(duration(2'000));
+  aSite.Kill(aSite.SchedulerVm());
+  aSite.mLoop.RunFor(duration(3'000));
+  REQUIRE_FALSE(aSite.SchedulerVm().empty());
+  for (const auto& id : ids) {
+    REQUIRE(aSite.Node(aSite.SchedulerVm()).Scheduler().StateOf(id) == "done");
+  }
+  return ids;
+}
+
+} // namespace
+
+// Guards against a finished job that runs again since only a part of it was removed.
+TEST_CASE("all records of a job are removed together", "[installation]")
+{
+  const auto endsAfterRemovals = GENERATE(1, 2, 3, 9, 10);
+  CAPTURE(endsAfterRemovals);
+  fake_installation site(3, 2);
+  const auto ids = RunJobsAndTakeOver(site, 40);
+  const auto starts = site.mTraces.size();
+  const auto countRemoved = [&] {
+    return std::count_if(ids.begin(), ids.end(), [&](const std::string& aId) {
+      return !site.mStore.Peek(store_keys::kJobs + aId) ||
+             !site.mStore.Peek(store_keys::kProgress + aId);
+    });
+  };
+  REQUIRE(site.mLoop.RunUntil([&] { return countRemoved() >= endsAfterRemovals; },
+                              kRetention + duration(5'000)));
+  site.Kill(site.SchedulerVm());
+  for (const auto& id : ids) {
+    CHECK(site.mStore.Peek(store_keys::kJobs + id).has_value() ==
+          site.mStore.Peek(store_keys::kProgress + id).has_value());
+  }
+  site.mLoop.RunFor(duration(10'000));
+  CHECK(site.mTraces.size() == starts);
+  // The next term removes what is left.
+  site.mLoop.RunFor(kRetention);
+  CHECK(countRemoved() == static_cast<int64_t>(ids.size()));
+}
