A list of the inbox revives no job whose records are being removed

Cause: after inbox_history_lost the inbox is listed, and every job that is not known counts as new. A list that was read before the removal can arrive after the job has been forgotten. Change: a removed job is kept until the list under way has been handled. Cancellations that were removed with their job are forgotten, too.

--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -99,6 +99,8 @@
   mWriter.End();
   mJobs.clear();
   mUnmatchedCancels.clear();
+  mIsListingInbox = false;
+  mRemovedWhileListing.clear();
   mUnrecordedRuns.clear();
   mWorkers.clear();
   mReserved.clear();
@@ -335,6 +337,9 @@
                         for (const auto& change : aChanges->mChanges) {
                           if (!change.mRemoved) {
                             HandleInboxItem(change.mItem);
+                          } else if (const auto id = store_keys::StripPrefix(
+                                       change.mItem.mKey, store_keys::kCancels)) {
+                            mUnmatchedCancels.erase(*id);
                           }
                         }
                         mInboxRevision = std::max(mInboxRevision, aChanges->mRevision);
@@ -346,6 +351,7 @@
 {
   mPorts.mLog.Write(log_event("inbox_history_lost")
                       .Add("revision", static_cast<int64_t>(mInboxRevision)));
+  mIsListingInbox = true;
   mPorts.mStore.List(store_keys::kInbox,
                      false,
                      UnlessTermEnded([this](const result<stored_range>& aRange) {
@@ -358,6 +364,11 @@
                        for (const auto& item : aRange->mItems) {
                          HandleInboxItem(item);
                        }
+                       mIsListingInbox = false;
+                       for (const auto& id : mRemovedWhileListing) {
+                         mJobs.erase(id);
+                       }
+                       mRemovedWhileListing.clear();
                        mInboxRevision = aRange->mRevision;
                        WatchInbox();
                      }));
@@ -515,7 +526,11 @@
 
 void fleet_scheduler::OnJobRemoved(const std::string& aId)
 {
-  mJobs.erase(aId);
+  if (mIsListingInbox) {
+    mRemovedWhileListing.push_back(aId);
+  } else {
+    mJobs.erase(aId);
+  }
 }
 
 void fleet_scheduler::Tick()
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -249,6 +249,9 @@
   uint64_t mInboxRevision = 0;
   std::map<std::string, std::unique_ptr<job_entry>> mJobs;
   std::set<std::string> mUnmatchedCancels; ///< Cancellations read before their job.
+  bool mIsListingInbox = false;            ///< A list of the inbox is under way.
+  /** Kept in mJobs until the list has arrived, as it may still contain them. */
+  std::vector<std::string> mRemovedWhileListing;
   std::map<std::string, std::unique_ptr<worker_entry>> mWorkers;
   /** Workers of runs that no record shows, by task. The task waits until they end. */
   std::map<task_ref, std::string> mUnrecordedRuns;
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -910,3 +910,30 @@
   site.mLoop.RunFor(kRetention);
   CHECK(countRemoved() == static_cast<int64_t>(ids.size()));
 }
+
+// Guards against a removed job that is read once more, as a new one.
+TEST_CASE("a list of the inbox revives no job whose records are being removed",
+          "[installation]")
+{
+  const auto listDelayMs = GENERATE(0, 50, 300);
+  CAPTURE(listDelayMs);
+  fake_installation site(3, 2);
+  const auto ids = RunJobsAndTakeOver(site, 40);
+  const auto starts = site.mTraces.size();
+  const auto lastRemoved = [&] {
+    return !site.mStore.Peek(store_keys::kJobs + ids.front()) &&
+           !site.mStore.Peek(store_keys::kJobs + ids.back());
+  };
+  site.mLoop.RunFor(kRetention - duration(4'500));
+  site.mFaults.mListDelay = duration(listDelayMs);
+  const auto until = site.mLoop.Now() + duration(9'000);
+  while (site.mLoop.Now() < until) {
+    // The scheduler lists the inbox again and again, before, during and after.
+    site.mStore.Compact();
+    site.mLoop.RunFor(duration(1));
+  }
+  CHECK(lastRemoved());
+  CHECK(site.mLog.CountLines("event=inbox_history_lost") > 20);
+  site.mLoop.RunFor(duration(3'000));
+  CHECK(site.mTraces.size() == starts);
+}
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -131,7 +131,12 @@
               transaction_store::done<stored_range> aDone) override
   {
     CallStore<stored_range>(std::move(aDone), false, [&](auto aCallback) {
-      mSite.mStore.List(aPrefix, aMayBeStale, aCallback);
+      mSite.mStore.List(aPrefix,
+                        aMayBeStale,
+                        [this, callback = aCallback](const result<stored_range>& aRange) {
+                          RunLater([callback, aRange] { callback(aRange); },
+                                   mSite.mFaults.mListDelay);
+                        });
     });
   }
   void OnWatch(const std::string& aPrefix,
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -30,6 +30,7 @@
 {
   /** Pairs of a VM and the peer, worker, store or directory that it cannot reach. */
   std::set<std::pair<std::string, std::string>> mBlockedLinks;
+  duration mListDelay{ 0 };                  ///< Delay of answers to lists.
   std::set<std::string> mStoreBusyFor;       ///< VMs to which the store answers "busy".
   std::set<std::string> mUnreachableWorkers; ///< Workers to which no call can be sent.
   /** How many of the next commits take effect but are not answered. */
