A cancellation is stored only while its job exists

Callers: a DELETE that met the removal of its job's records was answered 200 and left a key that nothing removed, so that the store and each scheduler's memory grew.

Cause: the cancellation was written without a condition after the job had been read. Test: 'a cancellation that meets the removal of its job leaves nothing behind' failed before.

--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -204,15 +204,21 @@
         aRespond(reply);
         return;
       }
+      // A job's key is written once, so a failed condition means that the job has been
+      // removed, and that nobody would remove a cancellation written now.
       store_transaction change;
+      change.mConditions.push_back({ store_keys::kJobs + aId, (*aItem)->mRevision });
       change.mPuts.push_back({ store_keys::kCancels + aId, "1", 0 });
       mPorts.mStore.Commit(
         change, [this, aId, aRespond](const result<transaction_outcome>& aOutcome) {
           job_reply done;
-          done.mAnswer = aOutcome && aOutcome->mCommitted ? job_answer::kAccepted
-                                                          : job_answer::kUnavailable;
-          mPorts.mLog.Write(
-            log_event("job_cancel").Add("job", aId).Add("stored", aOutcome ? 1 : 0));
+          if (aOutcome) {
+            done.mAnswer =
+              aOutcome->mCommitted ? job_answer::kAccepted : job_answer::kNotFound;
+          }
+          mPorts.mLog.Write(log_event("job_cancel")
+                              .Add("job", aId)
+                              .Add("stored", aOutcome && aOutcome->mCommitted ? 1 : 0));
           aRespond(done);
         });
     });
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -937,3 +937,21 @@
   site.mLoop.RunFor(duration(3'000));
   CHECK(site.mTraces.size() == starts);
 }
+
+// Guards against records that stay for ever since a cancellation came after its job.
+TEST_CASE("a cancellation that meets the removal of its job leaves nothing behind",
+          "[installation]")
+{
+  fake_installation site(3, 2);
+  const auto ids = RunJobsAndTakeOver(site, 2);
+  site.mLoop.RunFor(kRetention - duration(4'500));
+  const auto other = site.IsUp("vm0") ? "vm0" : "vm1";
+  bool wasNotFound = false;
+  while (!wasNotFound) {
+    const auto answer = site.Cancel(other, ids.front());
+    REQUIRE(answer);
+    wasNotFound = *answer == job_answer::kNotFound;
+  }
+  site.mLoop.RunFor(duration(1'000));
+  CHECK_FALSE(site.mStore.Peek(store_keys::kCancels + ids.front()));
+}
