A job takes memory for its open tasks only

Callers: six accepted hourly jobs for a year stopped everything.

Cause: job_state made an entry of 80 bytes for each task of each occurrence from the start. Ruled out: the jobs' specifications (a few hundred bytes each). Change: entries exist for open tasks; done tasks of a begun occurrence take a bit each, a finished occurrence one bit. Records of more than 1,000 tasks store done tasks as ranges; smaller ones are written as before, and earlier records are read.

--- a/src/jobs/JobState.cpp
+++ b/src/jobs/JobState.cpp
@@ -3,6 +3,7 @@
 #include "base/JsonText.h"
 
 #include <algorithm>
+#include <array>
 #include <cassert>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -15,6 +16,33 @@
 
 /** Stored outcome names, in the order of job_outcome. */
 constexpr const char* kOutcomeNames[] = { "open", "done", "failed", "cancelled" };
+/** The number of a task's worker in its stored row if it is not placed. */
+constexpr int64_t kNoWorker = -1;
+/**
+ * Jobs of up to this many tasks, over all occurrences, are stored with a row for each
+ * done task, which earlier versions of the program read, too.
+ */
+constexpr uint64_t kMaxDoneTaskRows = 1'000;
+
+/** First and last of consecutive numbers. */
+using range = std::pair<uint32_t, uint32_t>;
+
+/** Returns the ranges of numbers whose bit is set. */
+std::vector<range> RangesOf(const std::vector<bool>& aBits)
+{
+  std::vector<range> ranges;
+  for (uint32_t number = 0; number < aBits.size(); ++number) {
+    if (!aBits[number]) {
+      continue;
+    }
+    if (!ranges.empty() && ranges.back().second + 1 == number) {
+      ranges.back().second = number;
+    } else {
+      ranges.emplace_back(number, number);
+    }
+  }
+  return ranges;
+}
 
 } // namespace
 
@@ -34,11 +62,6 @@
 job_state::job_state(const accepted_job& aJob)
   : mJob(aJob)
 {
-  std::vector<step_progress> emptyOccurrence;
-  for (const auto& step : aJob.mSpec.mSteps) {
-    emptyOccurrence.emplace_back(step.mCount);
-  }
-  mSteps.assign(std::max<uint32_t>(1, aJob.mSpec.mRepeats), emptyOccurrence);
 }
 
 int64_t job_state::DueMs(uint32_t aOccurrence) const
@@ -47,23 +70,90 @@
   return spec.mFirstDueMs == 0 ? 0 : spec.mFirstDueMs + aOccurrence * spec.mIntervalMs;
 }
 
+const job_state::step_progress* job_state::FindStep(uint32_t aOccurrence,
+                                                    uint32_t aStep) const
+{
+  const auto found = mBegun.find(aOccurrence);
+  return found == mBegun.end() ? nullptr : &found->second[aStep];
+}
+
+job_state::step_progress& job_state::MutableStep(uint32_t aOccurrence, uint32_t aStep)
+{
+  const auto [found, isNew] = mBegun.try_emplace(aOccurrence);
+  if (isNew) {
+    found->second.resize(mJob.mSpec.mSteps.size());
+  }
+  return found->second[aStep];
+}
+
+bool job_state::IsFinished(uint32_t aOccurrence) const
+{
+  return !mFinished.empty() && mFinished[aOccurrence];
+}
+
 bool job_state::IsStepDone(uint32_t aOccurrence, uint32_t aStep) const
 {
-  const auto& tasks = mSteps[aOccurrence][aStep];
-  return std::all_of(
-    tasks.begin(), tasks.end(), [](const auto& aTask) { return aTask.mDone; });
+  const auto* step = FindStep(aOccurrence, aStep);
+  return IsFinished(aOccurrence) ||
+         (step != nullptr && step->mDoneCount == mJob.mSpec.mSteps[aStep].mCount);
 }
 
-bool job_state::AllDone() const
+uint64_t job_state::TaskCount() const
 {
-  for (uint32_t occurrence = 0; occurrence < OccurrenceCount(); ++occurrence) {
-    for (uint32_t step = 0; step < mSteps[occurrence].size(); ++step) {
-      if (!IsStepDone(occurrence, step)) {
-        return false;
-      }
+  uint64_t perOccurrence = 0;
+  for (const auto& step : mJob.mSpec.mSteps) {
+    perOccurrence += step.mCount;
+  }
+  return perOccurrence * OccurrenceCount();
+}
+
+void job_state::MarkDone(const task_ref& aTask)
+{
+  auto& step = MutableStep(aTask.mOccurrence, aTask.mStep);
+  step.mDone.resize(mJob.mSpec.mSteps[aTask.mStep].mCount);
+  if (!step.mDone[aTask.mIndex]) {
+    step.mDone[aTask.mIndex] = true;
+    ++step.mDoneCount;
+    ++mDoneTasks;
+  }
+  const auto open = step.mOpen.find(aTask.mIndex);
+  if (open != step.mOpen.end()) {
+    open->second.mDone = true;
+  }
+  CloseTask(aTask);
+}
+
+void job_state::CloseTask(const task_ref& aTask)
+{
+  auto& open = MutableStep(aTask.mOccurrence, aTask.mStep).mOpen;
+  const auto found = open.find(aTask.mIndex);
+  if (found != open.end() && found->second.mDone && found->second.mWorker.empty()) {
+    open.erase(found);
+    --mOpenTasks;
+  }
+}
+
+void job_state::CloseOccurrence(uint32_t aOccurrence)
+{
+  const auto found = mBegun.find(aOccurrence);
+  const auto& steps = mJob.mSpec.mSteps;
+  for (uint32_t step = 0; step < steps.size(); ++step) {
+    const auto& progress = found->second[step];
+    if (progress.mDoneCount != steps[step].mCount || !progress.mOpen.empty()) {
+      return;
     }
   }
-  return true;
+  mBegun.erase(found);
+  MarkFinished(aOccurrence);
+}
+
+void job_state::MarkFinished(uint32_t aOccurrence)
+{
+  mFinished.resize(OccurrenceCount());
+  mFinished[aOccurrence] = true;
+  while (mFirstUnfinished < OccurrenceCount() && mFinished[mFirstUnfinished]) {
+    ++mFirstUnfinished;
+  }
 }
 
 bool job_state::IsReady(uint32_t aOccurrence, uint32_t aStep) const
@@ -79,37 +169,59 @@
                                               uint32_t aStep) const
 {
   std::vector<uint32_t> waiting;
-  if (mOutcome != job_outcome::kOpen || !IsReady(aOccurrence, aStep)) {
+  if (mOutcome != job_outcome::kOpen || IsStepDone(aOccurrence, aStep) ||
+      !IsReady(aOccurrence, aStep)) {
     return waiting;
   }
-  const auto& tasks = mSteps[aOccurrence][aStep];
-  for (uint32_t index = 0; index < tasks.size(); ++index) {
-    if (!tasks[index].mDone && tasks[index].mWorker.empty()) {
+  const auto count = mJob.mSpec.mSteps[aStep].mCount;
+  const auto* progress = FindStep(aOccurrence, aStep);
+  for (uint32_t index = 0; index < count; ++index) {
+    bool isWaiting = true;
+    if (progress != nullptr) {
+      const auto open = progress->mOpen.find(index);
+      const bool isDone = !progress->mDone.empty() && progress->mDone[index];
+      isWaiting =
+        !isDone && (open == progress->mOpen.end() || open->second.mWorker.empty());
+    }
+    if (isWaiting) {
       waiting.push_back(index);
     }
   }
   const bool isIncompleteGang =
-    mJob.mSpec.mSteps[aStep].mGang && waiting.size() != tasks.size();
+    mJob.mSpec.mSteps[aStep].mGang && waiting.size() != count;
   return isIncompleteGang ? std::vector<uint32_t>() : waiting;
 }
 
 bool job_state::HasTask(const task_ref& aTask) const
 {
-  return aTask.mOccurrence < mSteps.size() &&
-         aTask.mStep < mSteps[aTask.mOccurrence].size() &&
-         aTask.mIndex < mSteps[aTask.mOccurrence][aTask.mStep].size();
+  const auto& steps = mJob.mSpec.mSteps;
+  return aTask.mOccurrence < OccurrenceCount() && aTask.mStep < steps.size() &&
+         aTask.mIndex < steps[aTask.mStep].mCount;
 }
 
 task_progress& job_state::MutableTask(const task_ref& aTask)
 {
   assert(HasTask(aTask));
-  return mSteps[aTask.mOccurrence][aTask.mStep][aTask.mIndex];
+  auto& open = MutableStep(aTask.mOccurrence, aTask.mStep).mOpen;
+  const auto [found, isNew] = open.try_emplace(aTask.mIndex);
+  mOpenTasks += isNew ? 1 : 0;
+  return found->second;
 }
 
 const task_progress& job_state::Task(const task_ref& aTask) const
 {
   assert(HasTask(aTask));
-  return mSteps[aTask.mOccurrence][aTask.mStep][aTask.mIndex];
+  static const task_progress sNeverStarted;
+  static const task_progress sDone{ 0, "", true, 0, "" };
+  const auto* step = FindStep(aTask.mOccurrence, aTask.mStep);
+  if (step == nullptr) {
+    return IsFinished(aTask.mOccurrence) ? sDone : sNeverStarted;
+  }
+  const auto open = step->mOpen.find(aTask.mIndex);
+  if (open != step->mOpen.end()) {
+    return open->second;
+  }
+  return !step->mDone.empty() && step->mDone[aTask.mIndex] ? sDone : sNeverStarted;
 }
 
 const step_spec& job_state::StepOf(const task_ref& aTask) const
@@ -120,8 +232,8 @@
 std::vector<task_ref> job_state::PlacedTasks() const
 {
   std::vector<task_ref> placed;
-  for (uint32_t occurrence = 0; occurrence < OccurrenceCount(); ++occurrence) {
-    for (uint32_t step = 0; step < mSteps[occurrence].size(); ++step) {
+  for (const auto& [occurrence, steps] : mBegun) {
+    for (uint32_t step = 0; step < steps.size(); ++step) {
       const auto placedOfStep = PlacedTasksOf(occurrence, step);
       placed.insert(placed.end(), placedOfStep.begin(), placedOfStep.end());
     }
@@ -133,10 +245,11 @@
                                                uint32_t aStep) const
 {
   std::vector<task_ref> placed;
-  const auto& tasks = mSteps[aOccurrence][aStep];
-  for (uint32_t index = 0; index < tasks.size(); ++index) {
-    if (!tasks[index].mWorker.empty()) {
-      placed.push_back({ mJob.mId, aOccurrence, aStep, index });
+  if (const auto* step = FindStep(aOccurrence, aStep)) {
+    for (const auto& [index, task] : step->mOpen) {
+      if (!task.mWorker.empty()) {
+        placed.push_back({ mJob.mId, aOccurrence, aStep, index });
+      }
     }
   }
   return placed;
@@ -144,13 +257,14 @@
 
 uint32_t job_state::NextRun(uint32_t aOccurrence, uint32_t aStep, uint32_t aIndex) const
 {
-  const auto& tasks = mSteps[aOccurrence][aStep];
   if (!mJob.mSpec.mSteps[aStep].mGang) {
-    return tasks[aIndex].mRun + 1;
+    return Task({ mJob.mId, aOccurrence, aStep, aIndex }).mRun + 1;
   }
   uint32_t highest = 0;
-  for (const auto& task : tasks) {
-    highest = std::max(highest, task.mRun);
+  if (const auto* step = FindStep(aOccurrence, aStep)) {
+    for (const auto& [index, task] : step->mOpen) {
+      highest = std::max(highest, task.mRun);
+    }
   }
   return highest + 1;
 }
@@ -168,14 +282,14 @@
                                uint32_t aRun,
                                const std::string& aCheckpoint)
 {
-  if (aCheckpoint.empty() || MutableTask(aTask).mRun != aRun) {
+  if (aCheckpoint.empty() || Task(aTask).mRun != aRun) {
     return;
   }
   if (!StepOf(aTask).mGang) {
     MutableTask(aTask).mCheckpoint = aCheckpoint;
     return;
   }
-  for (auto& member : mSteps[aTask.mOccurrence][aTask.mStep]) {
+  for (auto& [index, member] : MutableStep(aTask.mOccurrence, aTask.mStep).mOpen) {
     member.mCheckpoint = aCheckpoint;
   }
 }
@@ -186,26 +300,27 @@
                           const std::string& aCheckpoint)
 {
   end_effect effect;
-  auto& task = MutableTask(aTask);
+  const auto& before = Task(aTask);
   const bool isDone = aEnd == run_end::kDone && !StepOf(aTask).mLongRunning;
-  const bool hadThisRun = aRun != 0 && aRun <= task.mRun;
-  effect.mIsLatestRun = task.mRun == aRun && !task.mWorker.empty();
-  effect.mTaskDone = isDone && hadThisRun && !task.mDone;
+  const bool hadThisRun = aRun != 0 && aRun <= before.mRun;
+  effect.mIsLatestRun = before.mRun == aRun && !before.mWorker.empty();
+  effect.mTaskDone = isDone && hadThisRun && !before.mDone;
   if (!effect.mIsLatestRun && !effect.mTaskDone) {
     return effect;
   }
+  auto& task = MutableTask(aTask);
   if (effect.mIsLatestRun) {
     task.mWorker.clear();
   }
   const bool isGang = StepOf(aTask).mGang;
-  auto& members = mSteps[aTask.mOccurrence][aTask.mStep];
   if (isDone) {
-    if (isGang) {
-      for (auto& member : members) {
-        member.mDone = true;
-      }
+    auto member = aTask;
+    const auto count = StepOf(aTask).mCount;
+    for (member.mIndex = 0; isGang && member.mIndex < count; ++member.mIndex) {
+      MarkDone(member);
     }
-    task.mDone = true;
+    MarkDone(aTask);
+    CloseOccurrence(aTask.mOccurrence);
     if (mOutcome == job_outcome::kOpen && AllDone()) {
       mOutcome = job_outcome::kDone;
       effect.mJobFinished = true;
@@ -215,7 +330,9 @@
   SaveCheckpoint(aTask, aRun, aCheckpoint);
   effect.mGangBroken = isGang && !task.mDone;
   if (aEnd == run_end::kFailed && !task.mDone) {
-    auto& countedTask = isGang ? members.front() : task;
+    auto firstMember = aTask;
+    firstMember.mIndex = 0;
+    auto& countedTask = isGang ? MutableTask(firstMember) : task;
     ++countedTask.mFailedRuns;
     const bool hasAttemptLimit = !StepOf(aTask).mLongRunning;
     if (hasAttemptLimit && countedTask.mFailedRuns >= mJob.mMaxAttempts &&
@@ -224,6 +341,8 @@
       effect.mJobFinished = true;
     }
   }
+  CloseTask(aTask);
+  CloseOccurrence(aTask.mOccurrence);
   return effect;
 }
 
@@ -241,16 +360,23 @@
   json text{ { "outcome", ToString(mOutcome) }, { "begun", mHasStarted } };
   json workers = json::array();
   json rows = json::array();
+  json doneRanges = json::array();
   std::map<std::string, size_t> workerNumbers;
-  for (uint32_t occurrence = 0; occurrence < OccurrenceCount(); ++occurrence) {
-    for (uint32_t step = 0; step < mSteps[occurrence].size(); ++step) {
-      const auto& tasks = mSteps[occurrence][step];
-      for (uint32_t index = 0; index < tasks.size(); ++index) {
-        const auto& task = tasks[index];
-        if (task.mRun == 0 && !task.mDone) {
-          continue;
-        }
-        int64_t number = -1;
+  const bool isOpen = mOutcome == job_outcome::kOpen;
+  const bool hasRowPerDoneTask = TaskCount() <= kMaxDoneTaskRows;
+  const auto appendDone = [&](uint32_t aOccurrence, uint32_t aStep, range aRange) {
+    if (!hasRowPerDoneTask) {
+      doneRanges.push_back({ aOccurrence, aStep, aRange.first, aRange.second });
+      return;
+    }
+    for (auto index = aRange.first; index <= aRange.second; ++index) {
+      rows.push_back({ aOccurrence, aStep, index, 0, kNoWorker, 0, 1 });
+    }
+  };
+  for (const auto& [occurrence, steps] : mBegun) {
+    for (uint32_t step = 0; step < steps.size(); ++step) {
+      for (const auto& [index, task] : steps[step].mOpen) {
+        int64_t number = kNoWorker;
         if (!task.mWorker.empty()) {
           const auto [at, added] =
             workerNumbers.emplace(task.mWorker, workerNumbers.size());
@@ -260,7 +386,7 @@
           }
         }
         // A finished job needs only the tasks that may still have to be stopped.
-        if (mOutcome != job_outcome::kOpen && number < 0) {
+        if (!isOpen && number == kNoWorker) {
           continue;
         }
         json row = json::array({ occurrence,
@@ -275,10 +401,30 @@
         }
         rows.push_back(std::move(row));
       }
+      for (const auto& done : isOpen ? RangesOf(steps[step].mDone) : std::vector<range>()) {
+        appendDone(occurrence, step, done);
+      }
+    }
+  }
+  json finishedRanges = json::array();
+  for (const auto& finished : isOpen ? RangesOf(mFinished) : std::vector<range>()) {
+    if (!hasRowPerDoneTask) {
+      finishedRanges.push_back({ finished.first, finished.second });
+      continue;
+    }
+    for (auto occurrence = finished.first; occurrence <= finished.second;
+         ++occurrence) {
+      for (uint32_t step = 0; step < mJob.mSpec.mSteps.size(); ++step) {
+        appendDone(occurrence, step, { 0, mJob.mSpec.mSteps[step].mCount - 1 });
+      }
     }
   }
   text["workers"] = std::move(workers);
   text["tasks"] = std::move(rows);
+  if (!hasRowPerDoneTask) {
+    text["done"] = std::move(doneRanges);
+    text["finished"] = std::move(finishedRanges);
+  }
   return text.dump(-1, ' ', false, kReplaceInvalidUtf8);
 }
 
@@ -292,31 +438,7 @@
                 "the outcome is missing or unknown");
   }
   try {
-    const auto text = json::parse(aText);
-    const auto workers = text.at("workers").get<std::vector<std::string>>();
-    for (const auto& row : text.at("tasks")) {
-      size_t column = 0;
-      task_ref ref{ mJob.mId };
-      ref.mOccurrence = row.at(column++).get<uint32_t>();
-      ref.mStep = row.at(column++).get<uint32_t>();
-      ref.mIndex = row.at(column++).get<uint32_t>();
-      if (!HasTask(ref)) {
-        return Fail(error_code::kInvalid,
-                    "decode progress",
-                    mJob.mId,
-                    "a task is not part of the job");
-      }
-      auto& task = MutableTask(ref);
-      task.mRun = row.at(column++).get<uint32_t>();
-      const auto number = row.at(column++).get<int64_t>();
-      task.mWorker =
-        number < 0 ? std::string() : workers.at(static_cast<size_t>(number));
-      task.mFailedRuns = row.at(column++).get<uint32_t>();
-      task.mDone = row.at(column++).get<int>() != 0;
-      task.mCheckpoint =
-        column < row.size() ? row.at(column).get<std::string>() : std::string();
-    }
-    mHasStarted = text.at("begun").get<bool>();
+    DecodeRows(aText);
     mOutcome = *outcome;
     return {};
   } catch (const std::exception& failed) {
@@ -324,6 +446,64 @@
   }
 }
 
+void job_state::DecodeRows(const std::string& aText)
+{
+  const auto text = json::parse(aText);
+  const auto workers = text.at("workers").get<std::vector<std::string>>();
+  const auto requireTask = [this](const task_ref& aTask) {
+    if (!HasTask(aTask)) {
+      throw std::out_of_range("a task is not part of the job");
+    }
+  };
+  for (const auto& row : text.at("tasks")) {
+    size_t column = 0;
+    task_ref ref{ mJob.mId };
+    ref.mOccurrence = row.at(column++).get<uint32_t>();
+    ref.mStep = row.at(column++).get<uint32_t>();
+    ref.mIndex = row.at(column++).get<uint32_t>();
+    requireTask(ref);
+    auto& task = MutableTask(ref);
+    task.mRun = row.at(column++).get<uint32_t>();
+    const auto number = row.at(column++).get<int64_t>();
+    task.mWorker =
+      number < 0 ? std::string() : workers.at(static_cast<size_t>(number));
+    task.mFailedRuns = row.at(column++).get<uint32_t>();
+    const bool isDone = row.at(column++).get<int>() != 0;
+    task.mCheckpoint =
+      column < row.size() ? row.at(column).get<std::string>() : std::string();
+    if (isDone) {
+      MarkDone(ref);
+    }
+  }
+  for (const auto& row : text.value("done", json::array())) {
+    const auto values = row.get<std::array<uint32_t, 4>>();
+    task_ref ref{ mJob.mId, values[0], values[1], values[3] };
+    requireTask(ref);
+    for (ref.mIndex = values[2]; ref.mIndex <= values[3]; ++ref.mIndex) {
+      MarkDone(ref);
+    }
+  }
+  uint64_t perOccurrence = TaskCount() / OccurrenceCount();
+  for (const auto& row : text.value("finished", json::array())) {
+    const auto values = row.get<std::array<uint32_t, 2>>();
+    requireTask({ mJob.mId, values[1], 0, 0 });
+    for (auto occurrence = values[0]; occurrence <= values[1]; ++occurrence) {
+      if (!IsFinished(occurrence)) {
+        MarkFinished(occurrence);
+        mDoneTasks += perOccurrence;
+      }
+    }
+  }
+  std::vector<uint32_t> begun;
+  for (const auto& [occurrence, steps] : mBegun) {
+    begun.push_back(occurrence);
+  }
+  for (const auto occurrence : begun) {
+    CloseOccurrence(occurrence);
+  }
+  mHasStarted = text.at("begun").get<bool>();
+}
+
 std::optional<job_outcome> DecodeOutcome(const std::string& aProgress)
 {
   const auto text = json::parse(aProgress, nullptr, false);
--- a/src/jobs/JobState.h
+++ b/src/jobs/JobState.h
@@ -2,6 +2,7 @@
 
 #include "jobs/JobSpec.h"
 
+#include <map>
 #include <optional>
 #include <set>
 
@@ -43,7 +44,10 @@
 
 const char* ToString(job_outcome aOutcome);
 
-/** The stored state of one task. */
+/**
+ * The stored state of one task. Of a done task whose latest run has ended, only mDone is
+ * kept.
+ */
 struct task_progress
 {
   uint32_t mRun = 0;   ///< Number of the latest run; 0: never started.
@@ -68,8 +72,9 @@
 
 /**
  * The state machine of one job: decides which tasks may start, applies the ends of
- * their runs and determines the outcome. Uses no clock, worker or network; not
- * thread-safe.
+ * their runs and determines the outcome. Its memory grows with the open tasks, those
+ * that have had a run and are not done, and by a bit for each task of an occurrence
+ * that has begun and is not finished. Uses no clock, worker or network; not thread-safe.
  */
 class job_state
 {
@@ -82,7 +87,13 @@
   /** Returns whether any task has ever been placed. */
   bool HasStarted() const { return mHasStarted; }
 
-  uint32_t OccurrenceCount() const { return static_cast<uint32_t>(mSteps.size()); }
+  uint32_t OccurrenceCount() const { return std::max<uint32_t>(1, mJob.mSpec.mRepeats); }
+
+  /** Returns the first occurrence that is not finished; OccurrenceCount() if none. */
+  uint32_t FirstUnfinishedOccurrence() const { return mFirstUnfinished; }
+
+  /** Returns the number of tasks that have had a run and are not done or still placed. */
+  size_t OpenTaskCount() const { return mOpenTasks; }
 
   /** Returns the Unix time before which aOccurrence must not start; 0: none. */
   int64_t DueMs(uint32_t aOccurrence) const;
@@ -145,16 +156,41 @@
   status DecodeProgress(const std::string& aText);
 
 private:
-  using step_progress = std::vector<task_progress>;
-
+  /** The tasks of one step in one occurrence. */
+  struct step_progress
+  {
+    std::map<uint32_t, task_progress> mOpen; ///< By index; see OpenTaskCount.
+    std::vector<bool> mDone;                 ///< By index; empty while none is done.
+    uint32_t mDoneCount = 0;
+  };
+  using occurrence_progress = std::vector<step_progress>; // By step.
+
+  /** Returns the step's progress; null if none of its occurrence's tasks had a run. */
+  const step_progress* FindStep(uint32_t aOccurrence, uint32_t aStep) const;
+  step_progress& MutableStep(uint32_t aOccurrence, uint32_t aStep);
+  /** Returns the entry of an open task, which is added if there is none. */
   task_progress& MutableTask(const task_ref& aTask);
+  void MarkDone(const task_ref& aTask);
+  /** Forgets the entry of a task that is done and not placed. */
+  void CloseTask(const task_ref& aTask);
+  /** Forgets the tasks of an occurrence of which all are done and none is open. */
+  void CloseOccurrence(uint32_t aOccurrence);
+  void MarkFinished(uint32_t aOccurrence);
+  bool IsFinished(uint32_t aOccurrence) const;
   bool IsStepDone(uint32_t aOccurrence, uint32_t aStep) const;
-  bool AllDone() const;
+  uint64_t TaskCount() const;
+  bool AllDone() const { return mDoneTasks == TaskCount(); }
+  void DecodeRows(const std::string& aText);
 
   accepted_job mJob;
   job_outcome mOutcome = job_outcome::kOpen;
   bool mHasStarted = false;
-  std::vector<std::vector<step_progress>> mSteps; ///< By occurrence, step, index.
+  /** Occurrences of which a task has had a run and that are not finished. */
+  std::map<uint32_t, occurrence_progress> mBegun;
+  std::vector<bool> mFinished; ///< By occurrence; empty while none is finished.
+  uint32_t mFirstUnfinished = 0;
+  size_t mOpenTasks = 0;
+  uint64_t mDoneTasks = 0; ///< Of all occurrences.
 };
 
 /**
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -219,7 +219,8 @@
   const auto unixMs = mPorts.mUnixMs();
   const auto* queue = mPolicy->QueueNamed(acceptedJob.mQueue);
   aJob.mMayHaveWaitingTasks = false;
-  for (uint32_t occurrence = 0; occurrence < aJob.mState.OccurrenceCount();
+  for (auto occurrence = aJob.mState.FirstUnfinishedOccurrence();
+       occurrence < aJob.mState.OccurrenceCount();
        ++occurrence) {
     if (aJob.mState.DueMs(occurrence) > unixMs) {
       aJob.mMayHaveWaitingTasks = true;
--- /dev/null
+++ b/tests/JobSizeTest.cpp
@@ -0,0 +1,109 @@
+#include "jobs/JobState.h"
+
+#include <catch2/catch.hpp>
+#include <malloc.h>
+
+using namespace anvildoor;
+
+namespace {
+
+const std::string kJob = "00000000000000a1";
+
+accepted_job Job(const std::vector<uint32_t>& aTasksPerStep, uint32_t aRepeats = 0)
+{
+  accepted_job job;
+  job.mId = kJob;
+  job.mMaxAttempts = 2;
+  job.mSpec.mRepeats = aRepeats;
+  job.mSpec.mFirstDueMs = aRepeats == 0 ? 0 : 10'000;
+  job.mSpec.mIntervalMs = 500;
+  for (const auto count : aTasksPerStep) {
+    step_spec step;
+    step.mCount = count;
+    job.mSpec.mSteps.push_back(step);
+  }
+  return job;
+}
+
+size_t HeapBytes()
+{
+  const auto heap = mallinfo2();
+  return heap.uordblks + heap.hblkhd;
+}
+
+} // namespace
+
+// Guards against jobs that are accepted and then exhaust each scheduler's memory.
+TEST_CASE("a job takes memory for its open tasks only", "[jobs]")
+{
+  struct row
+  {
+    std::vector<uint32_t> mTasksPerStep;
+    uint32_t mRepeats;
+    uint32_t mOccurrencesPlayed;
+  };
+  const auto [tasksPerStep, repeats, played] =
+    GENERATE(row{ { 72 }, 8'760, 0 },
+             row{ { 72 }, 8'760, 8'759 },
+             row{ { 72, 1, 72 }, 10'000, 500 },
+             row{ { 10'000, 10'000, 10'000, 10'000, 10'000, 10'000 }, 0, 0 });
+  CAPTURE(tasksPerStep.size(), repeats, played);
+  // A node's share for control is 64 MB; a thousand such jobs must fit.
+  constexpr size_t kMaxBytes = 64'000;
+  const auto job = Job(tasksPerStep, repeats);
+  const auto before = HeapBytes();
+  job_state state(job);
+  for (uint32_t occurrence = 0; occurrence < played; ++occurrence) {
+    for (uint32_t step = 0; step < tasksPerStep.size(); ++step) {
+      for (const auto index : state.WaitingTasks(occurrence, step)) {
+        const task_ref task{ kJob, occurrence, step, index };
+        state.Place(task, 1, "i-00000000");
+        state.End(task, 1, run_end::kDone, "");
+      }
+    }
+  }
+  CHECK(state.FirstUnfinishedOccurrence() == played);
+  CHECK(HeapBytes() - before < kMaxBytes);
+  CHECK(state.EncodeProgress().size() < kMaxBytes);
+}
+
+TEST_CASE("progress of long jobs round-trips and earlier records are read", "[jobs]")
+{
+  const auto repeats = GENERATE(2U, 400U);
+  const auto job = Job({ 3, 2 }, repeats); // Stored by task, and in ranges.
+  job_state state(job);
+  const auto end = [&](uint32_t aOccurrence, uint32_t aStep, uint32_t aIndex) {
+    const task_ref task{ kJob, aOccurrence, aStep, aIndex };
+    state.Place(task, 1, "w1");
+    state.End(task, 1, run_end::kDone, "");
+  };
+  for (const auto occurrence : { 0U, repeats - 1 }) {
+    for (const auto& [step, index] :
+         { std::pair(0, 0), std::pair(0, 2), std::pair(1, 1), std::pair(1, 0) }) {
+      end(occurrence, static_cast<uint32_t>(step), static_cast<uint32_t>(index));
+    }
+  }
+  end(0, 0, 1);
+  state.Place({ kJob, 1, 0, 1 }, 4, "w2");
+  REQUIRE(state.FirstUnfinishedOccurrence() == 1);
+  job_state read(job);
+  REQUIRE(read.DecodeProgress(state.EncodeProgress()));
+  CHECK(read.FirstUnfinishedOccurrence() == 1);
+  CHECK(read.OpenTaskCount() == state.OpenTaskCount());
+  CHECK(read.PlacedTasks() == state.PlacedTasks());
+  for (uint32_t occurrence = 0; occurrence < repeats; ++occurrence) {
+    for (uint32_t step = 0; step < 2; ++step) {
+      CHECK(read.WaitingTasks(occurrence, step) ==
+            state.WaitingTasks(occurrence, step));
+      CHECK(read.IsDone(occurrence, step) == state.IsDone(occurrence, step));
+    }
+  }
+  CHECK(read.EncodeProgress() == state.EncodeProgress());
+  // An earlier version stored the run of each done task.
+  job_state old(Job({ 2 }));
+  REQUIRE(old.DecodeProgress(
+    R"({"outcome":"open","begun":true,"workers":["w"],)"
+    R"("tasks":[[0,0,0,3,-1,1,1],[0,0,1,2,0,0,0,"c"]]})"));
+  CHECK(old.Task({ kJob, 0, 0, 0 }).mDone);
+  CHECK(old.Task({ kJob, 0, 0, 1 }) == task_progress{ 2, "w", false, 0, "c" });
+}
