A record that the store refuses holds up no other record

Cause: record_writer repeated every failed batch without change, also one that the store had refused for good. It also joined up to 29 records of any size in one transaction, which small links can't carry within the call's timeout. Change: after a refusal the records are sent one by one, and one refused alone is dropped and logged (record_refused). Records join a transaction up to 256 KB. Callbacks belong to their record.

--- a/src/scheduler/RecordWriter.cpp
+++ b/src/scheduler/RecordWriter.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cassert>
 #include <charconv>
+#include <iterator>
+#include <utility>
 
 namespace anvildoor {
 
@@ -14,6 +16,11 @@
 constexpr duration kBatchDelay{ 120 };
 /** Delay before a transaction is sent again after a failed call to the store. */
 constexpr duration kRetryDelay{ 120 };
+/**
+ * Size in bytes after which no further record joins a transaction, so that the smallest
+ * links carry it well within the timeout of the call.
+ */
+constexpr size_t kMaxBatchBytes = 256 * 1'024;
 
 } // namespace
 
@@ -44,8 +51,10 @@
   mSendAt.reset();
   mPendingWrites.clear();
   mRemovals.clear();
-  mInFlightCallbacks.clear();
+  mInFlightWrites.clear();
+  mInFlightRemovals.clear();
   mInFlightTransaction = store_transaction();
+  mSinglesLeft = 0;
 }
 
 std::vector<std::string> record_writer::UnconfirmedKeys() const
@@ -54,9 +63,9 @@
   for (const auto& [key, callbacks] : mPendingWrites) {
     keys.push_back(key);
   }
-  for (const auto& put : mInFlightTransaction.mPuts) {
-    if (put.mKey != store_keys::kWriter && mPendingWrites.count(put.mKey) == 0) {
-      keys.push_back(put.mKey);
+  for (const auto& write : mInFlightWrites) {
+    if (mPendingWrites.count(write.mKey) == 0) {
+      keys.push_back(write.mKey);
     }
   }
   return keys;
@@ -91,10 +100,10 @@
 
 bool record_writer::IsInFlight(const std::string& aKey) const
 {
-  const auto& puts = mInFlightTransaction.mPuts;
-  return std::any_of(puts.begin(), puts.end(), [&](const store_put& aPut) {
-    return aPut.mKey == aKey;
-  });
+  return std::any_of(
+    mInFlightWrites.begin(), mInFlightWrites.end(), [&](const in_flight_write& aWrite) {
+      return aWrite.mKey == aKey;
+    });
 }
 
 void record_writer::WhenStored(const std::string& aKey, std::function<void()> aDurable)
@@ -105,15 +114,19 @@
   const auto pending = mPendingWrites.find(aKey);
   if (pending != mPendingWrites.end()) {
     pending->second.push_back(std::move(aDurable));
-  } else if (IsInFlight(aKey)) {
-    mInFlightCallbacks.push_back(std::move(aDurable));
-  } else {
-    mLoop.Post([this, generation = mGeneration, durable = std::move(aDurable)] {
-      if (generation == mGeneration) {
-        durable();
-      }
-    });
+    return;
   }
+  for (auto& write : mInFlightWrites) {
+    if (write.mKey == aKey) {
+      write.mDurable.push_back(std::move(aDurable));
+      return;
+    }
+  }
+  mLoop.Post([this, generation = mGeneration, durable = std::move(aDurable)] {
+    if (generation == mGeneration) {
+      durable();
+    }
+  });
 }
 
 void record_writer::Remove(const std::vector<std::string>& aKeys,
@@ -157,25 +170,26 @@
     { store_keys::kScheduler, mTerm.mRevision });
   mInFlightTransaction.mConditions.push_back({ store_keys::kWriter, mWriterRevision });
   mInFlightTransaction.mPuts.push_back({ store_keys::kWriter, mBatchName, 0 });
-  size_t recordsLeft = kMaxRecordsPerTransaction;
-  while (recordsLeft > 0 && !mPendingWrites.empty()) {
-    auto first = mPendingWrites.begin();
-    mInFlightTransaction.mPuts.push_back(
-      { first->first, mCallbacks.mEncode(first->first), 0 });
-    std::move(first->second.begin(),
-              first->second.end(),
-              std::back_inserter(mInFlightCallbacks));
-    mPendingWrites.erase(first);
+  size_t recordsLeft = mSinglesLeft > 0 ? 1 : kMaxRecordsPerTransaction;
+  size_t bytes = 0;
+  while (recordsLeft > 0 && bytes < kMaxBatchBytes && !mPendingWrites.empty()) {
+    auto first = mPendingWrites.extract(mPendingWrites.begin());
+    auto value = mCallbacks.mEncode(first.key());
+    bytes += value.size();
+    mInFlightTransaction.mPuts.push_back({ first.key(), std::move(value), 0 });
+    mInFlightWrites.push_back({ first.key(), std::move(first.mapped()) });
     --recordsLeft;
   }
   auto& removedKeys = mInFlightTransaction.mRemovals;
-  while (!mRemovals.empty() && mRemovals.front().mKeys.size() <= recordsLeft) {
-    auto& next = mRemovals.front();
-    recordsLeft -= next.mKeys.size();
-    std::move(next.mKeys.begin(), next.mKeys.end(), std::back_inserter(removedKeys));
-    mInFlightCallbacks.push_back(std::move(next.mDurable));
+  while (mSinglesLeft == 0 && !mRemovals.empty() &&
+         mRemovals.front().mKeys.size() <= recordsLeft) {
+    const auto& keys = mRemovals.front().mKeys;
+    recordsLeft -= keys.size();
+    removedKeys.insert(removedKeys.end(), keys.begin(), keys.end());
+    mInFlightRemovals.push_back(std::move(mRemovals.front()));
     mRemovals.pop_front();
   }
+  mSinglesLeft -= std::min(mSinglesLeft, mInFlightWrites.size());
   Commit();
 }
 
@@ -197,6 +211,10 @@
     mLog.Write(log_event("record_write_failed")
                  .Add("batch", mBatchName)
                  .Add("error", Describe(aOutcome.error())));
+    if (aOutcome.error().mCode == error_code::kRefused) {
+      OnBatchRefused(aOutcome.error());
+      return;
+    }
     const auto generation = mGeneration;
     mLoop.RunAfter(kRetryDelay, [this, generation] {
       if (generation == mGeneration) {
@@ -220,15 +238,51 @@
   mCallbacks.mOnFenced("the store rejected a write of this term");
 }
 
+void record_writer::OnBatchRefused(const error& aError)
+{
+  const bool isSingle = mInFlightWrites.size() == 1 && mInFlightRemovals.empty();
+  mInFlight = false;
+  mInFlightTransaction = store_transaction();
+  if (isSingle) {
+    mLog.Write(log_event("record_refused")
+                 .Add("key", mInFlightWrites.front().mKey)
+                 .Add("error", Describe(aError)));
+  } else {
+    mSinglesLeft = mInFlightWrites.size();
+    for (auto& write : mInFlightWrites) {
+      auto& callbacks = mPendingWrites[write.mKey];
+      callbacks.insert(callbacks.begin(),
+                       std::make_move_iterator(write.mDurable.begin()),
+                       std::make_move_iterator(write.mDurable.end()));
+    }
+    std::move(mInFlightRemovals.begin(),
+              mInFlightRemovals.end(),
+              std::back_inserter(mRemovals));
+  }
+  mInFlightWrites.clear();
+  mInFlightRemovals.clear();
+  mSendAt.reset();
+  if (!mPendingWrites.empty() || !mRemovals.empty()) {
+    ScheduleSend(kRetryDelay);
+  }
+}
+
 void record_writer::OnCommitted(uint64_t aRevision)
 {
   mWriterRevision = aRevision;
   mInFlight = false;
   mInFlightTransaction = store_transaction();
   const auto generation = mGeneration;
-  const auto durableCallbacks = std::move(mInFlightCallbacks);
-  mInFlightCallbacks.clear();
-  for (const auto& callback : durableCallbacks) {
+  const auto writes = std::exchange(mInFlightWrites, {});
+  const auto removals = std::exchange(mInFlightRemovals, {});
+  durable_callbacks callbacks;
+  for (const auto& write : writes) {
+    callbacks.insert(callbacks.end(), write.mDurable.begin(), write.mDurable.end());
+  }
+  for (const auto& removed : removals) {
+    callbacks.push_back(removed.mDurable);
+  }
+  for (const auto& callback : callbacks) {
     callback();
     if (generation != mGeneration) {
       return;
--- a/src/scheduler/RecordWriter.h
+++ b/src/scheduler/RecordWriter.h
@@ -17,7 +17,9 @@
  * Writes the scheduler's records in batches, one transaction at a time. Each
  * transaction rewrites the writer's key on condition of its previous revision, so that
  * one whose answer was lost cannot take effect after a later one. It also requires that
- * the scheduler's term still holds. Not thread-safe.
+ * the scheduler's term still holds. If the store refuses a batch, its records are sent
+ * one by one, and one that is refused alone is dropped, so that it doesn't hold up the
+ * others. Not thread-safe.
  */
 class record_writer
 {
@@ -49,7 +51,10 @@
     kBatched,   ///< It may be delayed to share a transaction with others.
   };
 
-  /** Writes aKey; aDurable runs when the current value or a later one is stored. */
+  /**
+   * Writes aKey; aDurable runs when the current value or a later one is stored, and
+   * never if the store refuses the record.
+   */
   void Write(const std::string& aKey, urgency aUrgency, std::function<void()> aDurable);
 
   /**
@@ -89,6 +94,11 @@
 private:
   using durable_callbacks = std::vector<std::function<void()>>;
 
+  struct in_flight_write
+  {
+    std::string mKey;
+    durable_callbacks mDurable;
+  };
   /** Keys that are removed together. */
   struct removal
   {
@@ -101,6 +111,7 @@
   void Commit();
   void OnCommitResult(const result<transaction_outcome>& aOutcome);
   void OnCommitted(uint64_t aRevision);
+  void OnBatchRefused(const error& aError);
   /** Returns whether the transaction in flight writes aKey. */
   bool IsInFlight(const std::string& aKey) const;
 
@@ -121,7 +132,9 @@
   std::map<std::string, durable_callbacks> mPendingWrites;
   std::deque<removal> mRemovals;
   store_transaction mInFlightTransaction;
-  durable_callbacks mInFlightCallbacks;
+  std::vector<in_flight_write> mInFlightWrites;
+  std::vector<removal> mInFlightRemovals;
+  size_t mSinglesLeft = 0; ///< Records still to be sent one by one after a refusal.
 };
 
 } // namespace anvildoor
--- a/src/standin/MemoryTransactionStore.cpp
+++ b/src/standin/MemoryTransactionStore.cpp
@@ -234,6 +234,12 @@
     return;
   }
   for (const auto& put : aChange.mPuts) {
+    if (put.mValue.size() > mMaxValueBytes) {
+      mLoop.Post([done = std::move(aDone)] {
+        done(Fail(error_code::kRefused, "commit", "store", "a value is too large"));
+      });
+      return;
+    }
     if (put.mLease != 0 && mLeases.count(put.mLease) == 0) {
       mLoop.Post([done = std::move(aDone)] {
         done(Fail(error_code::kNotFound, "commit", "store", "no such lease"));
--- a/src/standin/MemoryTransactionStore.h
+++ b/src/standin/MemoryTransactionStore.h
@@ -37,6 +37,9 @@
   /** Delivers no changes to watches until Compact; writes still take effect. */
   void SuspendWatches() { mWatchesSuspended = true; }
 
+  /** Refuses transactions with a longer value from now on; the platform's limit. */
+  void SetMaxValueBytes(size_t aBytes) { mMaxValueBytes = aBytes; }
+
   /** Returns the item of a key, if it exists, without counting a call. */
   std::optional<stored_item> Peek(const std::string& aKey) const;
   uint64_t Revision() const { return mRevision; }
@@ -88,6 +91,7 @@
   uint64_t mRevision = 1;
   uint64_t mCompactedRevision = 0; ///< Changes up to this revision are discarded.
   bool mWatchesSuspended = false;
+  size_t mMaxValueBytes = 1'048'576;
   uint64_t mNextLeaseId = 1;
   std::map<uint64_t, lease> mLeases;
   uint64_t mNextWatchId = 1;
