A job's record and its part of a planning round are bounded

Cause: the record held a row for each task that ever had a run. Nothing bounded it, nor the tasks of a job in one planning round. Change: a job has at most 2,048 open tasks; at most 1,024 of a step and 128 steps of a job are planned in a round; checkpoints of over 128 bytes are not kept. What can't be borne is refused with the reason when it is submitted: gangs and long-running tasks over 2,048, labels and racks over 256 bytes, more dependencies than steps, times that overflow. Stored jobs that were accepted under the former limits are still read.

--- a/src/jobs/JobSpec.cpp
+++ b/src/jobs/JobSpec.cpp
@@ -2,6 +2,7 @@
 
 #include "base/JsonText.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace anvildoor {
@@ -43,6 +44,16 @@
       return StepError(aStepIndex, "a step can only depend on earlier steps");
     }
   }
+  if (aStep.mDependsOn.size() > aLimits.mSteps) {
+    return StepError(aStepIndex, "it lists too many steps that it depends on");
+  }
+  if (aStep.mGang && aStep.mCount > aLimits.mTasksAtOnce) {
+    return StepError(aStepIndex, "the gang is too large");
+  }
+  if (aStep.mRequiredLabel.size() > aLimits.mNameBytes ||
+      aStep.mDataRack.size() > aLimits.mNameBytes) {
+    return StepError(aStepIndex, "the name of a label or rack is too long");
+  }
   return {};
 }
 
@@ -103,17 +114,28 @@
                 "caller",
                 "the number of steps is out of range");
   }
-  if (aSpec.mRepeats > aLimits.mRepeats || aSpec.mFirstDueMs < 0 ||
-      aSpec.mIntervalMs < 0) {
+  if (aSpec.mRepeats > aLimits.mRepeats ||
+      !IsInRange(aSpec.mFirstDueMs, aLimits.mTimeMs) ||
+      !IsInRange(aSpec.mIntervalMs, aLimits.mTimeMs)) {
     return Fail(error_code::kInvalid,
                 "check job",
                 "caller",
                 "the repeats, first due time or interval is out of range");
   }
+  uint64_t longRunningTasks = 0;
   for (size_t number = 0; number < aSpec.mSteps.size(); ++number) {
-    if (auto checked = CheckStep(number, aSpec.mSteps[number], aLimits); !checked) {
+    const auto& step = aSpec.mSteps[number];
+    if (auto checked = CheckStep(number, step, aLimits); !checked) {
       return checked;
     }
+    longRunningTasks +=
+      step.mLongRunning ? uint64_t(step.mCount) * std::max(1U, aSpec.mRepeats) : 0;
+  }
+  if (longRunningTasks > aLimits.mTasksAtOnce) {
+    return Fail(error_code::kInvalid,
+                "check job",
+                "caller",
+                "the job has too many long-running tasks");
   }
   return {};
 }
@@ -163,7 +185,11 @@
     for (const auto& row : text.at("steps")) {
       job.mSpec.mSteps.push_back(DecodeStep(row));
     }
-    if (auto checked = CheckJob(job.mSpec); !checked) {
+    job_limits asStored;
+    asStored.mTasksAtOnce = std::numeric_limits<uint32_t>::max();
+    asStored.mNameBytes = aText.size();
+    asStored.mTimeMs = std::numeric_limits<int64_t>::max();
+    if (auto checked = CheckJob(job.mSpec, asStored); !checked) {
       return tl::unexpected<error>(checked.error());
     }
     return job;
--- a/src/jobs/JobSpec.h
+++ b/src/jobs/JobSpec.h
@@ -100,13 +100,21 @@
   auto operator<=>(const job_spec&) const = default;
 };
 
-/** Limits on submitted jobs, far above the largest job the system is designed for. */
+/**
+ * Limits on submitted jobs, far above the largest job the system is designed for. What
+ * they allow fits into a stored record and into the memory of a VM; see job_state.
+ */
 struct job_limits
 {
   size_t mPayloadBytes = 4'000;
   size_t mSteps = 64;
   uint32_t mTasksPerStep = 10'000;
   uint32_t mRepeats = 10'000;
+  /** Limit on the tasks of a gang, and on the long-running tasks of a job. */
+  uint32_t mTasksAtOnce = 2'048;
+  size_t mNameBytes = 256; ///< Of a label or rack.
+  /** Limit on the first due time and on the time between occurrences. */
+  int64_t mTimeMs = 100'000'000'000'000;
 
   auto operator<=>(const job_limits&) const = default;
 };
@@ -132,13 +140,19 @@
   auto operator<=>(const accepted_job&) const = default;
 };
 
-/** Returns kInvalid with the step or field if aSpec cannot be run. Thread-safe. */
+/**
+ * Returns kInvalid with the step or field if aSpec cannot be run or exceeds aLimits.
+ * Thread-safe.
+ */
 status CheckJob(const job_spec& aSpec, const job_limits& aLimits = {});
 
 /** Encodes aJob as text for the store. Thread-safe. */
 std::string EncodeJob(const accepted_job& aJob);
 
-/** Decodes the output of EncodeJob; kInvalid if malformed. Thread-safe. */
+/**
+ * Decodes the output of EncodeJob; kInvalid if malformed. A job that was accepted under
+ * other limits is decoded all the same. Thread-safe.
+ */
 result<accepted_job> DecodeJob(const std::string& aId, const std::string& aText);
 
 } // namespace anvildoor
--- a/src/jobs/JobState.cpp
+++ b/src/jobs/JobState.cpp
@@ -174,21 +174,30 @@
     return waiting;
   }
   const auto count = mJob.mSpec.mSteps[aStep].mCount;
+  const bool isGang = mJob.mSpec.mSteps[aStep].mGang;
   const auto* progress = FindStep(aOccurrence, aStep);
+  size_t newTasks = 0;
   for (uint32_t index = 0; index < count; ++index) {
-    bool isWaiting = true;
+    if (!isGang && waiting.size() == kMaxOfferedTasks) {
+      break;
+    }
+    bool isNew = true;
     if (progress != nullptr) {
       const auto open = progress->mOpen.find(index);
+      isNew = open == progress->mOpen.end();
       const bool isDone = !progress->mDone.empty() && progress->mDone[index];
-      isWaiting =
-        !isDone && (open == progress->mOpen.end() || open->second.mWorker.empty());
+      if (isDone || (!isNew && !open->second.mWorker.empty())) {
+        continue;
+      }
     }
-    if (isWaiting) {
-      waiting.push_back(index);
+    if (isNew && !isGang && !HasRoomFor(newTasks + 1)) {
+      continue;
     }
+    newTasks += isNew ? 1 : 0;
+    waiting.push_back(index);
   }
   const bool isIncompleteGang =
-    mJob.mSpec.mSteps[aStep].mGang && waiting.size() != count;
+    isGang && (waiting.size() != count || !HasRoomFor(newTasks));
   return isIncompleteGang ? std::vector<uint32_t>() : waiting;
 }
 
@@ -282,7 +291,8 @@
                                uint32_t aRun,
                                const std::string& aCheckpoint)
 {
-  if (aCheckpoint.empty() || Task(aTask).mRun != aRun) {
+  if (aCheckpoint.empty() || aCheckpoint.size() > kMaxCheckpointBytes ||
+      Task(aTask).mRun != aRun) {
     return;
   }
   if (!StepOf(aTask).mGang) {
--- a/src/jobs/JobState.h
+++ b/src/jobs/JobState.h
@@ -79,6 +79,13 @@
 class job_state
 {
 public:
+  /** Limit on open tasks, which bounds memory and the size of the stored record. */
+  static constexpr size_t kMaxOpenTasks = 2'048;
+  /** Limit on the waiting tasks of a step that are offered for placement at once. */
+  static constexpr size_t kMaxOfferedTasks = 1'024;
+  /** Longer checkpoints are not kept; a run then resumes from an earlier one. */
+  static constexpr size_t kMaxCheckpointBytes = 128;
+
   explicit job_state(const accepted_job& aJob);
 
   const accepted_job& Job() const { return mJob; }
@@ -107,9 +114,16 @@
   /** Returns whether every step that aStep depends on is done. */
   bool IsReady(uint32_t aOccurrence, uint32_t aStep) const;
 
+  /** Returns whether aNewTasks tasks without a run may become open. */
+  bool HasRoomFor(size_t aNewTasks) const
+  {
+    return mOpenTasks == 0 || mOpenTasks + aNewTasks <= kMaxOpenTasks;
+  }
+
   /**
-   * Returns the indices of the tasks of a ready step that are neither done nor placed.
-   * Empty for a gang unless all its tasks are waiting.
+   * Returns the indices of tasks of a ready step that are neither done nor placed: at
+   * most kMaxOfferedTasks, and no more new ones than kMaxOpenTasks leaves room for.
+   * Empty for a gang unless all its tasks are waiting and have room.
    */
   std::vector<uint32_t> WaitingTasks(uint32_t aOccurrence, uint32_t aStep) const;
 
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -23,6 +23,8 @@
 constexpr double kSpanRacksAfterEstimates = 3.0;
 /** Work that a stopped checkpointing task loses; a restore takes 0.1 s. */
 constexpr double kResumeLossSeconds = 0.2;
+/** Limit on the waiting steps of one job, over its occurrences, in a round. */
+constexpr size_t kMaxGroupsPerJob = 128;
 /** Shortest time between two reports of waiting tasks. */
 constexpr duration kCapacityLogPeriod{ 2'000 };
 /** Reason logged for a preempted run. */
@@ -219,6 +221,7 @@
   const auto unixMs = mPorts.mUnixMs();
   const auto* queue = mPolicy->QueueNamed(acceptedJob.mQueue);
   aJob.mMayHaveWaitingTasks = false;
+  size_t groupsLeft = kMaxGroupsPerJob;
   for (auto occurrence = aJob.mState.FirstUnfinishedOccurrence();
        occurrence < aJob.mState.OccurrenceCount();
        ++occurrence) {
@@ -226,7 +229,11 @@
       aJob.mMayHaveWaitingTasks = true;
       break;
     }
-    for (uint32_t step = 0; step < acceptedJob.mSpec.mSteps.size(); ++step) {
+    if (groupsLeft == 0) {
+      break;
+    }
+    for (uint32_t step = 0; step < acceptedJob.mSpec.mSteps.size() && groupsLeft > 0;
+         ++step) {
       const auto waiting = aJob.mState.WaitingTasks(occurrence, step);
       if (waiting.empty()) {
         continue;
@@ -268,6 +275,7 @@
       }
       if (hasNoUnrecordedRuns) {
         aGroups.push_back(std::move(group));
+        --groupsLeft;
       }
     }
   }
@@ -357,10 +365,22 @@
   }
   std::map<std::string, std::vector<std::pair<task_ref, uint32_t>>> placed;
   std::map<size_t, uint32_t> gangRuns;
+  std::map<size_t, bool> gangHasRoom;
   for (const auto& start : aPlan.mStarts) {
     const auto& group = aInput.mGroups[start.mGroup];
     auto& job = *mJobs.at(group.mJob);
     const task_ref task{ group.mJob, group.mOccurrence, group.mStep, start.mIndex };
+    const bool isNew = job.mState.Task(task).mRun == 0;
+    const bool hasRoom =
+      group.mSpec.mGang
+        ? gangHasRoom
+            .emplace(start.mGroup, job.mState.HasRoomFor(isNew ? group.mSpec.mCount : 0))
+            .first->second
+        : !isNew || job.mState.HasRoomFor(1);
+    if (!hasRoom) {
+      // Other groups of the job in this round have taken the room.
+      continue;
+    }
     uint32_t run = job.mState.NextRun(group.mOccurrence, group.mStep, start.mIndex);
     if (group.mSpec.mGang) {
       run = gangRuns.emplace(start.mGroup, run).first->second;
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -955,3 +955,21 @@
   site.mLoop.RunFor(duration(1'000));
   CHECK_FALSE(site.mStore.Peek(store_keys::kCancels + ids.front()));
 }
+
+// Guards against a job whose record the store refuses, so that nothing runs any more.
+TEST_CASE("a job of very many tasks completes, and others beside it", "[installation]")
+{
+  fake_installation site(2, 4);
+  site.mStore.SetMaxValueBytes(131'072);
+  auto wide = fake_installation::MakeJob(kJob, 4'000, false, 2);
+  wide.mSpec.mSteps.front().mPerTask = { 1, 1, 0 };
+  wide.mSpec.mSteps.push_back(wide.mSpec.mSteps.front());
+  REQUIRE(site.Submit("vm0", wide) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(3'000));
+  REQUIRE(site.Submit("vm0", fake_installation::MakeJob(kOtherJob, 2)) ==
+          job_answer::kAccepted);
+  CHECK(site.ReachesState("vm0", kOtherJob, "done", duration(4'000)));
+  CHECK(site.ReachesState("vm0", kJob, "done", duration(20'000)));
+  CHECK(site.CountStarts(kJob) == 8'000);
+  CHECK(site.mLog.CountLines("event=record_refused") == 0);
+}
--- a/tests/JobSizeTest.cpp
+++ b/tests/JobSizeTest.cpp
@@ -107,3 +107,95 @@
   CHECK(old.Task({ kJob, 0, 0, 0 }).mDone);
   CHECK(old.Task({ kJob, 0, 0, 1 }) == task_progress{ 2, "w", false, 0, "c" });
 }
+
+// Guards against a record that outgrows the store's limit, so that nothing is stored.
+TEST_CASE("the record of a job stays small however many tasks it has", "[jobs]")
+{
+  struct row
+  {
+    std::vector<uint32_t> mTasksPerStep;
+    uint32_t mRepeats;
+    run_end mEnd; // Of every other run; the others end as done.
+  };
+  const auto [tasksPerStep, repeats, end] =
+    GENERATE(row{ { 10'000, 10'000, 10'000 }, 0, run_end::kDone },
+             row{ { 10'000, 10'000, 10'000 }, 0, run_end::kStopped },
+             row{ { 72 }, 1'000, run_end::kDone },
+             row{ { 72 }, 1'000, run_end::kStopped });
+  CAPTURE(tasksPerStep.size(), repeats, ToString(end));
+  // Half of the platform's limit, as names of workers may be longer than here.
+  constexpr size_t kMaxRecordBytes = 524'288;
+  job_state state(Job(tasksPerStep, repeats));
+  size_t largestRecord = 0;
+  size_t mostOpen = 0;
+  uint32_t placed = 0;
+  // Everything is placed that may be, and half of it ends; the rest stays.
+  for (int round = 0; round < 60 && state.Outcome() == job_outcome::kOpen; ++round) {
+    for (uint32_t occurrence = 0; occurrence < state.OccurrenceCount(); ++occurrence) {
+      for (uint32_t step = 0; step < tasksPerStep.size(); ++step) {
+        for (const auto index : state.WaitingTasks(occurrence, step)) {
+          const task_ref task{ kJob, occurrence, step, index };
+          const auto run = state.NextRun(occurrence, step, index);
+          if (run == 1 && !state.HasRoomFor(1)) {
+            continue;
+          }
+          state.Place(task, run, "worker-" + std::to_string(++placed % 2'900));
+          state.SaveCheckpoint(
+            task, run, std::string(job_state::kMaxCheckpointBytes, 'c'));
+        }
+      }
+    }
+    mostOpen = std::max(mostOpen, state.OpenTaskCount());
+    largestRecord = std::max(largestRecord, state.EncodeProgress().size());
+    bool isFirst = false;
+    for (const auto& task : state.PlacedTasks()) {
+      isFirst = !isFirst;
+      const auto run = state.Task(task).mRun;
+      state.End(task, run, isFirst ? run_end::kDone : end, "");
+    }
+    largestRecord = std::max(largestRecord, state.EncodeProgress().size());
+  }
+  CHECK(mostOpen <= job_state::kMaxOpenTasks);
+  CHECK(largestRecord < kMaxRecordBytes);
+}
+
+TEST_CASE("tasks are offered while their job has room for more open ones", "[jobs]")
+{
+  job_state state(Job({ 10'000, 5 }));
+  // However many tasks a step has, those of another one are offered, too.
+  CHECK(state.WaitingTasks(0, 0).size() == job_state::kMaxOfferedTasks);
+  CHECK(state.WaitingTasks(0, 1).size() == 5);
+  for (int round = 0; round < 3; ++round) {
+    for (const auto index : state.WaitingTasks(0, 0)) {
+      state.Place({ kJob, 0, 0, index }, 1, "w");
+    }
+  }
+  CHECK(state.OpenTaskCount() == job_state::kMaxOpenTasks);
+  CHECK(state.WaitingTasks(0, 0).empty());
+  CHECK(state.WaitingTasks(0, 1).empty());
+  // A task that must run again needs no more room; one that is done makes room.
+  state.End({ kJob, 0, 0, 7 }, 1, run_end::kStopped, "");
+  CHECK(state.WaitingTasks(0, 0) == std::vector<uint32_t>{ 7 });
+  state.End({ kJob, 0, 0, 9 }, 1, run_end::kDone, "");
+  CHECK(state.WaitingTasks(0, 0).size() == 2);
+  CHECK(state.WaitingTasks(0, 1).size() == 1);
+}
+
+TEST_CASE("a gang is offered whole or not at all", "[jobs]")
+{
+  auto job = Job({ 2'000, 64 });
+  job.mSpec.mSteps[1].mGang = true;
+  job_state state(job);
+  CHECK(state.WaitingTasks(0, 1).size() == 64);
+  for (int round = 0; round < 2; ++round) {
+    for (const auto index : state.WaitingTasks(0, 0)) {
+      state.Place({ kJob, 0, 0, index }, 1, "w");
+    }
+  }
+  REQUIRE(state.OpenTaskCount() == 2'000);
+  CHECK(state.WaitingTasks(0, 1).empty()); // No room for all of its members.
+  for (uint32_t index = 0; index < 16; ++index) {
+    state.End({ kJob, 0, 0, index }, 1, run_end::kDone, "");
+  }
+  CHECK(state.WaitingTasks(0, 1).size() == 64);
+}
--- a/tests/JobStateTest.cpp
+++ b/tests/JobStateTest.cpp
@@ -279,6 +279,29 @@
   {
     job.mSpec.mRepeats = 1'000'000;
   }
+  SECTION("a due time that would overflow")
+  {
+    job.mSpec.mIntervalMs = 1'000'000'000'000'000;
+  }
+  SECTION("a gang whose record would be too large")
+  {
+    job.mSpec.mSteps[1].mGang = true;
+    job.mSpec.mSteps[1].mCount = 2'049;
+  }
+  SECTION("more long-running tasks than can be kept")
+  {
+    job.mSpec.mSteps[0].mLongRunning = true;
+    job.mSpec.mSteps[0].mCount = 1'024;
+    job.mSpec.mRepeats = 3;
+  }
+  SECTION("a label of excessive length")
+  {
+    job.mSpec.mSteps[0].mRequiredLabel = std::string(257, 'x');
+  }
+  SECTION("an excessive list of dependencies")
+  {
+    job.mSpec.mSteps[1].mDependsOn = std::vector<uint32_t>(65, 0);
+  }
   CHECK_FALSE(CheckJob(job.mSpec));
 }
 
