--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -6,7 +6,10 @@
 
 namespace {
 
-/** Period of a cheap stale read that detects an unresponsive store. */
+/**
+ * Period of a cheap stale read that detects an unresponsive store and tells whether
+ * further jobs are taken.
+ */
 constexpr duration kStoreProbePeriod{ 400 };
 /**
  * After this time without a store answer the VM reports not ready, so that new clients
@@ -67,6 +70,7 @@
             mElection,
             mScheduler,
             [this] { return IsStoreReachable(); },
+            [this] { return !mIsIntakeClosed; },
             kStoreAnswerTimeout })
 {
   mScheduler.SetRequestDeadline([this] { return mElection.RequestDeadline(); });
@@ -106,9 +110,12 @@
 void entry_node::ProbeStore()
 {
   mPorts.mStore.List(
-    store_keys::kScheduler, true, [this](const result<stored_range>& aRange) {
+    store_keys::kIntake, true, [this](const result<stored_range>& aRange) {
       if (aRange) {
         mStoreAnsweredAt = mPorts.mLoop.Now();
+        mIsIntakeClosed = !aRange->mItems.empty() &&
+                          aRange->mItems.front().mValue == store_keys::kIntakeClosed;
+        mScheduler.ObserveIntake(mIsIntakeClosed);
       }
       const bool reached = IsStoreReachable();
       if (reached && !mWasStoreReachable) {
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -84,6 +84,7 @@
   bool mDraining = false;
   time_point mStoreAnsweredAt{ 0 };
   bool mWasStoreReachable = false;
+  bool mIsIntakeClosed = false; ///< As last read from the store.
 };
 
 } // namespace anvildoor
--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -28,11 +28,15 @@
                          time_point aDeadline,
                          respond aRespond)
 {
-  if (!mPorts.mStoreIsReachable()) {
-    // Fails immediately so that the caller can try another VM.
-    Report(aJob, job_answer::kNotAccepted, "the store is unreachable");
+  const bool isReachable = mPorts.mStoreIsReachable();
+  const bool isInFlight = mSubmissions.count(aJob.mId) != 0;
+  if (!isReachable || (!isInFlight && !mPorts.mIsIntakeOpen())) {
+    // Fails immediately; if the store is unreachable, the caller can try another VM.
     job_reply reply;
-    reply.mAnswer = job_answer::kNotAccepted;
+    reply.mAnswer = isReachable ? job_answer::kOverloaded : job_answer::kNotAccepted;
+    Report(aJob,
+           reply.mAnswer,
+           isReachable ? "too many jobs are open" : "the store is unreachable");
     aRespond(reply);
     return;
   }
@@ -156,7 +160,7 @@
                          const char* aReason)
 {
   static constexpr const char* kNames[] = {
-    "accepted", "not_accepted", "unknown", "not_found", "unavailable"
+    "accepted", "not_accepted", "overloaded", "unknown", "not_found", "unavailable"
   };
   const auto* name = kNames[static_cast<size_t>(aAnswer)];
   mPorts.mLog.Write(log_event("job_submitted")
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -20,6 +20,7 @@
 {
   kAccepted,    ///< The call succeeded; a submitted job is stored.
   kNotAccepted, ///< The job is not stored; this call does not cause it to run.
+  kOverloaded,  ///< Like kNotAccepted, as too many jobs are open.
   kUnknown,     ///< The store did not answer in time; the job may be stored.
   kNotFound,
   kUnavailable, ///< The call cannot be answered now.
@@ -56,6 +57,8 @@
     const fleet_scheduler& mScheduler;
     /** Returns whether the store has answered within the last mStoreAnswerTimeout. */
     std::function<bool()> mStoreIsReachable;
+    /** Returns whether the scheduler takes further jobs. */
+    std::function<bool()> mIsIntakeOpen;
     duration mStoreAnswerTimeout{ 0 };
   };
 
@@ -64,7 +67,8 @@
 
   /**
    * Stores aJob and answers by aDeadline. Answers earlier if the store stops
-   * responding, and before returning if the store is already known to be unreachable.
+   * responding, and before returning if the store is already known to be unreachable or
+   * no further jobs are taken.
    */
   void Submit(const accepted_job& aJob, time_point aDeadline, respond aRespond);
 
--- a/src/jobs/JobSpec.cpp
+++ b/src/jobs/JobSpec.cpp
@@ -140,6 +140,21 @@
   return {};
 }
 
+size_t MemoryBound(const accepted_job& aJob)
+{
+  // Objects, map entries and short strings of one job.
+  constexpr size_t kBytesPerJob = 1'500;
+  constexpr size_t kBytesPerStep = sizeof(step_spec) + 64;
+  const auto& spec = aJob.mSpec;
+  size_t bytes = kBytesPerJob + spec.mPayload.capacity() + spec.mRepeats / 8 +
+                 spec.mSteps.capacity() * kBytesPerStep;
+  for (const auto& step : spec.mSteps) {
+    bytes += step.mRequiredLabel.capacity() + step.mDataRack.capacity() +
+             step.mDependsOn.capacity() * sizeof(uint32_t);
+  }
+  return bytes;
+}
+
 std::string EncodeJob(const accepted_job& aJob)
 {
   json steps = json::array();
--- a/src/jobs/JobSpec.h
+++ b/src/jobs/JobSpec.h
@@ -146,6 +146,12 @@
  */
 status CheckJob(const job_spec& aSpec, const job_limits& aLimits = {});
 
+/**
+ * Returns an upper bound in bytes on the memory that a scheduler needs for aJob, without
+ * its open tasks. Thread-safe.
+ */
+size_t MemoryBound(const accepted_job& aJob);
+
 /** Encodes aJob as text for the store. Thread-safe. */
 std::string EncodeJob(const accepted_job& aJob);
 
--- a/src/jobs/JobState.cpp
+++ b/src/jobs/JobState.cpp
@@ -356,6 +356,15 @@
   return effect;
 }
 
+void job_state::DropTasks()
+{
+  assert(mOutcome != job_outcome::kOpen && PlacedTasks().empty());
+  mJob.mSpec = job_spec();
+  mBegun.clear();
+  mFinished = std::vector<bool>();
+  mOpenTasks = 0;
+}
+
 bool job_state::Cancel()
 {
   if (mOutcome != job_outcome::kOpen) {
--- a/src/jobs/JobState.h
+++ b/src/jobs/JobState.h
@@ -83,6 +83,8 @@
   static constexpr size_t kMaxOpenTasks = 2'048;
   /** Limit on the waiting tasks of a step that are offered for placement at once. */
   static constexpr size_t kMaxOfferedTasks = 1'024;
+  /** Upper bound in bytes on the memory of an open task. */
+  static constexpr size_t kBytesPerOpenTask = 512;
   /** Longer checkpoints are not kept; a run then resumes from an earlier one. */
   static constexpr size_t kMaxCheckpointBytes = 128;
 
@@ -160,6 +162,12 @@
                  run_end aEnd,
                  const std::string& aCheckpoint);
 
+  /**
+   * Forgets the specification and the tasks of a job that has an outcome and no placed
+   * tasks. HasTask is false from then on.
+   */
+  void DropTasks();
+
   /** Cancels the job. Returns false if it already has an outcome. */
   bool Cancel();
 
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -15,6 +15,8 @@
 constexpr duration kInboxWatchTimeout{ 1'000 };
 /** Period of the checks for expired leases, unfinished stops and old outcomes. */
 constexpr duration kTickPeriod{ 250 };
+/** The store may answer cheap reads with values of at most this age. */
+constexpr duration kMaxReadAge{ 5'000 };
 /** Outcomes are kept for this multiple of mMinStatusRetention. */
 constexpr int kRetentionFactor = 2;
 
@@ -100,6 +102,7 @@
   mJobs.clear();
   mUnmatchedCancels.clear();
   mIsListingInbox = false;
+  mIsIntakeClosed = false;
   mRemovedWhileListing.clear();
   mUnrecordedRuns.clear();
   mWorkers.clear();
@@ -471,6 +474,9 @@
 
 std::string fleet_scheduler::EncodeRecord(const std::string& aKey) const
 {
+  if (aKey == store_keys::kIntake) {
+    return mIsIntakeClosed ? store_keys::kIntakeClosed : store_keys::kIntakeOpen;
+  }
   const auto id = store_keys::StripPrefix(aKey, store_keys::kProgress);
   assert(id);
   const auto found = mJobs.find(*id);
@@ -505,16 +511,24 @@
   return pending;
 }
 
-void fleet_scheduler::RemoveExpiredJobs()
+void fleet_scheduler::TidyEndedJobs()
 {
   const auto now = mPorts.mLoop.Now();
   for (auto& [id, job] : mJobs) {
-    const bool isExpired =
-      !job->mIsBeingRemoved && job->mDurableOutcome != job_outcome::kOpen &&
-      now - job->mEndedAt > kRetentionFactor * mBounds.mMinStatusRetention &&
-      job->mState.PlacedTasks().empty() &&
-      mWriter.IsStored(store_keys::kProgress + id);
-    if (!isExpired) {
+    const bool isOver = !job->mIsBeingRemoved &&
+                        job->mDurableOutcome != job_outcome::kOpen &&
+                        job->mState.PlacedTasks().empty() &&
+                        mWriter.IsStored(store_keys::kProgress + id);
+    if (!isOver) {
+      continue;
+    }
+    if (job->mHasTasks) {
+      job->mState.DropTasks();
+      job->mAvoidedWorkers.clear();
+      job->mMemory = MemoryBound(job->mState.Job());
+      job->mHasTasks = false;
+    }
+    if (now - job->mEndedAt <= kRetentionFactor * mBounds.mMinStatusRetention) {
       continue;
     }
     job->mIsBeingRemoved = true;
@@ -524,6 +538,37 @@
   }
 }
 
+void fleet_scheduler::ObserveIntake(bool aIsClosed)
+{
+  // What this VM has just written outweighs a read, which may be seconds old.
+  if (mPorts.mLoop.Now() - mIntakeWrittenAt > kMaxReadAge) {
+    mIsIntakeClosedInStore = aIsClosed;
+  }
+}
+
+void fleet_scheduler::UpdateIntake()
+{
+  size_t bytes = 0;
+  for (const auto& [id, job] : mJobs) {
+    bytes += job->mMemory + job->mState.OpenTaskCount() * job_state::kBytesPerOpenTask;
+  }
+  // Opens again only at a distance below the bound, so that it doesn't alternate.
+  constexpr size_t kReopenPercent = 90;
+  mIsIntakeClosed = mIsIntakeClosed
+                      ? bytes > mBounds.mMaxJobBytes / 100 * kReopenPercent
+                      : bytes > mBounds.mMaxJobBytes;
+  mPorts.mMetrics.Set("job_memory_bytes", static_cast<double>(bytes));
+  if (mIsIntakeClosed == mIsIntakeClosedInStore || !mWriter.IsStored(store_keys::kIntake)) {
+    return;
+  }
+  mIsIntakeClosedInStore = mIsIntakeClosed;
+  mIntakeWrittenAt = mPorts.mLoop.Now();
+  mPorts.mLog.Write(log_event(mIsIntakeClosed ? "intake_closed" : "intake_opened")
+                      .Add("jobs", static_cast<int64_t>(mJobs.size()))
+                      .Add("bytes", static_cast<int64_t>(bytes)));
+  mWriter.Write(store_keys::kIntake, record_writer::urgency::kImmediate, nullptr);
+}
+
 void fleet_scheduler::OnJobRemoved(const std::string& aId)
 {
   if (mIsListingInbox) {
@@ -539,7 +584,8 @@
   for (auto& [id, worker] : mWorkers) {
     CheckWorker(*worker, now);
   }
-  RemoveExpiredJobs();
+  TidyEndedJobs();
+  UpdateIntake();
   SchedulePlan();
   mPorts.mLoop.RunAfter(kTickPeriod, UnlessTermEnded([this] { Tick(); }));
 }
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -45,6 +45,8 @@
   duration mRequestGracePastTerm{ 4'000 };
   /** Minimum time for which outcomes are shown. */
   duration mMinStatusRetention{ 120'000 };
+  /** Bound on the memory for jobs, over which no further ones are taken. */
+  size_t mMaxJobBytes = 48 * 1'024 * 1'024;
 
   auto operator<=>(const scheduler_bounds&) const = default;
 };
@@ -91,6 +93,12 @@
    */
   void SetRequestDeadline(std::function<time_point()> aDeadline);
 
+  /**
+   * Tells whether the store says that the intake is closed, as far as this VM knows.
+   * The scheduler corrects that if it is wrong.
+   */
+  void ObserveIntake(bool aIsClosed);
+
   /** Sets the rules of queues and workspaces. */
   void SetPolicy(std::shared_ptr<const fleet_policy> aPolicy);
 
@@ -125,7 +133,10 @@
                      std::function<void()> aDurable);
   std::string EncodeRecord(const std::string& aKey) const;
   void OnJobEnded(job_entry& aJob);
-  void RemoveExpiredJobs();
+  /** Drops what is no longer needed of ended jobs; removes those that have expired. */
+  void TidyEndedJobs();
+  /** Opens or closes the intake by the memory that the jobs take. */
+  void UpdateIntake();
   /** Forgets a job whose records have been removed from the store. */
   void OnJobRemoved(const std::string& aId);
 
@@ -249,6 +260,9 @@
   uint64_t mInboxRevision = 0;
   std::map<std::string, std::unique_ptr<job_entry>> mJobs;
   std::set<std::string> mUnmatchedCancels; ///< Cancellations read before their job.
+  bool mIsIntakeClosed = false;            ///< Wanted by this term.
+  bool mIsIntakeClosedInStore = false;     ///< As last observed or written.
+  time_point mIntakeWrittenAt{ 0 };
   bool mIsListingInbox = false;            ///< A list of the inbox is under way.
   /** Kept in mJobs until the list has arrived, as it may still contain them. */
   std::vector<std::string> mRemovedWhileListing;
--- a/src/scheduler/FleetSchedulerState.h
+++ b/src/scheduler/FleetSchedulerState.h
@@ -9,10 +9,13 @@
 {
   explicit job_entry(const accepted_job& aJob)
     : mState(aJob)
+    , mMemory(MemoryBound(aJob))
   {
   }
 
   job_state mState;
+  size_t mMemory; ///< Upper bound in bytes, without its open tasks.
+  bool mHasTasks = true; ///< False once the tasks of an ended job have been dropped.
   /** The outcome as it is durable in the store. */
   job_outcome mDurableOutcome = job_outcome::kOpen;
   /** Whether tasks may be waiting; the next planning round checks. */
--- a/src/scheduler/StoreKeys.h
+++ b/src/scheduler/StoreKeys.h
@@ -22,6 +22,14 @@
  */
 inline const std::string kWriter = "anvildoor/writer";
 
+/**
+ * Whether the scheduler takes further jobs: absent or kIntakeOpen, or kIntakeClosed
+ * while the accepted ones take all the memory that a VM has for them.
+ */
+inline const std::string kIntake = "anvildoor/intake";
+inline const std::string kIntakeOpen = "open";
+inline const std::string kIntakeClosed = "closed";
+
 /** Returns the part of aKey after aPrefix, or nothing if aKey has another prefix. */
 inline std::optional<std::string> StripPrefix(const std::string& aKey,
                                               const std::string& aPrefix)
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -973,3 +973,54 @@
   CHECK(site.CountStarts(kJob) == 8'000);
   CHECK(site.mLog.CountLines("event=record_refused") == 0);
 }
+
+// Guards against more accepted jobs than any scheduler has memory for.
+TEST_CASE("jobs beyond the schedulers' memory are refused at once, until others end",
+          "[installation]")
+{
+  const auto killsScheduler = GENERATE(false, true);
+  CAPTURE(killsScheduler);
+  scheduler_bounds bounds;
+  bounds.mMaxJobBytes = 100'000; // A job with its open tasks takes 2 KB to 7 KB.
+  fake_installation site(3, 1, 4, bounds);
+  site.mBehaviourByPayload["long"] = { duration(3'000), false };
+  size_t accepted = 0;
+  std::optional<job_answer> answer;
+  const auto submitNext = [&] {
+    auto job = fake_installation::MakeJob(
+      "00000000000" + std::to_string(10'000 + site.mLog.CountLines("event=job_submitted")),
+      8);
+    job.mSpec.mPayload = "long";
+    const auto sentAt = site.mLoop.Now();
+    answer = site.Submit("vm2", job);
+    REQUIRE(answer);
+    accepted += *answer == job_answer::kAccepted ? 1 : 0;
+    if (*answer == job_answer::kOverloaded) {
+      CHECK(site.mLoop.Now() == sentAt);
+      site.mLoop.RunFor(duration(50));
+      CHECK_FALSE(site.mStore.Peek(store_keys::kJobs + job.mId));
+    }
+    site.mLoop.RunFor(duration(50));
+  };
+  while (accepted < 200 && answer != job_answer::kOverloaded) {
+    submitNext();
+  }
+  REQUIRE(answer == job_answer::kOverloaded);
+  // The bound, and what arrives until all VMs know that it is reached.
+  CHECK(accepted < 100);
+  if (killsScheduler) {
+    REQUIRE(site.SchedulerVm() != "vm2");
+    site.Kill(site.SchedulerVm());
+    site.mLoop.RunFor(duration(2'500));
+    submitNext();
+    CHECK(answer == job_answer::kOverloaded);
+  }
+  REQUIRE(site.mLoop.RunUntil(
+    [&] { return site.mLog.CountLines("event=intake_opened") == 1; }, duration(300'000)));
+  site.mLoop.RunFor(duration(1'000));
+  submitNext();
+  CHECK(answer == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(200'000));
+  CHECK(site.mLog.CountLines("event=job_ended") >= accepted);
+  CHECK(site.mLog.CountLines("outcome=done") >= accepted);
+}
--- a/tests/JobSizeTest.cpp
+++ b/tests/JobSizeTest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <malloc.h>
+#include <memory>
 
 using namespace anvildoor;
 
@@ -199,3 +200,45 @@
   }
   CHECK(state.WaitingTasks(0, 1).size() == 64);
 }
+
+TEST_CASE("the memory of jobs and of their open tasks is not underestimated", "[jobs]")
+{
+  struct row
+  {
+    size_t mPayloadBytes;
+    size_t mSteps;
+    size_t mNameBytes;
+    uint32_t mRepeats;
+    uint32_t mOpenTasks;
+  };
+  const auto [payloadBytes, steps, nameBytes, repeats, openTasks] =
+    GENERATE(row{ 0, 1, 0, 0, 0 },
+             row{ 4'000, 1, 0, 0, 0 },
+             row{ 100, 64, 256, 0, 0 },
+             row{ 100, 2, 20, 10'000, 0 },
+             row{ 100, 1, 0, 0, 1'000 });
+  CAPTURE(payloadBytes, steps, repeats, openTasks);
+  accepted_job job = Job(std::vector<uint32_t>(steps, 1'000), repeats);
+  job.mQueue = std::string(30, 'q');
+  job.mWorkspace = std::string(30, 'w');
+  job.mPool = std::string(30, 'p');
+  job.mSpec.mPayload = std::string(payloadBytes, 'x');
+  for (auto& step : job.mSpec.mSteps) {
+    step.mRequiredLabel = std::string(nameBytes, 'l');
+    step.mDataRack = std::string(nameBytes, 'r');
+  }
+  constexpr size_t kJobs = 50;
+  const auto before = HeapBytes();
+  std::vector<std::unique_ptr<job_state>> states;
+  for (size_t number = 0; number < kJobs; ++number) {
+    states.push_back(std::make_unique<job_state>(job));
+    for (uint32_t index = 0; index < openTasks; ++index) {
+      const task_ref task{ kJob, 0, 0, index };
+      states.back()->Place(task, 1, "worker-of-a-long-name-" + std::to_string(index));
+      states.back()->SaveCheckpoint(
+        task, 1, std::string(job_state::kMaxCheckpointBytes, 'c'));
+    }
+  }
+  CHECK((HeapBytes() - before) / kJobs <=
+        MemoryBound(job) + openTasks * job_state::kBytesPerOpenTask);
+}
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -63,6 +63,7 @@
     options.mPeerAddress = mName;
     options.mPolicyKey = kPolicyKey;
     options.mElectionDelay = aDelay;
+    options.mScheduler = aSite.Bounds();
     options.mDecodePolicy = [](const std::string& aValue) -> result<fleet_policy> {
       return MakePolicy(std::stoull(aValue));
     };
@@ -362,9 +363,11 @@
 
 fake_installation::fake_installation(size_t aVmCount,
                                      size_t aWorkerCount,
-                                     size_t aWorkersPerRack)
+                                     size_t aWorkersPerRack,
+                                     const scheduler_bounds& aBounds)
   : mLoop(time_point(1'000'000))
   , mWorkersPerRack(aWorkersPerRack)
+  , mBounds(aBounds)
 {
   PutPolicy(1);
   for (size_t number = 0; number < aWorkerCount; ++number) {
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -51,7 +51,10 @@
 class fake_installation
 {
 public:
-  fake_installation(size_t aVmCount, size_t aWorkerCount, size_t aWorkersPerRack = 4);
+  fake_installation(size_t aVmCount,
+                    size_t aWorkerCount,
+                    size_t aWorkersPerRack = 4,
+                    const scheduler_bounds& aBounds = {});
   ~fake_installation();
 
   /** Makes a job of one step for queue "urgent", "batch" or "later", by aPriority. */
@@ -93,6 +96,8 @@
 
   void PutPolicy(uint64_t aVersion);
 
+  const scheduler_bounds& Bounds() const { return mBounds; }
+
   virtual_loop mLoop;
   memory_transaction_store mStore{ mLoop };
   fake_faults mFaults;
@@ -107,6 +112,7 @@
   void AddWorker(const std::string& aId);
 
   size_t mWorkersPerRack;
+  scheduler_bounds mBounds;
   int64_t mLastWorkerStartedAtMs = 1'000;
   std::map<std::string, std::unique_ptr<fake_vm>> mVms;
   std::vector<std::unique_ptr<fake_vm>> mStoppedVms;
