The retention of an ended job goes on over hand-overs

Cause: a takeover counted the retention from its own beginning. Change: the record holds the time of the end; a record without one counts as before. Test: 'the retention of an ended job goes on over hand-overs' failed in both rows. Two earlier tests begin their window 5 s sooner, as jobs now expire by their end and not by the takeover, and require that the job is still there then.

--- a/src/jobs/JobState.cpp
+++ b/src/jobs/JobState.cpp
@@ -438,6 +438,9 @@
       }
     }
   }
+  if (mEndedAtMs != 0) {
+    text["ended"] = mEndedAtMs;
+  }
   text["workers"] = std::move(workers);
   text["tasks"] = std::move(rows);
   if (!hasRowPerDoneTask) {
@@ -521,6 +524,7 @@
     CloseOccurrence(occurrence);
   }
   mHasStarted = text.at("begun").get<bool>();
+  mEndedAtMs = text.value("ended", int64_t(0));
 }
 
 std::optional<job_outcome> DecodeOutcome(const std::string& aProgress)
--- a/src/jobs/JobState.h
+++ b/src/jobs/JobState.h
@@ -93,6 +93,10 @@
   const accepted_job& Job() const { return mJob; }
   job_outcome Outcome() const { return mOutcome; }
 
+  /** The Unix time in ms at which the job ended; 0: unknown or not ended. */
+  int64_t EndedAtMs() const { return mEndedAtMs; }
+  void SetEndedAtMs(int64_t aUnixMs) { mEndedAtMs = aUnixMs; }
+
   /** Returns whether any task has ever been placed. */
   bool HasStarted() const { return mHasStarted; }
 
@@ -207,6 +211,7 @@
   accepted_job mJob;
   job_outcome mOutcome = job_outcome::kOpen;
   bool mHasStarted = false;
+  int64_t mEndedAtMs = 0;
   /** Occurrences of which a task has had a run and that are not finished. */
   std::map<uint32_t, occurrence_progress> mBegun;
   std::vector<bool> mFinished; ///< By occurrence; empty while none is finished.
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -271,7 +271,9 @@
       continue;
     }
     job->mDurableOutcome = job->mState.Outcome();
-    job->mEndedAt = now;
+    const auto endedAtMs = job->mState.EndedAtMs();
+    const auto age = endedAtMs == 0 ? 0 : mPorts.mUnixMs() - endedAtMs;
+    job->mEndedAt = now - duration(std::max<int64_t>(0, age));
     for (const auto& task : job->mState.PlacedTasks()) {
       const auto& taskState = job->mState.Task(task);
       auto& worker = FindOrAddWorker(taskState.mWorker);
@@ -436,6 +438,7 @@
   const auto outcome = aJob.mState.Outcome();
   const auto& job = aJob.mState.Job();
   aJob.mEndedAt = mPorts.mLoop.Now();
+  aJob.mState.SetEndedAtMs(mPorts.mUnixMs());
   mPorts.mLog.Write(log_event("job_ended")
                       .Add("job", job.mId)
                       .Add("outcome", ToString(outcome))
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -924,7 +924,8 @@
     return !site.mStore.Peek(store_keys::kJobs + ids.front()) &&
            !site.mStore.Peek(store_keys::kJobs + ids.back());
   };
-  site.mLoop.RunFor(kRetention - duration(4'500));
+  site.mLoop.RunFor(kRetention - duration(9'500));
+  REQUIRE(site.mStore.Peek(store_keys::kJobs + ids.front()));
   site.mFaults.mListDelay = duration(listDelayMs);
   const auto until = site.mLoop.Now() + duration(9'000);
   while (site.mLoop.Now() < until) {
@@ -938,13 +939,43 @@
   CHECK(site.mTraces.size() == starts);
 }
 
+// Guards against records that pile up where hand-overs come often.
+TEST_CASE("the retention of an ended job goes on over hand-overs", "[installation]")
+{
+  const auto restartEveryMs = GENERATE(50'000, 100'000);
+  CAPTURE(restartEveryMs);
+  fake_installation site(3, 2);
+  const auto ids = RunJobsAndTakeOver(site, 3);
+  const auto endedAt = site.mLoop.Now() - duration(5'000);
+  const auto isStored = [&](const std::string& aId) {
+    return site.mStore.Peek(store_keys::kJobs + aId).has_value();
+  };
+  while (site.mLoop.Now() < endedAt + kRetention / 2) {
+    CHECK(std::all_of(ids.begin(), ids.end(), isStored));
+    site.mLoop.RunFor(duration(restartEveryMs));
+    const auto scheduler = site.SchedulerVm();
+    site.Kill(scheduler);
+    site.Restart(scheduler);
+    site.mLoop.RunFor(duration(3'000));
+  }
+  while (site.mLoop.Now() < endedAt + kRetention + duration(10'000)) {
+    site.mLoop.RunFor(duration(restartEveryMs));
+    const auto scheduler = site.SchedulerVm();
+    site.Kill(scheduler);
+    site.Restart(scheduler);
+    site.mLoop.RunFor(duration(3'000));
+  }
+  CHECK(std::none_of(ids.begin(), ids.end(), isStored));
+}
+
 // Guards against records that stay for ever since a cancellation came after its job.
 TEST_CASE("a cancellation that meets the removal of its job leaves nothing behind",
           "[installation]")
 {
   fake_installation site(3, 2);
   const auto ids = RunJobsAndTakeOver(site, 2);
-  site.mLoop.RunFor(kRetention - duration(4'500));
+  site.mLoop.RunFor(kRetention - duration(9'500));
+  REQUIRE(site.mStore.Peek(store_keys::kJobs + ids.front()));
   const auto other = site.IsUp("vm0") ? "vm0" : "vm1";
   bool wasNotFound = false;
   while (!wasNotFound) {
