A gang doesn't wait for one rack while the fleet has room for it

Cause: a gang that prefers one rack waited three times its estimate before it could span racks, however empty the fleet was. Change: planner/RackPatience. While less than 60 % of the pool is in use and has room for the whole gang, it may clear a rack of single tasks after 1 s (they continue elsewhere and lose less work than the gang has), and span racks after 2 s.

--- a/src/planner/TaskPlacement.cpp
+++ b/src/planner/TaskPlacement.cpp
@@ -22,6 +22,11 @@
  * tasks are worth more than the work that is lost.
  */
 constexpr double kMaxLostWorkRatio = 3.0;
+/**
+ * The same bound for clearing a rack: beyond it the gang loses less by spanning racks,
+ * on which it takes a multiple of its time.
+ */
+constexpr double kMaxMovedWorkRatio = 1.0;
 /** Lower bound for the estimate of a step; also applies if it has none. */
 constexpr duration kMinEstimate{ 1'000 };
 /** Core-seconds added to the cost of each stop, because it also delays the job. */
@@ -161,7 +166,7 @@
       return;
     }
     mPlan.mWaiting.push_back(aNumber);
-    if (group.mMayPreempt) {
+    if (group.mMayPreempt || group.mMayClearRack) {
       ReserveOrPreempt(group, Unplaced(group.mIndices, found));
     }
   }
@@ -239,7 +244,7 @@
     }
     for (const auto unit : chosen->mUnits) {
       mStopped[unit] = true;
-      mPlan.mUnitsToStop.push_back(unit);
+      (aGroup.mMayPreempt ? mPlan.mUnitsToStop : mPlan.mUnitsToMove).push_back(unit);
       for (const auto& [worker, resources] :
            mInput.mPreemptionUnits[unit].mResourcesByWorker) {
         Add(mFreeAfterStops[worker], resources);
@@ -263,7 +268,9 @@
     const bool hasLowerPriority =
       unit.mPriority > aGroup.mPriority ||
       (unit.mPriority == aGroup.mPriority && aGroup.mGuaranteed && !unit.mGuaranteed);
-    return !mStopped[aUnit] && hasLowerPriority;
+    const bool mayMove = aGroup.mMayClearRack && unit.mMayMove &&
+                         unit.mPriority >= aGroup.mPriority;
+    return !mStopped[aUnit] && ((aGroup.mMayPreempt && hasLowerPriority) || mayMove);
   }
 
   /** Units to stop, and the workers on which the group then fits. */
@@ -295,10 +302,10 @@
       std::iota(all.begin(), all.end(), size_t(0));
       best = PreemptionOn(aGroup, aMissing.size(), all);
     }
-    // Guaranteed groups preempt at any cost, others only within kMaxLostWorkRatio.
-    if (best && !aGroup.mGuaranteed &&
-        best->mCost >
-          kMaxLostWorkRatio * ExpectedCoreSeconds(aGroup, aMissing.size())) {
+    // Guaranteed groups preempt at any cost, others only within the ratio.
+    const auto maxRatio = aGroup.mMayPreempt ? kMaxLostWorkRatio : kMaxMovedWorkRatio;
+    if (best && !(aGroup.mMayPreempt && aGroup.mGuaranteed) &&
+        best->mCost > maxRatio * ExpectedCoreSeconds(aGroup, aMissing.size())) {
       return std::nullopt;
     }
     return best;
--- a/src/planner/TaskPlacement.h
+++ b/src/planner/TaskPlacement.h
@@ -49,6 +49,8 @@
   bool mMayPreempt = false;
   bool mGuaranteed = false;   ///< Covered by the guarantee of its workspace.
   bool mMaySpanRacks = false; ///< Waited long enough to ignore mSameRack.
+  /** May have single tasks of its priority or less important ones move elsewhere. */
+  bool mMayClearRack = false;
   /** Number of placed tasks of the occurrence, by worker ID. */
   std::map<std::string, uint32_t> mPlacedByWorker;
   /** Workers on which the last round reserved capacity; one entry per task. */
@@ -65,6 +67,7 @@
   task_ref mTask; ///< For a gang: its first member.
   int64_t mPriority = 0;
   bool mGuaranteed = false;
+  bool mMayMove = false; ///< A single task that doesn't run until it is cancelled.
   double mLostCoreSeconds = 0.0; ///< Core-seconds of work lost by a stop.
   /** Occupied resources by worker index. */
   std::vector<std::pair<size_t, task_resources>> mResourcesByWorker;
@@ -110,7 +113,8 @@
 {
   std::vector<task_start> mStarts;
   std::vector<reservation> mReserved; ///< Input of the next round.
-  std::vector<size_t> mUnitsToStop;   ///< Indices of the units to stop.
+  std::vector<size_t> mUnitsToStop;   ///< Indices of the units to preempt.
+  std::vector<size_t> mUnitsToMove;   ///< Units to stop since a gang needs their rack.
   std::vector<size_t> mWaiting;       ///< Groups with tasks that were not placed.
 
   auto operator<=>(const placement_plan&) const = default;
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -108,6 +108,7 @@
   mWorkers.clear();
   mReserved.clear();
   mHeadroom = capacity_headroom();
+  mRackPatience = rack_patience();
   mDurations = duration_model();
 }
 
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -6,6 +6,7 @@
 #include "config/FleetPolicy.h"
 #include "planner/CapacityHeadroom.h"
 #include "planner/DurationModel.h"
+#include "planner/RackPatience.h"
 #include "planner/TaskPlacement.h"
 #include "runs/WorkerDirectory.h"
 #include "runs/WorkerHealth.h"
@@ -230,6 +231,7 @@
   void ExecutePlan(const placement_input& aInput,
                    const placement_plan& aPlan,
                    const std::vector<std::string>& aWorkerIds);
+  void StopUnit(const preemption_unit& aUnit, const char* aReason);
   void SendStart(const task_ref& aTask, uint32_t aRun);
   void OnStartAnswer(const std::string& aWorker,
                      const task_ref& aTask,
@@ -272,6 +274,7 @@
   /** Workers reserved by the last planning round, by the first task of each step. */
   std::map<task_ref, std::vector<std::string>> mReserved;
   capacity_headroom mHeadroom;
+  rack_patience mRackPatience;
   duration_model mDurations;       ///< Learnt from the runs of this term.
   duration mLastPlanDuration{ 0 }; ///< Duration of the last planning round.
   time_point mCapacityLoggedAt{ 0 };
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -29,6 +29,8 @@
 constexpr duration kCapacityLogPeriod{ 2'000 };
 /** Reason logged for a preempted run. */
 constexpr const char* kPreemptedReason = "preempted by a job of higher priority";
+/** Reason logged for a run that makes room for a gang. */
+constexpr const char* kRackClearedReason = "a gang needs one rack";
 constexpr double kMsPerSecond = 1'000.0;
 
 /** Returns whether a run is expected to end by itself before a stop would end it. */
@@ -64,18 +66,20 @@
   auto input = BuildInput(workerIds);
   if (input.mGroups.empty()) {
     mReserved.clear();
+    mRackPatience = rack_patience();
     return;
   }
   auto plan = PlaceTasks(input);
   const bool needsPreemption =
     std::any_of(plan.mWaiting.begin(), plan.mWaiting.end(), [&](size_t aGroup) {
-      return input.mGroups[aGroup].mMayPreempt;
+      return input.mGroups[aGroup].mMayPreempt || input.mGroups[aGroup].mMayClearRack;
     });
   if (needsPreemption) {
     // Candidates for preemption are collected only when a group needs them.
     AddPreemptibleUnits(workerIds, input);
     plan = PlaceTasks(input);
   }
+  mRackPatience.Observe(input, plan, began);
   ExecutePlan(input, plan, workerIds);
   mLastPlanDuration = mPorts.mLoop.Now() - began;
   ReportWaiting(input, plan);
@@ -211,6 +215,7 @@
     input.mWorkers.push_back(std::move(candidate));
   }
   mHeadroom.SetAllowances(input, now);
+  mRackPatience.SetRights(input, now);
   return input;
 }
 
@@ -255,7 +260,7 @@
         kSpanRacksAfterEstimates * static_cast<double>(group.mSpec.mEstimate.count())));
       group.mMaySpanRacks = now - aJob.mFirstSeenAt > spanRacksDelay;
       const auto reserved = mReserved.find({ acceptedJob.mId, occurrence, step, 0 });
-      if (group.mMayPreempt && reserved != mReserved.end()) {
+      if (reserved != mReserved.end()) {
         group.mReserved = reserved->second;
       }
       bool hasNoUnrecordedRuns = true;
@@ -336,6 +341,7 @@
         added.mTask = task;
         added.mPriority = state.Job().mPriority;
         added.mGuaranteed = IsWithinGuarantee(state.Job());
+        added.mMayMove = !step.mGang && !step.mLongRunning;
         if (step.mGang) {
           gangs[first] = units.size();
         }
@@ -407,14 +413,20 @@
       });
   }
   for (const auto number : aPlan.mUnitsToStop) {
-    const auto& unit = aInput.mPreemptionUnits[number];
-    const auto& job = *mJobs.at(unit.mTask.mJob);
-    const auto run = job.mState.Task(unit.mTask).mRun;
-    if (job.mState.StepOf(unit.mTask).mGang) {
-      StopGang(job, unit.mTask, run, kPreemptedReason);
-    } else {
-      StopTask(job, unit.mTask, kPreemptedReason);
-    }
+    StopUnit(aInput.mPreemptionUnits[number], kPreemptedReason);
+  }
+  for (const auto number : aPlan.mUnitsToMove) {
+    StopUnit(aInput.mPreemptionUnits[number], kRackClearedReason);
+  }
+}
+
+void fleet_scheduler::StopUnit(const preemption_unit& aUnit, const char* aReason)
+{
+  const auto& job = *mJobs.at(aUnit.mTask.mJob);
+  if (job.mState.StepOf(aUnit.mTask).mGang) {
+    StopGang(job, aUnit.mTask, job.mState.Task(aUnit.mTask).mRun, aReason);
+  } else {
+    StopTask(job, aUnit.mTask, aReason);
   }
 }
 
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -1055,3 +1055,63 @@
   CHECK(site.mLog.CountLines("event=job_ended") >= accepted);
   CHECK(site.mLog.CountLines("outcome=done") >= accepted);
 }
+
+// Guards against gangs that wait for one rack while the fleet has room for them.
+TEST_CASE("a gang starts within 3 s while the fleet has room for it twice over",
+          "[installation]")
+{
+  struct row
+  {
+    const char* mBusyTasks; // What occupies 3 of the 8 workers of each rack.
+    int64_t mPriority;      // Of the gang.
+    size_t mRestarted;      // Tasks that had to move.
+    size_t mRacks;          // On which the gang starts.
+  };
+  const auto [busyTasks, priority, restarted, racks] =
+    GENERATE(row{ "single", 1, 1, 1 },
+             row{ "single", 2, 1, 1 },
+             row{ "gang", 1, 0, 2 },
+             row{ "service", 1, 0, 2 },
+             row{ "important", 2, 0, 2 });
+  CAPTURE(busyTasks, priority);
+  fake_installation site(2, 32, 8);
+  site.mBehaviourByPayload["long"] = { duration(60'000), false };
+  const std::string kind = busyTasks;
+  for (int rack = 0; rack < 4; ++rack) {
+    auto busy = fake_installation::MakeJob("00000000000000b" + std::to_string(rack),
+                                           3,
+                                           kind == "gang",
+                                           kind == "important" ? 1 : 2);
+    auto& step = busy.mSpec.mSteps.front();
+    busy.mSpec.mPayload = "long";
+    step.mPerTask = { 4'000, 1'000, 8 };
+    step.mEstimate = duration(60'000);
+    step.mDataRack = "r" + std::to_string(rack);
+    step.mSameRack = true;
+    step.mLongRunning = kind == "service";
+    REQUIRE(site.Submit("vm0", busy) == job_answer::kAccepted);
+  }
+  site.mLoop.RunFor(duration(1'000));
+  REQUIRE(site.mTraces.size() == 12);
+  auto gang = fake_installation::MakeJob(kJob, 6, true, priority);
+  auto& step = gang.mSpec.mSteps.front();
+  gang.mSpec.mPayload = "long";
+  step.mPerTask = { 4'000, 1'000, 8 };
+  step.mEstimate = duration(11'000);
+  step.mSameRack = true;
+  REQUIRE(site.Submit("vm0", gang) == job_answer::kAccepted);
+  CHECK(site.mLoop.RunUntil([&] { return site.CountStarts(kJob) == 6; },
+                            duration(3'000)));
+  site.mLoop.RunFor(duration(1'000));
+  std::set<int> racksOfGang;
+  size_t moved = 0;
+  for (const auto& trace : site.mTraces) {
+    if (trace.mTask.mJob == kJob) {
+      racksOfGang.insert(std::stoi(trace.mWorker.substr(1)) / 8);
+    }
+    moved += trace.mEnd == run_end::kStopped ? 1 : 0;
+  }
+  CHECK(racksOfGang.size() == racks);
+  CHECK(moved == restarted);
+  CHECK(site.mTraces.size() == 18 + restarted); // What had to move runs elsewhere.
+}
--- /dev/null
+++ b/tests/RackPatienceTest.cpp
@@ -0,0 +1,92 @@
+#include "planner/RackPatience.h"
+
+#include <catch2/catch.hpp>
+#include <numeric>
+
+using namespace anvildoor;
+
+namespace {
+
+constexpr time_point kStart{ 100'000 };
+
+/** Returns 2 racks of 4 workers, of which aUsed in all are in use, and a waiting gang. */
+placement_input WaitingGang(size_t aUsed, uint32_t aTasks, bool aSameRack)
+{
+  placement_input input;
+  for (size_t number = 0; number < 8; ++number) {
+    placement_worker worker;
+    worker.mId = "w" + std::to_string(number);
+    worker.mPool = "pool";
+    worker.mRack = "r" + std::to_string(number % 2);
+    worker.mTotal = { 32'000, 64'000, 8 };
+    worker.mFree = number < aUsed ? task_resources() : worker.mTotal;
+    if (number < aUsed) {
+      worker.mLoadByPriority[2] = 1.0;
+    }
+    input.mWorkers.push_back(worker);
+  }
+  placement_group group;
+  group.mJob = "job";
+  group.mPool = "pool";
+  group.mSpec.mCount = aTasks;
+  group.mSpec.mPerTask = { 1'000, 1'000, 8 };
+  group.mSpec.mGang = true;
+  group.mSpec.mSameRack = aSameRack;
+  group.mIndices.resize(aTasks);
+  std::iota(group.mIndices.begin(), group.mIndices.end(), 0U);
+  input.mGroups.push_back(group);
+  return input;
+}
+
+} // namespace
+
+TEST_CASE("a gang's rights grow while it waits although the fleet has room",
+          "[placement]")
+{
+  struct row
+  {
+    size_t mUsed; // Workers of 8.
+    uint32_t mTasks;
+    bool mSameRack;
+    int64_t mWaitedMs;
+    bool mMayClearRack;
+    bool mMaySpanRacks;
+  };
+  const auto [used, tasks, sameRack, waitedMs, mayClearRack, maySpanRacks] =
+    GENERATE(row{ 3, 4, true, 900, false, false },
+             row{ 3, 4, true, 1'000, true, false },
+             row{ 3, 4, true, 2'000, true, true },
+             row{ 4, 4, true, 2'000, true, true },
+             row{ 5, 3, true, 2'000, false, false }, // The fleet is busy.
+             row{ 4, 5, true, 2'000, false, false }, // Too few are free in sum.
+             row{ 3, 4, false, 2'000, false, false });
+  CAPTURE(used, tasks, sameRack, waitedMs);
+  rack_patience patience;
+  auto input = WaitingGang(used, tasks, sameRack);
+  placement_plan plan;
+  plan.mWaiting = { 0 };
+  patience.SetRights(input, kStart);
+  CHECK_FALSE(input.mGroups.front().mMayClearRack);
+  patience.Observe(input, plan, kStart);
+  patience.Observe(input, plan, kStart + duration(500)); // The wait goes on.
+  patience.SetRights(input, kStart + duration(waitedMs));
+  CHECK(input.mGroups.front().mMayClearRack == mayClearRack);
+  CHECK(input.mGroups.front().mMaySpanRacks == maySpanRacks);
+}
+
+TEST_CASE("a gang's wait begins anew once it was placed or the fleet was busy",
+          "[placement]")
+{
+  const auto isPlaced = GENERATE(true, false);
+  rack_patience patience;
+  placement_plan waiting;
+  waiting.mWaiting = { 0 };
+  auto input = WaitingGang(3, 4, true);
+  patience.Observe(input, waiting, kStart);
+  const auto busy = WaitingGang(7, 4, true);
+  patience.Observe(
+    busy, isPlaced ? placement_plan() : waiting, kStart + duration(1'500));
+  patience.Observe(input, waiting, kStart + duration(1'600));
+  patience.SetRights(input, kStart + duration(2'500));
+  CHECK_FALSE(input.mGroups.front().mMayClearRack);
+}
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -298,6 +298,45 @@
   CHECK(PlaceTasks(input).mUnitsToStop == std::vector<size_t>{ 2, 3 });
 }
 
+TEST_CASE("a gang clears the rack from which the least work has to move",
+          "[placement]")
+{
+  struct row
+  {
+    bool mMayClearRack;
+    bool mMayMove; // Of the run in the way on the second rack.
+    int64_t mPriority;
+    double mLostCoreSeconds;
+    std::vector<size_t> mMoved;
+  };
+  // The gang's own work is 2 x 68 core-seconds; to lose more than that isn't worth it.
+  const auto [mayClearRack, mayMove, priority, lost, moved] =
+    GENERATE(row{ true, true, 2, 10.0, { 1 } },
+             row{ true, true, 1, 10.0, { 1 } },
+             row{ true, true, 0, 10.0, { 0 } },
+             row{ true, false, 2, 10.0, { 0 } },
+             row{ true, true, 2, 60.0, { 0 } },
+             row{ false, true, 2, 10.0, {} });
+  CAPTURE(mayClearRack, mayMove, priority, lost);
+  auto input = Fleet(2, 2);
+  Occupy(input, 0, 8, 2);
+  input.mPreemptionUnits.back().mMayMove = true;
+  input.mPreemptionUnits.back().mLostCoreSeconds = 50.0;
+  Occupy(input, 2, 8, priority);
+  input.mPreemptionUnits.back().mMayMove = mayMove;
+  input.mPreemptionUnits.back().mLostCoreSeconds = lost;
+  auto group = Group(2, 8);
+  group.mSpec.mGang = true;
+  group.mSpec.mSameRack = true;
+  group.mMayClearRack = mayClearRack;
+  input.mGroups.push_back(group);
+  const auto plan = PlaceTasks(input);
+  CHECK(plan.mStarts.empty());
+  CHECK(plan.mUnitsToStop.empty());
+  CHECK(plan.mUnitsToMove == moved);
+  CHECK(plan.mReserved.size() == (moved.empty() ? 0 : 2));
+}
+
 TEST_CASE("capacity of stopping runs is reserved without further preemption",
           "[placement]")
 {
--- a/tests/platform/check_platform.py
+++ b/tests/platform/check_platform.py
@@ -5,100 +5,18 @@
 process exits with the wrong status.
 """
 
-import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
-import time
-import urllib.error
-import urllib.request
+
+import entry_site
+from entry_site import WAIT_S, Vm, call, checks, expect, free_ports, wait_until
 
 BUILD = sys.argv[1]
 WORKERS = 4
 VMS = 3
-WAIT_S = 30
-
-checks = {"failed": 0}
-
-
-def expect(what, holds, seen=""):
-    checks["failed"] += 0 if holds else 1
-    print(f"  {'ok  ' if holds else 'FAIL'} {what}" + (f": {seen}" if seen != "" else ""))
-
-
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
-def call(port, method, path, body=None, key="key", host="jobs.example"):
-    data = body.encode() if isinstance(body, str) else body and json.dumps(body).encode()
-    request = urllib.request.Request(f"http://127.0.0.1:{port}{path}", data, method=method)
-    request.add_header("Host", host)
-    request.add_header("X-Api-Key", key)
-    try:
-        with urllib.request.urlopen(request, timeout=5) as answer:
-            return answer.status, json.loads(answer.read() or "{}")
-    except urllib.error.HTTPError as refused:
-        return refused.code, {}
-    except (OSError, ValueError):
-        return 0, {}
-
-
-def wait_until(condition, what):
-    end = time.monotonic() + WAIT_S
-    while time.monotonic() < end:
-        if condition():
-            return True
-        time.sleep(0.02)
-    expect(what, False, f"not met within {WAIT_S} s")
-    return False
-
-
-class Vm:
-    """An entry process."""
-
-    def __init__(self, folder, name, ports, store):
-        self.name, self.jobs, self.ready = name, ports[0], ports[1]
-        self.file = os.path.join(folder, f"{name}.ini")
-        with open(self.file, "w", encoding="utf-8") as text:
-            text.write(f"[vm]\nname = {name}\ndata_centre = z\n[listen]\n"
-                       f"jobs = 127.0.0.1:{ports[0]}\nreadiness = 127.0.0.1:{ports[1]}\n"
-                       f"peers = 127.0.0.1:{ports[2]}\nmetrics = 127.0.0.1:{ports[3]}\n"
-                       f"[store]\naddress = 127.0.0.1:{store}\n")
-        self.metrics = ports[3]
-        self.log = open(os.path.join(folder, f"{name}.log"), "w", encoding="utf-8")
-        self.process = subprocess.Popen([f"{BUILD}/anvildoor-entry", "--config", self.file],
-                                        stdout=self.log)
-
-    def is_ready(self):
-        return call(self.ready, "GET", "/ready")[0] == 200
-
-    def schedules(self):
-        url = f"http://127.0.0.1:{self.metrics}/metrics"
-        try:
-            with urllib.request.urlopen(url, timeout=5) as answer:
-                return "anvildoor_schedules 1" in answer.read().decode()
-        except OSError:
-            return False
-
-
-POLICY = {
-    "version": 7,
-    "routes": [{"name": "q", "host": "jobs.example", "prefix": "/q/", "service": "pool",
-                "priority": 1, "max_attempts": 3, "stretch": 3.0, "slo_ms": 1000}],
-    "services": [{"name": "pool", "admission_check": False}],
-    "limits": {"max_body_bytes": 20000},
-    "tenants": [{"name": "t", "api_keys": ["key"], "guaranteed": {"gpu": 8}}],
-}
 
 
 def main():
@@ -107,30 +25,25 @@
         try:
             return run(folder, started)
         finally:
-            for process in started:
-                if process.poll() is None:
-                    process.kill()
-                process.wait()
+            entry_site.end_all(started)
 
 
 def run(folder, started):
     ports = free_ports(1 + WORKERS + 4 * VMS)
     store = ports[0]
-    standin = subprocess.Popen([f"{BUILD}/tests/platform-standin"] +
-                               [str(port) for port in ports[:1 + WORKERS]])
+    standin = entry_site.start_standin(BUILD, WORKERS, ports[:1 + WORKERS])
     started.append(standin)
-    wait_until(lambda: call(store, "GET", "/traces")[0] == 200, "the stand-in accepts requests")
 
     print("1. Entry VMs on the stand-in")
     vms = []
     for number in range(VMS):
         first_port = 1 + WORKERS + 4 * number
-        vms.append(Vm(folder, f"e{number}", ports[first_port:first_port + 4], store))
+        vms.append(Vm(BUILD, folder, f"e{number}", ports[first_port:first_port + 4], store))
         started.append(vms[-1].process)
     wait_until(lambda: all(call(vm.jobs, "GET", "/q/")[0] == 503 for vm in vms),
                "503 before the desired state is set")
     expect("503 before the desired state is set", True)
-    call(store, "POST", "/put", {"key": "op/config", "value": json.dumps(POLICY)})
+    entry_site.put_policy(store)
     wait_until(lambda: all(vm.is_ready() for vm in vms), "all VMs are ready")
     wait_until(lambda: sum(vm.schedules() for vm in vms) == 1, "one VM is the scheduler")
     scheduler = next(vm for vm in vms if vm.schedules())
--- /dev/null
+++ b/tests/platform/check_waiting.py
@@ -0,0 +1,95 @@
+"""Checks with real processes that accepted jobs don't wait while the fleet has room.
+
+Usage: check_waiting.py BUILD [ENTRY_BUILD]; the second folder, if given, has the
+anvildoor-entry to be checked. Fails if a job has nothing running for longer than the
+platform allows.
+"""
+
+import sys
+import tempfile
+import time
+
+import entry_site
+from entry_site import Vm, call, checks, expect, free_ports, wait_until
+
+BUILD = sys.argv[1]
+ENTRY_BUILD = sys.argv[2] if len(sys.argv) > 2 else BUILD
+VMS = 3
+# Nothing may wait for 3 s after 4 s without disruption.
+IDLE_BOUND_S = 3
+CALM_S = 4
+
+
+class Site:
+    """Entry VMs and the stand-in."""
+
+    def __init__(self, folder, workers, workers_per_rack):
+        ports = free_ports(1 + workers + 4 * VMS)
+        self.store, self.processes = ports[0], []
+        self.processes.append(
+            entry_site.start_standin(BUILD, workers_per_rack, ports[:1 + workers]))
+        self.vms = []
+        for number in range(VMS):
+            first = 1 + workers + 4 * number
+            self.vms.append(Vm(ENTRY_BUILD, folder, f"e{number}", ports[first:first + 4],
+                               self.store))
+            self.processes.append(self.vms[-1].process)
+        entry_site.put_policy(self.store)
+        wait_until(lambda: all(vm.is_ready() for vm in self.vms), "all VMs are ready")
+        wait_until(lambda: self.scheduler() is not None, "one VM is the scheduler")
+
+    def scheduler(self):
+        return next((vm for vm in self.vms
+                     if vm.process.poll() is None and vm.schedules()), None)
+
+    def submit(self, job, spec, step, vm=0):
+        body = {"spec": spec, "steps": [step]}
+        if call(self.vms[vm].jobs, "POST", f"/q/{job}", body)[0] != 200:
+            expect(f"job {job} is accepted", False)
+
+    def traces(self, job):
+        rows = call(self.store, "GET", "/traces")[1]
+        return [row for row in rows if row["task"].startswith(job)]
+
+    def starts_within(self, job, tasks, limit_s):
+        """Returns the seconds until all tasks of the job have started; None: not in time."""
+        began = time.monotonic()
+        while time.monotonic() < began + limit_s:
+            if len(self.traces(job)) >= tasks:
+                return time.monotonic() - began
+            time.sleep(0.02)
+        return None
+
+
+def gang_beside_spread_tasks(folder):
+    """A gang that prefers one rack, while each rack has too few free workers."""
+    racks, per_rack = 4, 8
+    site = Site(folder, racks * per_rack, per_rack)
+    try:
+        for rack in range(racks):
+            site.submit(f"00000000000000b{rack}", "60000",
+                        {"count": 3, "cpu": 4000, "gpu": 8, "estimate_ms": 60000,
+                         "data_rack": f"r{rack}"})
+        wait_until(lambda: len(site.traces("00000000000000b")) == 12, "the fleet is in use")
+        site.submit("00000000000000a1", "60000",
+                    {"count": 6, "cpu": 4000, "gpu": 8, "estimate_ms": 11000, "gang": True,
+                     "same_rack": True})
+        waited = site.starts_within("00000000000000a1", 6, 20)
+        expect("a gang of 6 of 20 free workers of 32 starts within 3 s",
+               waited is not None and waited <= IDLE_BOUND_S,
+               "not within 20 s" if waited is None else f"{waited:.2f} s")
+    finally:
+        entry_site.end_all(site.processes)
+
+
+def main():
+    for scenario in (gang_beside_spread_tasks,):
+        print(scenario.__doc__)
+        with tempfile.TemporaryDirectory() as folder:
+            scenario(folder)
+    print(f"{checks['failed']} expectations failed")
+    return 1 if checks["failed"] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/platform/entry_site.py
@@ -0,0 +1,112 @@
+"""Entry VMs as processes on a stand-in for the users' platform, for the checks beside."""
+
+import json
+import os
+import socket
+import subprocess
+import time
+import urllib.error
+import urllib.request
+
+WAIT_S = 30
+
+checks = {"failed": 0}
+
+
+def expect(what, holds, seen=""):
+    checks["failed"] += 0 if holds else 1
+    print(f"  {'ok  ' if holds else 'FAIL'} {what}" + (f": {seen}" if seen != "" else ""))
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def call(port, method, path, body=None, key="key", host="jobs.example"):
+    data = body.encode() if isinstance(body, str) else body and json.dumps(body).encode()
+    request = urllib.request.Request(f"http://127.0.0.1:{port}{path}", data, method=method)
+    request.add_header("Host", host)
+    request.add_header("X-Api-Key", key)
+    try:
+        with urllib.request.urlopen(request, timeout=5) as answer:
+            return answer.status, json.loads(answer.read() or "{}")
+    except urllib.error.HTTPError as refused:
+        return refused.code, {}
+    except (OSError, ValueError):
+        return 0, {}
+
+
+def wait_until(condition, what):
+    end = time.monotonic() + WAIT_S
+    while time.monotonic() < end:
+        if condition():
+            return True
+        time.sleep(0.02)
+    expect(what, False, f"not met within {WAIT_S} s")
+    return False
+
+
+class Vm:
+    """An entry process."""
+
+    def __init__(self, build, folder, name, ports, store):
+        self.name, self.jobs, self.ready = name, ports[0], ports[1]
+        self.file = os.path.join(folder, f"{name}.ini")
+        with open(self.file, "w", encoding="utf-8") as text:
+            text.write(f"[vm]\nname = {name}\ndata_centre = z\n[listen]\n"
+                       f"jobs = 127.0.0.1:{ports[0]}\nreadiness = 127.0.0.1:{ports[1]}\n"
+                       f"peers = 127.0.0.1:{ports[2]}\nmetrics = 127.0.0.1:{ports[3]}\n"
+                       f"[store]\naddress = 127.0.0.1:{store}\n")
+        self.metrics = ports[3]
+        self.log = open(os.path.join(folder, f"{name}.log"), "w", encoding="utf-8")
+        self.process = subprocess.Popen([f"{build}/anvildoor-entry", "--config", self.file],
+                                        stdout=self.log)
+
+    def is_ready(self):
+        return call(self.ready, "GET", "/ready")[0] == 200
+
+    def schedules(self):
+        url = f"http://127.0.0.1:{self.metrics}/metrics"
+        try:
+            with urllib.request.urlopen(url, timeout=5) as answer:
+                return "anvildoor_schedules 1" in answer.read().decode()
+        except OSError:
+            return False
+
+
+POLICY = {
+    "version": 7,
+    "routes": [{"name": "q", "host": "jobs.example", "prefix": "/q/", "service": "pool",
+                "priority": 1, "max_attempts": 3, "stretch": 3.0, "slo_ms": 1000}],
+    "services": [{"name": "pool", "admission_check": False}],
+    "limits": {"max_body_bytes": 20000},
+    "tenants": [{"name": "t", "api_keys": ["key"], "guaranteed": {"gpu": 8}}],
+}
+
+
+def start_standin(build, workers_per_rack, ports):
+    """Starts the stand-in; the first port is the store's, the others are the workers'."""
+    standin = subprocess.Popen([f"{build}/tests/platform-standin", str(workers_per_rack)] +
+                               [str(port) for port in ports])
+    wait_until(lambda: call(ports[0], "GET", "/traces")[0] == 200,
+               "the stand-in accepts requests")
+    return standin
+
+
+def put_policy(store):
+    """Sets the desired state."""
+    call(store, "POST", "/put", {"key": "op/config", "value": json.dumps(POLICY)})
+
+
+def end_all(processes):
+    """Ends the processes that still run."""
+    for process in processes:
+        if process.poll() is None:
+            process.kill()
+        process.wait()
--- a/tests/platform/platform-standin.cpp
+++ b/tests/platform/platform-standin.cpp
@@ -279,10 +279,12 @@
 
 int main(int aArgumentCount, char** aArguments)
 {
-  if (aArgumentCount < 3) {
-    std::fprintf(stderr, "usage: platform-standin STORE_PORT WORKER_PORT...\n");
+  if (aArgumentCount < 4) {
+    std::fprintf(stderr,
+                 "usage: platform-standin WORKERS_PER_RACK STORE_PORT WORKER_PORT...\n");
     return 2;
   }
+  const auto workersPerRack = std::max(1, std::atoi(aArguments[1]));
   std::signal(SIGPIPE, SIG_IGN);
   boost::asio::io_context context(1);
   asio_loop loop(context);
@@ -300,15 +302,17 @@
   const auto address = [&](int aNumber) {
     return std::string("127.0.0.1:") + aArguments[aNumber];
   };
-  if (const auto listening = storeServer.Listen(address(1)); !listening) {
+  if (const auto listening = storeServer.Listen(address(2)); !listening) {
     std::fprintf(stderr, "%s\n", Describe(listening.error()).c_str());
     return 1;
   }
   std::vector<std::unique_ptr<run_worker>> workers;
   std::vector<std::unique_ptr<single_thread_server>> servers;
-  for (int number = 2; number < aArgumentCount; ++number) {
+  constexpr int kFirstWorker = 3; // The first argument that is a worker's port.
+  for (int number = kFirstWorker; number < aArgumentCount; ++number) {
     constexpr duration kLeaseMax{ 6'000 };
     const auto id = "i-" + std::to_string(number);
+    const auto rack = "r" + std::to_string((number - kFirstWorker) / workersPerRack);
     workers.push_back(std::make_unique<run_worker>(
       loop,
       id,
@@ -338,7 +342,7 @@
             { "zone", "z" },
             { "state", "ready" },
             { "capacity", { { "cpu", 32'000 }, { "mem_mb", 65'536 }, { "gpu", 8 } } },
-            { "labels", { "a", "r1" } } }
+            { "labels", { "a", rack } } }
         .dump());
   }
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
