Runs of a worker whose process has ended are given up at once

Cause: such workers are in no list afterwards, and their tasks waited until the longest lease that the former scheduler may have given had lapsed. A new scheduler knew no address to ask. Ruled out: taking a missing entry for gone after 2 s (tasks of a worker cut from the store would run twice), handing over the ends of leases (a term without a write may have extended them).

--- a/src/jobs/JobState.cpp
+++ b/src/jobs/JobState.cpp
@@ -374,7 +374,7 @@
   return true;
 }
 
-std::string job_state::EncodeProgress() const
+std::string job_state::EncodeProgress(const address_resolver& aAddressOf) const
 {
   json text{ { "outcome", ToString(mOutcome) }, { "begun", mHasStarted } };
   json workers = json::array();
@@ -441,6 +441,13 @@
   if (mEndedAtMs != 0) {
     text["ended"] = mEndedAtMs;
   }
+  if (aAddressOf) {
+    json addresses = json::array();
+    for (const auto& worker : workers) {
+      addresses.push_back(aAddressOf(worker.get<std::string>()));
+    }
+    text["addresses"] = std::move(addresses);
+  }
   text["workers"] = std::move(workers);
   text["tasks"] = std::move(rows);
   if (!hasRowPerDoneTask) {
@@ -450,7 +457,8 @@
   return text.dump(-1, ' ', false, kReplaceInvalidUtf8);
 }
 
-status job_state::DecodeProgress(const std::string& aText)
+status job_state::DecodeProgress(const std::string& aText,
+                                 std::map<std::string, std::string>* aAddresses)
 {
   const auto outcome = DecodeOutcome(aText);
   if (!outcome) {
@@ -460,7 +468,7 @@
                 "the outcome is missing or unknown");
   }
   try {
-    DecodeRows(aText);
+    DecodeRows(aText, aAddresses);
     mOutcome = *outcome;
     return {};
   } catch (const std::exception& failed) {
@@ -468,10 +476,16 @@
   }
 }
 
-void job_state::DecodeRows(const std::string& aText)
+void job_state::DecodeRows(const std::string& aText,
+                           std::map<std::string, std::string>* aAddresses)
 {
   const auto text = json::parse(aText);
   const auto workers = text.at("workers").get<std::vector<std::string>>();
+  const auto addresses = text.value("addresses", std::vector<std::string>());
+  for (size_t number = 0; aAddresses != nullptr && number < addresses.size();
+       ++number) {
+    (*aAddresses)[workers.at(number)] = addresses[number];
+  }
   const auto requireTask = [this](const task_ref& aTask) {
     if (!HasTask(aTask)) {
       throw std::out_of_range("a task is not part of the job");
--- a/src/jobs/JobState.h
+++ b/src/jobs/JobState.h
@@ -2,6 +2,7 @@
 
 #include "jobs/JobSpec.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -175,11 +176,21 @@
   /** Cancels the job. Returns false if it already has an outcome. */
   bool Cancel();
 
-  /** Encodes the progress as text for the store. */
-  std::string EncodeProgress() const;
+  /** Returns the address of a worker; empty if unknown. */
+  using address_resolver = std::function<std::string(const std::string& aWorker)>;
 
-  /** Restores the progress from the output of EncodeProgress; kInvalid if malformed. */
-  status DecodeProgress(const std::string& aText);
+  /**
+   * Encodes the progress as text for the store. aAddressOf, if set, gives the addresses
+   * that are stored of the workers with placed tasks.
+   */
+  std::string EncodeProgress(const address_resolver& aAddressOf = nullptr) const;
+
+  /**
+   * Restores the progress from the output of EncodeProgress; kInvalid if malformed. Adds
+   * the stored addresses of workers to aAddresses, if set.
+   */
+  status DecodeProgress(const std::string& aText,
+                        std::map<std::string, std::string>* aAddresses = nullptr);
 
 private:
   /** The tasks of one step in one occurrence. */
@@ -206,7 +217,8 @@
   bool IsStepDone(uint32_t aOccurrence, uint32_t aStep) const;
   uint64_t TaskCount() const;
   bool AllDone() const { return mDoneTasks == TaskCount(); }
-  void DecodeRows(const std::string& aText);
+  void DecodeRows(const std::string& aText,
+                  std::map<std::string, std::string>* aAddresses);
 
   accepted_job mJob;
   job_outcome mOutcome = job_outcome::kOpen;
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -119,7 +119,7 @@
   for (const auto& key : mWriter.UnconfirmedKeys()) {
     const auto id = store_keys::StripPrefix(key, store_keys::kProgress);
     if (id && mJobs.count(*id) != 0) {
-      summary.mRecords[*id] = mJobs.at(*id)->mState.EncodeProgress();
+      summary.mRecords[*id] = EncodeRecord(key);
     }
   }
   mLastSummary = std::move(summary);
@@ -265,7 +265,9 @@
     if (found == progress.end()) {
       continue;
     }
-    if (const auto decoded = job->mState.DecodeProgress(found->second); !decoded) {
+    std::map<std::string, std::string> addresses;
+    if (const auto decoded = job->mState.DecodeProgress(found->second, &addresses);
+        !decoded) {
       mPorts.mLog.Write(log_event("record_unreadable")
                           .Add("job", id)
                           .Add("error", Describe(decoded.error())));
@@ -278,6 +280,11 @@
     for (const auto& task : job->mState.PlacedTasks()) {
       const auto& taskState = job->mState.Task(task);
       auto& worker = FindOrAddWorker(taskState.mWorker);
+      // Where a worker can be reached that is in no list any more.
+      if (const auto address = addresses.find(taskState.mWorker);
+          address != addresses.end() && worker.mListed.mAddress.empty()) {
+        worker.mListed.mAddress = address->second;
+      }
       const auto& step = job->mState.StepOf(task);
       worker.mRuns.RegisterExisting(task,
                                     taskState.mRun,
@@ -313,6 +320,12 @@
                       .Add("workers", static_cast<int64_t>(aTakeover.mWorkers.size()))
                       .Add("ms", (now - mTermBegunAt).count()));
   OnWorkersListed(aTakeover.mWorkers, aTakeover.mRequestedAt);
+  for (auto& [id, worker] : mWorkers) {
+    if (!worker->mIsListed) {
+      // It has left, or its entry has expired while it runs on; its answer tells.
+      ScheduleHold(*worker, duration::zero());
+    }
+  }
   for (auto& [id, job] : mJobs) {
     if (job->mState.Outcome() != job_outcome::kOpen) {
       StopJob(*job, "the job has ended");
@@ -485,7 +498,10 @@
   assert(id);
   const auto found = mJobs.find(*id);
   assert(found != mJobs.end());
-  return found->second->mState.EncodeProgress();
+  return found->second->mState.EncodeProgress([this](const std::string& aWorker) {
+    const auto worker = mWorkers.find(aWorker);
+    return worker == mWorkers.end() ? std::string() : worker->second->mListed.mAddress;
+  });
 }
 
 std::optional<std::string> fleet_scheduler::StateOf(const std::string& aJob) const
--- a/tests/platform/check_waiting.py
+++ b/tests/platform/check_waiting.py
@@ -18,6 +18,8 @@
 # Nothing may wait for 3 s after 4 s without disruption.
 IDLE_BOUND_S = 3
 CALM_S = 4
+# Longer than a scheduler without the store keeps its term.
+BUSY_MS = 6000
 
 
 class Site:
@@ -82,8 +84,34 @@
         entry_site.end_all(site.processes)
 
 
+def workers_leave_without_store(folder):
+    """Workers leave while the store is away and the scheduler changes."""
+    for kills_scheduler in (False, True):
+        site = Site(folder, 6, 3)
+        try:
+            job = "00000000000000a1"
+            site.submit(job, "60000", {"count": 2, "cpu": 4000, "gpu": 8, "gang": True,
+                                       "estimate_ms": 60000})
+            wait_until(lambda: len(site.traces(job)) == 2, "the job is running")
+            scheduler = site.scheduler()
+            call(site.store, "POST", "/busy", {"for_ms": BUSY_MS})
+            time.sleep(0.5)
+            for row in site.traces(job):
+                call(site.store, "POST", "/leave", {"worker": row["worker"]})
+            if kills_scheduler:
+                scheduler.process.kill()
+            time.sleep(BUSY_MS / 1000 - 0.5)
+            waited = site.starts_within(job, 4, 30)
+            expect("the tasks start elsewhere in time after the store's return, the scheduler "
+                   + ("having ended" if kills_scheduler else "having lost its term"),
+                   waited is not None and waited <= CALM_S + IDLE_BOUND_S,
+                   "not within 30 s" if waited is None else f"{waited:.2f} s")
+        finally:
+            entry_site.end_all(site.processes)
+
+
 def main():
-    for scenario in (gang_beside_spread_tasks,):
+    for scenario in (gang_beside_spread_tasks, workers_leave_without_store):
         print(scenario.__doc__)
         with tempfile.TemporaryDirectory() as folder:
             scenario(folder)
--- a/tests/platform/platform-standin.cpp
+++ b/tests/platform/platform-standin.cpp
@@ -1,7 +1,9 @@
 /**
  * Stand-in for the users' platform in tests: serves the store and the workers over HTTP
- * on loopback, in one process. Runs until SIGTERM and does not read standard input.
- * GET /traces at the store's address lists every run so far.
+ * on loopback, in one process. Runs until SIGTERM and does not read standard input. At
+ * the store's address, GET /traces lists every run so far, POST /put writes a key as the
+ * operator does, POST /busy has the store answer 503 for a time, and POST /leave ends a
+ * worker, whose port is closed then.
  */
 #include "base/JsonText.h"
 #include "http/AsioLoop.h"
@@ -14,6 +16,8 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <functional>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -58,10 +62,14 @@
 class store_request_handler
 {
 public:
-  store_request_handler(memory_transaction_store& aStore,
-                        const std::vector<run_trace>& aTraces)
-    : mStore(aStore)
+  store_request_handler(event_loop& aLoop,
+                        memory_transaction_store& aStore,
+                        const std::vector<run_trace>& aTraces,
+                        std::function<void(const std::string& aWorker)> aLeave)
+    : mLoop(aLoop)
+    , mStore(aStore)
     , mTraces(aTraces)
+    , mLeave(std::move(aLeave))
   {
   }
 
@@ -69,7 +77,9 @@
              const single_thread_server::respond& aRespond)
   {
     const auto path = aRequest.mTarget.substr(0, aRequest.mTarget.find('?'));
-    if (path == "/kv-key") {
+    if (path.rfind("/kv-", 0) == 0 && mLoop.Now() < mBusyUntil) {
+      aRespond(JsonReply(503, json::object()));
+    } else if (path == "/kv-key") {
       Get(QueryParameter(aRequest.mTarget, "key"), aRespond);
     } else if (path == "/kv-range") {
       List(QueryParameter(aRequest.mTarget, "prefix"), aRespond);
@@ -91,6 +101,13 @@
       mStore.Put(body.at("key").get<std::string>(),
                  body.at("value").get<std::string>());
       aRespond(JsonReply(200, json::object()));
+    } else if (path == "/busy") {
+      const auto body = json::parse(aRequest.mBody);
+      mBusyUntil = mLoop.Now() + duration(body.at("for_ms").get<int64_t>());
+      aRespond(JsonReply(200, json::object()));
+    } else if (path == "/leave") {
+      mLeave(json::parse(aRequest.mBody).at("worker").get<std::string>());
+      aRespond(JsonReply(200, json::object()));
     } else if (path == "/traces") {
       ListTraces(aRespond);
     } else {
@@ -193,8 +210,11 @@
     aRespond(JsonReply(200, rows));
   }
 
+  event_loop& mLoop;
   memory_transaction_store& mStore;
   const std::vector<run_trace>& mTraces;
+  std::function<void(const std::string&)> mLeave;
+  time_point mBusyUntil{ 0 };
 };
 
 server_reply EncodeRunRequestReply(const run_worker& aWorker,
@@ -290,7 +310,15 @@
   asio_loop loop(context);
   memory_transaction_store store(loop);
   std::vector<run_trace> traces;
-  store_request_handler storeHandler(store, traces);
+  std::map<std::string, std::unique_ptr<run_worker>> workers;
+  std::map<std::string, std::unique_ptr<single_thread_server>> servers;
+  store_request_handler storeHandler(
+    loop, store, traces, [&](const std::string& aWorker) {
+      servers.at(aWorker)->DisableKeepAlive();
+      servers.at(aWorker)->StopAccepting();
+      workers.erase(aWorker);
+      store.Remove(wire::kWorkersPrefix + aWorker);
+    });
   single_thread_server storeServer(
     context,
     [&](const server_request& aRequest, const single_thread_server::respond& aRespond) {
@@ -306,14 +334,12 @@
     std::fprintf(stderr, "%s\n", Describe(listening.error()).c_str());
     return 1;
   }
-  std::vector<std::unique_ptr<run_worker>> workers;
-  std::vector<std::unique_ptr<single_thread_server>> servers;
   constexpr int kFirstWorker = 3; // The first argument that is a worker's port.
   for (int number = kFirstWorker; number < aArgumentCount; ++number) {
     constexpr duration kLeaseMax{ 6'000 };
     const auto id = "i-" + std::to_string(number);
     const auto rack = "r" + std::to_string((number - kFirstWorker) / workersPerRack);
-    workers.push_back(std::make_unique<run_worker>(
+    workers[id] = std::make_unique<run_worker>(
       loop,
       id,
       number,
@@ -323,15 +349,19 @@
         return run_behaviour{ duration(std::max(1L, std::atol(aPayload.c_str()))),
                               false };
       },
-      traces));
-    auto* worker = workers.back().get();
-    servers.push_back(std::make_unique<single_thread_server>(
+      traces);
+    servers[id] = std::make_unique<single_thread_server>(
       context,
-      [worker](const server_request& aRequest,
-               const single_thread_server::respond& aRespond) {
-        ServeWorker(*worker, aRequest, aRespond);
-      }));
-    if (const auto listening = servers.back()->Listen(address(number)); !listening) {
+      [&workers, id](const server_request& aRequest,
+                     const single_thread_server::respond& aRespond) {
+        const auto worker = workers.find(id);
+        if (worker == workers.end()) {
+          aRespond(JsonReply(503, json::object()));
+        } else {
+          ServeWorker(*worker->second, aRequest, aRespond);
+        }
+      });
+    if (const auto listening = servers.at(id)->Listen(address(number)); !listening) {
       std::fprintf(stderr, "%s\n", Describe(listening.error()).c_str());
       return 1;
     }
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -33,6 +33,7 @@
   duration mListDelay{ 0 };                  ///< Delay of answers to lists.
   std::set<std::string> mStoreBusyFor;       ///< VMs to which the store answers "busy".
   std::set<std::string> mUnreachableWorkers; ///< Workers to which no call can be sent.
+  std::set<std::string> mEndedWorkers;       ///< Their machines refuse connections.
   /** How many of the next commits take effect but are not answered. */
   int mUnansweredCommits = 0;
   /** Workers whose starts are delayed by mStartDelay. */
