A job has started once a worker has started one of its tasks

Cause: job_state::Place noted the start before it was sent; a refusal didn't take it back. Change: MarkStarted on a worker's acceptance, on a listed run, and on ends that only a started run has.

--- a/src/jobs/JobState.cpp
+++ b/src/jobs/JobState.cpp
@@ -284,7 +284,6 @@
   assert(!task.mDone && task.mWorker.empty() && aRun > task.mRun);
   task.mRun = aRun;
   task.mWorker = aWorker;
-  mHasStarted = true;
 }
 
 void job_state::SaveCheckpoint(const task_ref& aTask,
@@ -318,6 +317,10 @@
   if (!effect.mIsLatestRun && !effect.mTaskDone) {
     return effect;
   }
+  // The other ends may be of a run that never started.
+  mHasStarted =
+    mHasStarted || (aEnd != run_end::kNotStarted && aEnd != run_end::kLost &&
+                    aEnd != run_end::kLeaseExpired);
   auto& task = MutableTask(aTask);
   if (effect.mIsLatestRun) {
     task.mWorker.clear();
--- a/src/jobs/JobState.h
+++ b/src/jobs/JobState.h
@@ -99,9 +99,12 @@
   int64_t EndedAtMs() const { return mEndedAtMs; }
   void SetEndedAtMs(int64_t aUnixMs) { mEndedAtMs = aUnixMs; }
 
-  /** Returns whether any task has ever been placed. */
+  /** Returns whether a worker has started any task, as far as is known. */
   bool HasStarted() const { return mHasStarted; }
 
+  /** Records that a worker has started a task. */
+  void MarkStarted() { mHasStarted = true; }
+
   uint32_t OccurrenceCount() const
   {
     return std::max<uint32_t>(1, mJob.mSpec.mRepeats);
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -503,6 +503,10 @@
     OnFenced("worker " + aWorker + " has received a newer fencing token");
     return;
   }
+  const auto job = mJobs.find(aTask.mJob);
+  if (aAnswer == run_request_status::kAccepted && job != mJobs.end()) {
+    job->second->mState.MarkStarted();
+  }
   if (aAnswer != run_request_status::kAccepted) {
     mPorts.mLog.Write(log_event("run_start_failed")
                         .Add("job", aTask.mJob)
--- a/src/scheduler/FleetSchedulerProgress.cpp
+++ b/src/scheduler/FleetSchedulerProgress.cpp
@@ -41,8 +41,11 @@
     if (run.mStopping || found == mJobs.end() || !found->second->mState.HasTask(task)) {
       continue;
     }
-    const auto& state = found->second->mState;
+    auto& state = found->second->mState;
     const auto& taskState = state.Task(task);
+    if (taskState.mRun == run.mRun && run.mPhase == run_phase::kConfirmed) {
+      state.MarkStarted();
+    }
     const bool isEvaluated = taskState.mRun == run.mRun && !taskState.mDone &&
                              run.mPhase == run_phase::kConfirmed;
     if (!isEvaluated) {
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -1198,3 +1198,36 @@
     site.mLoop.RunUntil([&] { return site.CountStarts(kJob) == 2; }, duration(4'200)));
   CHECK(site.mLog.CountLines("event=scheduler_won") == 2);
 }
+
+// Guards against jobs that count as started although each of their starts was refused.
+TEST_CASE("a job is pending and queued until a worker has started one of its tasks",
+          "[installation]")
+{
+  const auto hasTakeover = GENERATE(false, true);
+  CAPTURE(hasTakeover);
+  fake_installation site(3, 1);
+  site.mBehaviourByPayload["long"] = { duration(30'000), false };
+  site.mFaults.mUnhealthyWorkers.insert("w0");
+  for (const auto& id : { kJob, kOtherJob }) {
+    auto job = fake_installation::MakeJob(id, 2);
+    job.mSpec.mPayload = "long";
+    REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  }
+  site.mLoop.RunFor(duration(3'000));
+  REQUIRE(site.mLog.CountLines("answer=unhealthy") > 0);
+  if (hasTakeover) {
+    site.Kill(site.SchedulerVm());
+    site.mLoop.RunFor(duration(3'000));
+  }
+  const auto scheduler = site.SchedulerVm();
+  CHECK(site.Node(scheduler).Scheduler().PendingOf("batch") == 2);
+  CHECK(site.StateAt(scheduler, kJob) == "queued");
+  site.mFaults.mUnhealthyWorkers.clear();
+  site.mLoop.RunFor(duration(4'000));
+  CHECK(site.Node(scheduler).Scheduler().PendingOf("batch") == 0);
+  CHECK(site.StateAt(scheduler, kJob) == "running");
+  // A later scheduler knows it from the workers.
+  site.Kill(scheduler);
+  site.mLoop.RunFor(duration(3'000));
+  CHECK(site.Node(site.SchedulerVm()).Scheduler().PendingOf("batch") == 0);
+}
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -225,6 +225,10 @@
       RunLater([done = std::move(aDone)] { done(run_request_status::kNotListening); });
       return;
     }
+    if (mSite.mFaults.mUnhealthyWorkers.count(aRequest.mWorker.mId) != 0) {
+      RunLater([done = std::move(aDone)] { done(run_request_status::kUnhealthy); });
+      return;
+    }
     auto* worker = FindReachableWorker(aRequest.mWorker);
     const bool isDelayed =
       mSite.mFaults.mDelayedStartWorkers.count(aRequest.mWorker.mId) != 0;
