A takeover returns to the event loop while it reads many records

Callers: in a trial with real processes at the bound of the intake (23,480 open jobs) a VM that took over lost its term while it decoded the records, and the next one began anew.

Cause: all jobs and records were decoded in one turn of the event loop, without a renewal. Change: slices of 250 jobs; the record of a job is applied with it. Test: 'a takeover returns to the event loop while it reads many records'.

--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -13,6 +13,8 @@
 constexpr duration kStoreRetryDelay{ 150 };
 /** Timeout of one watch call on the inbox; a broken connection is detected by then. */
 constexpr duration kInboxWatchTimeout{ 1'000 };
+/** Jobs that a takeover decodes in one turn of the event loop: a few milliseconds. */
+constexpr size_t kItemsPerSlice = 250;
 /** Period of the checks for expired leases, unfinished stops and old outcomes. */
 constexpr duration kTickPeriod{ 250 };
 /** The store may answer cheap reads with values of at most this age. */
@@ -34,6 +36,10 @@
   std::string mLastWrite; ///< Name of the last transaction of any scheduler.
   std::vector<listed_worker> mWorkers;
   std::optional<term_summary> mSummary;
+  /** Progress records by job: those of the store, replaced by those of mSummary. */
+  std::map<std::string, std::string> mRecords;
+  size_t mNextItem = 0; ///< The first item of mInbox that is not applied yet.
+  int64_t mSlices = 0;  ///< Turns of the event loop that the items have taken.
 };
 
 fleet_scheduler::fleet_scheduler(const scheduler_ports& aPorts,
@@ -175,7 +181,7 @@
       mPorts.mLoop.RunAfter(kStoreRetryDelay, UnlessTermEnded([this] { Load(); }));
       return;
     }
-    OnLoaded(*state);
+    OnLoaded(state);
   };
   const auto storeRangeIn = [state, finish](stored_range takeover_state::*aTarget) {
     return [state, finish, aTarget](const result<stored_range>& aRange) {
@@ -226,75 +232,98 @@
     }));
 }
 
-void fleet_scheduler::OnLoaded(takeover_state& aTakeover)
+void fleet_scheduler::OnLoaded(const std::shared_ptr<takeover_state>& aState)
 {
-  mWriter.Begin(mTerm, aTakeover.mWriterRevision);
+  auto& takeover = *aState;
+  mWriter.Begin(mTerm, takeover.mWriterRevision);
   if (mLastSummary &&
-      (!aTakeover.mSummary || aTakeover.mSummary->mFence < mLastSummary->mFence)) {
-    aTakeover.mSummary = mLastSummary;
+      (!takeover.mSummary || takeover.mSummary->mFence < mLastSummary->mFence)) {
+    takeover.mSummary = mLastSummary;
   }
-  if (aTakeover.mSummary &&
-      record_writer::IsOfLaterTerm(aTakeover.mLastWrite, aTakeover.mSummary->mFence)) {
+  if (takeover.mSummary &&
+      record_writer::IsOfLaterTerm(takeover.mLastWrite, takeover.mSummary->mFence)) {
     // Records of a later term are newer. Terms that wrote nothing also started and
     // acknowledged nothing.
     mPorts.mLog.Write(log_event("term_summary_outdated")
-                        .Add("fence", static_cast<int64_t>(aTakeover.mSummary->mFence))
-                        .Add("last_write", aTakeover.mLastWrite));
-    aTakeover.mSummary.reset();
+                        .Add("fence", static_cast<int64_t>(takeover.mSummary->mFence))
+                        .Add("last_write", takeover.mLastWrite));
+    takeover.mSummary.reset();
   }
-  std::map<std::string, std::string> progress;
-  for (const auto& item : aTakeover.mProgress.mItems) {
+  for (const auto& item : takeover.mProgress.mItems) {
     if (const auto id = store_keys::StripPrefix(item.mKey, store_keys::kProgress)) {
-      progress[*id] = item.mValue;
+      takeover.mRecords[*id] = item.mValue;
     }
   }
-  for (const auto& item : aTakeover.mInbox.mItems) {
-    if (store_keys::StripPrefix(item.mKey, store_keys::kJobs)) {
-      HandleInboxItem(item);
+  if (takeover.mSummary) {
+    // The former scheduler knew at least what it had written.
+    for (const auto& [id, record] : takeover.mSummary->mRecords) {
+      takeover.mRecords[id] = record;
     }
   }
-  if (aTakeover.mSummary) {
-    // The former scheduler knew at least what it had written.
-    for (const auto& [id, record] : aTakeover.mSummary->mRecords) {
-      progress[id] = record;
+  ApplyLoadedItems(aState);
+}
+
+void fleet_scheduler::ApplyLoadedItems(const std::shared_ptr<takeover_state>& aState)
+{
+  auto& takeover = *aState;
+  const auto& items = takeover.mInbox.mItems;
+  const auto end = std::min(items.size(), takeover.mNextItem + kItemsPerSlice);
+  ++takeover.mSlices;
+  for (; takeover.mNextItem < end; ++takeover.mNextItem) {
+    const auto& item = items[takeover.mNextItem];
+    if (const auto id = store_keys::StripPrefix(item.mKey, store_keys::kJobs)) {
+      HandleInboxItem(item);
+      const auto record = takeover.mRecords.find(*id);
+      const auto job = mJobs.find(*id);
+      if (record != takeover.mRecords.end() && job != mJobs.end()) {
+        ApplyRecord(*job->second, record->second);
+      }
     }
   }
+  if (takeover.mNextItem < items.size()) {
+    // Returns to the event loop, so that the term is renewed in the meantime.
+    mPorts.mLoop.Post(UnlessTermEnded([this, aState] { ApplyLoadedItems(aState); }));
+    return;
+  }
+  FinishTakeover(takeover);
+}
+
+void fleet_scheduler::ApplyRecord(job_entry& aJob, const std::string& aRecord)
+{
   const auto now = mPorts.mLoop.Now();
-  for (auto& [id, job] : mJobs) {
-    const auto found = progress.find(id);
-    if (found == progress.end()) {
-      continue;
-    }
-    std::map<std::string, std::string> addresses;
-    if (const auto decoded = job->mState.DecodeProgress(found->second, &addresses);
-        !decoded) {
-      mPorts.mLog.Write(log_event("record_unreadable")
-                          .Add("job", id)
-                          .Add("error", Describe(decoded.error())));
-      continue;
-    }
-    job->mDurableOutcome = job->mState.Outcome();
-    const auto endedAtMs = job->mState.EndedAtMs();
-    const auto age = endedAtMs == 0 ? 0 : mPorts.mUnixMs() - endedAtMs;
-    job->mEndedAt = now - duration(std::max<int64_t>(0, age));
-    for (const auto& task : job->mState.PlacedTasks()) {
-      const auto& taskState = job->mState.Task(task);
-      auto& worker = FindOrAddWorker(taskState.mWorker);
-      // Where a worker can be reached that is in no list any more.
-      if (const auto address = addresses.find(taskState.mWorker);
-          address != addresses.end() && worker.mListed.mAddress.empty()) {
-        worker.mListed.mAddress = address->second;
-      }
-      const auto& step = job->mState.StepOf(task);
-      worker.mRuns.RegisterExisting(task,
-                                    taskState.mRun,
-                                    OccupiedBy(step),
-                                    now,
-                                    step.mEstimate,
-                                    true,
-                                    job->mState.Job().mPriority);
+  auto& state = aJob.mState;
+  std::map<std::string, std::string> addresses;
+  if (const auto decoded = state.DecodeProgress(aRecord, &addresses); !decoded) {
+    mPorts.mLog.Write(log_event("record_unreadable")
+                        .Add("job", state.Job().mId)
+                        .Add("error", Describe(decoded.error())));
+    return;
+  }
+  aJob.mDurableOutcome = state.Outcome();
+  const auto endedAtMs = state.EndedAtMs();
+  const auto age = endedAtMs == 0 ? 0 : mPorts.mUnixMs() - endedAtMs;
+  aJob.mEndedAt = now - duration(std::max<int64_t>(0, age));
+  for (const auto& task : state.PlacedTasks()) {
+    const auto& taskState = state.Task(task);
+    auto& worker = FindOrAddWorker(taskState.mWorker);
+    // Where a worker can be reached that is in no list any more.
+    if (const auto address = addresses.find(taskState.mWorker);
+        address != addresses.end() && worker.mListed.mAddress.empty()) {
+      worker.mListed.mAddress = address->second;
     }
+    const auto& step = state.StepOf(task);
+    worker.mRuns.RegisterExisting(task,
+                                  taskState.mRun,
+                                  OccupiedBy(step),
+                                  now,
+                                  step.mEstimate,
+                                  true,
+                                  state.Job().mPriority);
   }
+}
+
+void fleet_scheduler::FinishTakeover(const takeover_state& aTakeover)
+{
   mLoaded = true;
   if (aTakeover.mSummary) {
     for (const auto& [id, record] : aTakeover.mSummary->mRecords) {
@@ -318,7 +347,8 @@
                       .Add("fence", static_cast<int64_t>(mTerm.mFence))
                       .Add("jobs", static_cast<int64_t>(mJobs.size()))
                       .Add("workers", static_cast<int64_t>(aTakeover.mWorkers.size()))
-                      .Add("ms", (now - mTermBegunAt).count()));
+                      .Add("slices", aTakeover.mSlices)
+                      .Add("ms", (mPorts.mLoop.Now() - mTermBegunAt).count()));
   OnWorkersListed(aTakeover.mWorkers, aTakeover.mRequestedAt);
   for (auto& [id, worker] : mWorkers) {
     if (!worker->mIsListed) {
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -119,7 +119,11 @@
 
   // Jobs and their records (FleetScheduler.cpp).
   void Load();
-  void OnLoaded(takeover_state& aTakeover);
+  void OnLoaded(const std::shared_ptr<takeover_state>& aState);
+  /** Adds the jobs that were read, in slices, and their records. */
+  void ApplyLoadedItems(const std::shared_ptr<takeover_state>& aState);
+  void ApplyRecord(job_entry& aJob, const std::string& aRecord);
+  void FinishTakeover(const takeover_state& aTakeover);
   /** Keeps what a successor cannot read in the store. */
   void SaveSummary();
   void OnSummaryAnswer(takeover_state& aTakeover,
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -1231,3 +1231,31 @@
   site.mLoop.RunFor(duration(3'000));
   CHECK(site.Node(site.SchedulerVm()).Scheduler().PendingOf("batch") == 0);
 }
+
+// Guards against a term that lapses while its scheduler reads the records.
+TEST_CASE("a takeover returns to the event loop while it reads many records",
+          "[installation]")
+{
+  struct row
+  {
+    int mJobs;
+    const char* mSlices;
+  };
+  const auto [jobs, slices] = GENERATE(row{ 1, "slices=1 " }, row{ 600, "slices=3 " });
+  fake_installation site(2, 1);
+  site.mBehaviourByPayload["short"] = { duration(10), false };
+  for (int number = 0; number < jobs; ++number) {
+    auto job = fake_installation::MakeJob(std::to_string(1'000 + number), 1);
+    job.mSpec.mPayload = "short";
+    REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  }
+  site.mLoop.RunFor(duration(30'000));
+  const auto starts = site.mTraces.size();
+  CHECK(starts == static_cast<size_t>(jobs));
+  site.Kill(site.SchedulerVm());
+  site.mLoop.RunFor(duration(3'000));
+  CHECK(site.mLog.CountLines(std::string("event=takeover ")) == 2);
+  CHECK(site.mLog.CountLines(slices) >= 1);
+  CHECK(site.StateAt(site.SchedulerVm(), "1000") == "done");
+  CHECK(site.mTraces.size() == starts);
+}
