--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -117,7 +117,7 @@
   struct worker_entry;
   struct takeover_state;
 
-  // Jobs and their records (FleetScheduler.cpp).
+  // The takeover at the beginning of a term (FleetSchedulerTakeover.cpp).
   void Load();
   void OnLoaded(const std::shared_ptr<takeover_state>& aState);
   /** Adds the jobs that were read, in slices, and their records. */
@@ -128,6 +128,8 @@
   void SaveSummary();
   void OnSummaryAnswer(takeover_state& aTakeover,
                        const result<std::optional<std::string>>& aAnswer);
+
+  // Jobs and their records (FleetScheduler.cpp).
   void WatchInbox();
   void RelistInbox();
   void HandleInboxItem(const stored_item& aItem);
