A refused connection doesn't prove that a worker has ended

Change: the conclusion and kNotListening are taken out. What stays: a new scheduler asks workers that are in no list, at the address that the record holds.

--- a/include/anvildoor/Error.h
+++ b/include/anvildoor/Error.h
@@ -13,7 +13,6 @@
   kNotFound,      ///< The named item does not exist.
   kConflict,      ///< Another change took effect first.
   kUnavailable,   ///< The peer was not reached; nothing took effect.
-  kNotListening,  ///< Nobody listens at the peer's address; nothing took effect.
   kUnknownEffect, ///< No answer arrived; the call may have taken effect.
   kFenced,        ///< The caller's epoch is no longer current.
   kRefused,       ///< The peer refused; nothing took effect.
--- a/src/base/Error.cpp
+++ b/src/base/Error.cpp
@@ -15,8 +15,6 @@
       return "conflict";
     case error_code::kUnavailable:
       return "unavailable";
-    case error_code::kNotListening:
-      return "not_listening";
     case error_code::kUnknownEffect:
       return "unknown_effect";
     case error_code::kFenced:
--- a/src/http/ApiSupport.cpp
+++ b/src/http/ApiSupport.cpp
@@ -24,7 +24,6 @@
     case error_code::kConflict:
       return 409;
     case error_code::kUnavailable:
-    case error_code::kNotListening:
     case error_code::kFenced:
       return 503;
     case error_code::kRefused:
--- a/src/http/HttpPool.cpp
+++ b/src/http/HttpPool.cpp
@@ -149,10 +149,8 @@
       *endpoint, [self = this->shared_from_this()](beast::error_code aError) {
         if (aError) {
           // The peer may have executed the first attempt of a request that is retried.
-          const auto code = self->mMaybeSent ? error_code::kUnknownEffect
-                            : aError == asio::error::connection_refused
-                              ? error_code::kNotListening
-                              : error_code::kUnavailable;
+          const auto code =
+            self->mMaybeSent ? error_code::kUnknownEffect : error_code::kUnavailable;
           self->Finish(Fail(code, self->mTarget, self->mAddress, aError.message()));
           return;
         }
--- a/src/http/HttpPool.h
+++ b/src/http/HttpPool.h
@@ -39,11 +39,10 @@
 
 /**
  * HTTP client with a pool of persistent connections per address. A request fails with
- * kInvalid if its address is malformed, with kNotListening if the peer's machine
- * refused the connection, with kUnavailable if nothing was sent for another reason, and
- * with kUnknownEffect if something was sent and no complete response arrived in time;
- * its connection is then closed. Not thread-safe: use it on the context's thread, where
- * the callbacks run too.
+ * kInvalid if its address is malformed, with kUnavailable if nothing was sent, and with
+ * kUnknownEffect if something was sent and no complete response arrived in time; its
+ * connection is then closed. Not thread-safe: use it on the context's thread, where the
+ * callbacks run too.
  */
 class http_pool
 {
--- a/src/rpc/GrpcCall.cpp
+++ b/src/rpc/GrpcCall.cpp
@@ -9,8 +9,7 @@
 constexpr std::array kErrorCodes{ error_code::kInvalid,       error_code::kNotFound,
                                   error_code::kConflict,      error_code::kUnavailable,
                                   error_code::kUnknownEffect, error_code::kFenced,
-                                  error_code::kRefused,       error_code::kExhausted,
-                                  error_code::kNotListening };
+                                  error_code::kRefused,       error_code::kExhausted };
 
 grpc::StatusCode ToGrpcCode(error_code aCode)
 {
@@ -22,7 +21,6 @@
     case error_code::kConflict:
       return grpc::StatusCode::ABORTED;
     case error_code::kUnavailable:
-    case error_code::kNotListening:
     case error_code::kUnknownEffect:
       return grpc::StatusCode::UNAVAILABLE;
     case error_code::kFenced:
--- a/src/runs/RunPort.h
+++ b/src/runs/RunPort.h
@@ -70,7 +70,6 @@
   kInvalid,
   kWrongInstance, ///< Another instance answered at this address.
   kNotSent,       ///< No connection; nothing was sent.
-  kNotListening,  ///< Nobody listens at the worker's address: its process has ended.
   kNoAnswer,      ///< The request may have been, or may still be, carried out.
 };
 
--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -7,10 +7,10 @@
 
 const char* ToString(run_request_status aAnswer)
 {
-  static constexpr const char* kNames[] = { "accepted",  "fenced",        "old",
-                                            "late",      "no_room",       "no_ticket",
-                                            "unhealthy", "invalid",       "gone",
-                                            "not_sent",  "not_listening", "no_answer" };
+  static constexpr const char* kNames[] = { "accepted",  "fenced",   "old",
+                                            "late",      "no_room",  "no_ticket",
+                                            "unhealthy", "invalid",  "gone",
+                                            "not_sent",  "no_answer" };
   return kNames[static_cast<size_t>(aAnswer)];
 }
 
@@ -167,7 +167,6 @@
     case run_request_status::kInvalid:
     case run_request_status::kFenced:
     case run_request_status::kNotSent:
-    case run_request_status::kNotListening:
       if (found->second.mPhase == run_phase::kRequested) {
         mRuns.erase(found);
         return { MakeEndEvent(aTask, aRun, run_end::kNotStarted) };
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -159,8 +159,6 @@
                       const hold_reply& aReply,
                       time_point aSentAt);
   void OnHoldFailed(worker_entry& aWorker, run_request_status aAnswer);
-  /** Gives up the runs of a worker at whose address nobody listens any more. */
-  void CheckWhetherGone(worker_entry& aWorker);
   void ApplyRunEvents(worker_entry& aWorker, const std::vector<run_event>& aEvents);
   void ApplyRunEnd(worker_entry& aWorker, const run_event& aEvent);
   void HandleUnexpectedRun(worker_entry& aWorker, const run_event& aEvent);
--- a/src/scheduler/FleetSchedulerState.h
+++ b/src/scheduler/FleetSchedulerState.h
@@ -50,8 +50,6 @@
   uint64_t mHoldGeneration = 0;
   /** True if the last hold call failed or got no answer. */
   bool mIsUnresponsive = false;
-  /** Since when nobody listens at its address, without an answer in between. */
-  std::optional<time_point> mNotListeningSince;
   /** Earliest time at which the draining worker shuts down, if it reported one. */
   std::optional<time_point> mEarliestShutdown;
 };
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -27,11 +27,6 @@
  * that it can expire.
  */
 constexpr duration kUnresponsiveAfter{ 2'000 };
-/**
- * A worker whose machine refuses connections for this long has ended; a single refusal
- * may come from an address that is just being taken over.
- */
-constexpr duration kNotListeningUntilGone{ 250 };
 /** Delay before a stop is retried; a run ends within 400 ms of its stop. */
 constexpr duration kStopRetryDelay{ 700 };
 
@@ -177,7 +172,6 @@
     mPorts.mLog.Write(log_event("worker_regained").Add("worker", aWorker.mListed.mId));
   }
   aWorker.mIsUnresponsive = false;
-  aWorker.mNotListeningSince.reset();
   const auto events = aWorker.mRuns.OnHoldReply(aReply, aSentAt, mPorts.mLoop.Now());
   ApplyRunEvents(aWorker, events);
   CheckProgress(aWorker, mPorts.mLoop.Now());
@@ -206,11 +200,6 @@
     // Another incarnation answers at this address; the runs of the former are lost.
     ApplyRunEvents(aWorker, aWorker.mRuns.DropAll(run_end::kLost));
   }
-  if (aAnswer == run_request_status::kNotListening) {
-    CheckWhetherGone(aWorker);
-  } else {
-    aWorker.mNotListeningSince.reset();
-  }
   // Of a worker that is in no list and has no runs nothing is wanted until it is listed
   // again.
   if (aWorker.mIsListed || !aWorker.mRuns.Runs().empty()) {
@@ -218,22 +207,6 @@
   }
 }
 
-void fleet_scheduler::CheckWhetherGone(worker_entry& aWorker)
-{
-  const auto now = mPorts.mLoop.Now();
-  const auto since = aWorker.mNotListeningSince.value_or(now);
-  aWorker.mNotListeningSince = since;
-  if (now - since < kNotListeningUntilGone || aWorker.mRuns.Runs().empty()) {
-    return;
-  }
-  // Its process has ended, and with it all that ran there, so that the lease need not
-  // expire first.
-  mPorts.mLog.Write(log_event("worker_gone")
-                      .Add("worker", aWorker.mListed.mId)
-                      .Add("listed", aWorker.mIsListed ? 1 : 0));
-  ApplyRunEvents(aWorker, aWorker.mRuns.DropAll(run_end::kLost));
-}
-
 void fleet_scheduler::ApplyRunEvents(worker_entry& aWorker,
                                      const std::vector<run_event>& aEvents)
 {
