Log the revision of a cancellation where it is acknowledged and read

The logs named neither the revision of an acknowledged cancellation nor when and by which read the scheduler learned of it, and nothing when a cancellation was refused.

job_cancel now has the answer, its reason, the store's revision, the ms since the request and the scheduler known to the VM; it is written for refusals too. job_cancelled has the revision, the read (watch, list or takeover) and the time since the answer before. inbox_silent and inbox_read_again mark a silence of more than 1.5 s; the gauge inbox_age_seconds shows its age. No behaviour changes.

--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -17,6 +17,20 @@
 /** Maximum age of a cached pending count; the platform allows 2 s. */
 constexpr duration kMaxPendingCountAge{ 1'800 };
 
+const char* Name(job_answer aAnswer)
+{
+  static constexpr const char* kNames[] = { "accepted", "not_accepted", "overloaded",
+                                            "unknown",  "not_found",    "unavailable" };
+  return kNames[static_cast<size_t>(aAnswer)];
+}
+
+/** Returns why a cancellation could not be stored. */
+const char* Reason(error_code aCode)
+{
+  return aCode == error_code::kUnknownEffect ? "the store did not answer the write"
+                                             : "the store did not accept the write";
+}
+
 } // namespace
 
 job_service::job_service(const ports& aPorts)
@@ -159,9 +173,7 @@
                          job_answer aAnswer,
                          const char* aReason)
 {
-  static constexpr const char* kNames[] = { "accepted", "not_accepted", "overloaded",
-                                            "unknown",  "not_found",    "unavailable" };
-  const auto* name = kNames[static_cast<size_t>(aAnswer)];
+  const auto* name = Name(aAnswer);
   mPorts.mLog.Write(log_event("job_submitted")
                       .Add("job", aJob.mId)
                       .Add("queue", aJob.mQueue)
@@ -186,16 +198,41 @@
   }
 }
 
+void job_service::FinishCancel(const std::string& aId,
+                               time_point aAskedAt,
+                               job_answer aAnswer,
+                               uint64_t aRevision,
+                               const char* aReason,
+                               const respond& aRespond)
+{
+  const auto& term = mPorts.mElection.Current();
+  mPorts.mLog.Write(
+    log_event("job_cancel")
+      .Add("job", aId)
+      .Add("answer", aAnswer == job_answer::kAccepted ? "acknowledged" : Name(aAnswer))
+      .Add("reason", aReason)
+      .Add("revision", static_cast<int64_t>(aRevision))
+      .Add("ms", (mPorts.mLoop.Now() - aAskedAt).count())
+      .Add("scheduler", term.mVm)
+      .Add("fence", static_cast<int64_t>(term.mFence)));
+  job_reply reply;
+  reply.mAnswer = aAnswer;
+  aRespond(reply);
+}
+
 void job_service::Cancel(const std::string& aId,
                          const std::string& aWorkspace,
                          respond aRespond)
 {
+  const auto finish = [this, aId, askedAt = mPorts.mLoop.Now(), aRespond](
+                        job_answer aAnswer, uint64_t aRevision, const char* aReason) {
+    FinishCancel(aId, askedAt, aAnswer, aRevision, aReason, aRespond);
+  };
   mPorts.mStore.Get(
     store_keys::kJobs + aId,
-    [this, aId, aWorkspace, aRespond](const result<std::optional<stored_item>>& aItem) {
-      job_reply reply;
+    [this, aId, aWorkspace, finish](const result<std::optional<stored_item>>& aItem) {
       if (!aItem) {
-        aRespond(reply);
+        finish(job_answer::kUnavailable, 0, "the job could not be read");
         return;
       }
       const auto job =
@@ -203,8 +240,7 @@
           ? DecodeJob(aId, (*aItem)->mValue)
           : result<accepted_job>(Fail(error_code::kNotFound, "cancel", "store", aId));
       if (!job || (!aWorkspace.empty() && job->mWorkspace != aWorkspace)) {
-        reply.mAnswer = job_answer::kNotFound;
-        aRespond(reply);
+        finish(job_answer::kNotFound, 0, "the workspace has no such job");
         return;
       }
       // A job's key is written once, so a failed condition means that the job has been
@@ -213,16 +249,14 @@
       change.mConditions.push_back({ store_keys::kJobs + aId, (*aItem)->mRevision });
       change.mPuts.push_back({ store_keys::kCancels + aId, "1", 0 });
       mPorts.mStore.Commit(
-        change, [this, aId, aRespond](const result<transaction_outcome>& aOutcome) {
-          job_reply done;
-          if (aOutcome) {
-            done.mAnswer =
-              aOutcome->mCommitted ? job_answer::kAccepted : job_answer::kNotFound;
+        change, [finish](const result<transaction_outcome>& aOutcome) {
+          if (!aOutcome) {
+            finish(job_answer::kUnavailable, 0, Reason(aOutcome.error().mCode));
+          } else if (!aOutcome->mCommitted) {
+            finish(job_answer::kNotFound, 0, "the job has been removed");
+          } else {
+            finish(job_answer::kAccepted, aOutcome->mRevision, "stored");
           }
-          mPorts.mLog.Write(log_event("job_cancel")
-                              .Add("job", aId)
-                              .Add("stored", aOutcome && aOutcome->mCommitted ? 1 : 0));
-          aRespond(done);
         });
     });
 }
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -110,6 +110,13 @@
   void AbandonSubmission(const std::string& aId,
                          time_point aDeadline,
                          const char* aReason);
+  /** Logs and answers a cancellation that was asked for at aAskedAt. */
+  void FinishCancel(const std::string& aId,
+                    time_point aAskedAt,
+                    job_answer aAnswer,
+                    uint64_t aRevision,
+                    const char* aReason,
+                    const respond& aRespond);
   void StateFromStore(const std::string& aId, const respond& aRespond);
   void PendingFromCache(const std::string& aQueue, const respond& aRespond);
 
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -34,6 +34,7 @@
             aPorts.mLog,
             { [this](const std::string& aKey) { return EncodeRecord(aKey); },
               [this](const std::string& aReason) { OnFenced(aReason); } })
+  , mInboxMonitor(aPorts.mLog, aPorts.mMetrics)
 {
 }
 
@@ -72,6 +73,7 @@
   mPredecessor = aPredecessor;
   mActive = true;
   mTermBegunAt = mPorts.mLoop.Now();
+  mInboxMonitor.Begin(mTermBegunAt);
   Load();
 }
 
@@ -85,6 +87,7 @@
   mLoaded = false;
   mPlanScheduled = false;
   mWriter.End();
+  mInboxMonitor.End();
   mJobs.clear();
   mUnmatchedCancels.clear();
   mIsListingInbox = false;
@@ -110,6 +113,7 @@
                               UnlessTermEnded([this] { WatchInbox(); }));
         return;
       }
+      mInboxMonitor.OnAnswer(inbox_source::kWatch, mPorts.mLoop.Now());
       if (aChanges->mHistoryLost) {
         RelistInbox();
         return;
@@ -141,6 +145,7 @@
                            UnlessTermEnded([this] { RelistInbox(); }));
                          return;
                        }
+                       mInboxMonitor.OnAnswer(inbox_source::kList, mPorts.mLoop.Now());
                        for (const auto& item : aRange->mItems) {
                          HandleInboxItem(item);
                        }
@@ -158,7 +163,7 @@
 {
   if (const auto cancelledId =
         store_keys::StripPrefix(aItem.mKey, store_keys::kCancels)) {
-    CancelJob(*cancelledId);
+    CancelJob(*cancelledId, aItem.mRevision);
     return;
   }
   const auto id = store_keys::StripPrefix(aItem.mKey, store_keys::kJobs);
@@ -179,8 +184,8 @@
   auto entry = std::make_unique<job_entry>(aJob);
   entry->mFirstSeenAt = mPorts.mLoop.Now();
   mJobs[aJob.mId] = std::move(entry);
-  if (mUnmatchedCancels.erase(aJob.mId) != 0) {
-    CancelJob(aJob.mId);
+  if (const auto cancel = mUnmatchedCancels.extract(aJob.mId)) {
+    CancelJob(aJob.mId, cancel.mapped());
     return;
   }
   if (mLoaded) {
@@ -193,18 +198,24 @@
   }
 }
 
-void fleet_scheduler::CancelJob(const std::string& aId)
+void fleet_scheduler::CancelJob(const std::string& aId, uint64_t aRevision)
 {
   const auto found = mJobs.find(aId);
   if (found == mJobs.end()) {
     // A listing is sorted by key, so a cancellation can come before its job.
-    mUnmatchedCancels.insert(aId);
+    mUnmatchedCancels[aId] = aRevision;
     return;
   }
   if (!found->second->mState.Cancel()) {
     return;
   }
-  mPorts.mLog.Write(log_event("job_cancelled").Add("job", aId));
+  const auto& read = mInboxMonitor.LastRead();
+  mPorts.mLog.Write(log_event("job_cancelled")
+                      .Add("job", aId)
+                      .Add("revision", static_cast<int64_t>(aRevision))
+                      .Add("source", ToString(read.mSource))
+                      .Add("inbox_gap_ms", read.mGap.count())
+                      .Add("fence", static_cast<int64_t>(mTerm.mFence)));
   OnJobEnded(*found->second);
 }
 
@@ -365,6 +376,7 @@
   for (auto& [id, worker] : mWorkers) {
     CheckWorker(*worker, now);
   }
+  mInboxMonitor.Check(now);
   TidyEndedJobs();
   UpdateIntake();
   SchedulePlan();
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -11,6 +11,7 @@
 #include "runs/WorkerDirectory.h"
 #include "runs/WorkerHealth.h"
 #include "runs/WorkerRuns.h"
+#include "scheduler/InboxMonitor.h"
 #include "scheduler/RecordWriter.h"
 #include "scheduler/TermSummary.h"
 
@@ -134,7 +135,8 @@
   void RelistInbox();
   void HandleInboxItem(const stored_item& aItem);
   void AddJob(const accepted_job& aJob);
-  void CancelJob(const std::string& aId);
+  /** Cancels a job by the cancellation that was stored at aRevision. */
+  void CancelJob(const std::string& aId, uint64_t aRevision);
   void WriteProgress(job_entry& aJob,
                      record_writer::urgency aUrgency,
                      std::function<void()> aDurable);
@@ -256,6 +258,7 @@
   std::function<time_point()> mRequestDeadline;
   std::shared_ptr<const fleet_policy> mPolicy;
   record_writer mWriter;
+  inbox_monitor mInboxMonitor;
   scheduler_term mTerm;
   scheduler_term mPredecessor;
   std::optional<term_summary> mLastSummary; ///< The newest known; see LastTermSummary.
@@ -267,9 +270,10 @@
   time_point mTermBegunAt{ 0 };
   uint64_t mInboxRevision = 0;
   std::map<std::string, std::unique_ptr<job_entry>> mJobs;
-  std::set<std::string> mUnmatchedCancels; ///< Cancellations read before their job.
-  bool mIsIntakeClosed = false;            ///< Wanted by this term.
-  bool mIsIntakeClosedInStore = false;     ///< As last observed or written.
+  /** Revisions of the cancellations that were read before their job. */
+  std::map<std::string, uint64_t> mUnmatchedCancels;
+  bool mIsIntakeClosed = false;        ///< Wanted by this term.
+  bool mIsIntakeClosedInStore = false; ///< As last observed or written.
   time_point mIntakeWrittenAt{ 0 };
   bool mIsListingInbox = false; ///< A list of the inbox is under way.
   /** Kept in mJobs until the list has arrived, as it may still contain them. */
--- a/src/scheduler/FleetSchedulerTakeover.cpp
+++ b/src/scheduler/FleetSchedulerTakeover.cpp
@@ -121,7 +121,15 @@
     mPorts.mLoop.Post(UnlessTermEnded(finish));
   }
   mPorts.mStore.List(
-    store_keys::kInbox, false, UnlessTermEnded(storeRangeIn(&takeover_state::mInbox)));
+    store_keys::kInbox,
+    false,
+    UnlessTermEnded([this, storeRange = storeRangeIn(&takeover_state::mInbox)](
+                      const result<stored_range>& aRange) {
+      if (aRange) {
+        mInboxMonitor.OnAnswer(inbox_source::kTakeover, mPorts.mLoop.Now());
+      }
+      storeRange(aRange);
+    }));
   mPorts.mStore.List(store_keys::kProgress,
                      false,
                      UnlessTermEnded(storeRangeIn(&takeover_state::mProgress)));
--- /dev/null
+++ b/tests/CancellationLogTest.cpp
@@ -0,0 +1,162 @@
+#include "support/FakeInstallation.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <sstream>
+
+using namespace anvildoor;
+
+namespace {
+
+const std::string kJob = "00000000000000a1";
+const std::string kUnknownJob = "00000000000000ff";
+
+/** Returns the first line of the event that contains aText; empty if none does. */
+std::string FindLine(const fake_installation& aSite,
+                     const std::string& aEvent,
+                     const std::string& aText = "")
+{
+  const auto prefix = "event=" + aEvent + " ";
+  const auto& lines = aSite.mLog.mLines;
+  const auto found = std::find_if(lines.begin(), lines.end(), [&](const auto& aLine) {
+    return aLine.starts_with(prefix) && aLine.find(aText) != std::string::npos;
+  });
+  return found == lines.end() ? std::string() : *found;
+}
+
+size_t CountEvents(const fake_installation& aSite, const std::string& aEvent)
+{
+  return aSite.mLog.CountLines("event=" + aEvent + " ");
+}
+
+/** Returns an unquoted field of a log line; empty if the line does not have it. */
+std::string Field(const std::string& aLine, const std::string& aKey)
+{
+  std::istringstream fields(aLine);
+  for (std::string field; fields >> field;) {
+    if (field.starts_with(aKey + "=")) {
+      return field.substr(aKey.size() + 1);
+    }
+  }
+  return "";
+}
+
+int64_t Number(const std::string& aLine, const std::string& aKey)
+{
+  const auto text = Field(aLine, aKey);
+  CAPTURE(aLine, aKey);
+  REQUIRE_FALSE(text.empty());
+  return std::stoll(text);
+}
+
+/** Returns a VM that is not the scheduler. */
+std::string OtherVm(const fake_installation& aSite)
+{
+  return aSite.SchedulerVm() == "vm0" ? "vm1" : "vm0";
+}
+
+/** Submits kJob, whose one task runs until it is stopped, and waits for its start. */
+void BeginLongRun(fake_installation& aSite)
+{
+  aSite.mBehaviourByPayload["long"] = { duration(60'000), false, true };
+  auto job = fake_installation::MakeJob(kJob, 1);
+  job.mSpec.mPayload = "long";
+  REQUIRE(aSite.Submit(OtherVm(aSite), job) == job_answer::kAccepted);
+  aSite.mLoop.RunFor(duration(1'500));
+  REQUIRE(aSite.mTraces.size() == 1);
+}
+
+} // namespace
+
+TEST_CASE("the revision of a cancellation is logged where it is acknowledged and read",
+          "[cancellation-log]")
+{
+  fake_installation site(3, 4);
+  BeginLongRun(site);
+  const auto fence = site.Node(site.SchedulerVm()).Election().Current().mFence;
+  REQUIRE(site.Cancel(OtherVm(site), kJob) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(1'000));
+  const auto acknowledged = FindLine(site, "job_cancel", kJob);
+  const auto read = FindLine(site, "job_cancelled", kJob);
+  CAPTURE(acknowledged, read);
+  CHECK(Field(acknowledged, "answer") == "acknowledged");
+  CHECK(Number(acknowledged, "revision") > 0);
+  CHECK(Number(acknowledged, "ms") >= 0);
+  CHECK(Field(acknowledged, "scheduler") == site.SchedulerVm());
+  CHECK(Field(acknowledged, "fence") == std::to_string(fence));
+  CHECK(Field(read, "revision") == Field(acknowledged, "revision"));
+  CHECK(Field(read, "source") == "watch");
+  CHECK(Number(read, "inbox_gap_ms") >= 0);
+}
+
+TEST_CASE("a cancellation that is not acknowledged is logged with its reason",
+          "[cancellation-log]")
+{
+  struct refusal
+  {
+    const char* mName;
+    std::string mJob;
+    bool mIsStoreBusy;
+    const char* mAnswer;
+    const char* mReason;
+  };
+  const auto each = GENERATE(values<refusal>({
+    { "unknown job", kUnknownJob, false, "not_found", "the workspace has no such job" },
+    { "store busy", kJob, true, "unavailable", "the job could not be read" },
+  }));
+  CAPTURE(each.mName);
+  fake_installation site(3, 4);
+  BeginLongRun(site);
+  const auto vm = OtherVm(site);
+  if (each.mIsStoreBusy) {
+    site.mFaults.mStoreBusyFor.insert(vm);
+  }
+  site.Cancel(vm, each.mJob);
+  const auto line = FindLine(site, "job_cancel", each.mJob);
+  CAPTURE(line);
+  CHECK(Field(line, "answer") == each.mAnswer);
+  CHECK(line.find(each.mReason) != std::string::npos);
+  CHECK(Field(line, "revision") == "0");
+}
+
+TEST_CASE("the job_cancelled line names the read that showed the cancellation",
+          "[cancellation-log]")
+{
+  const std::string source = GENERATE("list", "takeover");
+  CAPTURE(source);
+  fake_installation site(3, 4);
+  BeginLongRun(site);
+  site.mStore.SuspendWatches();
+  const auto other = OtherVm(site);
+  REQUIRE(site.Cancel(other, kJob) == job_answer::kAccepted);
+  if (source == "takeover") {
+    site.Kill(site.SchedulerVm());
+  }
+  site.mStore.Compact();
+  site.mLoop.RunFor(duration(4'000));
+  const auto read = FindLine(site, "job_cancelled", kJob);
+  CAPTURE(read);
+  CHECK(Field(read, "source") == source);
+  CHECK(Field(read, "revision") ==
+        Field(FindLine(site, "job_cancel", kJob), "revision"));
+}
+
+TEST_CASE("a silence of the inbox is logged once and with its length",
+          "[cancellation-log]")
+{
+  fake_installation site(3, 4);
+  site.mLoop.RunFor(duration(10'000));
+  CHECK(CountEvents(site, "inbox_silent") == 0);
+  const auto begin = site.mLoop.Now();
+  site.mFaults.mSilentBefore = begin + duration(4'000);
+  site.mLoop.RunFor(duration(4'000));
+  CHECK(CountEvents(site, "inbox_silent") == 1);
+  CHECK(CountEvents(site, "inbox_read_again") == 0);
+  site.mLoop.RunFor(duration(4'000));
+  CHECK(CountEvents(site, "inbox_silent") == 1);
+  CHECK(CountEvents(site, "inbox_read_again") == 1);
+  CHECK(Number(FindLine(site, "inbox_silent"), "age_ms") > 1'500);
+  const auto silence = Number(FindLine(site, "inbox_read_again"), "silent_ms");
+  CHECK(silence >= 3'000);
+  CHECK(silence <= (site.mLoop.Now() - begin).count() + 1'000);
+}
