Log every stop of a run and the end of runs of cancelled jobs

The stop of a run that was found unexpectedly, the repeats of a stop and their answers left no line, and run_ended did not tell how long after the cancellation it came.

run_stop is written for every run that is told to stop, with the run registered for the task and whether a request was sent; run_stop_retried at each doubling of the count, so that a worker that refuses forever makes few lines; run_stop_failed for an answer other than accepted. run_unexpected is written once per run, with the job's state and whether the run is told to stop; its repeats are run_stop_retried. run_ended has since_cancel_ms. worker_unlisted and lease_lapsed have the number of runs, hold_given_up that of the runs given up. New: the histogram cancel_to_end_seconds, the gauge stopping_runs_overdue. The stops themselves are unchanged.

--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -88,6 +88,7 @@
   mPlanScheduled = false;
   mWriter.End();
   mInboxMonitor.End();
+  mPorts.mMetrics.Set(kOverdueMetric, 0.0);
   mJobs.clear();
   mUnmatchedCancels.clear();
   mIsListingInbox = false;
@@ -377,6 +378,7 @@
     CheckWorker(*worker, now);
   }
   mInboxMonitor.Check(now);
+  CountOverdueRuns(now);
   TidyEndedJobs();
   UpdateIntake();
   SchedulePlan();
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -163,9 +163,36 @@
   void OnHoldFailed(worker_entry& aWorker, run_request_status aAnswer);
   void ApplyRunEvents(worker_entry& aWorker, const std::vector<run_event>& aEvents);
   void ApplyRunEnd(worker_entry& aWorker, const run_event& aEvent);
+  static bool IsCancelled(const job_entry* aJob);
+  /** Logs the end of a run, and measures it if its job was cancelled. */
+  void ReportRunEnd(const worker_entry& aWorker,
+                    const run_event& aEvent,
+                    const job_entry* aJob,
+                    bool aIsCurrent);
+  /** Ends all runs of a worker that can have none any more. */
+  void DropRuns(worker_entry& aWorker, run_end aEnd);
   void HandleUnexpectedRun(worker_entry& aWorker, const run_event& aEvent);
   void UpdateWorkerHealth(worker_entry& aWorker, const run_event& aEvent);
-  void StopRun(worker_entry& aWorker, const task_ref& aTask, uint32_t aRun);
+  void LogUnexpectedRun(const worker_entry& aWorker,
+                        const run_event& aEvent,
+                        bool aIsStopped) const;
+  void StopRun(worker_entry& aWorker,
+               const task_ref& aTask,
+               uint32_t aRun,
+               const char* aReason);
+  /** Counts a stop request, and logs the first one and each doubling of the count. */
+  void LogStop(worker_entry& aWorker,
+               const task_ref& aTask,
+               uint32_t aRun,
+               const char* aReason,
+               bool aIsSent);
+  /** Logs an answer other than accepted, unless the one before was the same. */
+  void LogStopAnswer(worker_entry& aWorker,
+                     const task_ref& aTask,
+                     uint32_t aRun,
+                     run_request_status aAnswer);
+  /** Sets the gauge of runs that go on although their job has ended. */
+  void CountOverdueRuns(time_point aNow);
   void StopTask(const job_entry& aJob, const task_ref& aTask, const char* aReason);
   void StopJob(const job_entry& aJob, const char* aReason);
   void StopGang(const job_entry& aJob,
--- a/src/scheduler/FleetSchedulerState.h
+++ b/src/scheduler/FleetSchedulerState.h
@@ -30,6 +30,21 @@
 /** Reason logged when a gang's members are stopped because one of them has ended. */
 constexpr const char* kGangMemberEndedReason = "another member of its gang ended";
 
+/** Gauge of the runs that go on although their job has ended. */
+constexpr const char* kOverdueMetric = "stopping_runs_overdue";
+
+/** The stop requests for one run, for the log. */
+struct stop_calls
+{
+  uint32_t mCount = 0;
+  time_point mFirstAt{ 0 };
+  /** Answer to the last request; nothing while it is pending. */
+  std::optional<run_request_status> mAnswer;
+  std::optional<run_request_status> mLoggedAnswer;
+
+  auto operator<=>(const stop_calls&) const = default;
+};
+
 /** State of one worker during a term. */
 struct fleet_scheduler::worker_entry
 {
@@ -50,6 +65,10 @@
   uint64_t mHoldGeneration = 0;
   /** True if the last hold call failed or got no answer. */
   bool mIsUnresponsive = false;
+  /** Runs that were told to stop and have not ended, by task and run number. */
+  std::map<std::pair<task_ref, uint32_t>, stop_calls> mStops;
+  /** Runs given up without a report of their end since the last accepted hold. */
+  size_t mDroppedRuns = 0;
   /** Earliest time at which the draining worker shuts down, if it reported one. */
   std::optional<time_point> mEarliestShutdown;
 };
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -2,6 +2,8 @@
 #include "scheduler/FleetSchedulerState.h"
 #include "scheduler/StoreKeys.h"
 
+#include <algorithm>
+#include <bit>
 #include <cassert>
 
 namespace anvildoor {
@@ -29,9 +31,45 @@
 constexpr duration kUnresponsiveAfter{ 2'000 };
 /** Delay before a stop is retried; a run ends within 400 ms of its stop. */
 constexpr duration kStopRetryDelay{ 700 };
+/** A run that is listed for longer than this after its job's end counts as overdue. */
+constexpr duration kOverdueAfterEnd{ 3'000 };
+
+/** Returns the number under which a task's run is registered; 0: none. */
+uint32_t RegisteredRun(const worker_runs& aRuns, const task_ref& aTask)
+{
+  const auto found = aRuns.Runs().find(aTask);
+  return found == aRuns.Runs().end() ? 0 : found->second.mRun;
+}
+
+bool IsListed(const hold_reply& aReply, const task_ref& aTask, uint32_t aRun)
+{
+  return std::any_of(
+    aReply.mRunning.begin(), aReply.mRunning.end(), [&](const auto& aEach) {
+      return aEach.mRun == aRun && aEach.mTask == aTask;
+    });
+}
+
+log_event RunEvent(const char* aName,
+                   const std::string& aWorker,
+                   const task_ref& aTask,
+                   uint32_t aRun)
+{
+  log_event event(aName);
+  event.Add("job", aTask.mJob)
+    .Add("step", aTask.mStep)
+    .Add("index", aTask.mIndex)
+    .Add("run", aRun)
+    .Add("worker", aWorker);
+  return event;
+}
 
 } // namespace
 
+bool fleet_scheduler::IsCancelled(const job_entry* aJob)
+{
+  return aJob != nullptr && aJob->mState.Outcome() == job_outcome::kCancelled;
+}
+
 fleet_scheduler::worker_entry& fleet_scheduler::FindOrAddWorker(const std::string& aId)
 {
   auto& entry = mWorkers[aId];
@@ -97,17 +135,19 @@
       worker->mIsListed = false;
       const bool hasLeft =
         HasDeregistered(worker->mObservation, mBounds.mRuns.mHeartbeatPeriod, now);
-      mPorts.mLog.Write(log_event("worker_unlisted")
-                          .Add("worker", id)
-                          .Add("draining", worker->mListed.mDraining ? 1 : 0)
-                          .Add("beat_max_age_ms",
-                               worker->mObservation.mHeartbeatSince == time_point(0)
-                                 ? -1
-                                 : (now - worker->mObservation.mHeartbeatSince).count())
-                          .Add("left", hasLeft ? 1 : 0));
+      mPorts.mLog.Write(
+        log_event("worker_unlisted")
+          .Add("worker", id)
+          .Add("draining", worker->mListed.mDraining ? 1 : 0)
+          .Add("beat_max_age_ms",
+               worker->mObservation.mHeartbeatSince == time_point(0)
+                 ? -1
+                 : (now - worker->mObservation.mHeartbeatSince).count())
+          .Add("left", hasLeft ? 1 : 0)
+          .Add("runs", static_cast<int64_t>(worker->mRuns.Runs().size())));
       if (hasLeft) {
         // A worker that left has no runs any more, so its lease need not expire first.
-        ApplyRunEvents(*worker, worker->mRuns.DropAll(run_end::kLost));
+        DropRuns(*worker, run_end::kLost);
       }
     }
   }
@@ -172,8 +212,15 @@
     mPorts.mLog.Write(log_event("worker_regained").Add("worker", aWorker.mListed.mId));
   }
   aWorker.mIsUnresponsive = false;
+  aWorker.mDroppedRuns = 0;
   const auto events = aWorker.mRuns.OnHoldReply(aReply, aSentAt, mPorts.mLoop.Now());
   ApplyRunEvents(aWorker, events);
+  if (aReply.mComplete) {
+    std::erase_if(aWorker.mStops, [&](const auto& aStop) {
+      const auto& [task, run] = aStop.first;
+      return RegisteredRun(aWorker.mRuns, task) != run && !IsListed(aReply, task, run);
+    });
+  }
   CheckProgress(aWorker, mPorts.mLoop.Now());
   // A worker answers at once while it lists ends. Without a pause, holds would be sent
   // in a tight loop while the store is unavailable and the ends cannot become durable.
@@ -198,13 +245,25 @@
   aWorker.mIsUnresponsive = true;
   if (aAnswer == run_request_status::kWrongInstance) {
     // Another incarnation answers at this address; the runs of the former are lost.
-    ApplyRunEvents(aWorker, aWorker.mRuns.DropAll(run_end::kLost));
+    DropRuns(aWorker, run_end::kLost);
   }
   // Of a worker that is in no list and has no runs nothing is wanted until it is listed
   // again.
   if (aWorker.mIsListed || !aWorker.mRuns.Runs().empty()) {
     ScheduleHold(aWorker, kHoldRetryDelay);
+    return;
   }
+  mPorts.mLog.Write(log_event("hold_given_up")
+                      .Add("worker", aWorker.mListed.mId)
+                      .Add("answer", ToString(aAnswer))
+                      .Add("dropped_runs", static_cast<int64_t>(aWorker.mDroppedRuns)));
+}
+
+void fleet_scheduler::DropRuns(worker_entry& aWorker, run_end aEnd)
+{
+  aWorker.mDroppedRuns += aWorker.mRuns.Runs().size();
+  ApplyRunEvents(aWorker, aWorker.mRuns.DropAll(aEnd));
+  aWorker.mStops.clear();
 }
 
 void fleet_scheduler::ApplyRunEvents(worker_entry& aWorker,
@@ -250,9 +309,14 @@
     mUnrecordedRuns.erase(unrecorded);
     SchedulePlan();
   }
+  const bool wasToldToStop = aWorker.mStops.erase({ aEvent.mTask, aEvent.mRun }) != 0;
   const auto found = mJobs.find(aEvent.mTask.mJob);
   if (found == mJobs.end() || found->second->mIsBeingRemoved ||
       !found->second->mState.HasTask(aEvent.mTask)) {
+    const auto* known = found == mJobs.end() ? nullptr : found->second.get();
+    if (wasToldToStop || IsCancelled(known)) {
+      ReportRunEnd(aWorker, aEvent, known, false);
+    }
     mPorts.mLoop.Post(UnlessTermEnded(acknowledge));
     return;
   }
@@ -260,16 +324,8 @@
   job.mMayHaveWaitingTasks = true;
   const auto effect =
     job.mState.End(aEvent.mTask, aEvent.mRun, aEvent.mEnd, aEvent.mCheckpoint);
-  const bool isLogged = aEvent.mEnd != run_end::kDone || !effect.mIsLatestRun;
-  if (isLogged) {
-    mPorts.mLog.Write(log_event("run_ended")
-                        .Add("job", aEvent.mTask.mJob)
-                        .Add("step", aEvent.mTask.mStep)
-                        .Add("index", aEvent.mTask.mIndex)
-                        .Add("run", aEvent.mRun)
-                        .Add("worker", id)
-                        .Add("end", ToString(aEvent.mEnd))
-                        .Add("current", effect.mIsLatestRun ? 1 : 0));
+  if (aEvent.mEnd != run_end::kDone || !effect.mIsLatestRun || IsCancelled(&job)) {
+    ReportRunEnd(aWorker, aEvent, &job, effect.mIsLatestRun);
   }
   mPorts.mMetrics.Count("runs_ended_total", "end", ToString(aEvent.mEnd));
   if (!effect.mIsLatestRun && !effect.mTaskDone) {
@@ -293,6 +349,26 @@
   SchedulePlan();
 }
 
+void fleet_scheduler::ReportRunEnd(const worker_entry& aWorker,
+                                   const run_event& aEvent,
+                                   const job_entry* aJob,
+                                   bool aIsCurrent)
+{
+  auto event = RunEvent("run_ended", aWorker.mListed.mId, aEvent.mTask, aEvent.mRun);
+  event.Add("end", ToString(aEvent.mEnd)).Add("current", aIsCurrent ? 1 : 0);
+  if (IsCancelled(aJob)) {
+    const auto sinceCancel = mPorts.mLoop.Now() - aJob->mEndedAt;
+    const auto& job = aJob->mState.Job();
+    constexpr double kMsPerSecond = 1'000.0;
+    event.Add("since_cancel_ms", sinceCancel.count());
+    mPorts.mMetrics.Observe("cancel_to_end_seconds",
+                            job.mWorkspace,
+                            job.mQueue,
+                            static_cast<double>(sinceCancel.count()) / kMsPerSecond);
+  }
+  mPorts.mLog.Write(event);
+}
+
 void fleet_scheduler::UpdateWorkerHealth(worker_entry& aWorker, const run_event& aEvent)
 {
   const auto now = mPorts.mLoop.Now();
@@ -325,25 +401,44 @@
                                      state.Job().mPriority);
     }
     if (task.mRun == aEvent.mRun && task.mWorker == aWorker.mListed.mId) {
+      LogUnexpectedRun(aWorker, aEvent, false);
       return;
     }
     mUnrecordedRuns[aEvent.mTask] = aWorker.mListed.mId;
   }
-  mPorts.mLog.Write(log_event("run_unexpected")
-                      .Add("job", aEvent.mTask.mJob)
-                      .Add("step", aEvent.mTask.mStep)
-                      .Add("index", aEvent.mTask.mIndex)
-                      .Add("run", aEvent.mRun)
-                      .Add("worker", aWorker.mListed.mId));
-  StopRun(aWorker, aEvent.mTask, aEvent.mRun);
+  if (aWorker.mStops.count({ aEvent.mTask, aEvent.mRun }) == 0) {
+    LogUnexpectedRun(aWorker, aEvent, true);
+  }
+  StopRun(
+    aWorker, aEvent.mTask, aEvent.mRun, "its worker lists it and no record shows it");
+}
+
+void fleet_scheduler::LogUnexpectedRun(const worker_entry& aWorker,
+                                       const run_event& aEvent,
+                                       bool aIsStopped) const
+{
+  const auto found = mJobs.find(aEvent.mTask.mJob);
+  const char* state = "unknown";
+  if (found != mJobs.end()) {
+    state = found->second->mHasTasks ? ToString(found->second->mState.Outcome())
+                                     : "tasks_dropped";
+  }
+  mPorts.mLog.Write(
+    RunEvent("run_unexpected", aWorker.mListed.mId, aEvent.mTask, aEvent.mRun)
+      .Add("job_state", state)
+      .Add("registered_run", RegisteredRun(aWorker.mRuns, aEvent.mTask))
+      .Add("stopped", aIsStopped ? 1 : 0));
 }
 
 void fleet_scheduler::StopRun(worker_entry& aWorker,
                               const task_ref& aTask,
-                              uint32_t aRun)
+                              uint32_t aRun,
+                              const char* aReason)
 {
   aWorker.mRuns.MarkStopping(aTask, mPorts.mLoop.Now());
-  if (!MaySendRequests() || aWorker.mListed.mAddress.empty()) {
+  const bool isSent = MaySendRequests() && !aWorker.mListed.mAddress.empty();
+  LogStop(aWorker, aTask, aRun, aReason, isSent);
+  if (!isSent) {
     return;
   }
   stop_run_request request;
@@ -363,10 +458,58 @@
         OnFenced("worker " + id + " has received a newer fencing token");
         return;
       }
+      LogStopAnswer(*found->second, aTask, aRun, aAnswer);
       found->second->mRuns.OnStopAnswer(aTask, aRun, aAnswer, mPorts.mLoop.Now());
     }));
 }
 
+void fleet_scheduler::LogStop(worker_entry& aWorker,
+                              const task_ref& aTask,
+                              uint32_t aRun,
+                              const char* aReason,
+                              bool aIsSent)
+{
+  auto& calls = aWorker.mStops[{ aTask, aRun }];
+  const auto formerAnswer = std::exchange(calls.mAnswer, std::nullopt);
+  ++calls.mCount;
+  if (calls.mCount == 1) {
+    calls.mFirstAt = mPorts.mLoop.Now();
+  }
+  if (!std::has_single_bit(calls.mCount)) {
+    return;
+  }
+  const bool isFirst = calls.mCount == 1;
+  auto event = RunEvent(
+    isFirst ? "run_stop" : "run_stop_retried", aWorker.mListed.mId, aTask, aRun);
+  event.Add("registered_run", RegisteredRun(aWorker.mRuns, aTask))
+    .Add("sent", aIsSent ? 1 : 0);
+  if (!isFirst) {
+    event.Add("count", calls.mCount)
+      .Add("former_answer", formerAnswer ? ToString(*formerAnswer) : "none");
+  }
+  mPorts.mLog.Write(event.Add("reason", aReason));
+}
+
+void fleet_scheduler::LogStopAnswer(worker_entry& aWorker,
+                                    const task_ref& aTask,
+                                    uint32_t aRun,
+                                    run_request_status aAnswer)
+{
+  const auto found = aWorker.mStops.find({ aTask, aRun });
+  if (found == aWorker.mStops.end()) {
+    return;
+  }
+  auto& calls = found->second;
+  calls.mAnswer = aAnswer;
+  if (aAnswer != run_request_status::kAccepted && calls.mLoggedAnswer != aAnswer) {
+    mPorts.mLog.Write(
+      RunEvent("run_stop_failed", aWorker.mListed.mId, aTask, aRun)
+        .Add("answer", ToString(aAnswer))
+        .Add("since_stop_ms", (mPorts.mLoop.Now() - calls.mFirstAt).count()));
+  }
+  calls.mLoggedAnswer = aAnswer;
+}
+
 void fleet_scheduler::StopTask(const job_entry& aJob,
                                const task_ref& aTask,
                                const char* aReason)
@@ -381,14 +524,7 @@
   if (run == worker.mRuns.Runs().end() || run->second.mStopping) {
     return;
   }
-  mPorts.mLog.Write(log_event("run_stop")
-                      .Add("job", aTask.mJob)
-                      .Add("step", aTask.mStep)
-                      .Add("index", aTask.mIndex)
-                      .Add("run", task.mRun)
-                      .Add("worker", task.mWorker)
-                      .Add("reason", aReason));
-  StopRun(worker, aTask, task.mRun);
+  StopRun(worker, aTask, task.mRun, aReason);
 }
 
 void fleet_scheduler::StopJob(const job_entry& aJob, const char* aReason)
@@ -429,10 +565,12 @@
     return;
   }
   if (aNow > aWorker.mRuns.LeaseExpiresAt()) {
-    mPorts.mLog.Write(log_event("lease_lapsed")
-                        .Add("worker", aWorker.mListed.mId)
-                        .Add("silent_ms", (aNow - aWorker.mRuns.LastAnswer()).count()));
-    ApplyRunEvents(aWorker, aWorker.mRuns.DropAll(run_end::kLeaseExpired));
+    mPorts.mLog.Write(
+      log_event("lease_lapsed")
+        .Add("worker", aWorker.mListed.mId)
+        .Add("silent_ms", (aNow - aWorker.mRuns.LastAnswer()).count())
+        .Add("runs", static_cast<int64_t>(aWorker.mRuns.Runs().size())));
+    DropRuns(aWorker, run_end::kLeaseExpired);
     return;
   }
   std::vector<std::pair<task_ref, uint32_t>> overdueStops;
@@ -442,8 +580,33 @@
     }
   }
   for (const auto& [task, run] : overdueStops) {
-    StopRun(aWorker, task, run);
+    StopRun(aWorker, task, run, "it has not ended since it was to stop");
+  }
+}
+
+void fleet_scheduler::CountOverdueRuns(time_point aNow)
+{
+  size_t overdue = 0;
+  for (const auto& [id, worker] : mWorkers) {
+    const std::string* jobId = nullptr;
+    bool isOverdue = false;
+    for (const auto& [task, run] : worker->mRuns.Runs()) {
+      // The runs of one job follow each other.
+      if (jobId == nullptr || *jobId != task.mJob) {
+        jobId = &task.mJob;
+        const auto found = mJobs.find(task.mJob);
+        isOverdue = found != mJobs.end() &&
+                    found->second->mState.Outcome() != job_outcome::kOpen &&
+                    aNow - found->second->mEndedAt > kOverdueAfterEnd;
+      }
+      overdue += isOverdue ? 1 : 0;
+    }
+    for (const auto& [run, calls] : worker->mStops) {
+      const bool isRegistered = RegisteredRun(worker->mRuns, run.first) == run.second;
+      overdue += !isRegistered && aNow - calls.mFirstAt > kOverdueAfterEnd ? 1 : 0;
+    }
   }
+  mPorts.mMetrics.Set(kOverdueMetric, static_cast<double>(overdue));
 }
 
 } // namespace anvildoor
--- a/tests/CancellationLogTest.cpp
+++ b/tests/CancellationLogTest.cpp
@@ -160,3 +160,98 @@
   CHECK(silence >= 3'000);
   CHECK(silence <= (site.mLoop.Now() - begin).count() + 1'000);
 }
+
+TEST_CASE("the run that a cancellation stops is logged with its stop and its end",
+          "[cancellation-log]")
+{
+  fake_installation site(3, 4);
+  BeginLongRun(site);
+  REQUIRE(site.Cancel(OtherVm(site), kJob) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(3'400));
+  const auto stop = FindLine(site, "run_stop", kJob);
+  const auto end = FindLine(site, "run_ended", kJob);
+  CAPTURE(stop, end);
+  CHECK(Number(stop, "run") == site.mTraces.front().mRun);
+  CHECK(Field(stop, "worker") == site.mTraces.front().mWorker);
+  CHECK(Field(stop, "registered_run") == Field(stop, "run"));
+  CHECK(Field(stop, "sent") == "1");
+  CHECK(Field(stop, "reason") == "cancelled");
+  CHECK(Field(end, "run") == Field(stop, "run"));
+  CHECK(Field(end, "end") == "stopped");
+  CHECK(Number(end, "since_cancel_ms") >= 0);
+  CHECK(Number(end, "since_cancel_ms") <= 3'400);
+  CHECK(CountEvents(site, "run_stop") == 1);
+  CHECK(CountEvents(site, "run_stop_retried") == 0);
+  CHECK(CountEvents(site, "run_stop_failed") == 0);
+  const auto text = site.MetricsOf(site.SchedulerVm());
+  CHECK(text.find("anvildoor_cancel_to_end_seconds_count{class=\"batch\","
+                  "workspace=\"gyms\"} 1\n") != std::string::npos);
+  CHECK(text.find("anvildoor_stopping_runs_overdue 0\n") != std::string::npos);
+}
+
+TEST_CASE("a stop without an answer is logged at each doubling of its count",
+          "[cancellation-log]")
+{
+  fake_installation site(3, 4);
+  BeginLongRun(site);
+  const auto scheduler = site.SchedulerVm();
+  site.mFaults.mBlockedLinks.insert({ scheduler, site.mTraces.front().mWorker });
+  REQUIRE(site.Cancel(OtherVm(site), kJob) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(4'500));
+  CHECK(CountEvents(site, "run_stop") == 1);
+  CHECK(CountEvents(site, "run_stop_retried") == 2);
+  CHECK(CountEvents(site, "run_stop_failed") == 1);
+  CHECK(Field(FindLine(site, "run_stop_retried"), "count") == "2");
+  CHECK(Field(FindLine(site, "run_stop_failed"), "answer") == "no_answer");
+  CHECK(site.MetricsOf(scheduler).find("anvildoor_stopping_runs_overdue 1\n") !=
+        std::string::npos);
+  site.mLoop.RunFor(duration(6'000));
+  const auto end = FindLine(site, "run_ended", kJob);
+  CAPTURE(end);
+  CHECK(Field(end, "end") == "lapsed");
+  CHECK(Number(end, "since_cancel_ms") > 4'500);
+  CHECK(Field(FindLine(site, "lease_lapsed"), "runs") == "1");
+  CHECK(site.MetricsOf(scheduler).find("anvildoor_stopping_runs_overdue 0\n") !=
+        std::string::npos);
+}
+
+TEST_CASE("a run that no record shows is logged with the stop that is sent for it",
+          "[cancellation-log]")
+{
+  fake_installation site(3, 4);
+  site.mBehaviourByPayload["long"] = { duration(60'000), false, true };
+  start_run_request request;
+  request.mWorker = { "w1", "w1" };
+  request.mTask = { kUnknownJob, 0, 0, 3 };
+  request.mRun = 7;
+  request.mPayload = "long";
+  request.mWorkerDeadlineMs = 60'000;
+  request.mFence = site.Node(site.SchedulerVm()).Election().Current().mFence;
+  REQUIRE(site.mWorkers.at("w1")->Start(request) == run_request_status::kAccepted);
+  site.mLoop.RunFor(duration(5'000));
+  const auto unexpected = FindLine(site, "run_unexpected", kUnknownJob);
+  const auto stop = FindLine(site, "run_stop", kUnknownJob);
+  CAPTURE(unexpected, stop);
+  CHECK(Field(unexpected, "job_state") == "unknown");
+  CHECK(Field(unexpected, "stopped") == "1");
+  CHECK(Field(stop, "run") == "7");
+  CHECK(Field(stop, "worker") == "w1");
+  CHECK(Field(stop, "registered_run") == "0");
+  CHECK(CountEvents(site, "run_unexpected") == 1);
+  CHECK(CountEvents(site, "run_stop") == 1);
+  CHECK(Field(FindLine(site, "run_ended", kUnknownJob), "run") == "7");
+}
+
+TEST_CASE("the end of the calls to a worker in no list is logged with its runs",
+          "[cancellation-log]")
+{
+  fake_installation site(3, 4);
+  BeginLongRun(site);
+  const auto worker = site.mTraces.front().mWorker;
+  site.CrashWorker(worker, false);
+  site.mLoop.RunFor(duration(15'000));
+  const auto line = FindLine(site, "hold_given_up", worker);
+  CAPTURE(line);
+  CHECK(Field(line, "dropped_runs") == "1");
+  CHECK(CountEvents(site, "hold_given_up") == 1);
+}
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -81,6 +81,7 @@
   void Stop() { mLoop.Stop(); }
 
   entry_node& Node() { return *mNode; }
+  std::string MetricsText() const { return mMetrics.Text(); }
 
 private:
   bool IsBlocked(const std::string& aOther) const
@@ -470,6 +471,11 @@
   mVms[aVm] = std::make_unique<fake_vm>(*this, aVm, duration(vmNumber * kStaggerMs));
 }
 
+std::string fake_installation::MetricsOf(const std::string& aVm) const
+{
+  return mVms.at(aVm)->MetricsText();
+}
+
 std::string fake_installation::SchedulerVm() const
 {
   for (const auto& [name, vm] : mVms) {
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -92,6 +92,8 @@
   /** Returns the VM that is the scheduler, or "". */
   std::string SchedulerVm() const;
   entry_node& Node(const std::string& aVm);
+  /** Returns the metrics of a VM in the Prometheus text format. */
+  std::string MetricsOf(const std::string& aVm) const;
   bool IsUp(const std::string& aVm) const { return mVms.count(aVm) != 0; }
 
   /** Returns the largest number of concurrent runs of one task. */
