Log how a missing scheduler was noticed and a term on its grace

scheduler_gone_noticed names the read that showed it and the time since the key was last seen; term_extended_without_store is written once when the lease has run out and requests go on. No behaviour changes.

--- a/src/scheduler/Election.cpp
+++ b/src/scheduler/Election.cpp
@@ -82,7 +82,7 @@
 
 void scheduler_election::Begin()
 {
-  ReadKey();
+  ReadKey("begin");
 }
 
 void scheduler_election::ReportStoreReachability(bool aReached)
@@ -101,16 +101,17 @@
   const auto generation = mGeneration;
   mLoop.RunAfter(aAfter, [this, generation] {
     if (generation == mGeneration) {
-      ReadKey();
+      ReadKey("retry");
     }
   });
 }
 
-void scheduler_election::ReadKey()
+void scheduler_election::ReadKey(const char* aCause)
 {
   if (mIsHolder) {
     return;
   }
+  mReadCause = aCause;
   const auto generation = ++mGeneration;
   mStore.GetForWatch(store_keys::kScheduler,
                      [this, generation](const result<stored_range>& aRead) {
@@ -131,6 +132,7 @@
     Follow(aRead->mItems.front(), aRead->mRevision);
     return;
   }
+  LogMissingScheduler();
   mCurrent = scheduler_term();
   if (mResigned) {
     ReadKeyAfter(mTimes.mTtl);
@@ -144,9 +146,22 @@
   });
 }
 
+void scheduler_election::LogMissingScheduler()
+{
+  if (mCurrent.mFence == 0) {
+    return;
+  }
+  mLog.Write(log_event("scheduler_gone_noticed")
+               .Add("by", mReadCause)
+               .Add("vm", mCurrent.mVm)
+               .Add("fence", static_cast<int64_t>(mCurrent.mFence))
+               .Add("last_seen_ms", (mLoop.Now() - mKeySeenAt).count()));
+}
+
 void scheduler_election::Follow(const stored_item& aItem, uint64_t aRevision)
 {
   const auto term = DecodeTerm(aItem);
+  mKeySeenAt = mLoop.Now();
   const bool isNewTerm = term && term->mFence != mCurrent.mFence;
   if (isNewTerm) {
     mCurrent = *term;
@@ -174,9 +189,10 @@
                    return;
                  }
                  if (aChanges->mHistoryLost || !aChanges->mChanges.empty()) {
-                   ReadKey();
+                   ReadKey("watch");
                    return;
                  }
+                 mKeySeenAt = mLoop.Now();
                  Watch(std::max(aRevision, aChanges->mRevision));
                });
 }
@@ -233,6 +249,7 @@
   mCurrent.mFence = aFence;
   mCurrent.mRevision = aRevision;
   mRequestDeadline = aLeaseRequestedAt + mTimes.mTtl + mTimes.mRequestGrace;
+  mIsOnGrace = false;
   mLog.Write(log_event("scheduler_won").Add("fence", static_cast<int64_t>(aFence)));
   ScheduleRenewal();
   const auto predecessor = std::exchange(mLastKnown, mCurrent);
@@ -258,6 +275,7 @@
     ReadKeyAfter(duration::zero());
     return;
   }
+  CheckRenewals();
   // Schedules the next renewal without waiting for this answer: if the answer were
   // lost, the lease would expire in the meantime.
   ScheduleRenewal();
@@ -281,6 +299,19 @@
                     });
 }
 
+void scheduler_election::CheckRenewals()
+{
+  const auto leaseEnd = mRequestDeadline - mTimes.mRequestGrace;
+  const auto now = mLoop.Now();
+  const bool wasOnGrace = std::exchange(mIsOnGrace, now >= leaseEnd);
+  if (mIsOnGrace && !wasOnGrace) {
+    mLog.Write(log_event("term_extended_without_store")
+                 .Add("fence", static_cast<int64_t>(mCurrent.mFence))
+                 .Add("lease_ended_ms", (now - leaseEnd).count())
+                 .Add("remaining_ms", (mRequestDeadline - now).count()));
+  }
+}
+
 void scheduler_election::EndTerm(const std::string& aReason)
 {
   ++mGeneration;
--- a/src/scheduler/Election.h
+++ b/src/scheduler/Election.h
@@ -92,7 +92,7 @@
   void Begin();
 
   /** Reads the key again at once, unless this VM holds it. */
-  void RereadKey() { ReadKey(); }
+  void RereadKey() { ReadKey("probe"); }
 
   /** Ends this VM's term, if it has one, and takes part in no further election. */
   void Resign();
@@ -109,13 +109,18 @@
   const scheduler_term& Current() const { return mCurrent; }
 
 private:
-  void ReadKey();
+  /** Reads the key; aCause names in the log what made this VM read it. */
+  void ReadKey(const char* aCause);
   void OnKeyRead(const result<stored_range>& aRead);
   void Follow(const stored_item& aItem, uint64_t aRevision);
   void Watch(uint64_t aRevision);
   void RequestLease();
   void CreateKey(uint64_t aLease, time_point aRequestedAt);
   void BeginTerm(uint64_t aRevision, uint64_t aFence, time_point aLeaseRequestedAt);
+  /** Logs that the key of the scheduler known so far is missing. */
+  void LogMissingScheduler();
+  /** Logs once that the lease has run out while this VM sends requests on. */
+  void CheckRenewals();
   void ScheduleRenewal();
   void Renew();
   void EndTerm(const std::string& aReason);
@@ -139,6 +144,9 @@
   /** Rises with each change of role; callbacks of older generations do nothing. */
   uint64_t mGeneration = 0;
   time_point mRequestDeadline{ 0 };
+  time_point mKeySeenAt{ 0 };       ///< When the store last showed the key of mCurrent.
+  const char* mReadCause = "begin"; ///< See ReadKey.
+  bool mIsOnGrace = false; ///< The lease has run out at the last renewal, as is known.
   std::string mNonce;
 };
 
--- a/tests/CancellationLogTest.cpp
+++ b/tests/CancellationLogTest.cpp
@@ -255,3 +255,40 @@
   CHECK(Field(line, "dropped_runs") == "1");
   CHECK(CountEvents(site, "hold_given_up") == 1);
 }
+
+TEST_CASE("the read that showed a missing scheduler is logged at each VM",
+          "[cancellation-log]")
+{
+  const std::string by = GENERATE("watch", "probe");
+  CAPTURE(by);
+  fake_installation site(3, 4);
+  site.mLoop.RunFor(duration(2'000));
+  const auto former = site.SchedulerVm();
+  if (by == "probe") {
+    // The watches of the key that are under way are never answered.
+    site.mStore.SuspendWatches();
+  }
+  site.Kill(former);
+  site.mLoop.RunFor(duration(5'000));
+  const auto line = FindLine(site, "scheduler_gone_noticed", "vm=" + former + " ");
+  CAPTURE(line);
+  CHECK(Field(line, "by") == by);
+  CHECK(Number(line, "last_seen_ms") >= 1'000);
+  CHECK(Number(line, "last_seen_ms") <= 10'000);
+  CHECK(CountEvents(site, "scheduler_gone_noticed") == 2);
+}
+
+TEST_CASE("a term on its grace without the store is logged once", "[cancellation-log]")
+{
+  fake_installation site(3, 4);
+  site.mLoop.RunFor(duration(2'000));
+  CHECK(CountEvents(site, "term_extended_without_store") == 0);
+  const auto former = site.SchedulerVm();
+  site.mFaults.mBlockedLinks.insert({ former, "store" });
+  site.mLoop.RunFor(duration(10'000));
+  CHECK(CountEvents(site, "term_extended_without_store") == 1);
+  const auto line = FindLine(site, "term_extended_without_store");
+  CAPTURE(line);
+  CHECK(Number(line, "remaining_ms") > 0);
+  CHECK(Number(line, "remaining_ms") <= 4'000);
+}
