--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -11,6 +11,7 @@
 #include "runs/WorkerDirectory.h"
 #include "runs/WorkerHealth.h"
 #include "runs/WorkerRuns.h"
+#include "scheduler/InboxMonitor.h"
 #include "scheduler/RecordWriter.h"
 #include "scheduler/TermSummary.h"
 
@@ -134,7 +135,8 @@
   void RelistInbox();
   void HandleInboxItem(const stored_item& aItem);
   void AddJob(const accepted_job& aJob);
-  void CancelJob(const std::string& aId);
+  /** Cancels a job by the cancellation that was stored at aRevision. */
+  void CancelJob(const std::string& aId, uint64_t aRevision);
   void WriteProgress(job_entry& aJob,
                      record_writer::urgency aUrgency,
                      std::function<void()> aDurable);
@@ -161,9 +163,36 @@
   void OnHoldFailed(worker_entry& aWorker, run_request_status aAnswer);
   void ApplyRunEvents(worker_entry& aWorker, const std::vector<run_event>& aEvents);
   void ApplyRunEnd(worker_entry& aWorker, const run_event& aEvent);
+  static bool IsCancelled(const job_entry* aJob);
+  /** Logs the end of a run, and measures it if its job was cancelled. */
+  void ReportRunEnd(const worker_entry& aWorker,
+                    const run_event& aEvent,
+                    const job_entry* aJob,
+                    bool aIsCurrent);
+  /** Ends all runs of a worker that can have none any more. */
+  void DropRuns(worker_entry& aWorker, run_end aEnd);
   void HandleUnexpectedRun(worker_entry& aWorker, const run_event& aEvent);
   void UpdateWorkerHealth(worker_entry& aWorker, const run_event& aEvent);
-  void StopRun(worker_entry& aWorker, const task_ref& aTask, uint32_t aRun);
+  void LogUnexpectedRun(const worker_entry& aWorker,
+                        const run_event& aEvent,
+                        bool aIsStopped) const;
+  void StopRun(worker_entry& aWorker,
+               const task_ref& aTask,
+               uint32_t aRun,
+               const char* aReason);
+  /** Counts a stop request, and logs the first one and each doubling of the count. */
+  void LogStop(worker_entry& aWorker,
+               const task_ref& aTask,
+               uint32_t aRun,
+               const char* aReason,
+               bool aIsSent);
+  /** Logs an answer other than accepted, unless the one before was the same. */
+  void LogStopAnswer(worker_entry& aWorker,
+                     const task_ref& aTask,
+                     uint32_t aRun,
+                     run_request_status aAnswer);
+  /** Sets the gauge of runs that go on although their job has ended. */
+  void CountOverdueRuns(time_point aNow);
   void StopTask(const job_entry& aJob, const task_ref& aTask, const char* aReason);
   void StopJob(const job_entry& aJob, const char* aReason);
   void StopGang(const job_entry& aJob,
@@ -256,6 +285,7 @@
   std::function<time_point()> mRequestDeadline;
   std::shared_ptr<const fleet_policy> mPolicy;
   record_writer mWriter;
+  inbox_monitor mInboxMonitor;
   scheduler_term mTerm;
   scheduler_term mPredecessor;
   std::optional<term_summary> mLastSummary; ///< The newest known; see LastTermSummary.
@@ -267,9 +297,10 @@
   time_point mTermBegunAt{ 0 };
   uint64_t mInboxRevision = 0;
   std::map<std::string, std::unique_ptr<job_entry>> mJobs;
-  std::set<std::string> mUnmatchedCancels; ///< Cancellations read before their job.
-  bool mIsIntakeClosed = false;            ///< Wanted by this term.
-  bool mIsIntakeClosedInStore = false;     ///< As last observed or written.
+  /** Revisions of the cancellations that were read before their job. */
+  std::map<std::string, uint64_t> mUnmatchedCancels;
+  bool mIsIntakeClosed = false;        ///< Wanted by this term.
+  bool mIsIntakeClosedInStore = false; ///< As last observed or written.
   time_point mIntakeWrittenAt{ 0 };
   bool mIsListingInbox = false; ///< A list of the inbox is under way.
   /** Kept in mJobs until the list has arrived, as it may still contain them. */
