--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -1,7 +1,9 @@
 #include "support/FakeInstallation.h"
 
 #include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
+#include <type_traits>
 #include <utility>
 
 namespace anvildoor {
@@ -10,6 +12,8 @@
 
 constexpr duration kCallLatency{ 1 };
 constexpr duration kCallTimeout{ 900 };
+/** A watch without an answer fails this much later than its wait. */
+constexpr duration kWatchReplyMargin{ 1'500 };
 const std::string kPolicyKey = "policy";
 const std::string kWorkersKey = "workers/";
 
@@ -94,16 +98,74 @@
     mLoop.RunAfter(aAfter, std::move(aTask));
   }
 
+  /** Returns the fault that decides the fate of a call, if it has one of aFates. */
+  store_fault* FindFault(store_call aCall,
+                         const std::string& aKey,
+                         const std::set<store_fate>& aFates)
+  {
+    for (auto& fault : mSite.mFaults.mStoreFaults) {
+      const bool isAffected =
+        (fault.mVm.empty() || fault.mVm == mName) &&
+        (fault.mCalls.empty() || fault.mCalls.count(aCall) != 0) &&
+        aKey.compare(0, fault.mPrefix.size(), fault.mPrefix) == 0;
+      if (isAffected && aFates.count(fault.mFate) != 0 && fault.mCallsLeft > 0 &&
+          mLoop.Now() < fault.mUntil) {
+        return &fault;
+      }
+    }
+    return nullptr;
+  }
+
+  /** Returns the answer as it arrives, or nothing if it is lost. */
+  template<typename T>
+  std::optional<result<T>> AnswerAfterFaults(store_call aCall,
+                                             const std::string& aKey,
+                                             const result<T>& aAnswer)
+  {
+    std::set<store_fate> fates{ store_fate::kUnanswered };
+    if constexpr (std::is_same_v<T, stored_changes>) {
+      if (aAnswer && !aAnswer->mChanges.empty()) {
+        fates.insert({ store_fate::kEventLost, store_fate::kHistoryLost });
+      }
+    }
+    auto* fault = FindFault(aCall, aKey, fates);
+    if (fault == nullptr) {
+      return aAnswer;
+    }
+    --fault->mCallsLeft;
+    if constexpr (std::is_same_v<T, stored_changes>) {
+      if (fault->mFate == store_fate::kHistoryLost) {
+        stored_changes lost;
+        lost.mHistoryLost = true;
+        return lost;
+      }
+    }
+    return std::nullopt;
+  }
+
   template<typename T, typename Call>
-  void CallStore(transaction_store::done<T> aDone, bool aChange, Call aCall)
+  void CallStore(store_call aKind,
+                 const std::string& aKey,
+                 transaction_store::done<T> aDone,
+                 Call aCall)
   {
-    if (mSite.mFaults.mStoreBusyFor.count(mName) != 0) {
+    const bool isWatch = aKind == store_call::kWatch;
+    auto* fault = FindFault(
+      aKind, aKey, { store_fate::kRefused, store_fate::kUnsent, store_fate::kDelayed });
+    if (fault != nullptr) {
+      --fault->mCallsLeft;
+    }
+    if (mSite.mFaults.mStoreBusyFor.count(mName) != 0 ||
+        (fault != nullptr && fault->mFate == store_fate::kRefused)) {
       RunLater([done = std::move(aDone)] {
         done(Fail(error_code::kUnavailable, "store", "store", "busy"));
       });
       return;
     }
-    const auto code = aChange ? error_code::kUnknownEffect : error_code::kUnavailable;
+    const bool isChange =
+      aKind == store_call::kCommit || aKind == store_call::kGrantLease ||
+      aKind == store_call::kRenewLease || aKind == store_call::kEndLease;
+    const auto code = isChange ? error_code::kUnknownEffect : error_code::kUnavailable;
     const auto failWithoutAnswer = [this, code, done = aDone] {
       RunLater([code, done] { done(Fail(code, "store", "store", "no answer")); },
                kCallTimeout);
@@ -112,34 +174,71 @@
       failWithoutAnswer();
       return;
     }
-    aCall([this, failWithoutAnswer, done = std::move(aDone)](const result<T>& aAnswer) {
+    if (fault != nullptr) {
+      if (fault->mFate == store_fate::kDelayed) {
+        mSite.mLoop.RunAfter(fault->mDelay,
+                             [aCall] { aCall([](const result<T>&) {}); });
+      }
+      if (!isWatch) { // A watch fails when its own time is over.
+        failWithoutAnswer();
+      }
+      return;
+    }
+    aCall([this, aKind, aKey, isWatch, failWithoutAnswer, done = std::move(aDone)](
+            const result<T>& aAnswer) {
       if (IsBlocked("store")) {
         failWithoutAnswer();
         return;
       }
-      RunLater([done, aAnswer] { done(aAnswer); });
+      const auto answer = AnswerAfterFaults(aKind, aKey, aAnswer);
+      if (answer) {
+        RunLater([done, answer] { done(*answer); });
+      } else if (!isWatch) {
+        failWithoutAnswer();
+      }
     });
   }
 
+  /** Returns aRange, or a former answer if reads may be stale. */
+  stored_range AgedRange(const std::string& aPrefix, const stored_range& aRange)
+  {
+    const auto age = mSite.mFaults.mStaleReadAge;
+    if (age == duration::zero()) {
+      return aRange;
+    }
+    const auto now = mLoop.Now();
+    auto& ranges = mSite.mFormerRanges[aPrefix];
+    ranges[now] = aRange;
+    auto next = ranges.upper_bound(now - age);
+    return next == ranges.begin() ? next->second : std::prev(next)->second;
+  }
+
   void OnGet(const std::string& aKey,
              transaction_store::done<std::optional<stored_item>> aDone) override
   {
-    CallStore<std::optional<stored_item>>(std::move(aDone), false, [&](auto aCallback) {
-      mSite.mStore.Get(aKey, aCallback);
-    });
+    CallStore<std::optional<stored_item>>(
+      store_call::kGet, aKey, std::move(aDone), [this, aKey](auto aCallback) {
+        mSite.mStore.Get(aKey, aCallback);
+      });
   }
   void OnList(const std::string& aPrefix,
               bool aMayBeStale,
               transaction_store::done<stored_range> aDone) override
   {
-    CallStore<stored_range>(std::move(aDone), false, [&](auto aCallback) {
-      mSite.mStore.List(
-        aPrefix,
-        aMayBeStale,
-        [this, callback = aCallback](const result<stored_range>& aRange) {
-          RunLater([callback, aRange] { callback(aRange); }, mSite.mFaults.mListDelay);
-        });
-    });
+    CallStore<stored_range>(
+      aMayBeStale ? store_call::kStaleList : store_call::kList,
+      aPrefix,
+      std::move(aDone),
+      [this, aPrefix, aMayBeStale](auto aCallback) {
+        mSite.mStore.List(
+          aPrefix,
+          aMayBeStale,
+          [this, aPrefix, aMayBeStale, callback = aCallback](
+            const result<stored_range>& aRange) {
+            const auto range = aMayBeStale ? AgedRange(aPrefix, *aRange) : *aRange;
+            RunLater([callback, range] { callback(range); }, mSite.mFaults.mListDelay);
+          });
+      });
   }
   void OnWatch(const std::string& aPrefix,
                uint64_t aRevision,
@@ -158,15 +257,16 @@
       [answer] {
         answer(Fail(error_code::kUnavailable, "store", "store", "no answer"));
       },
-      aWait + kCallTimeout);
+      aWait + kWatchReplyMargin);
     CallStore<stored_changes>(
+      store_call::kWatch,
+      aPrefix,
       [this, sentAt, answer](const result<stored_changes>& aChanges) {
         if (sentAt >= mSite.mFaults.mSilentBefore) {
           answer(aChanges);
         }
       },
-      false,
-      [&](auto aCallback) {
+      [this, aPrefix, aRevision, aWait](auto aCallback) {
         mSite.mStore.Watch(aPrefix, aRevision, aWait, aCallback);
       });
   }
@@ -183,27 +283,32 @@
         kCallTimeout);
       return;
     }
-    CallStore<transaction_outcome>(std::move(aDone), true, [&](auto aCallback) {
-      mSite.mStore.Commit(aChange, aCallback);
-    });
+    CallStore<transaction_outcome>(
+      store_call::kCommit,
+      aChange.mPuts.empty() ? std::string() : aChange.mPuts.front().mKey,
+      std::move(aDone),
+      [this, aChange](auto aCallback) { mSite.mStore.Commit(aChange, aCallback); });
   }
   void OnGrantLease(duration aTtl, transaction_store::done<uint64_t> aDone) override
   {
-    CallStore<uint64_t>(std::move(aDone), true, [&](auto aCallback) {
-      mSite.mStore.GrantLease(aTtl, aCallback);
-    });
+    CallStore<uint64_t>(
+      store_call::kGrantLease, "", std::move(aDone), [this, aTtl](auto aCallback) {
+        mSite.mStore.GrantLease(aTtl, aCallback);
+      });
   }
   void OnRenewLease(uint64_t aLease, transaction_store::done<uint64_t> aDone) override
   {
-    CallStore<uint64_t>(std::move(aDone), true, [&](auto aCallback) {
-      mSite.mStore.RenewLease(aLease, aCallback);
-    });
+    CallStore<uint64_t>(
+      store_call::kRenewLease, "", std::move(aDone), [this, aLease](auto aCallback) {
+        mSite.mStore.RenewLease(aLease, aCallback);
+      });
   }
   void OnEndLease(uint64_t aLease, transaction_store::done<uint64_t> aDone) override
   {
-    CallStore<uint64_t>(std::move(aDone), true, [&](auto aCallback) {
-      mSite.mStore.EndLease(aLease, aCallback);
-    });
+    CallStore<uint64_t>(
+      store_call::kEndLease, "", std::move(aDone), [this, aLease](auto aCallback) {
+        mSite.mStore.EndLease(aLease, aCallback);
+      });
   }
 
   run_worker* FindReachableWorker(const worker_address& aWorker)
@@ -248,7 +353,9 @@
               run_port::done<run_request_status> aDone) override
   {
     auto* worker = FindReachableWorker(aRequest.mWorker);
-    if (worker == nullptr) {
+    const bool isFirst =
+      mSite.mRunsToStop.emplace(aRequest.mTask, aRequest.mRun).second;
+    if (worker == nullptr || (isFirst && mSite.mFaults.mLosesFirstStops)) {
       RunLater([done = std::move(aDone)] { done(run_request_status::kNoAnswer); },
                kCallTimeout);
       return;
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -7,6 +7,7 @@
 #include "standin/MemoryTransactionStore.h"
 #include "standin/RunWorker.h"
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -25,6 +26,44 @@
   void OnWrite(const std::string& aLine) override { mLines.push_back(aLine); }
 };
 
+/** Kinds of calls to the store. */
+enum class store_call
+{
+  kGet,
+  kList,
+  kStaleList, ///< A list that may be stale.
+  kWatch,
+  kCommit,
+  kGrantLease,
+  kRenewLease,
+  kEndLease
+};
+
+/** What becomes of a call to the store. */
+enum class store_fate
+{
+  kRefused,    ///< Nothing is done; the answer says "busy".
+  kUnsent,     ///< Nothing is done and nothing is answered.
+  kDelayed,    ///< Done after store_fault::mDelay and not answered.
+  kUnanswered, ///< Done; an answer that falls into the time of the fault is lost.
+  kEventLost,  ///< Like kUnanswered, but only for answers that carry changes.
+  kHistoryLost ///< A watch that would carry changes tells that its history is gone.
+};
+
+/** A fault of some of the calls to the store. */
+struct store_fault
+{
+  store_fate mFate = store_fate::kRefused;
+  std::string mVm{};             ///< The VM whose calls are affected; empty: all.
+  std::set<store_call> mCalls{}; ///< The affected kinds of calls; empty: all.
+  std::string mPrefix{};         ///< Prefix of the affected keys; empty: all calls.
+  time_point mUntil = time_point::max();            ///< When the fault ends.
+  int mCallsLeft = std::numeric_limits<int>::max(); ///< How many calls it affects.
+  duration mDelay{ 0 };
+
+  auto operator<=>(const store_fault&) const = default;
+};
+
 /** Injected faults. Names are those of a VM, of a worker, "store" or "directory". */
 struct fake_faults
 {
@@ -37,6 +76,12 @@
   /** Watches sent before this time get no answer, as on connections that went silent.
    */
   time_point mSilentBefore{ 0 };
+  /** The first one that matches a call decides its fate. */
+  std::vector<store_fault> mStoreFaults;
+  /** Age of the answers to lists that may be stale. */
+  duration mStaleReadAge{ 0 };
+  /** Whether the first stop of each run is lost, with its answer. */
+  bool mLosesFirstStops = false;
   /** How many of the next commits take effect but are not answered. */
   int mUnansweredCommits = 0;
   /** Workers whose starts are delayed by mStartDelay. */
@@ -113,6 +158,8 @@
   std::map<std::string, run_behaviour> mBehaviourByPayload;
 
 private:
+  friend class fake_vm;
+
   void AddWorker(const std::string& aId);
 
   size_t mWorkersPerRack;
@@ -120,6 +167,10 @@
   int64_t mLastWorkerStartedAtMs = 1'000;
   std::map<std::string, std::unique_ptr<fake_vm>> mVms;
   std::vector<std::unique_ptr<fake_vm>> mStoppedVms;
+  /** Runs of which a stop has been sent. */
+  std::set<std::pair<task_ref, uint32_t>> mRunsToStop;
+  /** Former answers to lists that may be stale, by prefix and time. */
+  std::map<std::string, std::map<time_point, stored_range>> mFormerRanges;
 };
 
 } // namespace anvildoor
