Tests: cancellations in the gap between two schedulers

Cancels a job at a VM that isn't the scheduler while that is killed, drained, cut off or unanswered, with reads up to 5 s old, with late or unanswered renewals, with takeover reads that fail, and after three handovers. A fault may affect every n-th call. Disruptions of the store count until 3 s after their end.

--- a/tests/CancellationTest.cpp
+++ b/tests/CancellationTest.cpp
@@ -14,6 +14,7 @@
 const std::string kJob = "00000000000000c1";
 /** Names of VMs in the tables. */
 const std::string kScheduler = "the scheduler";
+const std::string kSuccessor = "its successor"; ///< The VM that is elected next.
 const std::string kEveryVm;
 
 constexpr duration kEver = time_point::max();
@@ -22,17 +23,32 @@
 constexpr duration kBound{ 3'000 + 400 };
 /** How long the disruptions of the store in the tables last. */
 constexpr duration kOutage{ 6'000 };
+/** How late calls without an answer are carried out. */
+constexpr duration kLate{ 5'000 };
+/** The greatest age of reads that may be stale. */
+constexpr duration kMaxReadAge{ 5'000 };
 /** How long a disruption of the store counts after its end. */
 constexpr duration kContactTime{ 3'000 };
 
+/** How the scheduler ends when a disturbance begins. */
+enum class scheduler_end
+{
+  kNone,
+  kKilled,
+  kDrained, ///< It resigns, as on SIGTERM, and exits some seconds later.
+  kCut      ///< It loses its link to the store.
+};
+
 /** What befalls an installation on which a job runs. Times count from its beginning. */
 struct disturbance
 {
   std::string mName;
   std::vector<store_fault> mFaults;
   duration mDisruption{ 0 }; ///< How long it counts as a disruption of the store.
-  bool mKillsScheduler = false;
+  scheduler_end mEnd = scheduler_end::kNone;
   duration mStaleReadAge{ 0 };
+  /** When mEnd happens; if not at once, another VM has become the scheduler before. */
+  duration mEndAfter{ 0 };
 };
 
 /** The runs of a job that was cancelled at a VM that isn't the scheduler. */
@@ -45,22 +61,69 @@
 /** A case of a table: when the job is cancelled, and whether stops are lost. */
 struct cancellation
 {
-  duration mAfter{ 0 }; ///< Since the beginning of the disturbance.
+  duration mAfter{ 0 }; ///< Since the end of the scheduler.
   bool mLosesFirstStops = false;
   duration mPhase{ 0 }; ///< Shifts the calls to the store against the disturbance.
+  int mHandovers = 0;   ///< How often the scheduler has changed before.
 };
 
+/** Returns the VM that is elected when aVm ends. */
+std::string SuccessorOf(const std::string& aVm)
+{
+  return aVm == "vm0" ? "vm1" : "vm0";
+}
+
+void EndScheduler(fake_installation& aSite, scheduler_end aEnd)
+{
+  constexpr duration kExitDelay{ 2'000 };
+  const auto scheduler = aSite.SchedulerVm();
+  switch (aEnd) {
+    case scheduler_end::kNone:
+      break;
+    case scheduler_end::kKilled:
+      aSite.Kill(scheduler);
+      break;
+    case scheduler_end::kDrained:
+      aSite.Node(scheduler).StartDraining();
+      aSite.mLoop.RunAfter(kExitDelay, [&aSite, scheduler] { aSite.Kill(scheduler); });
+      break;
+    case scheduler_end::kCut:
+      aSite.mFaults.mBlockedLinks.insert({ scheduler, "store" });
+      break;
+  }
+}
+
 void Begin(fake_installation& aSite, const disturbance& aDisturbance)
 {
+  constexpr duration kRestartDelay{ 4'000 };
   const auto scheduler = aSite.SchedulerVm();
   for (auto fault : aDisturbance.mFaults) {
-    fault.mVm = fault.mVm == kScheduler ? scheduler : fault.mVm;
+    fault.mVm = fault.mVm == kScheduler   ? scheduler
+                : fault.mVm == kSuccessor ? SuccessorOf(scheduler)
+                                          : fault.mVm;
     fault.mUntil = fault.mUntil == kEver ? kEver : aSite.mLoop.Now() + fault.mUntil;
     aSite.mFaults.mStoreFaults.push_back(fault);
   }
-  if (aDisturbance.mKillsScheduler) {
-    aSite.Kill(scheduler);
+  if (aDisturbance.mEndAfter == duration::zero()) {
+    EndScheduler(aSite, aDisturbance.mEnd);
+    return;
   }
+  aSite.Kill(scheduler);
+  aSite.mLoop.RunAfter(kRestartDelay,
+                       [&aSite, scheduler] { aSite.Restart(scheduler); });
+  aSite.mLoop.RunAfter(aDisturbance.mEndAfter,
+                       [&aSite, end = aDisturbance.mEnd] { EndScheduler(aSite, end); });
+}
+
+/** Replaces the scheduler by another VM, and starts its own again. */
+void HandOver(fake_installation& aSite)
+{
+  constexpr duration kTakeoverTime{ 2'500 };
+  const auto ended = aSite.SchedulerVm();
+  aSite.Kill(ended);
+  aSite.mLoop.RunFor(kTakeoverTime);
+  aSite.Restart(ended);
+  aSite.mLoop.RunFor(kTakeoverTime);
 }
 
 /** Cancels the job until that is acknowledged, as a client does. */
@@ -93,10 +156,15 @@
   site.mLoop.RunFor(duration(1'500) + aCase.mPhase);
   REQUIRE(site.mTraces.size() == kRuns);
 
+  for (int handover = 0; handover < aCase.mHandovers; ++handover) {
+    HandOver(site);
+  }
+
   const auto begunAt = site.mLoop.Now();
-  const std::string front = site.SchedulerVm() == "vm0" ? "vm1" : "vm0";
+  const std::string front = "vm2";
+  REQUIRE(site.SchedulerVm() != front);
   Begin(site, aDisturbance);
-  site.mLoop.RunFor(aCase.mAfter);
+  site.mLoop.RunFor(aDisturbance.mEndAfter + aCase.mAfter);
   REQUIRE(CancelUntilAcknowledged(site, front));
   auto owedFrom = site.mLoop.Now();
   if (aDisturbance.mDisruption > duration::zero()) {
@@ -120,12 +188,38 @@
   return { aFate, kScheduler, { call::kWatch }, store_keys::kInbox, aUntil, aCalls };
 }
 
+/** A fault of the watches by which other VMs notice the end of the scheduler's term. */
+store_fault OfKeyWatches(fate aFate)
+{
+  return { aFate, kEveryVm, { call::kWatch }, store_keys::kScheduler };
+}
+
+/** A fault of all calls of a VM, or of every one. */
+store_fault OfAllCalls(fate aFate, const std::string& aVm, duration aUntil = kOutage)
+{
+  return { aFate, aVm, {}, "", aUntil };
+}
+
+/** A fault of the reads by which a scheduler takes over. */
+store_fault OfReads(fate aFate, const std::string& aVm, const std::string& aPrefix = "")
+{
+  return { aFate, aVm, { call::kGet, call::kList }, aPrefix };
+}
+
+/** A fault of the renewals of the scheduler's lease. */
+store_fault OfRenewals(fate aFate, int aEvery = 1, duration aDelay = duration::zero())
+{
+  return { aFate,  kScheduler, { call::kRenewLease }, "", kOutage, kAnyNumber,
+           aEvery, aDelay };
+}
+
 void CheckBound(const disturbance& aDisturbance, const cancellation& aCase)
 {
   CAPTURE(aDisturbance.mName,
           aCase.mAfter.count(),
           aCase.mLosesFirstStops,
-          aCase.mPhase.count());
+          aCase.mPhase.count(),
+          aCase.mHandovers);
   const auto runs = CancelDuring(aDisturbance, aCase);
   CAPTURE(runs.mLapsed);
   CHECK(runs.mLastEnd.count() <= kBound.count());
@@ -204,3 +298,180 @@
   const auto phase = GENERATE(range(0, 1'250, 125));
   CheckBound(row, { duration(0), true, duration(phase) });
 }
+
+// Guards against a gap between two schedulers in which nobody stops or holds the runs.
+TEST_CASE("a cancelled job's runs end in time although the scheduler ends",
+          "[cancellation]")
+{
+  const auto row = GENERATE(values<disturbance>({
+    { "killed", {}, duration(0), scheduler_end::kKilled },
+    { "drained", {}, duration(0), scheduler_end::kDrained },
+    { "cut off", {}, duration(0), scheduler_end::kCut },
+    { "killed, stale reads", {}, duration(0), scheduler_end::kKilled, kMaxReadAge },
+    { "drained, stale reads", {}, duration(0), scheduler_end::kDrained, kMaxReadAge },
+    { "cut off, stale reads", {}, duration(0), scheduler_end::kCut, kMaxReadAge },
+    { "outage: unanswered, killed",
+      { OfAllCalls(fate::kUnanswered, kEveryVm) },
+      kOutage,
+      scheduler_end::kKilled,
+      kMaxReadAge },
+    { "outage: not done, killed",
+      { OfAllCalls(fate::kUnsent, kEveryVm) },
+      kOutage,
+      scheduler_end::kKilled,
+      kMaxReadAge },
+    { "outage: unanswered",
+      { OfAllCalls(fate::kUnanswered, kEveryVm) },
+      kOutage,
+      scheduler_end::kNone,
+      kMaxReadAge },
+    { "outage: unanswered to the scheduler",
+      { OfAllCalls(fate::kUnanswered, kScheduler) },
+      kOutage },
+    { "outage: reads refused, killed",
+      { { fate::kRefused, kEveryVm, { call::kGet, call::kList }, "", kOutage } },
+      kOutage,
+      scheduler_end::kKilled },
+    { "renewals unanswered", { OfRenewals(fate::kUnanswered) } },
+    { "every other renewal late, killed",
+      { OfRenewals(fate::kDelayed, 2, kLate) },
+      kOutage + kLate,
+      scheduler_end::kKilled },
+    { "renewals late", { OfRenewals(fate::kDelayed, 1, kLate) } },
+    { "ten reads refused, killed",
+      { { fate::kRefused, kEveryVm, { call::kGet, call::kList }, "", kEver, 10 } },
+      duration(0),
+      scheduler_end::kKilled },
+  }));
+  const auto after = GENERATE(0, 1'000, 2'000, 5'000);
+  const auto handovers = GENERATE(0, 3);
+  const auto phase = GENERATE(range(0, 1'250, 250));
+  CheckBound(row, { duration(after), false, duration(phase), handovers });
+}
+
+// Guards against VMs that learn of the end of a term only by a silent watch or a stale
+// read.
+TEST_CASE("a cancelled job's runs end in time although the scheduler ends unnoticed",
+          "[cancellation][known-red]")
+{
+  const auto end = GENERATE(scheduler_end::kKilled, scheduler_end::kDrained);
+  const auto fate = GENERATE(fate::kUnsent, fate::kEventLost);
+  const auto after = GENERATE(0, 1'000, 2'000, 5'000);
+  const auto phase = GENERATE(range(0, 1'250, 125));
+  CheckBound({ end == scheduler_end::kKilled ? "killed" : "drained",
+               { OfKeyWatches(fate) },
+               duration(0),
+               end,
+               kMaxReadAge },
+             { duration(after), false, duration(phase) });
+}
+
+// Guards against watches that an outage has silenced, and that stay so in calm times.
+TEST_CASE("a cancelled job's runs end in time after an outage has silenced watches",
+          "[cancellation][known-red]")
+{
+  // The next scheduler was elected in the outage, and ends in order when it is over.
+  const auto drainedAfter = GENERATE(9'500, 12'000, 15'000);
+  const auto every = GENERATE(1, 2);
+  const auto after = GENERATE(0, 500, 1'000);
+  const auto phase = GENERATE(range(0, 1'250, 125));
+  CAPTURE(drainedAfter, every);
+  CheckBound(
+    { "watches sent in the outage unanswered",
+      { { fate::kUnsent, kEveryVm, { call::kWatch }, "", kOutage, kAnyNumber, every } },
+      kOutage,
+      scheduler_end::kDrained,
+      kMaxReadAge,
+      duration(drainedAfter) },
+    { duration(after), false, duration(phase) });
+}
+
+// Guards against a term that is renewed while its takeover never succeeds.
+TEST_CASE("a cancelled job's runs end in time although a successor's reads fail",
+          "[cancellation][known-red]")
+{
+  constexpr auto kKilled = scheduler_end::kKilled;
+  const auto row = GENERATE(values<disturbance>({
+    { "inbox refused",
+      { OfReads(fate::kRefused, kSuccessor, store_keys::kInbox) },
+      duration(0),
+      kKilled },
+    { "inbox unanswered",
+      { OfReads(fate::kUnsent, kSuccessor, store_keys::kInbox) },
+      duration(0),
+      kKilled },
+    { "records refused",
+      { OfReads(fate::kRefused, kSuccessor, store_keys::kProgress) },
+      duration(0),
+      kKilled },
+    { "workers refused",
+      { OfReads(fate::kRefused, kSuccessor, "workers/") },
+      duration(0),
+      kKilled },
+    { "every other read refused",
+      { { fate::kRefused,
+          kEveryVm,
+          { call::kGet, call::kList },
+          "",
+          kEver,
+          kAnyNumber,
+          2 } },
+      duration(0),
+      kKilled },
+  }));
+  const auto after = GENERATE(0, 1'000, 2'000, 5'000);
+  const auto phase = GENERATE(range(0, 1'250, 125));
+  CheckBound(row, { duration(after), false, duration(phase) });
+}
+
+// Guards against a term that lasts while its scheduler gets no answers.
+TEST_CASE("a cancelled job's runs end in time although the scheduler gets no answers",
+          "[cancellation][known-red]")
+{
+  const auto after = GENERATE(0, 1'000, 2'000, 5'000);
+  const auto phase = GENERATE(range(0, 1'250, 125));
+  CheckBound({ "all unanswered", { OfAllCalls(fate::kUnanswered, kScheduler, kEver) } },
+             { duration(after), false, duration(phase) });
+}
+
+// Guards against runs of a job whose cancelling found nothing, but was acknowledged.
+TEST_CASE("a job that is stored after its cancelling was acknowledged doesn't run",
+          "[cancellation][known-red]")
+{
+  const auto delay = GENERATE(500, 2'000, 5'000);
+  CAPTURE(delay);
+  fake_installation site(3, 4);
+  site.mFaults.mStoreFaults.push_back({ fate::kDelayed,
+                                        "vm1",
+                                        { call::kCommit },
+                                        store_keys::kJobs,
+                                        kEver,
+                                        1,
+                                        1,
+                                        duration(delay) });
+  CHECK(site.Submit("vm1", fake_installation::MakeJob(kJob, 2), duration(100)) ==
+        job_answer::kUnknown);
+  REQUIRE(site.Cancel("vm2", kJob) == job_answer::kNotFound);
+  site.mLoop.RunFor(duration(20'000));
+  CHECK(site.CountStarts(kJob) == 0);
+}
+
+// Guards against a late repetition of the submission that revives a cancelled job.
+TEST_CASE("a cancelled job that is submitted again doesn't run again", "[cancellation]")
+{
+  const auto after = GENERATE(0, 100, 1'000, 5'000);
+  CAPTURE(after);
+  fake_installation site(3, 4);
+  site.mBehaviourByPayload["long"] = { duration(60'000), false };
+  auto job = fake_installation::MakeJob(kJob, 2);
+  job.mSpec.mPayload = "long";
+  REQUIRE(site.Submit("vm1", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(1'000));
+  REQUIRE(site.CountStarts(kJob) == 2);
+  REQUIRE(site.Cancel("vm2", kJob) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(after));
+  CHECK(site.Submit("vm0", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(10'000));
+  CHECK(site.CountStarts(kJob) == 2);
+  CHECK(site.StateAt("vm0", kJob) == "cancelled");
+}
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -98,10 +98,10 @@
     mLoop.RunAfter(aAfter, std::move(aTask));
   }
 
-  /** Returns the fault that decides the fate of a call, if it has one of aFates. */
-  store_fault* FindFault(store_call aCall,
-                         const std::string& aKey,
-                         const std::set<store_fate>& aFates)
+  /** Returns the fault that decides the fate of a call, if that is one of aFates. */
+  const store_fault* TakeFault(store_call aCall,
+                               const std::string& aKey,
+                               const std::set<store_fate>& aFates)
   {
     for (auto& fault : mSite.mFaults.mStoreFaults) {
       const bool isAffected =
@@ -109,7 +109,8 @@
         (fault.mCalls.empty() || fault.mCalls.count(aCall) != 0) &&
         aKey.compare(0, fault.mPrefix.size(), fault.mPrefix) == 0;
       if (isAffected && aFates.count(fault.mFate) != 0 && fault.mCallsLeft > 0 &&
-          mLoop.Now() < fault.mUntil) {
+          mLoop.Now() < fault.mUntil && ++fault.mCallsSeen % fault.mEvery == 0) {
+        --fault.mCallsLeft;
         return &fault;
       }
     }
@@ -128,11 +129,10 @@
         fates.insert({ store_fate::kEventLost, store_fate::kHistoryLost });
       }
     }
-    auto* fault = FindFault(aCall, aKey, fates);
+    const auto* fault = TakeFault(aCall, aKey, fates);
     if (fault == nullptr) {
       return aAnswer;
     }
-    --fault->mCallsLeft;
     if constexpr (std::is_same_v<T, stored_changes>) {
       if (fault->mFate == store_fate::kHistoryLost) {
         stored_changes lost;
@@ -150,11 +150,8 @@
                  Call aCall)
   {
     const bool isWatch = aKind == store_call::kWatch;
-    auto* fault = FindFault(
+    const auto* fault = TakeFault(
       aKind, aKey, { store_fate::kRefused, store_fate::kUnsent, store_fate::kDelayed });
-    if (fault != nullptr) {
-      --fault->mCallsLeft;
-    }
     if (mSite.mFaults.mStoreBusyFor.count(mName) != 0 ||
         (fault != nullptr && fault->mFate == store_fate::kRefused)) {
       RunLater([done = std::move(aDone)] {
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -59,7 +59,9 @@
   std::string mPrefix{};         ///< Prefix of the affected keys; empty: all calls.
   time_point mUntil = time_point::max();            ///< When the fault ends.
   int mCallsLeft = std::numeric_limits<int>::max(); ///< How many calls it affects.
+  int mEvery = 1; ///< It affects every mEvery-th call; the others go to later faults.
   duration mDelay{ 0 };
+  int mCallsSeen = 0; ///< Calls that matched so far.
 
   auto operator<=>(const store_fault&) const = default;
 };
