Tests: silenced watches with leases of 6 s and 10 s

The two ends that users saw, `lapsed` with leases of 6 s and `stopped` with leases of 10 s, have one cause in the rows with watches that an outage has silenced: last ends at most 5323 ms (lapsed), 5494 ms and 5494 ms (stopped) after the acknowledgement, against 3400 ms, the scheduler having been drained 3.5 to 9 s after the outage. The workers of the stand-in take their longest lease from the scheduler's bounds.

--- a/tests/CancellationTest.cpp
+++ b/tests/CancellationTest.cpp
@@ -65,6 +65,7 @@
   bool mLosesFirstStops = false;
   duration mPhase{ 0 }; ///< Shifts the calls to the store against the disturbance.
   int mHandovers = 0;   ///< How often the scheduler has changed before.
+  duration mLeaseMax{ 6'000 };
 };
 
 /** Returns the VM that is elected when aVm ends. */
@@ -144,7 +145,9 @@
 {
   constexpr size_t kRuns = 8;
   constexpr duration kRunDuration{ 60'000 };
-  fake_installation site(3, 4);
+  scheduler_bounds bounds;
+  bounds.mRuns.mLeaseMax = aCase.mLeaseMax;
+  fake_installation site(3, 4, 4, bounds);
   site.mBehaviourByPayload["long"] = { kRunDuration, false };
   site.mFaults.mStaleReadAge = aDisturbance.mStaleReadAge;
   site.mFaults.mLosesFirstStops = aCase.mLosesFirstStops;
@@ -219,7 +222,8 @@
           aCase.mAfter.count(),
           aCase.mLosesFirstStops,
           aCase.mPhase.count(),
-          aCase.mHandovers);
+          aCase.mHandovers,
+          aCase.mLeaseMax.count());
   const auto runs = CancelDuring(aDisturbance, aCase);
   CAPTURE(runs.mLapsed);
   CHECK(runs.mLastEnd.count() <= kBound.count());
@@ -373,6 +377,7 @@
   // The next scheduler was elected in the outage, and ends in order when it is over.
   const auto drainedAfter = GENERATE(9'500, 12'000, 15'000);
   const auto every = GENERATE(1, 2);
+  const auto lease = GENERATE(6'000, 10'000);
   const auto after = GENERATE(0, 500, 1'000);
   const auto phase = GENERATE(range(0, 1'250, 125));
   CAPTURE(drainedAfter, every);
@@ -383,7 +388,7 @@
       scheduler_end::kDrained,
       kMaxReadAge,
       duration(drainedAfter) },
-    { duration(after), false, duration(phase) });
+    { duration(after), false, duration(phase), 0, duration(lease) });
 }
 
 // Guards against a term that is renewed while its takeover never succeeds.
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -518,12 +518,11 @@
 
 void fake_installation::AddWorker(const std::string& aId)
 {
-  constexpr duration kLeaseMax{ 6'000 };
   mWorkers[aId] = std::make_unique<run_worker>(
     mLoop,
     aId,
     ++mLastWorkerStartedAtMs,
-    kLeaseMax,
+    mBounds.mRuns.mLeaseMax,
     [this, aId](const std::string& aPayload) {
       const auto found = mBehaviourByPayload.find(aPayload);
       auto behaviour =
