--- /dev/null
+++ b/tests/StopTest.cpp
@@ -0,0 +1,517 @@
+#include "support/FakeInstallation.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <random>
+
+using namespace anvildoor;
+
+namespace {
+
+const std::string kJob = "00000000000000a1";
+
+/** From the acknowledgement of a cancellation to the end of the job's last run. */
+constexpr duration kCancelBound{ 3'400 };
+/** For this long after its end a disruption counts as going on. */
+constexpr duration kContactTime{ 3'000 };
+
+enum class scheduler_change
+{
+  kNone,
+  kKilled,
+  kHandedOver
+};
+
+std::vector<std::string> RunningVms(const fake_installation& aSite)
+{
+  std::vector<std::string> names;
+  for (const auto* name : { "vm0", "vm1", "vm2" }) {
+    if (aSite.IsUp(name)) {
+      names.emplace_back(name);
+    }
+  }
+  return names;
+}
+
+std::string VmThatFollows(const fake_installation& aSite)
+{
+  for (const auto& name : RunningVms(aSite)) {
+    if (name != aSite.SchedulerVm()) {
+      return name;
+    }
+  }
+  return "";
+}
+
+/** Cuts a worker off from all VMs, or ends the cut. */
+void SetReachable(fake_installation& aSite, const std::string& aWorker, bool aReachable)
+{
+  for (const auto* vm : { "vm0", "vm1", "vm2" }) {
+    if (aReachable) {
+      aSite.mFaults.mBlockedLinks.erase({ vm, aWorker });
+    } else {
+      aSite.mFaults.mBlockedLinks.insert({ vm, aWorker });
+    }
+  }
+}
+
+/** Changes the scheduler and waits until the next one has contacted the workers. */
+void ChangeScheduler(fake_installation& aSite, scheduler_change aChange)
+{
+  const auto former = aSite.SchedulerVm();
+  switch (aChange) {
+    case scheduler_change::kNone:
+      return;
+    case scheduler_change::kKilled:
+      aSite.Kill(former);
+      break;
+    case scheduler_change::kHandedOver:
+      aSite.Node(former).StartDraining();
+      break;
+  }
+  const auto hasSuccessor = [&] {
+    return aSite.SchedulerVm() != former && !aSite.SchedulerVm().empty();
+  };
+  REQUIRE(aSite.mLoop.RunUntil(hasSuccessor, duration(4'000)));
+}
+
+scheduler_bounds BoundsWithLongLeases()
+{
+  scheduler_bounds bounds;
+  bounds.mRuns.mLeaseMax = duration(10'000);
+  return bounds;
+}
+
+size_t CountRuns(const fake_installation& aSite)
+{
+  size_t running = 0;
+  for (const auto& trace : aSite.mTraces) {
+    running += trace.mEnded ? 0 : 1;
+  }
+  return running;
+}
+
+/** Random faults of workers and changes of the scheduler around a cancellation. */
+class fault_mix
+{
+public:
+  explicit fault_mix(uint32_t aSeed)
+    : mRandom(aSeed)
+    , mSite(3, 6, 3, MakeBounds())
+  {
+    mSite.mFaults.mFateOfOrder = [this](const std::string& aWorker,
+                                        const std::string& aOrder) {
+      const auto found = mOrderFaults.find({ aWorker, aOrder });
+      return found == mOrderFaults.end() || found->second.mUntil <= mSite.mLoop.Now()
+               ? order_fate()
+               : FateBy(found->second, aWorker);
+    };
+  }
+
+  /** Plays the mix; returns a line for each run that went on for too long. */
+  std::vector<std::string> Play()
+  {
+    const auto isLong = Chance(50);
+    const auto start = mSite.mLoop.Now();
+    const int64_t spanMs = isLong ? 25'000 : 9'000;
+    const auto at = [&] { return start + duration(Below(spanMs)); };
+    std::vector<std::pair<time_point, std::function<void()>>> events;
+    for (size_t number = 0; number < kJobs; ++number) {
+      events.emplace_back(Chance(50) ? start : at(),
+                          [this, number] { Submit(number); });
+      events.emplace_back(at(), [this, number] { Cancel(number); });
+    }
+    mSite.mBehaviourByPayload["gang"] = { duration(Chance(60) ? 60'000 : 2'500),
+                                          false };
+    SetRunTime();
+    for (auto changes = Below(4); changes > 0; --changes) {
+      events.emplace_back(at(), [this] { SetRunTime(); });
+    }
+    for (auto faults = Below(14); faults > 0; --faults) {
+      events.emplace_back(at(), [this] { HarmWorker(); });
+    }
+    for (auto changes = Below(3); changes > 0; --changes) {
+      events.emplace_back(at(), [this] { HarmScheduler(); });
+    }
+    std::stable_sort(
+      events.begin(), events.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.first < aRight.first;
+      });
+    for (const auto& [time, event] : events) {
+      mSite.mLoop.RunFor(std::max(duration(0), time - mSite.mLoop.Now()));
+      event();
+    }
+    constexpr duration kLongestDelay{ 12'000 };
+    mSite.mLoop.RunFor(kLongestDelay + duration(10'000));
+    return Judge();
+  }
+
+  /** Returns the number of runs that went on after their job had been cancelled. */
+  size_t JudgedRuns() const { return mJudgedRuns; }
+
+private:
+  static constexpr size_t kJobs = 3;
+
+  struct order_fault
+  {
+    int mKind = 0;
+    time_point mUntil{ 0 };
+    int64_t mMaxDelayMs = 0;
+  };
+
+  scheduler_bounds MakeBounds()
+  {
+    scheduler_bounds bounds;
+    bounds.mRuns.mLeaseMax = duration(Chance(50) ? 6'000 : 10'000);
+    return bounds;
+  }
+
+  int64_t Below(int64_t aLimit)
+  {
+    return std::uniform_int_distribution<int64_t>(0, aLimit - 1)(mRandom);
+  }
+  bool Chance(int64_t aPercent) { return Below(100) < aPercent; }
+  static std::string JobName(size_t aNumber)
+  {
+    return "00000000000000a" + std::to_string(aNumber);
+  }
+
+  void Disrupt(const std::string& aWorker, duration aFor)
+  {
+    auto& until = mDisruptedUntil[aWorker];
+    until = std::max(until, mSite.mLoop.Now() + aFor);
+  }
+
+  /** Sets how long the runs take that begin from now on. */
+  void SetRunTime()
+  {
+    static constexpr duration kRunTimes[] = { duration(1'500),
+                                              duration(4'000),
+                                              duration(60'000) };
+    mSite.mBehaviourByPayload["long"] = { kRunTimes[Below(3)], Chance(10) };
+  }
+
+  void Submit(size_t aNumber)
+  {
+    auto job = fake_installation::MakeJob(JobName(aNumber), 2, aNumber == 0);
+    // The members of a gang end together, so their run time stays the same.
+    job.mSpec.mPayload = aNumber == 0 ? "gang" : "long";
+    job.mSpec.mSteps.front().mPerTask = { 4'000, 1'000, 8 };
+    if (aNumber == 1) {
+      auto next = job.mSpec.mSteps.front();
+      next.mDependsOn = { 0 };
+      job.mSpec.mSteps.push_back(next);
+    }
+    mSite.Submit(RunningVms(mSite).front(), job);
+  }
+
+  void Cancel(size_t aNumber)
+  {
+    const auto vm = VmThatFollows(mSite);
+    if (!vm.empty() && mSite.Cancel(vm, JobName(aNumber)) == job_answer::kAccepted) {
+      mCancelledAt.emplace(JobName(aNumber), mSite.mLoop.Now());
+    }
+  }
+
+  void HarmWorker()
+  {
+    const auto worker = "w" + std::to_string(Below(6));
+    const duration lasts(200 + Below(3'800));
+    switch (mSite.mWorkers.count(worker) == 0 ? -1 : Below(10)) {
+      case 0:
+        mSite.CrashWorker(worker, true);
+        Disrupt(worker, duration(0));
+        break;
+      case 1:
+        mSite.CrashWorker(worker, false);
+        Disrupt(worker, duration(0));
+        break;
+      case 2:
+        // Its entry expires, and is back later.
+        mSite.mStore.Remove("workers/" + worker);
+        mSite.mLoop.RunAfter(lasts, [this, worker] {
+          if (mSite.mWorkers.count(worker) != 0) {
+            mSite.ListWorker(worker);
+          }
+        });
+        Disrupt(worker, lasts);
+        break;
+      case 3:
+      case 4: {
+        const auto cutFor = lasts * (1 + Below(3));
+        SetReachable(mSite, worker, false);
+        mSite.mLoop.RunAfter(cutFor,
+                             [this, worker] { SetReachable(mSite, worker, true); });
+        Disrupt(worker, cutFor);
+        break;
+      }
+      case -1:
+        break;
+      default:
+        for (const auto* order : { "start", "stop", "hold" }) {
+          if (Chance(50)) {
+            mOrderFaults[{ worker, order }] = { static_cast<int>(Below(4)),
+                                                mSite.mLoop.Now() + lasts,
+                                                Chance(50) ? 1'500 : 12'000 };
+          }
+        }
+        Disrupt(worker, lasts);
+        break;
+    }
+  }
+
+  void HarmScheduler()
+  {
+    const auto vm = mSite.SchedulerVm();
+    if (vm.empty() || RunningVms(mSite).size() < 2) {
+      return;
+    }
+    Disrupt("", duration(0));
+    if (Chance(50)) {
+      mSite.Kill(vm);
+      if (Chance(50)) {
+        mSite.Restart(vm);
+      }
+    } else {
+      mSite.Node(vm).StartDraining();
+    }
+  }
+
+  order_fate FateBy(const order_fault& aFault, const std::string& aWorker)
+  {
+    order_fate fate;
+    switch (aFault.mKind) {
+      case 0:
+        fate.mIsRefused = true;
+        break;
+      case 1:
+        fate.mIsLost = true;
+        break;
+      case 2:
+        fate.mIsAnswered = false;
+        break;
+      default:
+        fate.mIsAnswered = false;
+        fate.mDelay = duration(1 + Below(aFault.mMaxDelayMs));
+        fate.mOnCarriedOut = [this, aWorker](run_request_status aStatus) {
+          if (aStatus == run_request_status::kAccepted) {
+            mLateStarts.insert({ aWorker, mSite.mLoop.Now() });
+          }
+        };
+        break;
+    }
+    return fate;
+  }
+
+  std::vector<std::string> Judge()
+  {
+    std::vector<std::string> wrong;
+    for (const auto& trace : mSite.mTraces) {
+      const auto cancelled = mCancelledAt.find(trace.mTask.mJob);
+      if (cancelled == mCancelledAt.end()) {
+        continue;
+      }
+      auto since = std::max(
+        cancelled->second,
+        std::max(mDisruptedUntil[trace.mWorker], mDisruptedUntil[""]) + kContactTime);
+      if (mLateStarts.count({ trace.mWorker, trace.mStartedAt }) != 0) {
+        since = std::max(since, trace.mStartedAt + kContactTime);
+      }
+      const auto ended = trace.mEnded.value_or(mSite.mLoop.Now());
+      mJudgedRuns += ended > cancelled->second ? 1 : 0;
+      if (ended - since > kCancelBound) {
+        wrong.push_back(trace.mTask.mJob + " run " + std::to_string(trace.mRun) +
+                        " on " + trace.mWorker + " began " +
+                        std::to_string((trace.mStartedAt - cancelled->second).count()) +
+                        " ended " +
+                        std::to_string((ended - cancelled->second).count()) + " " +
+                        (trace.mEnded ? ToString(trace.mEnd) : "running"));
+      }
+    }
+    return wrong;
+  }
+
+  std::minstd_rand mRandom;
+  fake_installation mSite;
+  std::map<std::pair<std::string, std::string>, order_fault> mOrderFaults;
+  std::map<std::string, time_point> mDisruptedUntil; ///< By worker; "": all.
+  std::map<std::string, time_point> mCancelledAt;
+  std::set<std::pair<std::string, time_point>> mLateStarts;
+  size_t mJudgedRuns = 0;
+};
+
+/**
+ * Runs a job until an earlier run of its first task has ended as done, whose newer run
+ * goes on for a minute, as the stop of that was lost. Changes the scheduler then.
+ * aIsListed: whether the newer run's worker still has its entry.
+ */
+void RunUntilNewerRunIsLeft(fake_installation& aSite,
+                            bool aIsGang,
+                            uint32_t aLaterTasks,
+                            bool aIsListed,
+                            scheduler_change aChange)
+{
+  aSite.mBehaviourByPayload["long"] = { duration(2'000), false };
+  auto job = fake_installation::MakeJob(kJob, 1, aIsGang);
+  job.mSpec.mPayload = "long";
+  if (aLaterTasks > 0) {
+    auto next = job.mSpec.mSteps.front();
+    next.mGang = false;
+    next.mCount = aLaterTasks;
+    next.mDependsOn = { 0 };
+    job.mSpec.mSteps.push_back(next);
+  }
+  REQUIRE(aSite.Submit("vm0", job) == job_answer::kAccepted);
+  aSite.mLoop.RunFor(duration(1'000));
+  REQUIRE(aSite.mTraces.size() == 1);
+  const auto first = aSite.mTraces.front().mWorker;
+  SetReachable(aSite, first, false);
+  aSite.mBehaviourByPayload["long"] = { duration(60'000), false };
+  const auto isRepeated = [&] { return aSite.mTraces.size() == 2; };
+  REQUIRE(aSite.mLoop.RunUntil(isRepeated, duration(20'000)));
+  aSite.mLoop.RunFor(duration(100));
+  const auto second = aSite.mTraces.back().mWorker;
+  if (!aIsListed) {
+    aSite.mStore.Remove("workers/" + second);
+    aSite.mLoop.RunFor(duration(1'000));
+  }
+  aSite.mFaults.mFateOfOrder = [second](const std::string& aWorker,
+                                        const std::string& aOrder) {
+    order_fate fate;
+    fate.mIsLost = aWorker == second && aOrder == "stop";
+    return fate;
+  };
+  SetReachable(aSite, first, true);
+  const auto isStopped = [&] {
+    return aSite.mLog.CountLines("an earlier run of the task has ended as done") == 1;
+  };
+  REQUIRE(aSite.mLoop.RunUntil(isStopped, duration(1'500)));
+  aSite.mLoop.RunFor(duration(300));
+  ChangeScheduler(aSite, aChange);
+  aSite.mFaults.mFateOfOrder = nullptr;
+  REQUIRE_FALSE(aSite.mTraces[1].mEnded);
+}
+
+} // namespace
+
+TEST_CASE("a newer run of a done task is stopped although its first stop is lost",
+          "[stop]")
+{
+  const auto isGang = GENERATE(false, true);
+  // Records of jobs of more than 1000 tasks have another format.
+  const uint32_t laterTasks = GENERATE(0, 1, 1'000);
+  const auto isListed = GENERATE(true, false);
+  CAPTURE(isGang, laterTasks, isListed);
+  fake_installation site(3, 3, 4, BoundsWithLongLeases());
+  RunUntilNewerRunIsLeft(site, isGang, laterTasks, isListed, scheduler_change::kNone);
+  site.mLoop.RunFor(kContactTime);
+  REQUIRE(site.Cancel(VmThatFollows(site), kJob) == job_answer::kAccepted);
+  site.mLoop.RunFor(kCancelBound);
+  CHECK(CountRuns(site) == 0);
+}
+
+// Guards against cancelled jobs of which a run goes on, as its task counts as done.
+TEST_CASE("a takeover stops the newer run of a done task of a cancelled job",
+          "[stop][known-red]")
+{
+  const auto isGang = GENERATE(false, true);
+  // Records of jobs of more than 1000 tasks have another format.
+  const uint32_t laterTasks = GENERATE(0, 1, 1'000);
+  const auto change =
+    GENERATE(scheduler_change::kKilled, scheduler_change::kHandedOver);
+  const auto isListed = GENERATE(true, false);
+  CAPTURE(isGang, laterTasks, isListed, static_cast<int>(change));
+  fake_installation site(3, 3, 4, BoundsWithLongLeases());
+  RunUntilNewerRunIsLeft(site, isGang, laterTasks, isListed, change);
+  site.mLoop.RunFor(kContactTime);
+  REQUIRE(site.Cancel(VmThatFollows(site), kJob) == job_answer::kAccepted);
+  site.mLoop.RunFor(kCancelBound);
+  CHECK(CountRuns(site) == 0);
+}
+
+// Guards against placed runs that the successor can't read in the record.
+TEST_CASE("a record keeps the newer run of a done task", "[stop][known-red]")
+{
+  const uint32_t laterTasks = GENERATE(1, 1'000);
+  const auto isCancelled = GENERATE(false, true);
+  CAPTURE(laterTasks, isCancelled);
+  auto job = fake_installation::MakeJob(kJob, 1);
+  auto next = job.mSpec.mSteps.front();
+  next.mCount = laterTasks;
+  next.mDependsOn = { 0 };
+  job.mSpec.mSteps.push_back(next);
+  const task_ref task{ kJob, 0, 0, 0 };
+  job_state state(job);
+  state.Place(task, 1, "w0");
+  state.End(task, 1, run_end::kLeaseExpired, "");
+  state.Place(task, 2, "w1");
+  REQUIRE(state.End(task, 1, run_end::kDone, "").mTaskDone);
+  if (isCancelled) {
+    REQUIRE(state.Cancel());
+  }
+  REQUIRE(state.PlacedTasks() == std::vector<task_ref>{ task });
+  job_state successor(job);
+  REQUIRE(successor.DecodeProgress(state.EncodeProgress()));
+  CHECK(successor.PlacedTasks() == state.PlacedTasks());
+}
+
+// Guards against workers that nobody asks again while one of their runs goes on.
+TEST_CASE("a run of a worker in no list is stopped although one hold was lost",
+          "[stop][known-red]")
+{
+  constexpr duration kLostHold{ 1'950 };
+  const auto leaseMs = GENERATE(6'000, 10'000);
+  const auto change = GENERATE(
+    scheduler_change::kNone, scheduler_change::kKilled, scheduler_change::kHandedOver);
+  const auto recordedAfterMs = GENERATE(0, 200);
+  const auto cancelledAfterMs = GENERATE(0, 1'000);
+  CAPTURE(leaseMs, static_cast<int>(change), recordedAfterMs, cancelledAfterMs);
+  scheduler_bounds bounds;
+  bounds.mRuns.mLeaseMax = duration(leaseMs);
+  fake_installation site(3, 1, 4, bounds);
+  site.mBehaviourByPayload["long"] = { duration(60'000), false };
+  auto job = fake_installation::MakeJob(kJob, 1);
+  job.mSpec.mPayload = "long";
+  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(1'000));
+  REQUIRE(site.mTraces.size() == 1);
+  // The worker drains, and runs on for a while after its entry has been removed.
+  site.ListWorker("w0", true);
+  site.mLoop.RunFor(duration(1'600));
+  site.mStore.Remove("workers/w0");
+  const auto isGivenUp = [&] { return site.mLog.CountLines("left=1") == 1; };
+  REQUIRE(site.mLoop.RunUntil(isGivenUp, duration(1'500)));
+  site.mLoop.RunFor(duration(recordedAfterMs));
+  auto disruptionEnd = site.mLoop.Now();
+  if (change == scheduler_change::kNone) {
+    SetReachable(site, "w0", false);
+    site.mLoop.RunFor(kLostHold);
+    SetReachable(site, "w0", true);
+    disruptionEnd = site.mLoop.Now();
+  } else {
+    ChangeScheduler(site, change);
+  }
+  site.mLoop.RunFor(duration(cancelledAfterMs));
+  REQUIRE(site.Cancel(VmThatFollows(site), kJob) == job_answer::kAccepted);
+  const auto since = std::max(site.mLoop.Now(), disruptionEnd + kContactTime);
+  site.mLoop.RunFor(since + kCancelBound - site.mLoop.Now());
+  CHECK(CountRuns(site) == 0);
+}
+
+TEST_CASE("cancelled jobs stop in time beside random faults of their workers", "[stop]")
+{
+  const char* const first = std::getenv("STOP_MIX_FIRST");
+  const char* const count = std::getenv("STOP_MIX_COUNT");
+  const auto from = static_cast<uint32_t>(first == nullptr ? 1 : std::atoi(first));
+  const auto seeds = static_cast<uint32_t>(count == nullptr ? 100 : std::atoi(count));
+  size_t judged = 0;
+  for (auto seed = from; seed < from + seeds; ++seed) {
+    fault_mix mix(seed);
+    const auto tooLong = mix.Play();
+    CAPTURE(seed, tooLong);
+    CHECK(tooLong.empty());
+    judged += mix.JudgedRuns();
+  }
+  CHECK(judged > seeds);
+}
--- /dev/null
+++ b/tests/platform/WorkerFaults.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "http/SingleThreadServer.h"
+#include "jobs/JobState.h"
+#include "standin/MemoryTransactionStore.h"
+
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace anvildoor {
+
+/** What becomes of a call to a worker. */
+enum class call_effect
+{
+  kNormal,
+  kLate,       ///< Carried out after a random delay, without an answer.
+  kUnanswered, ///< Carried out at once, without an answer.
+  kLost,       ///< Neither carried out nor answered.
+  kBusy,       ///< Refused with 503.
+  kLimited,    ///< Refused with 429.
+};
+
+/**
+ * Faults of the stand-in's workers: calls that are late, lost or refused for a time,
+ * directory entries that vanish, restarts and shutdowns. A call without an answer
+ * leaves its connection open and silent. Not thread-safe.
+ */
+class worker_faults
+{
+public:
+  using serve = std::function<void(const std::string& aWorker,
+                                   const server_request&,
+                                   const single_thread_server::respond&)>;
+  using change_worker = std::function<void(const std::string& aWorker)>;
+
+  struct ports
+  {
+    event_loop& mLoop;
+    memory_transaction_store& mStore;
+    serve mServe;           ///< Serves a call without faults.
+    change_worker mRestart; ///< Replaces a worker by a new life under its id.
+    change_worker mExit;    ///< Ends a worker and removes its entry.
+  };
+
+  explicit worker_faults(const ports& aPorts);
+
+  /** Lists a worker in the directory with aEntry, to which `seq` is added. */
+  void List(const std::string& aWorker, const nlohmann::json& aEntry);
+
+  /** Writes no further entry of a worker, which has left. */
+  void Forget(const std::string& aWorker) { mEntries.erase(aWorker); }
+
+  /** Serves a call to a worker under the faults that are in force. */
+  void Serve(const std::string& aWorker,
+             const server_request& aRequest,
+             const single_thread_server::respond& aRespond);
+
+  /**
+   * Serves POST /worker-fault and GET /late-starts. Returns false, without an answer,
+   * if aRequest is for neither. The body of a fault has `worker` and `kind`:
+   * - `orders`: `orders` (any of start, stop, hold), `effect`, `for_ms`, and `late_ms`
+   *   and `seed` of the delays of late calls;
+   * - `entry`: no heartbeat for `silent_ms`, then no entry for `for_ms`, while the
+   * worker runs on;
+   * - `restart`: a new life under the same id;
+   * - `drain`: draining for `entry_ms`, then without an entry for `stays_ms`; the entry
+   *   tells `remaining_ms` (0: not known);
+   * - `heartbeats`: all entries change every `period_ms` from now on.
+   * The faults of a worker that has no entry, but those of orders, do nothing.
+   */
+  bool ServeControl(const server_request& aRequest,
+                    const single_thread_server::respond& aRespond);
+
+private:
+  struct order_fault
+  {
+    call_effect mEffect = call_effect::kNormal;
+    time_point mUntil{ 0 };
+    duration mMaxDelay{ 0 };
+  };
+
+  void Apply(const nlohmann::json& aFault);
+  void ApplyToOrders(const std::string& aWorker, const nlohmann::json& aFault);
+  void Drain(const std::string& aWorker,
+             duration aRemaining,
+             duration aEntryFor,
+             duration aStaysFor);
+  void WriteEntry(const std::string& aWorker);
+  void SendHeartbeats(duration aPeriod);
+  void CarryOutLate(const std::string& aWorker,
+                    const server_request& aRequest,
+                    duration aMaxDelay);
+
+  ports mPorts;
+  std::map<std::string, nlohmann::json> mEntries; ///< Of the listed workers.
+  std::map<std::pair<std::string, std::string>, order_fault> mOrderFaults;
+  std::vector<nlohmann::json> mLateStarts;
+  std::minstd_rand mRandom;
+  uint64_t mSequence = 0;
+};
+
+} // namespace anvildoor
--- a/tests/platform/platform-standin.cpp
+++ b/tests/platform/platform-standin.cpp
@@ -3,8 +3,10 @@
  * on loopback, in one process. Runs until SIGTERM and does not read standard input. At
  * the store's address, GET /traces lists every run so far, POST /put writes a key as
  * the operator does, POST /busy has the store answer 503 for a time, and POST /leave
- * ends a worker, whose port is closed then.
+ * ends a worker, whose port is closed then. WorkerFaults.h has the faults of workers.
+ * The environment's LEASE_MAX_MS is the longest lease of a worker (default: 6000).
  */
+#include "WorkerFaults.h"
 #include "base/JsonText.h"
 #include "http/AsioLoop.h"
 #include "http/SingleThreadServer.h"
@@ -312,17 +314,54 @@
   std::vector<run_trace> traces;
   std::map<std::string, std::unique_ptr<run_worker>> workers;
   std::map<std::string, std::unique_ptr<single_thread_server>> servers;
+  const auto endWorker = [&](const std::string& aWorker) {
+    servers.at(aWorker)->DisableKeepAlive();
+    servers.at(aWorker)->StopAccepting();
+    workers.erase(aWorker);
+    store.Remove(wire::kWorkersPrefix + aWorker);
+  };
+  const char* const leaseMaxMs = std::getenv("LEASE_MAX_MS");
+  const duration leaseMax(leaseMaxMs == nullptr ? 6'000 : std::atol(leaseMaxMs));
+  int64_t lastStartedAtMs = 0;
+  const auto beginWorker = [&](const std::string& aWorker) {
+    workers.erase(aWorker);
+    workers[aWorker] = std::make_unique<run_worker>(
+      loop,
+      aWorker,
+      ++lastStartedAtMs,
+      leaseMax,
+      // A task's payload is its run time in ms.
+      [](const std::string& aPayload) {
+        return run_behaviour{ duration(std::max(1L, std::atol(aPayload.c_str()))),
+                              false };
+      },
+      traces);
+  };
+  worker_faults faults({ loop,
+                         store,
+                         [&workers](const std::string& aWorker,
+                                    const server_request& aRequest,
+                                    const single_thread_server::respond& aRespond) {
+                           const auto worker = workers.find(aWorker);
+                           if (worker == workers.end()) {
+                             aRespond(JsonReply(503, json::object()));
+                           } else {
+                             ServeWorker(*worker->second, aRequest, aRespond);
+                           }
+                         },
+                         beginWorker,
+                         endWorker });
   store_request_handler storeHandler(
     loop, store, traces, [&](const std::string& aWorker) {
-      servers.at(aWorker)->DisableKeepAlive();
-      servers.at(aWorker)->StopAccepting();
-      workers.erase(aWorker);
-      store.Remove(wire::kWorkersPrefix + aWorker);
+      faults.Forget(aWorker);
+      endWorker(aWorker);
     });
   single_thread_server storeServer(
     context,
     [&](const server_request& aRequest, const single_thread_server::respond& aRespond) {
-      storeHandler.Serve(aRequest, aRespond);
+      if (!faults.ServeControl(aRequest, aRespond)) {
+        storeHandler.Serve(aRequest, aRespond);
+      }
     });
   server_limits limits;
   limits.mBodyBytes = 1'000'000;
@@ -336,44 +375,27 @@
   }
   constexpr int kFirstWorker = 3; // The first argument that is a worker's port.
   for (int number = kFirstWorker; number < aArgumentCount; ++number) {
-    constexpr duration kLeaseMax{ 6'000 };
     const auto id = "i-" + std::to_string(number);
     const auto rack = "r" + std::to_string((number - kFirstWorker) / workersPerRack);
-    workers[id] = std::make_unique<run_worker>(
-      loop,
-      id,
-      number,
-      kLeaseMax,
-      // A task's payload is its run time in ms.
-      [](const std::string& aPayload) {
-        return run_behaviour{ duration(std::max(1L, std::atol(aPayload.c_str()))),
-                              false };
-      },
-      traces);
+    beginWorker(id);
     servers[id] = std::make_unique<single_thread_server>(
       context,
-      [&workers, id](const server_request& aRequest,
-                     const single_thread_server::respond& aRespond) {
-        const auto worker = workers.find(id);
-        if (worker == workers.end()) {
-          aRespond(JsonReply(503, json::object()));
-        } else {
-          ServeWorker(*worker->second, aRequest, aRespond);
-        }
+      [&faults, id](const server_request& aRequest,
+                    const single_thread_server::respond& aRespond) {
+        faults.Serve(id, aRequest, aRespond);
       });
     if (const auto listening = servers.at(id)->Listen(address(number)); !listening) {
       std::fprintf(stderr, "%s\n", Describe(listening.error()).c_str());
       return 1;
     }
-    store.Put(
-      wire::kWorkersPrefix + id,
-      json{ { "service", "pool" },
-            { "address", address(number) },
-            { "zone", "z" },
-            { "state", "ready" },
-            { "capacity", { { "cpu", 32'000 }, { "mem_mb", 65'536 }, { "gpu", 8 } } },
-            { "labels", { "a", rack } } }
-        .dump());
+    faults.List(
+      id,
+      { { "service", "pool" },
+        { "address", address(number) },
+        { "zone", "z" },
+        { "state", "ready" },
+        { "capacity", { { "cpu", 32'000 }, { "mem_mb", 65'536 }, { "gpu", 8 } } },
+        { "labels", { "a", rack } } });
   }
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
   signals.async_wait([&](const boost::system::error_code&, int) { context.stop(); });
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -317,9 +317,52 @@
              : found->second.get();
   }
 
+  order_fate FateOf(const worker_address& aWorker, const char* aOrder) const
+  {
+    const auto& fateOfOrder = mSite.mFaults.mFateOfOrder;
+    return fateOfOrder ? fateOfOrder(aWorker.mId, aOrder) : order_fate();
+  }
+
+  /** Applies aFate to a call; returns false if it is to be served as usual. */
+  bool ApplyFate(const order_fate& aFate,
+                 const worker_address& aWorker,
+                 std::function<void(run_worker&)> aCarryOut,
+                 std::function<void(run_request_status)> aAnswer,
+                 duration aTimeout)
+  {
+    if (aFate.mIsRefused) {
+      RunLater([aAnswer] { aAnswer(run_request_status::kUnhealthy); });
+      return true;
+    }
+    if (aFate.mIsAnswered && !aFate.mIsLost && aFate.mDelay == duration::zero()) {
+      return false;
+    }
+    if (!aFate.mIsLost && !IsBlocked(aWorker.mId)) {
+      // Carried out even if the VM has been stopped in the meantime.
+      mSite.mLoop.RunAfter(aFate.mDelay, [&site = mSite, id = aWorker.mId, aCarryOut] {
+        const auto found = site.mWorkers.find(id);
+        if (found != site.mWorkers.end()) {
+          aCarryOut(*found->second);
+        }
+      });
+    }
+    RunLater([aAnswer] { aAnswer(run_request_status::kNoAnswer); }, aTimeout);
+    return true;
+  }
+
   void OnStart(const start_run_request& aRequest,
                run_port::done<run_request_status> aDone) override
   {
+    const auto fate = FateOf(aRequest.mWorker, "start");
+    const auto start = [aRequest, fate](run_worker& aWorker) {
+      const auto status = aWorker.Start(aRequest);
+      if (fate.mOnCarriedOut) {
+        fate.mOnCarriedOut(status);
+      }
+    };
+    if (ApplyFate(fate, aRequest.mWorker, start, aDone, kCallTimeout)) {
+      return;
+    }
     if (mSite.mFaults.mUnreachableWorkers.count(aRequest.mWorker.mId) != 0) {
       RunLater([done = std::move(aDone)] { done(run_request_status::kNotSent); });
       return;
@@ -350,6 +393,11 @@
   void OnStop(const stop_run_request& aRequest,
               run_port::done<run_request_status> aDone) override
   {
+    const auto stop = [aRequest](run_worker& aWorker) { aWorker.Stop(aRequest); };
+    const auto fate = FateOf(aRequest.mWorker, "stop");
+    if (ApplyFate(fate, aRequest.mWorker, stop, aDone, kCallTimeout)) {
+      return;
+    }
     auto* worker = FindReachableWorker(aRequest.mWorker);
     const bool isFirst =
       mSite.mRunsToStop.emplace(aRequest.mTask, aRequest.mRun).second;
@@ -363,6 +411,18 @@
   }
   void OnHold(const hold_request& aRequest, run_port::done<hold_reply> aDone) override
   {
+    const auto hold = [aRequest](run_worker& aWorker) {
+      aWorker.Hold(aRequest, [](const hold_reply&) {});
+    };
+    const auto fail = [done = aDone](run_request_status aStatus) {
+      hold_reply reply;
+      reply.mAnswer = aStatus;
+      done(reply);
+    };
+    const auto fate = FateOf(aRequest.mWorker, "hold");
+    if (ApplyFate(fate, aRequest.mWorker, hold, fail, aRequest.mWait + kCallTimeout)) {
+      return;
+    }
     if (mSite.mFaults.mUnreachableWorkers.count(aRequest.mWorker.mId) != 0) {
       RunLater([done = std::move(aDone)] {
         hold_reply reply;
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -66,6 +66,16 @@
   auto operator<=>(const store_fault&) const = default;
 };
 
+/** What becomes of one call to a worker. */
+struct order_fate
+{
+  bool mIsRefused = false; ///< As by an unhealthy worker, without effect.
+  bool mIsLost = false;    ///< Neither carried out nor answered.
+  bool mIsAnswered = true; ///< Only calls without a delay are answered.
+  duration mDelay{ 0 };    ///< Until it is carried out.
+  std::function<void(run_request_status)> mOnCarriedOut; ///< Of starts; may be null.
+};
+
 /** Injected faults. Names are those of a VM, of a worker, "store" or "directory". */
 struct fake_faults
 {
@@ -89,6 +99,9 @@
   /** Workers whose starts are delayed by mStartDelay. */
   std::set<std::string> mDelayedStartWorkers;
   duration mStartDelay{ 4'000 };
+  /** Decides the fate of each call (start, stop, hold) to a worker, if set. */
+  std::function<order_fate(const std::string& aWorker, const std::string& aOrder)>
+    mFateOfOrder;
   /** Factor on the duration of runs that begin on a worker. */
   std::map<std::string, int> mSlowdownFactors;
 };
