A worker in no list is asked until its lease has lapsed

A worker whose entry was removed while it ran on, and that missed one hold, was never asked again; its run of a cancelled job ended as lapsed.

Cause: of a worker in no list without known runs nothing was wanted; but its runs may just have been given up since its entry was gone.

Change: it is asked every 0.7 s until its lease has certainly lapsed.

--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -19,6 +19,8 @@
 constexpr duration kHoldWait{ 1'000 };
 /** Delay before a failed or unanswered hold is retried. */
 constexpr duration kHoldRetryDelay{ 300 };
+/** The same for a worker that is in no list and has no known runs. */
+constexpr duration kUnlistedHoldRetryDelay{ 700 };
 /**
  * Period of holds while a worker lists ends of runs that are not yet durable. Once an
  * end is durable, a hold acknowledges it at once.
@@ -247,12 +249,16 @@
     // Another incarnation answers at this address; the runs of the former are lost.
     DropRuns(aWorker, run_end::kLost);
   }
-  // Of a worker that is in no list and has no runs nothing is wanted until it is listed
-  // again.
   if (aWorker.mIsListed || !aWorker.mRuns.Runs().empty()) {
     ScheduleHold(aWorker, kHoldRetryDelay);
     return;
   }
+  // A worker in no list may still run what was given up, until its lease has lapsed.
+  const bool isOtherInstance = aAnswer == run_request_status::kWrongInstance;
+  if (!isOtherInstance && mPorts.mLoop.Now() <= aWorker.mRuns.LeaseExpiresAt()) {
+    ScheduleHold(aWorker, kUnlistedHoldRetryDelay);
+    return;
+  }
   mPorts.mLog.Write(log_event("hold_given_up")
                       .Add("worker", aWorker.mListed.mId)
                       .Add("answer", ToString(aAnswer))
