A job can't be stored after its cancellation was answered 410

Cause: a cancellation that found no job left nothing behind, while the store may carry out a submission seconds late.

Change: such a cancellation writes the job's cancellation key on condition that the job is absent, with a lease of one to two minutes, and a submission requires that this key is absent. It is then refused as not accepted, which is true. A transaction carries 10 submissions instead of 16.

--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -8,8 +8,14 @@
 
 namespace {
 
-/** Each job uses one condition and one put of the transaction. */
-constexpr size_t kMaxJobsPerTransaction = store_transaction::kMaxEntries / 2;
+/** Each job uses two conditions and one put of the transaction. */
+constexpr size_t kMaxJobsPerTransaction = store_transaction::kMaxEntries / 3;
+/**
+ * A cancellation without a job keeps the job from being stored for at least the first
+ * and at most the second time. The store may carry out a submission seconds late.
+ */
+constexpr duration kMinEarlyCancelTime{ 60'000 };
+constexpr duration kMaxEarlyCancelTime{ 120'000 };
 /** Jobs submitted within this time are batched into one transaction. */
 constexpr duration kBatchDelay{ 2 };
 /** Delay before a write without an answer is retried. */
@@ -119,6 +125,7 @@
     found->second.mInFlight = true;
     ids.push_back(id);
     change.mConditions.push_back({ store_keys::kJobs + id, 0 });
+    change.mConditions.push_back({ store_keys::kCancels + id, 0 });
     change.mPuts.push_back({ store_keys::kJobs + id, found->second.mEncodedJob, 0 });
   }
   if (!ids.empty()) {
@@ -147,13 +154,16 @@
       continue;
     }
     if (aOutcome) {
-      const auto& current = aOutcome->mCurrent;
-      const bool isStored =
-        std::any_of(current.begin(), current.end(), [&](const auto& aItem) {
-          return aItem.mKey == store_keys::kJobs + id;
+      const auto exists = [&](const std::string& aKey) {
+        const auto& current = aOutcome->mCurrent;
+        return std::any_of(current.begin(), current.end(), [&](const auto& aItem) {
+          return aItem.mKey == aKey;
         });
-      if (isStored) {
+      };
+      if (exists(store_keys::kJobs + id)) {
         Finish(id, job_answer::kAccepted, "already stored");
+      } else if (exists(store_keys::kCancels + id)) {
+        Finish(id, job_answer::kNotAccepted, "the job was cancelled before");
       } else {
         mQueue.push_back(id);
         ScheduleBatch(duration::zero());
@@ -231,17 +241,26 @@
                         job_answer aAnswer, uint64_t aRevision, const char* aReason) {
     FinishCancel(aId, askedAt, aAnswer, aRevision, aReason, aRespond);
   };
+  CancelStored(aId, aWorkspace, finish);
+}
+
+void job_service::CancelStored(const std::string& aId,
+                               const std::string& aWorkspace,
+                               const finish_cancel& aFinish)
+{
   mPorts.mStore.Get(
     store_keys::kJobs + aId,
-    [this, aId, aWorkspace, finish](const result<std::optional<stored_item>>& aItem) {
+    [this, aId, aWorkspace, finish = aFinish](
+      const result<std::optional<stored_item>>& aItem) {
       if (!aItem) {
         finish(job_answer::kUnavailable, 0, "the job could not be read");
         return;
       }
-      const auto job =
-        *aItem
-          ? DecodeJob(aId, (*aItem)->mValue)
-          : result<accepted_job>(Fail(error_code::kNotFound, "cancel", "store", aId));
+      if (!*aItem) {
+        CancelBeforeSubmission(aId, aWorkspace, finish);
+        return;
+      }
+      const auto job = DecodeJob(aId, (*aItem)->mValue);
       if (!job || (!aWorkspace.empty() && job->mWorkspace != aWorkspace)) {
         finish(job_answer::kNotFound, 0, "the workspace has no such job");
         return;
@@ -265,6 +284,49 @@
     });
 }
 
+void job_service::CancelBeforeSubmission(const std::string& aId,
+                                         const std::string& aWorkspace,
+                                         const finish_cancel& aFinish)
+{
+  const auto now = mPorts.mLoop.Now();
+  if (mEarlyCancelLease != 0 && now < mEarlyCancelLeaseUsableUntil) {
+    StoreEarlyCancellation(aId, aWorkspace, aFinish);
+    return;
+  }
+  mPorts.mStore.GrantLease(
+    kMaxEarlyCancelTime,
+    [this, aId, aWorkspace, aFinish, now](const result<uint64_t>& aLease) {
+      if (!aLease) {
+        aFinish(job_answer::kUnavailable, 0, "the store granted no lease");
+        return;
+      }
+      mEarlyCancelLease = *aLease;
+      mEarlyCancelLeaseUsableUntil = now + kMaxEarlyCancelTime - kMinEarlyCancelTime;
+      StoreEarlyCancellation(aId, aWorkspace, aFinish);
+    });
+}
+
+void job_service::StoreEarlyCancellation(const std::string& aId,
+                                         const std::string& aWorkspace,
+                                         const finish_cancel& aFinish)
+{
+  store_transaction change;
+  change.mConditions.push_back({ store_keys::kJobs + aId, 0 });
+  change.mPuts.push_back({ store_keys::kCancels + aId, "1", mEarlyCancelLease });
+  mPorts.mStore.Commit(
+    change,
+    [this, aId, aWorkspace, aFinish](const result<transaction_outcome>& aOutcome) {
+      if (!aOutcome) {
+        mEarlyCancelLease = 0; // It may have ended.
+        aFinish(job_answer::kUnavailable, 0, Reason(aOutcome.error().mCode));
+      } else if (aOutcome->mCommitted) {
+        aFinish(job_answer::kNotFound, aOutcome->mRevision, "the job is not stored");
+      } else {
+        CancelStored(aId, aWorkspace, aFinish); // The job has been stored meanwhile.
+      }
+    });
+}
+
 void job_service::NotifyScheduler(const std::string& aId,
                                   uint64_t aRevision,
                                   int aAttempts)
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -74,7 +74,8 @@
 
   /**
    * Records the cancellation of a job. Answers kNotFound unless the job belongs to
-   * aWorkspace; empty: any workspace.
+   * aWorkspace; empty: any workspace. A job that is not stored is not accepted for a
+   * minute, as its submission may still be under way.
    */
   void Cancel(const std::string& aId, const std::string& aWorkspace, respond aRespond);
 
@@ -110,6 +111,18 @@
   void AbandonSubmission(const std::string& aId,
                          time_point aDeadline,
                          const char* aReason);
+  /** Answers a cancellation with an answer, a revision and a reason. */
+  using finish_cancel = std::function<void(job_answer, uint64_t, const char*)>;
+  void CancelStored(const std::string& aId,
+                    const std::string& aWorkspace,
+                    const finish_cancel& aFinish);
+  /** Keeps a job that is not stored from being stored by a late submission. */
+  void CancelBeforeSubmission(const std::string& aId,
+                              const std::string& aWorkspace,
+                              const finish_cancel& aFinish);
+  void StoreEarlyCancellation(const std::string& aId,
+                              const std::string& aWorkspace,
+                              const finish_cancel& aFinish);
   /** Logs and answers a cancellation that was asked for at aAskedAt. */
   void FinishCancel(const std::string& aId,
                     time_point aAskedAt,
@@ -130,6 +143,8 @@
   std::deque<std::string> mQueue;
   std::map<std::string, pending_count> mPending;
   bool mBatchScheduled = false;
+  uint64_t mEarlyCancelLease = 0; ///< Lease of cancellations without a job; 0: none.
+  time_point mEarlyCancelLeaseUsableUntil{ 0 };
 };
 
 } // namespace anvildoor
