The platform's stand-in has a store port per VM and faults aimed at one

The store's calls can be refused with 429, 503 or 410, be silent, lose their answers, be executed late or slow, for one port, kind of call and key prefix, for a time or a number of calls. Cheap reads can be old. The limit of the workers' leases is an argument.

--- /dev/null
+++ b/tests/platform/check_cancellations.py
@@ -0,0 +1,241 @@
+"""Checks with real processes that a cancelled job's runs end in time.
+
+Usage: check_cancellations.py BUILD [--known-red] [--rows TEXT] [ENTRY_BUILD]. --known-red
+runs the rows that KNOWN-RED.txt lists, and only these; --rows the rows whose name has
+TEXT. The last folder, if given, has the anvildoor-entry to be checked. Fails if a run goes
+on for longer than the platform allows.
+"""
+
+import argparse
+import concurrent.futures
+import signal
+import tempfile
+import threading
+import time
+
+import entry_site
+from entry_site import Vm, call, expect, free_ports, wait_until
+
+VMS = 3
+WORKERS = 12
+TASKS = 3
+# From the acknowledgement to the end of the last run: cancel_ms + stop_timeout_ms.
+BOUND_S = 3.4
+# A disruption counts for this long after its end.
+CONTACT_S = 3
+# Sites that run at a time.
+SITES = 3
+INBOX, SCHEDULER = "anvildoor/in/", "anvildoor/scheduler"
+
+ports_lock = threading.Lock()
+
+
+def now_s():
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Site:
+    """Entry VMs, each with a port of the store of its own, and the stand-in."""
+
+    def __init__(self, folder, build, entry_build, jobs, lease_ms):
+        self.processes, self.vms = [], []
+        with ports_lock:
+            ports = free_ports(VMS + WORKERS + 4 * VMS)
+            self.stores = ports[:VMS]
+            self.processes.append(entry_site.start_standin(
+                build, f"4,{lease_ms}", ports[:VMS + WORKERS], VMS))
+            for number in range(VMS):
+                first = VMS + WORKERS + 4 * number
+                self.vms.append(Vm(entry_build, folder, f"e{number}",
+                                   ports[first:first + 4], self.stores[number],
+                                   f"[bounds]\nlease_max_ms = {lease_ms}\n"))
+                self.processes.append(self.vms[-1].process)
+            entry_site.put_policy(self.stores[0])
+            wait_until(lambda: all(vm.is_ready() for vm in self.vms), "all VMs are ready")
+        wait_until(lambda: self.scheduler() is not None, "one VM is the scheduler")
+        for job in jobs:
+            body = {"spec": "60000", "steps": [{"count": TASKS, "cpu": 4000, "gpu": 2,
+                                                "estimate_ms": 60000}]}
+            if call(self.vms[0].jobs, "POST", f"/q/{job}", body)[0] != 200:
+                expect(f"job {job} is accepted", False)
+        wait_until(lambda: len(self.traces()) == TASKS * len(jobs), "the jobs are running")
+
+    def scheduler(self):
+        """Returns the number of the VM that schedules, if there is one."""
+        return next((number for number, vm in enumerate(self.vms)
+                     if vm.process.poll() is None and vm.schedules()), None)
+
+    def traces(self, job=""):
+        rows = call(self.stores[0], "GET", "/traces")[1]
+        return [row for row in rows if row["task"].startswith(job)]
+
+    def fault(self, vms, **fault):
+        """Adds a fault at the store's ports of these VMs."""
+        for vm in vms:
+            call(self.stores[0], "POST", "/store-fault",
+                 {"port": str(self.stores[vm]), **fault})
+
+
+class Cancellation:
+    """A job that is cancelled at a time of the scenario, at a VM that doesn't schedule."""
+
+    def __init__(self, number, at_s):
+        self.job, self.at_s, self.acknowledged = f"{0xa0 + number:016x}", at_s, None
+
+    def send(self, site, vm, began):
+        """Cancels until it is acknowledged; consumers retry, too."""
+        time.sleep(max(0, began + self.at_s - now_s()))
+        while self.acknowledged is None and now_s() < began + self.at_s + 10:
+            if call(site.vms[vm].jobs, "DELETE", f"/q/{self.job}")[0] == 200:
+                self.acknowledged = now_s()
+            else:
+                time.sleep(0.1)
+
+    def result(self, site, disturbed_until):
+        """Returns the seconds after the acknowledgement, those beyond the bound, the end."""
+        if self.acknowledged is None:
+            return None
+        last = max(site.traces(self.job), key=lambda row: row["ended"] or float("inf"))
+        ended = last["ended"] / 1000 if last["ended"] else float("inf")
+        due = max(self.acknowledged, disturbed_until) + BOUND_S
+        return ended - self.acknowledged, ended - due, last["end"] or "runs on"
+
+
+class Row:
+    """A scenario: steps at seconds from its begin, each for the scheduler or others."""
+
+    def __init__(self, name, steps, cancels, disrupted_s, known_red=False,
+                 lease_ms=6000):
+        self.name, self.steps, self.known_red = name, steps, known_red
+        self.cancels = [Cancellation(number, at) for number, at in enumerate(cancels)]
+        # The end of the last disruption; None: there is none at all.
+        self.disrupted_s = disrupted_s
+        self.lease_ms = lease_ms
+
+    def play(self, build, entry_build):
+        with tempfile.TemporaryDirectory() as folder:
+            site = Site(folder, build, entry_build, [each.job for each in self.cancels],
+                        self.lease_ms)
+            try:
+                scheduler = site.scheduler()
+                others = [vm for vm in range(VMS) if vm != scheduler]
+                groups = {"scheduler": [scheduler], "others": others,
+                          "all": list(range(VMS))}
+                began = now_s()
+                threads = [threading.Thread(target=each.send, args=(site, others[0], began))
+                           for each in self.cancels]
+                for thread in threads:
+                    thread.start()
+                for at_s, who, action in self.steps:
+                    time.sleep(max(0, began + at_s - now_s()))
+                    if isinstance(action, dict):
+                        site.fault(groups[who], **action)
+                    else:
+                        for vm in groups[who]:
+                            site.vms[vm].process.send_signal(action)
+                for thread in threads:
+                    thread.join()
+                end = now_s() + 12
+                while now_s() < end and any(not row["ended"] for row in site.traces()):
+                    time.sleep(0.05)
+                disturbed = 0 if self.disrupted_s is None else (
+                    began + self.disrupted_s + CONTACT_S)
+                return [each.result(site, disturbed) for each in self.cancels]
+            finally:
+                entry_site.end_all(site.processes)
+
+
+def fault(call_kind, effect, **more):
+    return {"call": call_kind, "effect": effect, **more}
+
+
+def watches(effect, **more):
+    return fault("watch", effect, for_ms=6000, **more)
+
+
+# The watches of the scheduler's key are silent and cheap reads are old. Until cheap reads
+# show the key, each of them renews the watch.
+DEAF = [(0, "all", fault("list", "stale", delay_ms=5000)),
+        (6, "all", fault("watch", "silent", prefix=SCHEDULER, for_ms=500))]
+CANCELS = [0.5, 2, 3.5, 5, 7, 9]
+ROWS = [
+    Row("no trouble", [], [0, 0.7, 1.4], None),
+    Row("scheduler's watches silent for 6 s",
+        [(0, "scheduler", watches("silent"))], CANCELS, 6),
+    Row("scheduler's watches refused with 503 for 6 s",
+        [(0, "scheduler", watches("503"))], CANCELS, 6),
+    Row("scheduler's watches refused with 429 for 6 s",
+        [(0, "scheduler", watches("429"))], CANCELS, 6),
+    Row("scheduler's watches answered 410 for 6 s",
+        [(0, "scheduler", watches("410"))], CANCELS, 6),
+    Row("all calls but renewals refused with 429 for 6 s",
+        [(0, "all", fault(kind, "429", for_ms=6000))
+         for kind in ("watch", "list", "get", "txn", "grant")], CANCELS, 6),
+    Row("two watches of the scheduler silent",
+        [(0, "scheduler", fault("watch", "silent", prefix=INBOX, calls=2))],
+        CANCELS, 0),
+    Row("scheduler's lost answers to changes for 6 s",
+        [(0, "scheduler", fault("txn", "answer-lost", for_ms=6000))], CANCELS, 6),
+    Row("lost answers to all changes for 6 s",
+        [(0, "all", fault("txn", "answer-lost", for_ms=6000))], CANCELS, 6),
+    Row("all changes executed 2 s late for 6 s",
+        [(0, "all", fault("txn", "late", delay_ms=2000, for_ms=6000))], CANCELS, 8),
+    Row("deaf, scheduler killed", DEAF + [(10, "scheduler", signal.SIGKILL)],
+        [9.5, 10.5, 12, 13.5, 15, 17], 10),
+    Row("deaf, scheduler killed, leases of 10 s",
+        DEAF + [(10, "scheduler", signal.SIGKILL)],
+        [9.5, 10.5, 12, 13.5, 15, 17], 10, lease_ms=10000),
+    Row("deaf, renewals refused for 6 s",
+        DEAF + [(10, "scheduler", fault("renew", "503", for_ms=6000))],
+        [10.5, 13, 15, 16, 17.5, 19.5], 16),
+    Row("deaf, renewals refused with 429 for 6 s",
+        DEAF + [(10, "scheduler", fault("renew", "429", for_ms=6000))],
+        [10.5, 13, 15, 16, 17.5, 19.5], 16),
+    Row("deaf, renewals executed but unanswered for 6 s",
+        DEAF + [(10, "scheduler", fault("renew", "answer-lost", for_ms=6000))],
+        [10.5, 13, 15, 16, 17.5, 19.5], 16),
+    Row("renewals executed but unanswered for 6 s",
+        [(0, "scheduler", fault("renew", "answer-lost", for_ms=6000))], CANCELS, 6),
+    Row("scheduler killed, lists refused with 503 for 6 s",
+        [(0, "all", fault("list", "503", for_ms=6000)), (0.2, "scheduler", signal.SIGKILL)], CANCELS, 6),
+    Row("renewals silent for 2 s, lists of the inbox refused with 429 for 8 s",
+        [(0, "scheduler", fault("renew", "silent", for_ms=2000)),
+         (0, "all", fault("list", "429", prefix=INBOX, for_ms=8000))],
+        [0.5, 2, 3.5, 5, 7, 8.5], 2),
+    Row("renewals silent for 6 s, the others' lists refused with 429 for 12 s",
+        [(0, "scheduler", fault("renew", "silent", for_ms=6000)),
+         (0, "others", fault("list", "429", prefix=INBOX, for_ms=12000))],
+        [0.5, 3.5, 6, 8, 10, 12], 6),
+]
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("build")
+    parser.add_argument("entry_build", nargs="?")
+    parser.add_argument("--known-red", action="store_true")
+    parser.add_argument("--rows", default="")
+    options = parser.parse_args()
+    rows = [row for row in ROWS if options.rows in row.name
+            and (options.rows or row.known_red == options.known_red)]
+    with concurrent.futures.ThreadPoolExecutor(SITES) as pool:
+        played = pool.map(
+            lambda row: row.play(options.build, options.entry_build or options.build), rows)
+        for row, results in zip(rows, played):
+            print(row.name)
+            for each, result in zip(row.cancels, results):
+                what = f"cancelled at {each.at_s} s: the runs end in time"
+                if result is None:
+                    expect(what, False, "not acknowledged")
+                    continue
+                after_s, beyond_s, end = result
+                expect(what, beyond_s <= 0,
+                       f"{after_s:.2f} s after the acknowledgement, {end}, "
+                       f"{beyond_s:+.2f} s against the bound")
+    failed = entry_site.checks["failed"]
+    print(f"{failed} expectations failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/tests/platform/entry_site.py
+++ b/tests/platform/entry_site.py
@@ -55,14 +55,14 @@
 class Vm:
     """An entry process."""
 
-    def __init__(self, build, folder, name, ports, store):
+    def __init__(self, build, folder, name, ports, store, settings=""):
         self.name, self.jobs, self.ready = name, ports[0], ports[1]
         self.file = os.path.join(folder, f"{name}.ini")
         with open(self.file, "w", encoding="utf-8") as text:
             text.write(f"[vm]\nname = {name}\ndata_centre = z\n[listen]\n"
                        f"jobs = 127.0.0.1:{ports[0]}\nreadiness = 127.0.0.1:{ports[1]}\n"
                        f"peers = 127.0.0.1:{ports[2]}\nmetrics = 127.0.0.1:{ports[3]}\n"
-                       f"[store]\naddress = 127.0.0.1:{store}\n")
+                       f"[store]\naddress = 127.0.0.1:{store}\n{settings}")
         self.metrics = ports[3]
         self.log = open(os.path.join(folder, f"{name}.log"), "w", encoding="utf-8")
         self.process = subprocess.Popen([f"{build}/anvildoor-entry", "--config", self.file],
@@ -90,10 +90,11 @@
 }
 
 
-def start_standin(build, workers_per_rack, ports):
-    """Starts the stand-in; the first port is the store's, the others are the workers'."""
-    standin = subprocess.Popen([f"{build}/tests/platform-standin", str(workers_per_rack)] +
-                               [str(port) for port in ports])
+def start_standin(build, workers_per_rack, ports, stores=1):
+    """Starts the stand-in; the first ports are the store's, the others are the workers'."""
+    standin = subprocess.Popen([f"{build}/tests/platform-standin", str(workers_per_rack),
+                                ",".join(str(port) for port in ports[:stores])] +
+                               [str(port) for port in ports[stores:]])
     wait_until(lambda: call(ports[0], "GET", "/traces")[0] == 200,
                "the stand-in accepts requests")
     return standin
--- a/tests/platform/platform-standin.cpp
+++ b/tests/platform/platform-standin.cpp
@@ -3,8 +3,10 @@
  * on loopback, in one process. Runs until SIGTERM and does not read standard input. At
  * the store's address, GET /traces lists every run so far, POST /put writes a key as
  * the operator does, POST /busy has the store answer 503 for a time, and POST /leave
- * ends a worker, whose port is closed then.
+ * ends a worker, whose port is closed then. The store may have several ports;
+ * POST /store-fault adds a fault (DecodeStoreFault) and POST /store-calm ends all.
  */
+#include "StoreFaults.h"
 #include "base/JsonText.h"
 #include "http/AsioLoop.h"
 #include "http/SingleThreadServer.h"
@@ -19,6 +21,7 @@
 #include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <utility>
 
 #include <boost/asio.hpp>
@@ -36,19 +39,6 @@
   return reply;
 }
 
-std::string QueryParameter(const std::string& aTarget, const std::string& aName)
-{
-  const auto query = aTarget.find('?');
-  const auto at = query == std::string::npos
-                    ? query
-                    : ("&" + aTarget.substr(query + 1)).find("&" + aName + "=");
-  if (at == std::string::npos) {
-    return "";
-  }
-  const auto text = aTarget.substr(query + 1 + at + aName.size() + 1);
-  return text.substr(0, text.find('&'));
-}
-
 json EncodeItem(const stored_item& aItem)
 {
   return { { "key", aItem.mKey },
@@ -70,11 +60,75 @@
     , mStore(aStore)
     , mTraces(aTraces)
     , mLeave(std::move(aLeave))
+    , mHistory(aLoop, aStore)
   {
   }
 
-  void Serve(const server_request& aRequest,
+  /** Serves a request that arrived at aPort, unless a fault applies to it. */
+  void Serve(const std::string& aPort,
+             const server_request& aRequest,
              const single_thread_server::respond& aRespond)
+  {
+    const auto call = DecodeStoreCall(aRequest);
+    if (!call) {
+      Execute(aRequest, aRespond);
+      return;
+    }
+    const auto now = mLoop.Now();
+    if (const auto fault = mFaults.OnCall(aPort, *call, now)) {
+      ServeFaulty(*fault, aRequest, aRespond);
+      return;
+    }
+    const bool isCheap = QueryParameter(aRequest.mTarget, "allow_stale") == "1";
+    const auto age = isCheap ? mFaults.ReadAge(aPort, *call, now) : duration::zero();
+    if (age > duration::zero() && call->mKind == store_call_kind::kList) {
+      aRespond(EncodeRange(mHistory.ListAt(call->mKeys.front(), now - age)));
+      return;
+    }
+    Execute(aRequest, [this, aPort, call, now, aRespond](const server_reply& aReply) {
+      if (!mFaults.LosesAnswer(aPort, *call, now, mLoop.Now())) {
+        aRespond(aReply);
+      }
+    });
+  }
+
+private:
+  void ServeFaulty(const store_fault& aFault,
+                   const server_request& aRequest,
+                   const single_thread_server::respond& aRespond)
+  {
+    const auto loseAnswer = [](const server_reply&) {};
+    switch (aFault.mEffect) {
+      case store_fault_effect::kUnavailable:
+        aRespond(JsonReply(503, json::object()));
+        break;
+      case store_fault_effect::kTooMany:
+        aRespond(JsonReply(429, json::object()));
+        break;
+      case store_fault_effect::kHistoryLost:
+        aRespond(JsonReply(410, json::object()));
+        break;
+      case store_fault_effect::kAnswerLost:
+        Execute(aRequest, loseAnswer);
+        break;
+      case store_fault_effect::kExecutedLate:
+        mLoop.RunAfter(aFault.mDelay,
+                       [this, aRequest, loseAnswer] { Execute(aRequest, loseAnswer); });
+        break;
+      case store_fault_effect::kSlow:
+        Execute(aRequest,
+                [this, delay = aFault.mDelay, aRespond](const server_reply& aReply) {
+                  mLoop.RunAfter(delay, [aRespond, aReply] { aRespond(aReply); });
+                });
+        break;
+      case store_fault_effect::kSilent:
+      case store_fault_effect::kStale:
+        break;
+    }
+  }
+
+  void Execute(const server_request& aRequest,
+               const single_thread_server::respond& aRespond)
   {
     const auto path = aRequest.mTarget.substr(0, aRequest.mTarget.find('?'));
     if (path.rfind("/kv-", 0) == 0 && mLoop.Now() < mBusyUntil) {
@@ -105,6 +159,12 @@
       const auto body = json::parse(aRequest.mBody);
       mBusyUntil = mLoop.Now() + duration(body.at("for_ms").get<int64_t>());
       aRespond(JsonReply(200, json::object()));
+    } else if (path == "/store-fault") {
+      mFaults.Add(DecodeStoreFault(aRequest.mBody, mLoop.Now()));
+      aRespond(JsonReply(200, json::object()));
+    } else if (path == "/store-calm") {
+      mFaults.EndAll(mLoop.Now());
+      aRespond(JsonReply(200, json::object()));
     } else if (path == "/leave") {
       mLeave(json::parse(aRequest.mBody).at("worker").get<std::string>());
       aRespond(JsonReply(200, json::object()));
@@ -115,7 +175,6 @@
     }
   }
 
-private:
   static transaction_store::done<uint64_t> LeaseResponder(
     const single_thread_server::respond& aRespond)
   {
@@ -135,17 +194,22 @@
   void List(const std::string& aPrefix, const single_thread_server::respond& aRespond)
   {
     mStore.List(aPrefix, false, [aRespond](const result<stored_range>& aRange) {
-      json items = json::array();
-      for (const auto& item : aRange->mItems) {
-        items.push_back(EncodeItem(item));
-      }
-      aRespond(JsonReply(200,
-                         { { "items", items },
-                           { "more_pages", false },
-                           { "current_rev", aRange->mRevision } }));
+      aRespond(EncodeRange(*aRange));
     });
   }
 
+  static server_reply EncodeRange(const stored_range& aRange)
+  {
+    json items = json::array();
+    for (const auto& item : aRange.mItems) {
+      items.push_back(EncodeItem(item));
+    }
+    return JsonReply(200,
+                     { { "items", items },
+                       { "more_pages", false },
+                       { "current_rev", aRange.mRevision } });
+  }
+
   void Watch(const std::string& aTarget, const single_thread_server::respond& aRespond)
   {
     mStore.Watch(QueryParameter(aTarget, "prefix"),
@@ -215,6 +279,8 @@
   const std::vector<run_trace>& mTraces;
   std::function<void(const std::string&)> mLeave;
   time_point mBusyUntil{ 0 };
+  store_faults mFaults;
+  store_history mHistory;
 };
 
 server_reply EncodeRunRequestReply(const run_worker& aWorker,
@@ -301,10 +367,16 @@
 {
   if (aArgumentCount < 4) {
     std::fprintf(
-      stderr, "usage: platform-standin WORKERS_PER_RACK STORE_PORT WORKER_PORT...\n");
+      stderr,
+      "usage: platform-standin WORKERS_PER_RACK[,LEASE_MS] STORE_PORT[,STORE_PORT...] "
+      "WORKER_PORT...\n");
     return 2;
   }
-  const auto workersPerRack = std::max(1, std::atoi(aArguments[1]));
+  const std::string layout = aArguments[1];
+  const auto workersPerRack = std::max(1, std::atoi(layout.c_str()));
+  const auto comma = layout.find(',');
+  const duration leaseMax(
+    comma == std::string::npos ? 6'000 : std::atoi(layout.c_str() + comma + 1));
   std::signal(SIGPIPE, SIG_IGN);
   boost::asio::io_context context(1);
   asio_loop loop(context);
@@ -319,31 +391,36 @@
       workers.erase(aWorker);
       store.Remove(wire::kWorkersPrefix + aWorker);
     });
-  single_thread_server storeServer(
-    context,
-    [&](const server_request& aRequest, const single_thread_server::respond& aRespond) {
-      storeHandler.Serve(aRequest, aRespond);
-    });
   server_limits limits;
   limits.mBodyBytes = 1'000'000;
-  storeServer.SetLimits(limits);
   const auto address = [&](int aNumber) {
     return std::string("127.0.0.1:") + aArguments[aNumber];
   };
-  if (const auto listening = storeServer.Listen(address(2)); !listening) {
-    std::fprintf(stderr, "%s\n", Describe(listening.error()).c_str());
-    return 1;
+  std::vector<std::unique_ptr<single_thread_server>> storeServers;
+  std::istringstream storePorts(aArguments[2]);
+  for (std::string port; std::getline(storePorts, port, ',');) {
+    storeServers.push_back(std::make_unique<single_thread_server>(
+      context,
+      [&storeHandler, port](const server_request& aRequest,
+                            const single_thread_server::respond& aRespond) {
+        storeHandler.Serve(port, aRequest, aRespond);
+      }));
+    storeServers.back()->SetLimits(limits);
+    const auto listening = storeServers.back()->Listen("127.0.0.1:" + port);
+    if (!listening) {
+      std::fprintf(stderr, "%s\n", Describe(listening.error()).c_str());
+      return 1;
+    }
   }
   constexpr int kFirstWorker = 3; // The first argument that is a worker's port.
   for (int number = kFirstWorker; number < aArgumentCount; ++number) {
-    constexpr duration kLeaseMax{ 6'000 };
     const auto id = "i-" + std::to_string(number);
     const auto rack = "r" + std::to_string((number - kFirstWorker) / workersPerRack);
     workers[id] = std::make_unique<run_worker>(
       loop,
       id,
       number,
-      kLeaseMax,
+      leaseMax,
       // A task's payload is its run time in ms.
       [](const std::string& aPayload) {
         return run_behaviour{ duration(std::max(1L, std::atol(aPayload.c_str()))),
