Cancellations are checked with real processes beside faults of the store

check_cancellations.py cancels jobs at a VM that isn't the scheduler, beside faults of the store for one VM or all, and measures from the acknowledgement to the last end of a run. The bound is cancel_ms + stop_timeout_ms (3.4 s) from the acknowledgement or from 3 s after the last disruption.

--- a/tests/platform/StoreFaults.cpp
+++ b/tests/platform/StoreFaults.cpp
@@ -109,6 +109,7 @@
   fault.mSince = aNow;
   fault.mUntil = aNow + duration(body.value("for_ms", kDefaultSpan.count()));
   fault.mCalls = body.value("calls", int64_t(-1));
+  fault.mPercent = body.value("percent", uint32_t(100));
   return fault;
 }
 
@@ -144,6 +145,9 @@
   for (auto& fault : mFaults) {
     if (fault.mEffect != store_fault_effect::kStale &&
         Matches(fault, aPort, aCall, aNow, aNow)) {
+      if (mRandom() % 100 >= fault.mPercent) {
+        continue;
+      }
       fault.mCalls -= fault.mCalls > 0 ? 1 : 0;
       return fault;
     }
--- a/tests/platform/StoreFaults.h
+++ b/tests/platform/StoreFaults.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -55,9 +56,10 @@
   std::string mKeyPrefix; ///< Applies to calls that name a key with this prefix.
   store_fault_effect mEffect = store_fault_effect::kUnavailable;
   duration mDelay{ 0 };
-  time_point mSince{ 0 }; ///< Begin of the fault.
-  time_point mUntil{ 0 }; ///< End of the fault.
-  int64_t mCalls = -1;    ///< How many more calls it applies to; negative: unlimited.
+  time_point mSince{ 0 };  ///< Begin of the fault.
+  time_point mUntil{ 0 };  ///< End of the fault.
+  int64_t mCalls = -1;     ///< How many more calls it applies to; negative: unlimited.
+  uint32_t mPercent = 100; ///< Share of the calls that it applies to, at random.
 
   auto operator<=>(const store_fault&) const = default;
 };
@@ -75,9 +77,9 @@
 /**
  * Decodes the body of a fault: "port", "call" (any, watch, list, get, txn, grant, renew
  * or end), "prefix", "effect" (503, 429, 410, silent, answer-lost, late, slow or
- * stale), "delay_ms", "for_ms" and "calls". Missing fields keep their defaults; without
- * "for_ms" the fault lasts for an hour. Throws if a field has another type or an
- * unknown name.
+ * stale), "delay_ms", "for_ms", "calls" and "percent". Missing fields keep their
+ * defaults; without "for_ms" the fault lasts for an hour. Throws if a field has another
+ * type or an unknown name.
  */
 store_fault DecodeStoreFault(const std::string& aBody, time_point aNow);
 
@@ -117,6 +119,7 @@
                time_point aTo) const;
 
   std::vector<store_fault> mFaults;
+  std::minstd_rand mRandom; ///< Has a fixed seed.
 };
 
 /** Past states of a store, for reads that may be old. Not thread-safe. */
--- a/tests/platform/check_cancellations.py
+++ b/tests/platform/check_cancellations.py
@@ -92,7 +92,7 @@
                 time.sleep(0.1)
 
     def result(self, site, disturbed_until):
-        """Returns the seconds after the acknowledgement, those beyond the bound, the end."""
+        """Returns the seconds from the acknowledgement, those beyond the bound, the end."""
         if self.acknowledged is None:
             return None
         last = max(site.traces(self.job), key=lambda row: row["ended"] or float("inf"))
@@ -153,59 +153,58 @@
     return fault("watch", effect, for_ms=6000, **more)
 
 
-# The watches of the scheduler's key are silent and cheap reads are old. Until cheap reads
-# show the key, each of them renews the watch.
+SILENT_KEY = [(0, "all", fault("watch", "silent", prefix=SCHEDULER, for_ms=500))]
+# Besides, cheap reads are old. Until they show the key, each of them renews the watch.
 DEAF = [(0, "all", fault("list", "stale", delay_ms=5000)),
         (6, "all", fault("watch", "silent", prefix=SCHEDULER, for_ms=500))]
-CANCELS = [0.5, 2, 3.5, 5, 7, 9]
+CANCELS = [0.5, 2, 3.5, 5, 7]
+DEAF_CANCELS = [9.5, 10.5, 12, 13.5, 15]
 ROWS = [
-    Row("no trouble", [], [0, 0.7, 1.4], None),
-    Row("scheduler's watches silent for 6 s",
+    Row("the scheduler is killed while its key's watches are silent and reads old",
+        DEAF + [(10, "scheduler", signal.SIGKILL)], DEAF_CANCELS, 10),
+    Row("renewals are unanswered while the key's watches are silent and reads old",
+        DEAF + [(10, "scheduler", fault("renew", "answer-lost", for_ms=6000))],
+        [10.5, 13, 15, 16, 18], 16),
+    Row("the scheduler ends by itself while its key's watches are silent and reads old",
+        DEAF + [(10, "scheduler", signal.SIGABRT)], DEAF_CANCELS, None, known_red=True),
+    Row("the scheduler is killed while its key's watches are silent and reads old, "
+        "leases of 10 s",
+        DEAF + [(10, "scheduler", signal.SIGKILL)], DEAF_CANCELS, 10, known_red=True,
+        lease_ms=10000),
+    Row("three of five calls are beyond the limits (429)",
+        [(0, "all", fault("any", "429", for_ms=20000, percent=60))],
+        [0.5 + 1.7 * number for number in range(10)], None, known_red=True),
+    Row("the scheduler's watches are silent for 6 s",
         [(0, "scheduler", watches("silent"))], CANCELS, 6),
-    Row("scheduler's watches refused with 503 for 6 s",
+    Row("the scheduler's watches are answered 503 for 6 s",
         [(0, "scheduler", watches("503"))], CANCELS, 6),
-    Row("scheduler's watches refused with 429 for 6 s",
+    Row("the scheduler's watches are answered 429 for 6 s",
         [(0, "scheduler", watches("429"))], CANCELS, 6),
-    Row("scheduler's watches answered 410 for 6 s",
-        [(0, "scheduler", watches("410"))], CANCELS, 6),
-    Row("all calls but renewals refused with 429 for 6 s",
+    Row("the scheduler's watches are answered 410 for 6 s",
+        [(0, "scheduler", watches("410"))], CANCELS, None),
+    Row("two watches of the inbox are silent",
+        [(0, "scheduler", fault("watch", "silent", prefix=INBOX, calls=2))], CANCELS, 0),
+    Row("all calls but renewals are answered 429 for 6 s",
         [(0, "all", fault(kind, "429", for_ms=6000))
          for kind in ("watch", "list", "get", "txn", "grant")], CANCELS, 6),
-    Row("two watches of the scheduler silent",
-        [(0, "scheduler", fault("watch", "silent", prefix=INBOX, calls=2))],
-        CANCELS, 0),
-    Row("scheduler's lost answers to changes for 6 s",
-        [(0, "scheduler", fault("txn", "answer-lost", for_ms=6000))], CANCELS, 6),
-    Row("lost answers to all changes for 6 s",
+    Row("the answers to all changes are lost for 6 s",
         [(0, "all", fault("txn", "answer-lost", for_ms=6000))], CANCELS, 6),
-    Row("all changes executed 2 s late for 6 s",
+    Row("all changes are executed 2 s late for 6 s",
         [(0, "all", fault("txn", "late", delay_ms=2000, for_ms=6000))], CANCELS, 8),
-    Row("deaf, scheduler killed", DEAF + [(10, "scheduler", signal.SIGKILL)],
-        [9.5, 10.5, 12, 13.5, 15, 17], 10),
-    Row("deaf, scheduler killed, leases of 10 s",
-        DEAF + [(10, "scheduler", signal.SIGKILL)],
-        [9.5, 10.5, 12, 13.5, 15, 17], 10, lease_ms=10000),
-    Row("deaf, renewals refused for 6 s",
-        DEAF + [(10, "scheduler", fault("renew", "503", for_ms=6000))],
-        [10.5, 13, 15, 16, 17.5, 19.5], 16),
-    Row("deaf, renewals refused with 429 for 6 s",
-        DEAF + [(10, "scheduler", fault("renew", "429", for_ms=6000))],
-        [10.5, 13, 15, 16, 17.5, 19.5], 16),
-    Row("deaf, renewals executed but unanswered for 6 s",
-        DEAF + [(10, "scheduler", fault("renew", "answer-lost", for_ms=6000))],
-        [10.5, 13, 15, 16, 17.5, 19.5], 16),
-    Row("renewals executed but unanswered for 6 s",
-        [(0, "scheduler", fault("renew", "answer-lost", for_ms=6000))], CANCELS, 6),
-    Row("scheduler killed, lists refused with 503 for 6 s",
-        [(0, "all", fault("list", "503", for_ms=6000)), (0.2, "scheduler", signal.SIGKILL)], CANCELS, 6),
-    Row("renewals silent for 2 s, lists of the inbox refused with 429 for 8 s",
+    Row("the scheduler is killed while lists are answered 503 for 6 s",
+        [(0, "all", fault("list", "503", for_ms=6000)), (0.2, "scheduler", signal.SIGKILL)],
+        CANCELS, 6),
+    Row("renewals are silent for 2 s, lists of the inbox answered 429 for 8 s",
         [(0, "scheduler", fault("renew", "silent", for_ms=2000)),
-         (0, "all", fault("list", "429", prefix=INBOX, for_ms=8000))],
-        [0.5, 2, 3.5, 5, 7, 8.5], 2),
-    Row("renewals silent for 6 s, the others' lists refused with 429 for 12 s",
-        [(0, "scheduler", fault("renew", "silent", for_ms=6000)),
-         (0, "others", fault("list", "429", prefix=INBOX, for_ms=12000))],
-        [0.5, 3.5, 6, 8, 10, 12], 6),
+         (0, "all", fault("list", "429", prefix=INBOX, for_ms=8000))], CANCELS, 2),
+    Row("the scheduler ends by itself, its key's watches are silent, reads up to date",
+        SILENT_KEY + [(4, "scheduler", signal.SIGABRT)], [4.5, 6, 7.5], None),
+    Row("the scheduler is killed, its key's watches are silent, reads up to date",
+        SILENT_KEY + [(4, "scheduler", signal.SIGKILL)], [4.5, 6, 7.5, 9], 4,
+        lease_ms=10000),
+    Row("the scheduler ends by itself", [(0.5, "scheduler", signal.SIGABRT)],
+        [0, 0.4, 0.6, 0.8, 1.2, 2], None),
+    Row("no fault", [], [0, 0.7, 1.4], None),
 ]
 
 
@@ -215,7 +214,7 @@
     parser.add_argument("entry_build", nargs="?")
     parser.add_argument("--known-red", action="store_true")
     parser.add_argument("--rows", default="")
-    options = parser.parse_args()
+    options = parser.parse_intermixed_args()
     rows = [row for row in ROWS if options.rows in row.name
             and (options.rows or row.known_red == options.known_red)]
     with concurrent.futures.ThreadPoolExecutor(SITES) as pool:
@@ -224,7 +223,7 @@
         for row, results in zip(rows, played):
             print(row.name)
             for each, result in zip(row.cancels, results):
-                what = f"cancelled at {each.at_s} s: the runs end in time"
+                what = f"cancelled at {each.at_s:.1f} s: the runs end in time"
                 if result is None:
                     expect(what, False, "not acknowledged")
                     continue
