--- a/tests/platform/check_worker_faults.py
+++ b/tests/platform/check_worker_faults.py
@@ -47,7 +47,7 @@
         ports = free_ports(1 + WORKERS + 4 * VMS)
         self.store, self.processes = ports[0], []
         self.processes.append(entry_site.start_standin(
-            args.build, 3, ports[:1 + WORKERS], args.lease_ms))
+            args.build, f"3,{args.lease_ms}", ports[:1 + WORKERS]))
         self.vms = []
         for number in range(VMS):
             first = 1 + WORKERS + 4 * number
