A refused renewal is sent again at once

Callers saw: with three of five calls to the store answered 429, terms ended ("the lease expired at the store") and runs of cancelled jobs lapsed (real processes, together with the takeover's reads).

Cause: a refused renewal was followed by the next one only 400 ms later, and the lease lasts 1.2 s.

Change: a renewal that fails is sent again after 100 ms, unless another has been sent since; at most ten a second.

--- a/src/scheduler/Election.cpp
+++ b/src/scheduler/Election.cpp
@@ -268,9 +268,7 @@
 
 void scheduler_election::Renew()
 {
-  const auto generation = mGeneration;
-  const auto sentAt = mLoop.Now();
-  if (sentAt >= mRequestDeadline) {
+  if (mLoop.Now() >= mRequestDeadline) {
     EndTerm("the lease was not renewed in time");
     ReadKeyAfter(duration::zero());
     return;
@@ -279,24 +277,45 @@
   // Schedules the next renewal without waiting for this answer: if the answer were
   // lost, the lease would expire in the meantime.
   ScheduleRenewal();
-  mStore.RenewLease(mLeaseId,
-                    [this, generation, sentAt](const result<uint64_t>& aRenewal) {
-                      if (generation != mGeneration) {
-                        return;
-                      }
-                      const bool hasExpired =
-                        !aRenewal && aRenewal.error().mCode == error_code::kNotFound;
-                      ReportStoreReachability(aRenewal.has_value() || hasExpired);
-                      if (hasExpired) {
-                        EndTerm("the lease expired at the store");
-                        ReadKeyAfter(duration::zero());
-                        return;
-                      }
-                      if (aRenewal) {
-                        const auto until = sentAt + mTimes.mTtl + mTimes.mRequestGrace;
-                        mRequestDeadline = std::max(mRequestDeadline, until);
-                      }
-                    });
+  SendRenewal();
+}
+
+void scheduler_election::SendRenewal()
+{
+  const auto generation = mGeneration;
+  const auto number = ++mRenewalNumber;
+  const auto sentAt = mLoop.Now();
+  mStore.RenewLease(
+    mLeaseId, [this, generation, number, sentAt](const result<uint64_t>& aRenewal) {
+      if (generation != mGeneration) {
+        return;
+      }
+      const bool hasExpired =
+        !aRenewal && aRenewal.error().mCode == error_code::kNotFound;
+      ReportStoreReachability(aRenewal.has_value() || hasExpired);
+      if (hasExpired) {
+        EndTerm("the lease expired at the store");
+        ReadKeyAfter(duration::zero());
+        return;
+      }
+      if (aRenewal) {
+        const auto until = sentAt + mTimes.mTtl + mTimes.mRequestGrace;
+        mRequestDeadline = std::max(mRequestDeadline, until);
+      } else if (number == mRenewalNumber) {
+        RepeatRenewal();
+      }
+    });
+}
+
+void scheduler_election::RepeatRenewal()
+{
+  const auto generation = mGeneration;
+  const auto number = mRenewalNumber;
+  mLoop.RunAfter(mTimes.mRefusedRenewalDelay, [this, generation, number] {
+    if (generation == mGeneration && number == mRenewalNumber) {
+      SendRenewal();
+    }
+  });
 }
 
 void scheduler_election::CheckRenewals()
--- a/src/scheduler/Election.h
+++ b/src/scheduler/Election.h
@@ -24,6 +24,8 @@
    * a newer fencing token.
    */
   duration mRequestGrace{ 4'000 };
+  /** Delay before a renewal that failed is sent again, if none has been sent since. */
+  duration mRefusedRenewalDelay{ 100 };
   duration mRetryDelay{ 150 }; ///< Delay before the key is read again after a failure.
   /** Timeout of one watch call on the key; the platform allows at most 30 s. */
   duration mWatchTimeout{ 20'000 };
@@ -123,6 +125,9 @@
   void CheckRenewals();
   void ScheduleRenewal();
   void Renew();
+  void SendRenewal();
+  /** Sends the renewal that has just failed again, unless the next one comes first. */
+  void RepeatRenewal();
   void EndTerm(const std::string& aReason);
   void ReadKeyAfter(duration aAfter);
   void ReportStoreReachability(bool aReached);
@@ -141,6 +146,7 @@
   bool mResigned = false;
   bool mIsStoreReachable = true;
   uint64_t mLeaseId = 0;
+  uint64_t mRenewalNumber = 0; ///< Counts the renewals that were sent.
   /** Rises with each change of role; callbacks of older generations do nothing. */
   uint64_t mGeneration = 0;
   time_point mRequestDeadline{ 0 };
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -800,6 +800,26 @@
   CHECK(site.mLog.CountLines("event=scheduler_won") == 1);
 }
 
+// Guards against terms that end since a few renewals were beyond the store's limits.
+TEST_CASE("a few refused renewals do not end the scheduler's term", "[installation]")
+{
+  const auto refused = GENERATE(1, 2, 3, 5);
+  const auto phase = GENERATE(range(0, 400, 50));
+  CAPTURE(refused, phase);
+  fake_installation site(3, 2);
+  const auto holder = site.SchedulerVm();
+  REQUIRE_FALSE(holder.empty());
+  site.mLoop.RunFor(duration(phase));
+  store_fault fault;
+  fault.mVm = holder;
+  fault.mCalls = { store_call::kRenewLease };
+  fault.mCallsLeft = refused;
+  site.mFaults.mStoreFaults.push_back(fault);
+  site.mLoop.RunFor(duration(4'000));
+  CHECK(site.SchedulerVm() == holder);
+  CHECK(site.mLog.CountLines("event=scheduler_won") == 1);
+}
+
 TEST_CASE("hold calls to workers stay rare while the store is unavailable",
           "[installation]")
 {
