--- /dev/null
+++ b/tests/platform/soak_cancellations.py
@@ -0,0 +1,547 @@
+"""Soak with real processes: cancelled jobs stop in time while the scheduler changes.
+
+Usage: soak_cancellations.py BUILD [--seed N] [--seconds S] [--vms V] [--workers W]
+[--logs FOLDER] [--known-red] [ENTRY_BUILD]. ENTRY_BUILD, if given, has the anvildoor-entry to be
+checked; FOLDER, if given, keeps the VMs' logs; --known-red judges the cancellations that
+KNOWN-RED.txt lists, and only these. Callers submit jobs and cancel them at other VMs while
+VMs are killed, stopped, frozen and started again and the store is busy. Fails if a run goes
+on, or a run starts, too long after its job's cancellation was answered; such a time counts
+only in stretches without disruption.
+"""
+
+import argparse
+import heapq
+import http.client
+import json
+import os
+import random
+import re
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+import entry_site
+from entry_site import Vm, call, wait_until
+
+# From the answer of a cancellation to the last start, and to the end of the last run.
+START_BOUND_S = 3.0
+END_BOUND_S = 3.4
+# A disruption counts for this long after its end.
+CONTACT_S = 3.0
+CALLERS = 16
+JOBS_PER_S = 6
+MIN_CANCELLATIONS = 20
+PATIENT_TIMEOUT_S = 15
+TIMEOUT_S = 3
+GIVE_UP_S = 0.5
+GRACE_S = 6
+SCHEDULER_KEY = "anvildoor/scheduler"
+# Kinds of violations that KNOWN-RED.txt lists.
+KNOWN_RED = ("after 410, submission awaited", "after 410, submission lost")
+
+
+def now():
+    """The clock of the stand-in's traces in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def ports_for_servers(count):
+    """Free ports that no outgoing connection takes while a VM is down."""
+    picker, ports = random.Random(os.getpid()), []
+    while len(ports) < count:
+        port = picker.randrange(12000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
+    return ports
+
+
+class Job:
+    """A job of the soak and what its caller has seen."""
+
+    def __init__(self, seed, number):
+        plan = random.Random(seed * 1000003 + number)
+        self.id = f"{seed % 65536:04x}{number:012x}"
+        self.kind = plan.choice(("single", "single", "gang", "steps", "long", "long gang"))
+        run_ms = plan.randrange(20000, 60000) if "long" in self.kind else \
+            plan.randrange(100, 4000)
+        task = {"cpu": 1000, "mem_mb": 256, "estimate_ms": run_ms}
+        if "gang" in self.kind:
+            steps = [dict(task, count=plan.randrange(2, 7), gpu=plan.choice((1, 2, 8)),
+                          gang=True, same_rack=True)]
+        elif self.kind == "steps":
+            steps = [dict(task, count=plan.randrange(1, 5), gpu=1),
+                     dict(task, count=plan.randrange(1, 5), gpu=1, after=[0],
+                          gang=plan.random() < 0.5)]
+        else:
+            steps = [dict(task, count=plan.randrange(1, 6), gpu=1)]
+        self.body = {"spec": str(run_ms), "steps": steps}
+        self.is_cancelled = plan.random() < 0.75
+        self.cancel_after_s = 0.0 if plan.random() < 0.1 else \
+            plan.choice((0.05, plan.uniform(0.1, 2), plan.uniform(1, 9), plan.uniform(1, 9)))
+        self.is_patient = plan.random() < 0.4
+        # Cancels as soon as the submission is not answered in time.
+        self.gives_up = plan.random() < 0.3
+        self.submits_again = plan.random() < 0.2
+        self.cancels_twice = plan.random() < 0.2
+        self.vm = None  # The VM that got the first submission.
+        self.submitted = []  # (sent, status, answered); status 0: no answer.
+        self.cancelled = []  # (sent, status, answered, VM).
+
+    def acknowledgement(self):
+        """Returns the first answer to a cancellation that binds, or None."""
+        answers = [each for each in self.cancelled if each[1] // 100 == 2 or each[1] == 410]
+        first = min(answers, key=lambda each: each[2], default=None)
+        if first and first[1] == 410 and any(sent > first[0] for sent, _, _ in self.submitted):
+            return None  # The caller asked for the job again.
+        return first
+
+
+class SoakVm(Vm):
+    """An entry VM that starts again on the same settings."""
+
+    def __init__(self, build, folder, name, ports, store):
+        self.build, self.is_disturbed = build, False
+        self.is_scheduler, self.in_rotation = False, False
+        super().__init__(build, folder, name, ports, store)
+
+    def start_again(self):
+        self.process = subprocess.Popen(
+            [f"{self.build}/anvildoor-entry", "--config", self.file], stdout=self.log)
+
+    def is_alive(self):
+        return self.process.poll() is None
+
+    def gauges(self):
+        connection = http.client.HTTPConnection("127.0.0.1", self.metrics, timeout=0.5)
+        try:
+            connection.request("GET", "/metrics")
+            return connection.getresponse().read().decode()
+        except (OSError, http.client.HTTPException):
+            return ""
+        finally:
+            connection.close()
+
+
+class Soak:
+    """One run of the soak."""
+
+    def __init__(self, options, folder):
+        self.seed, self.seconds, self.folder = options.seed, options.seconds, folder
+        ports = ports_for_servers(1 + options.workers + 4 * options.vms)
+        self.store, first = ports[0], 1 + options.workers
+        self.processes = [entry_site.start_standin(options.build, 6, ports[:first])]
+        self.vms = [SoakVm(options.entry_build, folder, f"e{number}",
+                           ports[first + 4 * number:first + 4 * number + 4], self.store)
+                    for number in range(options.vms)]
+        self.trouble = random.Random(self.seed * 7919 + 1)
+        self.jobs, self.actions, self.lock = [], [], threading.Lock()
+        self.order = 0  # Of actions that are due at the same time.
+        self.disruptions = []  # [begin, end, what]
+        self.key_reads = []  # (sent, whether a VM held the scheduler's key).
+        self.ends = False
+        self.version = entry_site.POLICY["version"]
+
+    # Callers
+
+    def schedule(self, at, what, job):
+        with self.lock:
+            self.order += 1
+            heapq.heappush(self.actions, (at, self.order, what, job))
+
+    def next_action(self, vm):
+        """Takes an action that is due; cancellations go to a VM other than the first."""
+        with self.lock:
+            due = [each for each in self.actions if each[0] <= now()]
+            for each in sorted(due):
+                late = now() - each[0] > 2
+                if each[2] == "cancel" and each[3].vm is vm and not late:
+                    continue
+                self.actions.remove(each)
+                heapq.heapify(self.actions)
+                return each
+        return None
+
+    def choose_vm(self, picker):
+        alive = [vm for vm in self.vms if vm.is_alive()]
+        ready = [vm for vm in alive if vm.in_rotation]
+        return picker.choice(ready if ready and picker.random() < 0.9 else alive or self.vms)
+
+    def run_caller(self, number):
+        picker = random.Random(self.seed * 31 + number)
+        vm, connection = None, None
+        while not self.ends:
+            if connection is None or connection.sock is None or picker.random() < 0.01:
+                if connection:
+                    connection.close()
+                vm = self.choose_vm(picker)
+                connection = http.client.HTTPConnection("127.0.0.1", vm.jobs, timeout=TIMEOUT_S)
+                try:
+                    connection.connect()
+                except OSError:
+                    connection = None
+                    time.sleep(0.05)
+                    continue
+            action = self.next_action(vm)
+            if not action:
+                time.sleep(0.01)
+                continue
+            _, _, what, job = action
+            timeout = PATIENT_TIMEOUT_S if job.is_patient else TIMEOUT_S
+            if what == "submit" and job.gives_up:
+                timeout = GIVE_UP_S
+            connection.sock.settimeout(timeout)
+            method = "DELETE" if what == "cancel" else "POST"
+            if what == "submit":
+                job.vm = job.vm or vm
+                if not job.submitted and job.is_cancelled:
+                    self.schedule(now() + job.cancel_after_s, "cancel", job)
+            sent = now()
+            status = self.request(connection, method, job, timeout)
+            if what == "cancel":
+                job.cancelled.append((sent, status, now(), vm))
+                self.after_cancel(job, status)
+            else:
+                job.submitted.append((sent, status, now()))
+                if status == 0 and job.gives_up:
+                    self.schedule(now(), "cancel", job)
+                elif status != 200 and not job.cancelled and job.cancel_after_s > 1:
+                    self.schedule(now() + 0.2, "submit", job)
+
+    @staticmethod
+    def request(connection, method, job, timeout):
+        """Returns the status; 0 if there was no answer, and the connection is closed then."""
+        headers = {"Host": "jobs.example", "X-Api-Key": "key",
+                   "X-Timeout-Ms": str(int(1000 * timeout))}
+        body = json.dumps(job.body) if method == "POST" else None
+        try:
+            connection.request(method, f"/q/{job.id}", body, headers)
+            answer = connection.getresponse()
+            answer.read()
+            return answer.status
+        except (OSError, http.client.HTTPException):
+            connection.close()
+            return 0
+
+    def after_cancel(self, job, status):
+        if status // 100 != 2 and status != 410:
+            self.schedule(now() + 0.2, "cancel", job)
+            return
+        if status // 100 == 2 and job.submits_again:
+            job.submits_again = False
+            self.schedule(now() + 0.3, "submit again", job)
+        if job.cancels_twice:
+            job.cancels_twice = False
+            self.schedule(now() + 0.1, "cancel", job)
+
+    def submit_jobs(self, until):
+        pace = random.Random(self.seed)
+        while now() < until:
+            job = Job(self.seed, len(self.jobs))
+            self.jobs.append(job)
+            self.schedule(now(), "submit", job)
+            time.sleep(pace.expovariate(JOBS_PER_S))
+
+    def cancel_soon(self, share):
+        """Has cancellations that would come later come now."""
+        with self.lock:
+            self.actions = [(now() + self.trouble.uniform(0, 1), order, what, job)
+                            if what == "cancel" and self.trouble.random() < share
+                            else (at, order, what, job)
+                            for at, order, what, job in self.actions]
+            heapq.heapify(self.actions)
+
+    # Disruptions
+
+    def poll(self, vm):
+        while not self.ends:
+            gauges = vm.gauges()
+            vm.is_scheduler = "anvildoor_schedules 1" in gauges
+            vm.in_rotation = "anvildoor_ready 1" in gauges
+            time.sleep(0.1)
+
+    def poll_key(self):
+        while not self.ends:
+            sent = now()
+            status = call(self.store, "GET", f"/kv-key?key={SCHEDULER_KEY}")[0]
+            if status in (200, 404):
+                self.key_reads.append((sent, status == 200))
+            time.sleep(0.05)
+
+    def disrupt(self, what, begin, end=None):
+        self.disruptions.append([begin, end or now(), what])
+
+    def target(self):
+        """Returns the scheduler's VM, seldom another; None if too few would be left."""
+        sound = [vm for vm in self.vms if vm.is_alive() and not vm.is_disturbed]
+        if len(sound) < 3:
+            return None
+        schedulers = [vm for vm in sound if vm.is_scheduler]
+        return self.trouble.choice(schedulers if schedulers and self.trouble.random() < 0.85
+                                   else sound)
+
+    def kill(self, vm, picker):
+        begin = now()
+        vm.process.kill()
+        vm.process.wait()
+        self.disrupt(f"SIGKILL {vm.name}", begin)
+        time.sleep(picker.uniform(0.1, 4))
+        self.start_again(vm)
+
+    def terminate(self, vm, picker):
+        begin = now()
+        vm.process.terminate()
+        try:
+            vm.process.wait(GRACE_S)
+        except subprocess.TimeoutExpired:
+            vm.process.kill()
+            vm.process.wait()
+        self.disrupt(f"SIGTERM {vm.name}", begin)
+        time.sleep(picker.uniform(0.1, 2))
+        self.start_again(vm)
+
+    def start_again(self, vm):
+        begin = now()
+        vm.start_again()
+        self.disrupt(f"start {vm.name}", begin)
+
+    def freeze(self, vm, picker):
+        begin = now()
+        vm.process.send_signal(signal.SIGSTOP)
+        time.sleep(picker.choice((0.9, 0.9, 2, 3.5, 6)) * picker.uniform(0.7, 1.3))
+        vm.process.send_signal(signal.SIGCONT)
+        self.disrupt(f"SIGSTOP {vm.name}", begin)
+
+    def keep_store_busy(self, picker):
+        begin, spell_s = now(), picker.choice((0.3, 1.5, 3, 6))
+        call(self.store, "POST", "/busy", {"for_ms": int(1000 * spell_s)})
+        time.sleep(spell_s)
+        self.disrupt("store busy", begin)
+
+    def change_policy(self):
+        self.version += 1
+        policy = dict(entry_site.POLICY, version=self.version)
+        policy["routes"] = [dict(policy["routes"][0], slo_ms=1000 + self.version)]
+        call(self.store, "POST", "/put", {"key": "op/config", "value": json.dumps(policy)})
+
+    def start_disruption(self):
+        """Starts a disruption and returns its thread; None if there is nothing to wait for."""
+        what = self.trouble.choice((self.kill, self.kill, self.kill, self.terminate,
+                                    self.freeze, self.freeze, self.keep_store_busy,
+                                    self.change_policy))
+        picker = random.Random(self.trouble.random())
+        vm = self.target()
+        if what == self.change_policy:
+            self.change_policy()
+            return None
+        if what == self.keep_store_busy:
+            thread = threading.Thread(target=what, args=(picker,))
+        elif vm:
+            vm.is_disturbed = True
+            thread = threading.Thread(target=self.disturb, args=(what, vm, picker))
+        else:
+            return None
+        thread.start()
+        return thread
+
+    @staticmethod
+    def disturb(how, vm, picker):
+        how(vm, picker)
+        vm.is_disturbed = False
+
+    def make_trouble(self, until):
+        while now() < until:
+            self.cancel_soon(self.trouble.choice((0, 0.5, 0.9)))
+            started = []
+            for _ in range(self.trouble.choice((1, 1, 2, 3, 4))):
+                started.append(self.start_disruption())
+                time.sleep(self.trouble.choice((0.05, 0.6, 1.6)))
+            for each in started:
+                if each:
+                    each.join()
+            time.sleep(CONTACT_S + self.trouble.uniform(1, 7))
+
+    # Judging
+
+    def calm(self, until):
+        """Returns the stretches without disruption."""
+        stretches, begin = [], 0.0
+        for start, end, _ in sorted(self.disruptions):
+            if start > begin:
+                stretches.append((begin, start))
+            begin = max(begin, end + CONTACT_S)
+        return stretches + ([(begin, until)] if begin < until else [])
+
+    def judge(self):
+        """Returns the violations and the figures of the run.
+
+        A violation is a job, the stand-in's row of the run, what is wrong and a time in s."""
+        read_at = now()
+        rows = call(self.store, "GET", "/traces")[1]
+        calm = self.calm(read_at)
+        runs = {}
+        for row in rows:
+            runs.setdefault(row["task"].split(".")[0], []).append(row)
+        violations = []
+        counts = {"2xx": 0, "410, submission awaited": 0, "410, submission lost": 0, "none": 0,
+                  "lost, yet started": 0, "runs": 0, "judged": 0}
+        # Times after the answers of 2xx: in calm, and with the disruptions.
+        longest, raw = 0.0, 0.0
+        for job in self.jobs:
+            acknowledged = job.acknowledgement()
+            if not job.cancelled:
+                continue
+            if not acknowledged:
+                counts["none"] += 1
+                continue
+            _, status, answered, _ = acknowledged
+            accepted = [each for each in job.submitted if each[1] == 200]
+            kind = "2xx" if status != 410 else \
+                "410, submission awaited" if accepted else "410, submission lost"
+            counts[kind] += 1
+            if status == 410 and any(each[2] < acknowledged[0] for each in accepted):
+                violations.append((job, None, "410 for an accepted job", 0))
+            if kind == "410, submission lost" and job.id in runs:
+                counts["lost, yet started"] += 1
+            for row in runs.get(job.id, ()):
+                counts["runs"] += 1
+                began = row["began"] / 1000
+                ended = row["ended"] / 1000 if row["end"] else read_at
+                if kind == "2xx":
+                    raw = max(raw, ended - answered)
+                if not row["end"] and read_at - max(answered, calm[-1][0]) > END_BOUND_S:
+                    violations.append((job, row, f"no end after {kind}", ended - answered))
+                for begin, end in calm:
+                    since = max(answered, begin)
+                    if since >= end or ended <= since:
+                        continue
+                    counts["judged"] += 1
+                    if kind == "2xx":
+                        longest = max(longest, min(ended, end) - since)
+                    if since + START_BOUND_S < began < end:
+                        violations.append((job, row, f"late start after {kind}", began - since))
+                    elif began < end and min(ended, end) - since > END_BOUND_S:
+                        violations.append((job, row, f"late end after {kind}",
+                                           min(ended, end) - since))
+        gap, free_since = 0.0, None
+        for at, is_held in self.key_reads:
+            is_calm = any(0 < begin <= at < end for begin, end in calm)
+            free_since = (free_since or at) if is_calm and not is_held else None
+            gap = max(gap, at - (free_since or at))
+        counts.update(jobs=len(self.jobs), traces=len(rows),
+                      longest=round(longest, 2), longest_with_disruptions=round(raw, 2),
+                      no_scheduler=round(gap, 2),
+                      calm=round(sum(end - begin for begin, end in calm if begin > 0), 1),
+                      disruptions=len(self.disruptions))
+        return violations, counts
+
+    def report(self, violation):
+        job, row, kind, seconds = violation
+        origin = job.acknowledgement()[2]
+        unix_origin = origin + time.time() - now()
+        print(f"VIOLATION {kind} {seconds:.2f} s: job {job.id} ({job.kind}); times in s after "
+              "the answer")
+        if row:
+            ended = f"{row['ended'] / 1000 - origin:.2f}" if row["end"] else "none"
+            print(f"  task {row['task']} run {row['run']} worker {row['worker']} began "
+                  f"{row['began'] / 1000 - origin:.2f} ended {ended} as {row['end'] or '-'}")
+        for sent, status, answered in job.submitted:
+            print(f"  submitted {sent - origin:.2f} answer {status} at {answered - origin:.2f}")
+        for sent, status, answered, vm in job.cancelled:
+            print(f"  cancelled {sent - origin:.2f} answer {status} at {answered - origin:.2f} "
+                  f"by {vm.name}")
+        for begin, end, what in sorted(self.disruptions):
+            if end > origin - 12 and begin < origin + 25:
+                print(f"  {what} {begin - origin:.2f} to {end - origin:.2f}")
+        lines = []
+        for vm in self.vms:
+            with open(os.path.join(self.folder, f"{vm.name}.log"), encoding="utf-8") as log:
+                for line in log:
+                    found = re.match(r"unix_ms=(\d+) (.*)", line)
+                    if not found:
+                        continue
+                    at = int(found.group(1)) / 1000 - unix_origin
+                    is_term = re.search(r"event=(scheduler_won|scheduler_lost|takeover|start)\b",
+                                        line) and -12 < at < 25
+                    if is_term or job.id in line:
+                        lines.append((at, vm.name, found.group(2)))
+        for at, name, text in sorted(lines):
+            print(f"  {at:8.3f} {name} {text}")
+
+    def run(self):
+        entry_site.put_policy(self.store)
+        wait_until(lambda: all(vm.is_ready() for vm in self.vms), "all VMs are ready")
+        wait_until(lambda: any(vm.schedules() for vm in self.vms), "one VM is the scheduler")
+        until = now() + self.seconds
+        threads = [threading.Thread(target=self.poll, args=(vm,)) for vm in self.vms]
+        threads += [threading.Thread(target=self.run_caller, args=(number,))
+                    for number in range(CALLERS)]
+        threads += [threading.Thread(target=self.poll_key),
+                    threading.Thread(target=self.submit_jobs, args=(until,))]
+        for each in threads:
+            each.start()
+        try:
+            self.make_trouble(until)
+            time.sleep(END_BOUND_S + 1)
+            return self.judge()
+        finally:
+            self.ends = True
+            for each in threads:
+                each.join()
+
+    def end(self):
+        entry_site.end_all(self.processes + [vm.process for vm in self.vms])
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("build")
+    parser.add_argument("entry_build", nargs="?")
+    for name, value in (("seed", 1), ("seconds", 40), ("vms", 5), ("workers", 24)):
+        parser.add_argument(f"--{name}", type=int, default=value)
+    parser.add_argument("--logs")
+    parser.add_argument("--known-red", action="store_true")
+    options = parser.parse_args()
+    options.entry_build = options.entry_build or options.build
+    # Every third seed has a loaded machine.
+    busy = [subprocess.Popen([sys.executable, "-c", "while True: pass"])
+            for _ in range(4 if options.seed % 3 == 0 else 0)]
+    try:
+        with tempfile.TemporaryDirectory() as folder:
+            if options.logs:
+                folder = os.path.join(options.logs, f"seed-{options.seed}")
+                os.makedirs(folder, exist_ok=True)
+            soak = Soak(options, folder)
+            try:
+                violations, counts = soak.run()
+                known_red = [each for each in violations if each[2].endswith(KNOWN_RED)]
+                judged = known_red if options.known_red else \
+                    [each for each in violations if each not in known_red]
+                reported = set()
+                for each in judged:
+                    if (each[0].id, each[2]) not in reported:
+                        reported.add((each[0].id, each[2]))
+                        soak.report(each)
+            finally:
+                soak.end()
+    finally:
+        entry_site.end_all(busy)
+    kinds = [kind for _, _, kind, _ in violations]
+    print(f"seed {options.seed}: {len(judged)} violations judged of all "
+          f"{({kind: kinds.count(kind) for kind in sorted(set(kinds))})}; " +
+          ", ".join(f"{name} {value}" for name, value in counts.items()))
+    entry_site.expect("enough cancellations are judged", counts["2xx"] >= MIN_CANCELLATIONS,
+                      counts["2xx"])
+    return 1 if judged or entry_site.checks["failed"] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
