--- a/tests/platform/soak_cancellations.py
+++ b/tests/platform/soak_cancellations.py
@@ -148,6 +148,7 @@
         self.disruptions = []  # [begin, end, what]
         self.key_reads = []  # (sent, whether a VM held the scheduler's key).
         self.ends = False
+        self.acknowledged = threading.Event()  # A cancellation has just been answered.
         self.version = entry_site.POLICY["version"]
 
     # Callers
@@ -235,6 +236,7 @@
         if status // 100 != 2 and status != 410:
             self.schedule(now() + 0.2, "cancel", job)
             return
+        self.acknowledged.set()
         if status // 100 == 2 and job.submits_again:
             job.submits_again = False
             self.schedule(now() + 0.3, "submit again", job)
@@ -320,6 +322,13 @@
         vm.process.send_signal(signal.SIGCONT)
         self.disrupt(f"SIGSTOP {vm.name}", begin)
 
+    def ambush(self, vm, picker):
+        """Kills or freezes the VM right after the next answer to a cancellation."""
+        self.acknowledged.clear()
+        self.acknowledged.wait(3)
+        time.sleep(picker.choice((0, 0.001, 0.003, 0.02)))
+        picker.choice((self.kill, self.kill, self.freeze))(vm, picker)
+
     def keep_store_busy(self, picker):
         begin, spell_s = now(), picker.choice((0.3, 1.5, 3, 6))
         call(self.store, "POST", "/busy", {"for_ms": int(1000 * spell_s)})
@@ -334,9 +343,9 @@
 
     def start_disruption(self):
         """Starts a disruption and returns its thread; None if there is nothing to wait for."""
-        what = self.trouble.choice((self.kill, self.kill, self.kill, self.terminate,
-                                    self.freeze, self.freeze, self.keep_store_busy,
-                                    self.change_policy))
+        what = self.trouble.choice((self.kill, self.kill, self.ambush, self.ambush,
+                                    self.terminate, self.freeze, self.freeze,
+                                    self.keep_store_busy, self.change_policy))
         picker = random.Random(self.trouble.random())
         vm = self.target()
         if what == self.change_policy:
