A cancellation without a job ends at the scheduler, too

Cause: the scheduler forgot a cancellation without a job only when the watch of the inbox showed its removal.

Change: it forgets all of them when history is lost, before it lists the inbox, and each after 150 s.

Test: tests/CancellationTest.cpp, "a job runs that is submitted after its early cancellation has ended".

--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -13,6 +13,8 @@
 constexpr duration kTickPeriod{ 250 };
 /** The store may answer cheap reads with values of at most this age. */
 constexpr duration kMaxReadAge{ 5'000 };
+/** A cancellation without a job has been removed from the store by this age. */
+constexpr duration kMaxUnmatchedAge{ 150'000 };
 /** Outcomes are kept for this multiple of mMinStatusRetention. */
 constexpr int kRetentionFactor = 2;
 
@@ -37,6 +39,7 @@
            mInboxMonitor,
            { [this](const stored_item& aItem) { HandleInboxItem(aItem); },
              [this](const std::string& aKey) { HandleInboxRemoval(aKey); },
+             [this] { mUnmatchedCancels.clear(); },
              [this] { ForgetRemovedJobs(); } })
 {
 }
@@ -146,7 +149,7 @@
   entry->mFirstSeenAt = mPorts.mLoop.Now();
   mJobs[aJob.mId] = std::move(entry);
   if (const auto cancel = mUnmatchedCancels.extract(aJob.mId)) {
-    CancelJob(aJob.mId, cancel.mapped(), mInboxMonitor.LastRead().mSource);
+    CancelJob(aJob.mId, cancel.mapped().mRevision, mInboxMonitor.LastRead().mSource);
     return;
   }
   if (mLoaded) {
@@ -175,7 +178,7 @@
   const auto found = mJobs.find(aId);
   if (found == mJobs.end()) {
     // A listing is sorted by key, so a cancellation can come before its job.
-    mUnmatchedCancels[aId] = aRevision;
+    mUnmatchedCancels[aId] = { aRevision, mPorts.mLoop.Now() };
     return;
   }
   if (!found->second->mState.Cancel()) {
@@ -349,6 +352,9 @@
   }
   mInboxMonitor.Check(now);
   CountOverdueRuns(now);
+  std::erase_if(mUnmatchedCancels, [now](const auto& aCancel) {
+    return now - aCancel.second.mReadAt > kMaxUnmatchedAge;
+  });
   TidyEndedJobs();
   UpdateIntake();
   SchedulePlan();
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -124,6 +124,13 @@
   struct job_entry;
   struct worker_entry;
   struct takeover_state;
+  struct unmatched_cancel
+  {
+    uint64_t mRevision = 0; ///< At which it was stored.
+    time_point mReadAt{ 0 };
+
+    auto operator<=>(const unmatched_cancel&) const = default;
+  };
 
   // The takeover at the beginning of a term (FleetSchedulerTakeover.cpp).
   void Load();
@@ -313,8 +320,8 @@
   bool mPlanScheduled = false;
   time_point mTermBegunAt{ 0 };
   std::map<std::string, std::unique_ptr<job_entry>> mJobs;
-  /** Revisions of the cancellations that were read before their job. */
-  std::map<std::string, uint64_t> mUnmatchedCancels;
+  /** Cancellations that were read before their job. */
+  std::map<std::string, unmatched_cancel> mUnmatchedCancels;
   bool mIsIntakeClosed = false;        ///< Wanted by this term.
   bool mIsIntakeClosedInStore = false; ///< As last observed or written.
   time_point mIntakeWrittenAt{ 0 };
--- a/src/scheduler/InboxReader.cpp
+++ b/src/scheduler/InboxReader.cpp
@@ -100,6 +100,7 @@
     mLog.Write(
       log_event("inbox_history_lost").Add("revision", static_cast<int64_t>(mRevision)));
     ++mWatchNumber;
+    mCallbacks.mOnHistoryLost();
     ListCancellations();
     Relist();
     return;
--- a/src/scheduler/InboxReader.h
+++ b/src/scheduler/InboxReader.h
@@ -26,6 +26,8 @@
     std::function<void(const stored_item& aItem)> mOnItem;
     /** Receives the key of each removed item, unless the store's history was lost. */
     std::function<void(const std::string& aKey)> mOnRemoved;
+    /** Runs when removals may have been missed, before the inbox is listed again. */
+    std::function<void()> mOnHistoryLost;
     /** Runs when no list is under way any more, whether or not it succeeded. */
     std::function<void()> mOnListsEnded;
   };
--- a/tests/CancellationTest.cpp
+++ b/tests/CancellationTest.cpp
@@ -487,3 +487,31 @@
   CHECK(site.CountStarts(kJob) == 2);
   CHECK(site.StateAt("vm0", kJob) == "cancelled");
 }
+
+// Guards against jobs that are cancelled by what has been removed from the store.
+TEST_CASE("a job runs that is submitted after its early cancellation has ended",
+          "[cancellation]")
+{
+  const auto losesHistory = GENERATE(false, true);
+  CAPTURE(losesHistory);
+  fake_installation site(3, 4);
+  site.mLoop.RunFor(duration(3'000));
+  REQUIRE(site.Cancel("vm2", kJob) == job_answer::kNotFound);
+  CHECK(site.Submit("vm1", fake_installation::MakeJob(kJob, 2)) ==
+        job_answer::kNotAccepted);
+  site.mLoop.RunFor(duration(50'000));
+  if (losesHistory) {
+    site.mFaults.mStoreFaults.push_back({ fate::kHistoryLost,
+                                          kEveryVm,
+                                          { call::kWatch },
+                                          store_keys::kInbox,
+                                          site.mLoop.Now() + duration(90'000) });
+  }
+  site.mLoop.RunFor(duration(100'000));
+  CHECK_FALSE(site.mStore.Peek(store_keys::kCancels + kJob));
+  CHECK(site.Submit("vm1", fake_installation::MakeJob(kJob, 2)) ==
+        job_answer::kAccepted);
+  site.mLoop.RunFor(duration(10'000));
+  CHECK(site.CountStarts(kJob) == 2);
+  CHECK(site.StateAt("vm0", kJob) == "done");
+}
--- a/tests/InboxReaderTest.cpp
+++ b/tests/InboxReaderTest.cpp
@@ -88,6 +88,7 @@
   recording_log mLog;
   std::vector<std::string> mRead;
   std::vector<std::string> mRemoved;
+  int mHistoryLosses = 0;
   int mListsEnded = 0;
   metrics mMetrics;
   inbox_monitor mMonitor{ mLog, mMetrics };
@@ -99,6 +100,7 @@
                            mRead.push_back(aItem.mKey);
                          },
                           [this](const std::string& aKey) { mRemoved.push_back(aKey); },
+                          [this] { ++mHistoryLosses; },
                           [this] { ++mListsEnded; } } };
 };
 
@@ -183,6 +185,7 @@
   CHECK(site.CountReads(kCancelKey) >= 1);
   CHECK_FALSE(site.mReader.IsListing());
   CHECK(site.mListsEnded >= 1);
+  CHECK(site.mHistoryLosses == 1);
 }
 
 TEST_CASE("an ended reader reads nothing", "[scheduler]")
