A VM follows the scheduler's successor although its watch is silent

Callers saw: counts of pending jobs that a VM couldn't answer until 13.5 to 14.5 s after a change of the scheduler (20 of 20 rows on virtual time), and notifications of cancellations that went to a scheduler which had ended.

Cause: the probe of the store showed that the scheduler's key was missing, but not that it was another one; a successor that came between two probes was noticed by the watch of 20 s only.

Change: a key of a later term is read again like a missing one.

Test: tests/CancellationTest.cpp, "a VM with a silent watch of the scheduler's key follows its successor" (20 of 20 rows red before).

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -114,19 +114,24 @@
 
 void entry_node::ObserveSchedulerKeys(const stored_range& aRange)
 {
-  const auto valueOf = [&](const std::string& aKey) -> std::optional<std::string> {
+  const auto find = [&](const std::string& aKey) -> const stored_item* {
     for (const auto& item : aRange.mItems) {
       if (item.mKey == aKey) {
-        return item.mValue;
+        return &item;
       }
     }
-    return std::nullopt;
+    return nullptr;
   };
-  mIsIntakeClosed = valueOf(store_keys::kIntake) == store_keys::kIntakeClosed;
+  const auto* intake = find(store_keys::kIntake);
+  mIsIntakeClosed = intake != nullptr && intake->mValue == store_keys::kIntakeClosed;
   mScheduler.ObserveIntake(mIsIntakeClosed);
   const bool expectsScheduler =
     mElection.Current().mFence != 0 && !mElection.IsHolder();
-  if (expectsScheduler && !valueOf(store_keys::kScheduler)) {
+  const auto* scheduler = find(store_keys::kScheduler);
+  // A stale read may still show an earlier term.
+  const bool hasChanged =
+    scheduler == nullptr || scheduler->mCreateRevision > mElection.Current().mFence;
+  if (expectsScheduler && hasChanged) {
     // The watch of the key should have told, but its connection may have gone silent.
     mElection.RereadKey();
   }
--- a/tests/CancellationTest.cpp
+++ b/tests/CancellationTest.cpp
@@ -515,3 +515,27 @@
   CHECK(site.CountStarts(kJob) == 2);
   CHECK(site.StateAt("vm0", kJob) == "done");
 }
+
+// Guards against VMs that go on following a scheduler which has been replaced.
+TEST_CASE("a VM with a silent watch of the scheduler's key follows its successor",
+          "[cancellation]")
+{
+  const auto end = GENERATE(scheduler_end::kKilled, scheduler_end::kDrained);
+  const auto phase = GENERATE(range(0, 1'250, 125));
+  CAPTURE(phase);
+  fake_installation site(3, 4);
+  site.mFaults.mStaleReadAge = kMaxReadAge;
+  site.mLoop.RunFor(duration(7'000 + phase));
+  site.mFaults.mStoreFaults.push_back(
+    { fate::kEventLost, "vm2", { call::kWatch }, store_keys::kScheduler });
+  REQUIRE(site.SchedulerVm() != "vm2");
+  EndScheduler(site, end);
+  site.mLoop.RunFor(duration(4'000));
+  REQUIRE(site.SchedulerVm() == "vm1");
+  std::optional<job_reply> pending;
+  site.Node("vm2").Jobs().Pending("batch",
+                                  [&](const job_reply& aReply) { pending = aReply; });
+  site.mLoop.RunFor(duration(500));
+  REQUIRE(pending);
+  CHECK(pending->mAnswer == job_answer::kAccepted);
+}
