A VM that gives way leaves the next election to others

Cause: it tried again 150 ms after it had given way.

Change: it takes part in no election for 1.4 s, in which a probe of every other VM shows the missing key.

Test: tests/CancellationTest.cpp, "although reads and key watches fail".

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -50,7 +50,8 @@
           mPorts.mPeers.SummaryOf(aAddress, aFence, std::move(aDone));
         } },
       aOptions.mScheduler,
-      [this](const std::string& aReason) { mElection.StepDown(aReason); })
+      [this](const std::string& aReason) { mElection.StepDown(aReason); },
+      [this](const std::string& aReason) { mElection.GiveWay(aReason); })
   , mElection(
       aPorts.mLoop,
       aPorts.mStore,
--- a/src/scheduler/Election.cpp
+++ b/src/scheduler/Election.cpp
@@ -139,7 +139,8 @@
     return;
   }
   const auto generation = mGeneration;
-  mLoop.RunAfter(mElectionDelay, [this, generation] {
+  const auto delay = std::max(mElectionDelay, mYieldsUntil - mLoop.Now());
+  mLoop.RunAfter(delay, [this, generation] {
     if (generation == mGeneration && !mResigned) {
       RequestLease();
     }
@@ -357,6 +358,12 @@
   ReadKeyAfter(mTimes.mRetryDelay);
 }
 
+void scheduler_election::GiveWay(const std::string& aReason)
+{
+  mYieldsUntil = mLoop.Now() + mTimes.mYieldTime;
+  StepDown(aReason);
+}
+
 void scheduler_election::Resign()
 {
   mResigned = true;
--- a/src/scheduler/Election.h
+++ b/src/scheduler/Election.h
@@ -26,6 +26,8 @@
   duration mRequestGrace{ 4'000 };
   /** Delay before a renewal that failed is sent again, if none has been sent since. */
   duration mRefusedRenewalDelay{ 100 };
+  /** How long a VM that gave way leaves elections to the others. */
+  duration mYieldTime{ 1'400 };
   duration mRetryDelay{ 150 }; ///< Delay before the key is read again after a failure.
   /** Timeout of one watch call on the key; the platform allows at most 30 s. */
   duration mWatchTimeout{ 20'000 };
@@ -102,6 +104,12 @@
   /** Ends this VM's term because a worker or the store has rejected its token. */
   void StepDown(const std::string& aReason);
 
+  /**
+   * Ends this VM's term because it cannot do the scheduler's work, and takes part in no
+   * election for a while, so that another VM is elected if there is one.
+   */
+  void GiveWay(const std::string& aReason);
+
   bool IsHolder() const { return mIsHolder; }
 
   /** Returns the time until which requests may be sent under this VM's term. */
@@ -150,6 +158,7 @@
   /** Rises with each change of role; callbacks of older generations do nothing. */
   uint64_t mGeneration = 0;
   time_point mRequestDeadline{ 0 };
+  time_point mYieldsUntil{ 0 };     ///< Until then this VM takes part in no election.
   time_point mKeySeenAt{ 0 };       ///< When the store last showed the key of mCurrent.
   const char* mReadCause = "begin"; ///< See ReadKey.
   bool mIsOnGrace = false; ///< The lease has run out at the last renewal, as is known.
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -22,10 +22,12 @@
 
 fleet_scheduler::fleet_scheduler(const scheduler_ports& aPorts,
                                  const scheduler_bounds& aBounds,
-                                 std::function<void(const std::string&)> aOnFenced)
+                                 std::function<void(const std::string&)> aOnFenced,
+                                 std::function<void(const std::string&)> aOnIncapable)
   : mPorts(aPorts)
   , mBounds(aBounds)
   , mOnFenced(std::move(aOnFenced))
+  , mOnIncapable(std::move(aOnIncapable))
   , mPolicy(std::make_shared<fleet_policy>())
   , mWriter(aPorts.mLoop,
             aPorts.mStore,
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -64,9 +64,14 @@
 class fleet_scheduler
 {
 public:
+  /**
+   * aOnFenced ends the term because another VM has a later one, aOnIncapable because
+   * another VM may do the work that this one can't.
+   */
   fleet_scheduler(const scheduler_ports& aPorts,
                   const scheduler_bounds& aBounds,
-                  std::function<void(const std::string& aReason)> aOnFenced);
+                  std::function<void(const std::string& aReason)> aOnFenced,
+                  std::function<void(const std::string& aReason)> aOnIncapable);
   ~fleet_scheduler();
 
   /**
@@ -305,6 +310,7 @@
   scheduler_ports mPorts;
   scheduler_bounds mBounds;
   std::function<void(const std::string&)> mOnFenced;
+  std::function<void(const std::string&)> mOnIncapable;
   std::function<time_point()> mRequestDeadline;
   std::shared_ptr<const fleet_policy> mPolicy;
   record_writer mWriter;
--- a/src/scheduler/FleetSchedulerTakeover.cpp
+++ b/src/scheduler/FleetSchedulerTakeover.cpp
@@ -107,7 +107,7 @@
 {
   mPorts.mLog.Write(log_event("takeover_read_failed").Add("error", Describe(aError)));
   if (mPorts.mLoop.Now() - mTermBegunAt >= kMaxReadTime) {
-    OnFenced("the takeover could not read the records");
+    mOnIncapable("the takeover could not read the records");
     return;
   }
   mPorts.mLoop.RunAfter(kReadRetryDelay, UnlessTermEnded(std::move(aRead)));
--- a/tests/CancellationTest.cpp
+++ b/tests/CancellationTest.cpp
@@ -539,3 +539,19 @@
   REQUIRE(pending);
   CHECK(pending->mAnswer == job_answer::kAccepted);
 }
+
+// Guards against a VM that gives way and is elected again.
+TEST_CASE("a cancelled job's runs end in time although reads and key watches fail",
+          "[cancellation]")
+{
+  const auto readFate = GENERATE(fate::kRefused, fate::kUnsent);
+  const auto after = GENERATE(0, 1'000, 2'000, 5'000);
+  const auto phase = GENERATE(range(0, 1'250, 125));
+  const disturbance row{ "successor's inbox, key watches",
+                         { OfReads(readFate, kSuccessor, store_keys::kInbox),
+                           OfKeyWatches(fate::kUnsent) },
+                         duration(0),
+                         scheduler_end::kDrained,
+                         kMaxReadAge };
+  CheckBound(row, { duration(after), false, duration(phase) });
+}
