Jobs are read although the watch of the inbox fails for long

With the scheduler's watches of the inbox refused or silent, an accepted job wasn't started (0 of 2 starts in 30 s on virtual time), and the log said that the inbox was read, as lists of cancellations counted.

Cause: only cancellations were listed beside a failing watch.

Change: after 2 s without an answer to a watch the whole inbox is listed, every two seconds, and only reads that show new jobs count as reads of the inbox. The line of a cancellation names the read that delivered it.

--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -39,7 +39,9 @@
            aPorts.mStore,
            aPorts.mLog,
            mInboxMonitor,
-           { [this](const stored_item& aItem) { HandleInboxItem(aItem); },
+           { [this](const stored_item& aItem, inbox_source aSource) {
+              HandleInboxItem(aItem, aSource);
+            },
              [this](const std::string& aKey) { HandleInboxRemoval(aKey); },
              [this] { mUnmatchedCancels.clear(); },
              [this] { ForgetRemovedJobs(); } })
@@ -125,11 +127,11 @@
   mRemovedWhileListing.clear();
 }
 
-void fleet_scheduler::HandleInboxItem(const stored_item& aItem)
+void fleet_scheduler::HandleInboxItem(const stored_item& aItem, inbox_source aSource)
 {
   if (const auto cancelledId =
         store_keys::StripPrefix(aItem.mKey, store_keys::kCancels)) {
-    CancelJob(*cancelledId, aItem.mRevision, mInboxMonitor.LastRead().mSource);
+    CancelJob(*cancelledId, aItem.mRevision, aSource);
     return;
   }
   const auto id = store_keys::StripPrefix(aItem.mKey, store_keys::kJobs);
@@ -142,16 +144,16 @@
       log_event("job_unreadable").Add("job", *id).Add("error", Describe(job.error())));
     return;
   }
-  AddJob(*job);
+  AddJob(*job, aSource);
 }
 
-void fleet_scheduler::AddJob(const accepted_job& aJob)
+void fleet_scheduler::AddJob(const accepted_job& aJob, inbox_source aSource)
 {
   auto entry = std::make_unique<job_entry>(aJob);
   entry->mFirstSeenAt = mPorts.mLoop.Now();
   mJobs[aJob.mId] = std::move(entry);
   if (const auto cancel = mUnmatchedCancels.extract(aJob.mId)) {
-    CancelJob(aJob.mId, cancel.mapped().mRevision, mInboxMonitor.LastRead().mSource);
+    CancelJob(aJob.mId, cancel.mapped().mRevision, aSource);
     return;
   }
   if (mLoaded) {
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -159,9 +159,9 @@
                        const result<std::optional<std::string>>& aAnswer);
 
   // Jobs and their records (FleetScheduler.cpp).
-  void HandleInboxItem(const stored_item& aItem);
+  void HandleInboxItem(const stored_item& aItem, inbox_source aSource);
   void HandleInboxRemoval(const std::string& aKey);
-  void AddJob(const accepted_job& aJob);
+  void AddJob(const accepted_job& aJob, inbox_source aSource);
   /** Cancels a job by the cancellation that was stored at aRevision. */
   void CancelJob(const std::string& aId, uint64_t aRevision, inbox_source aSource);
   void WriteProgress(job_entry& aJob,
--- a/src/scheduler/FleetSchedulerTakeover.cpp
+++ b/src/scheduler/FleetSchedulerTakeover.cpp
@@ -222,7 +222,7 @@
   for (; takeover.mNextItem < end; ++takeover.mNextItem) {
     const auto& item = items[takeover.mNextItem];
     if (const auto id = store_keys::StripPrefix(item.mKey, store_keys::kJobs)) {
-      HandleInboxItem(item);
+      HandleInboxItem(item, inbox_source::kTakeover);
       const auto record = takeover.mRecords.find(*id);
       const auto job = mJobs.find(*id);
       if (record != takeover.mRecords.end() && job != mJobs.end()) {
@@ -289,7 +289,7 @@
   // outcome.
   for (const auto& item : aTakeover.mInbox.mItems) {
     if (store_keys::StripPrefix(item.mKey, store_keys::kCancels)) {
-      HandleInboxItem(item);
+      HandleInboxItem(item, inbox_source::kTakeover);
     }
   }
   mPorts.mLog.Write(log_event("takeover")
--- a/src/scheduler/InboxReader.cpp
+++ b/src/scheduler/InboxReader.cpp
@@ -15,8 +15,10 @@
 constexpr duration kWatchTimeout{ 1'000 };
 /** A watch that is not answered this long after its timeout is overdue. */
 constexpr duration kOverdueMargin{ 300 };
-/** Shortest time between two lists of the cancellations. */
+/** Shortest time between two lists beside a watch that fails. */
 constexpr duration kMinListPeriod{ 500 };
+/** After this time without an answer to a watch, the jobs are listed, too. */
+constexpr duration kMaxWatchSilence{ 2'000 };
 
 } // namespace
 
@@ -48,6 +50,7 @@
 {
   End();
   mRevision = aRevision;
+  mJobsReadAt = mLoop.Now();
   Watch();
 }
 
@@ -57,8 +60,8 @@
   ++mWatchNumber;
   mOverdueWatches = 0;
   mListsInFlight = 0;
-  mIsListingCancellations = false;
-  mCancellationsListedAt = time_point(0);
+  mIsListingBesideWatch = false;
+  mListedAt = time_point(0);
 }
 
 void inbox_reader::Watch()
@@ -78,7 +81,7 @@
         mLog.Write(log_event("inbox_watch_overdue")
                      .Add("revision", static_cast<int64_t>(mRevision)));
       }
-      ListCancellations();
+      ListBesideWatch();
       Watch();
     }
   });
@@ -88,7 +91,7 @@
 {
   if (!aChanges) {
     const auto number = ++mWatchNumber;
-    ListCancellations();
+    ListBesideWatch();
     mLoop.RunAfter(kRetryDelay, [this, number] {
       if (number == mWatchNumber) {
         Watch();
@@ -101,11 +104,12 @@
       log_event("inbox_history_lost").Add("revision", static_cast<int64_t>(mRevision)));
     ++mWatchNumber;
     mCallbacks.mOnHistoryLost();
-    ListCancellations();
+    ListBesideWatch();
     Relist();
     return;
   }
   mMonitor.OnAnswer(inbox_source::kWatch, mLoop.Now());
+  mJobsReadAt = mLoop.Now();
   if (mOverdueWatches > 0) {
     mLog.Write(log_event("inbox_watch_answered").Add("overdue", mOverdueWatches));
     mOverdueWatches = 0;
@@ -114,7 +118,7 @@
     if (change.mRemoved) {
       mCallbacks.mOnRemoved(change.mItem.mKey);
     } else {
-      mCallbacks.mOnItem(change.mItem);
+      mCallbacks.mOnItem(change.mItem, inbox_source::kWatch);
     }
   }
   mRevision = std::max(mRevision, aChanges->mRevision);
@@ -126,9 +130,9 @@
   ++mListsInFlight;
   mStore.List(
     store_keys::kInbox, false, UnlessEnded([this](const result<stored_range>& aRange) {
-      OnListEnded(aRange);
+      OnListAnswer(aRange, true);
       if (!aRange) {
-        ListCancellations();
+        ListBesideWatch();
         mLoop.RunAfter(kRetryDelay, UnlessEnded([this] { Relist(); }));
         return;
       }
@@ -137,29 +141,35 @@
     }));
 }
 
-void inbox_reader::ListCancellations()
+void inbox_reader::ListBesideWatch()
 {
   const auto now = mLoop.Now();
-  if (mIsListingCancellations || now - mCancellationsListedAt < kMinListPeriod) {
+  if (mIsListingBesideWatch || now - mListedAt < kMinListPeriod) {
     return;
   }
-  mIsListingCancellations = true;
-  mCancellationsListedAt = now;
+  mIsListingBesideWatch = true;
+  mListedAt = now;
   ++mListsInFlight;
-  mStore.List(store_keys::kCancels,
+  const bool listsJobs = now - mJobsReadAt >= kMaxWatchSilence;
+  if (listsJobs) {
+    mJobsReadAt = now;
+  }
+  mStore.List(listsJobs ? store_keys::kInbox : store_keys::kCancels,
               false,
-              UnlessEnded([this](const result<stored_range>& aRange) {
-                mIsListingCancellations = false;
-                OnListEnded(aRange);
+              UnlessEnded([this, listsJobs](const result<stored_range>& aRange) {
+                mIsListingBesideWatch = false;
+                OnListAnswer(aRange, listsJobs);
               }));
 }
 
-void inbox_reader::OnListEnded(const result<stored_range>& aRange)
+void inbox_reader::OnListAnswer(const result<stored_range>& aRange, bool aHasJobs)
 {
   if (aRange) {
-    mMonitor.OnAnswer(inbox_source::kList, mLoop.Now());
+    if (aHasJobs) {
+      mMonitor.OnAnswer(inbox_source::kList, mLoop.Now());
+    }
     for (const auto& item : aRange->mItems) {
-      mCallbacks.mOnItem(item);
+      mCallbacks.mOnItem(item, inbox_source::kList);
     }
   }
   --mListsInFlight;
--- a/src/scheduler/InboxReader.h
+++ b/src/scheduler/InboxReader.h
@@ -15,6 +15,7 @@
  * watch delivers it. A watch call that is overdue is replaced by one on another
  * connection, and while watches are overdue or fail, the cancellations are listed, so
  * that one is read within two seconds as long as the store answers lists or watches.
+ * Jobs, which may be many, are listed every two seconds then.
  * Not thread-safe: all calls come from the thread of the event loop.
  */
 class inbox_reader
@@ -23,7 +24,7 @@
   struct callbacks
   {
     /** Receives each written item at least once. */
-    std::function<void(const stored_item& aItem)> mOnItem;
+    std::function<void(const stored_item& aItem, inbox_source aSource)> mOnItem;
     /** Receives the key of each removed item, unless the store's history was lost. */
     std::function<void(const std::string& aKey)> mOnRemoved;
     /** Runs when removals may have been missed, before the inbox is listed again. */
@@ -34,7 +35,7 @@
 
   /**
    * References must outlive the reader and its pending calls to the store. Each answer
-   * is reported to aMonitor before its items are passed on.
+   * that shows new jobs is reported to aMonitor before its items are passed on.
    */
   inbox_reader(event_loop& aLoop,
                transaction_store& aStore,
@@ -56,8 +57,12 @@
   void OnWatchAnswer(const result<stored_changes>& aChanges);
   /** Lists the whole inbox, then watches from there. */
   void Relist();
-  void ListCancellations();
-  void OnListEnded(const result<stored_range>& aRange);
+  /**
+   * Lists the cancellations, or the whole inbox if it has been silent for long, unless
+   * such a list is under way or was sent just before.
+   */
+  void ListBesideWatch();
+  void OnListAnswer(const result<stored_range>& aRange, bool aHasJobs);
   template<typename Callback>
   auto UnlessEnded(Callback aCallback);
 
@@ -72,8 +77,9 @@
   uint64_t mWatchNumber = 0;   ///< Answers to earlier watches are ignored.
   int64_t mOverdueWatches = 0; ///< Since the last answer.
   int mListsInFlight = 0;
-  bool mIsListingCancellations = false;
-  time_point mCancellationsListedAt{ 0 };
+  bool mIsListingBesideWatch = false;
+  time_point mListedAt{ 0 };
+  time_point mJobsReadAt{ 0 }; ///< When jobs were last read, or their list was sent.
 };
 
 } // namespace anvildoor
--- a/tests/CancellationTest.cpp
+++ b/tests/CancellationTest.cpp
@@ -555,3 +555,21 @@
                          kMaxReadAge };
   CheckBound(row, { duration(after), false, duration(phase) });
 }
+
+// Guards against jobs that wait until the watch of the inbox is answered again.
+TEST_CASE("a job starts once although inbox watches fail for long", "[cancellation]")
+{
+  const auto fate = GENERATE(fate::kRefused, fate::kUnsent);
+  fake_installation site(3, 4);
+  site.mLoop.RunFor(duration(3'000));
+  site.mFaults.mStoreFaults.push_back(
+    { fate, site.SchedulerVm(), { call::kWatch }, store_keys::kInbox });
+  site.mLoop.RunFor(duration(3'000));
+  REQUIRE(site.Submit("vm2", fake_installation::MakeJob(kJob, 2)) ==
+          job_answer::kAccepted);
+  site.mLoop.RunFor(duration(3'500));
+  CHECK(site.CountStarts(kJob) == 2);
+  site.mLoop.RunFor(duration(10'000));
+  CHECK(site.CountStarts(kJob) == 2);
+  CHECK(site.mLog.CountLines("event=inbox_silent") >= 1);
+}
