--- a/tests/CancellationTest.cpp
+++ b/tests/CancellationTest.cpp
@@ -573,3 +573,17 @@
   CHECK(site.CountStarts(kJob) == 2);
   CHECK(site.mLog.CountLines("event=inbox_silent") >= 1);
 }
+
+// Guards against terms that are renewed while their scheduler can't do its work.
+TEST_CASE("a scheduler whose writes the store doesn't take is replaced",
+          "[cancellation][known-red]")
+{
+  const auto fate = GENERATE(fate::kRefused, fate::kUnsent);
+  fake_installation site(3, 4);
+  site.mLoop.RunFor(duration(3'000));
+  site.mFaults.mStoreFaults.push_back({ fate, site.SchedulerVm(), { call::kCommit } });
+  REQUIRE(site.Submit("vm2", fake_installation::MakeJob(kJob, 2)) ==
+          job_answer::kAccepted);
+  site.mLoop.RunFor(duration(30'000));
+  CHECK(site.CountStarts(kJob) == 2);
+}
--- a/tests/StopTest.cpp
+++ b/tests/StopTest.cpp
@@ -393,6 +393,46 @@
   REQUIRE_FALSE(aSite.mTraces[1].mEnded);
 }
 
+/** Checks that the run of a worker ends that drains and runs on after its entry. */
+void CheckWorkerInNoList(scheduler_change aChange)
+{
+  constexpr duration kLostHold{ 1'950 };
+  const auto leaseMs = GENERATE(6'000, 10'000);
+  const auto recordedAfterMs = GENERATE(0, 200);
+  const auto cancelledAfterMs = GENERATE(0, 1'000);
+  CAPTURE(leaseMs, static_cast<int>(aChange), recordedAfterMs, cancelledAfterMs);
+  scheduler_bounds bounds;
+  bounds.mRuns.mLeaseMax = duration(leaseMs);
+  fake_installation site(3, 1, 4, bounds);
+  site.mBehaviourByPayload["long"] = { duration(60'000), false };
+  auto job = fake_installation::MakeJob(kJob, 1);
+  job.mSpec.mPayload = "long";
+  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(1'000));
+  REQUIRE(site.mTraces.size() == 1);
+  // The worker drains, and runs on for a while after its entry has been removed.
+  site.ListWorker("w0", true);
+  site.mLoop.RunFor(duration(1'600));
+  site.mStore.Remove("workers/w0");
+  const auto isGivenUp = [&] { return site.mLog.CountLines("left=1") == 1; };
+  REQUIRE(site.mLoop.RunUntil(isGivenUp, duration(1'500)));
+  site.mLoop.RunFor(duration(recordedAfterMs));
+  auto disruptionEnd = site.mLoop.Now();
+  if (aChange == scheduler_change::kNone) {
+    SetReachable(site, "w0", false);
+    site.mLoop.RunFor(kLostHold);
+    SetReachable(site, "w0", true);
+    disruptionEnd = site.mLoop.Now();
+  } else {
+    ChangeScheduler(site, aChange);
+  }
+  site.mLoop.RunFor(duration(cancelledAfterMs));
+  REQUIRE(site.Cancel(VmThatFollows(site), kJob) == job_answer::kAccepted);
+  const auto since = std::max(site.mLoop.Now(), disruptionEnd + kContactTime);
+  site.mLoop.RunFor(since + kCancelBound - site.mLoop.Now());
+  CHECK(CountRuns(site) == 0);
+}
+
 } // namespace
 
 TEST_CASE("a newer run of a done task is stopped although its first stop is lost",
@@ -457,45 +497,17 @@
 
 // Guards against workers that nobody asks again while one of their runs goes on.
 TEST_CASE("a run of a worker in no list is stopped although one hold was lost",
+          "[stop]")
+{
+  CheckWorkerInNoList(scheduler_change::kNone);
+}
+
+// Guards against schedulers that don't know a worker whose runs have been given up.
+TEST_CASE("a run of a worker in no list is stopped by the next scheduler",
           "[stop][known-red]")
 {
-  constexpr duration kLostHold{ 1'950 };
-  const auto leaseMs = GENERATE(6'000, 10'000);
-  const auto change = GENERATE(
-    scheduler_change::kNone, scheduler_change::kKilled, scheduler_change::kHandedOver);
-  const auto recordedAfterMs = GENERATE(0, 200);
-  const auto cancelledAfterMs = GENERATE(0, 1'000);
-  CAPTURE(leaseMs, static_cast<int>(change), recordedAfterMs, cancelledAfterMs);
-  scheduler_bounds bounds;
-  bounds.mRuns.mLeaseMax = duration(leaseMs);
-  fake_installation site(3, 1, 4, bounds);
-  site.mBehaviourByPayload["long"] = { duration(60'000), false };
-  auto job = fake_installation::MakeJob(kJob, 1);
-  job.mSpec.mPayload = "long";
-  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
-  site.mLoop.RunFor(duration(1'000));
-  REQUIRE(site.mTraces.size() == 1);
-  // The worker drains, and runs on for a while after its entry has been removed.
-  site.ListWorker("w0", true);
-  site.mLoop.RunFor(duration(1'600));
-  site.mStore.Remove("workers/w0");
-  const auto isGivenUp = [&] { return site.mLog.CountLines("left=1") == 1; };
-  REQUIRE(site.mLoop.RunUntil(isGivenUp, duration(1'500)));
-  site.mLoop.RunFor(duration(recordedAfterMs));
-  auto disruptionEnd = site.mLoop.Now();
-  if (change == scheduler_change::kNone) {
-    SetReachable(site, "w0", false);
-    site.mLoop.RunFor(kLostHold);
-    SetReachable(site, "w0", true);
-    disruptionEnd = site.mLoop.Now();
-  } else {
-    ChangeScheduler(site, change);
-  }
-  site.mLoop.RunFor(duration(cancelledAfterMs));
-  REQUIRE(site.Cancel(VmThatFollows(site), kJob) == job_answer::kAccepted);
-  const auto since = std::max(site.mLoop.Now(), disruptionEnd + kContactTime);
-  site.mLoop.RunFor(since + kCancelBound - site.mLoop.Now());
-  CHECK(CountRuns(site) == 0);
+  CheckWorkerInNoList(
+    GENERATE(scheduler_change::kKilled, scheduler_change::kHandedOver));
 }
 
 TEST_CASE("cancelled jobs stop in time beside random faults of their workers", "[stop]")
