A version is in force in time although a watch of it is silent

One silent watch call of the desired state delayed a version by up to 2.9 s on virtual time (bound of the smallest site: 2 s).

Cause: the desired state was learned by one watch of 2 s, given up 1.5 s later.

Change: a watch that is 0.25 s overdue after 1.5 s is replaced by a read.

--- a/src/entry/PolicyWatch.cpp
+++ b/src/entry/PolicyWatch.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-/** Wait of one watch call. Limits how long a broken connection goes undetected. */
-constexpr duration kWatchTimeout{ 2'000 };
+/** Time after which the store answers a watch without changes. */
+constexpr duration kWatchTimeout{ 1'500 };
+/** A watch that is not answered this long after its timeout is overdue. */
+constexpr duration kOverdueMargin{ 250 };
 constexpr duration kReadRetryDelay{ 150 };
 
 } // namespace
@@ -74,6 +76,13 @@
                  }
                  Watch(std::max(aRevision, aChanges->mRevision));
                });
+  const auto number = ++mWatchNumber;
+  mLoop.RunAfter(kWatchTimeout + kOverdueMargin, [this, generation, number] {
+    if (generation == mReadGeneration && number == mWatchNumber) {
+      // Its connection may have gone silent; a read shows what it would have told.
+      Read();
+    }
+  });
 }
 
 void policy_watch::Apply(const stored_item& aItem)
--- a/src/entry/PolicyWatch.h
+++ b/src/entry/PolicyWatch.h
@@ -50,6 +50,7 @@
   decoder mDecode;
   listener mListener;
   uint64_t mReadGeneration = 0;
+  uint64_t mWatchNumber = 0; ///< Counts the watches that were sent.
   std::shared_ptr<const fleet_policy> mCurrent;
 };
 
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -272,6 +272,30 @@
   CHECK(site.Node("vm0").Policy()->mVersion == 7);
 }
 
+// Guards against versions that come into force late behind a silent watch.
+TEST_CASE("a version is in force within 2 s although a watch is silent",
+          "[installation]")
+{
+  const auto fate = GENERATE(store_fate::kUnsent, store_fate::kEventLost);
+  const auto silent = GENERATE(1, 1'000);
+  const auto phase = GENERATE(range(0, 2'000, 125));
+  CAPTURE(silent, phase);
+  fake_installation site(3, 4);
+  site.mLoop.RunFor(duration(3'000 + phase));
+  store_fault fault;
+  fault.mFate = fate;
+  fault.mVm = "vm2";
+  fault.mCalls = { store_call::kWatch };
+  fault.mPrefix = "policy";
+  fault.mCallsLeft = silent;
+  site.mFaults.mStoreFaults.push_back(fault);
+  site.mLoop.RunFor(duration(2'500));
+  const auto version = site.Node("vm2").Policy()->mVersion;
+  site.PutPolicy(version + 1);
+  site.mLoop.RunFor(duration(2'000));
+  CHECK(site.Node("vm2").Policy()->mVersion == version + 1);
+}
+
 TEST_CASE("a VM is not ready while it cannot reach the store", "[installation]")
 {
   fake_installation site(3, 2);
