--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -10,18 +10,17 @@
 
 /** Each job uses two conditions and one put of the transaction. */
 constexpr size_t kMaxJobsPerTransaction = store_transaction::kMaxEntries / 3;
-/**
- * A cancellation without a job keeps the job from being stored for at least the first
- * and at most the second time. The store may carry out a submission seconds late.
- */
+/** Shortest time for which an early cancellation keeps its job from being stored. */
 constexpr duration kMinEarlyCancelTime{ 60'000 };
+/** Longest such time: that of the lease which the early cancellations of a VM share. */
 constexpr duration kMaxEarlyCancelTime{ 120'000 };
 /** Jobs submitted within this time are batched into one transaction. */
 constexpr duration kBatchDelay{ 2 };
 /** Delay before a write without an answer is retried. */
 constexpr duration kWriteRetryDelay{ 60 };
-/** How often, and after which delay, the scheduler is told of a cancellation again. */
+/** How often a VM tries to tell the scheduler of a cancellation. */
 constexpr int kMaxNotifications = 4;
+/** Delay between these attempts. */
 constexpr duration kNotificationRetryDelay{ 250 };
 /** Maximum age of a cached pending count; the platform allows 2 s. */
 constexpr duration kMaxPendingCountAge{ 1'800 };
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -74,8 +74,8 @@
 
   /**
    * Records the cancellation of a job. Answers kNotFound unless the job belongs to
-   * aWorkspace; empty: any workspace. A job that is not stored is not accepted for a
-   * minute, as its submission may still be under way.
+   * aWorkspace; empty: any workspace. Of a job that is not stored an early cancellation
+   * is written, so that a submission that is under way isn't accepted any more.
    */
   void Cancel(const std::string& aId, const std::string& aWorkspace, respond aRespond);
 
@@ -86,6 +86,9 @@
   void Pending(const std::string& aQueue, respond aRespond);
 
 private:
+  /** Answers a cancellation with an answer, a revision and a reason. */
+  using finish_cancel = std::function<void(job_answer, uint64_t, const char*)>;
+
   struct submission
   {
     accepted_job mJob;
@@ -111,12 +114,13 @@
   void AbandonSubmission(const std::string& aId,
                          time_point aDeadline,
                          const char* aReason);
-  /** Answers a cancellation with an answer, a revision and a reason. */
-  using finish_cancel = std::function<void(job_answer, uint64_t, const char*)>;
   void CancelStored(const std::string& aId,
                     const std::string& aWorkspace,
                     const finish_cancel& aFinish);
-  /** Keeps a job that is not stored from being stored by a late submission. */
+  /**
+   * Stores an early cancellation, one of a job that is not stored: while it exists, no
+   * VM stores the job, whose submission may be under way.
+   */
   void CancelBeforeSubmission(const std::string& aId,
                               const std::string& aWorkspace,
                               const finish_cancel& aFinish);
@@ -132,7 +136,7 @@
                     const respond& aRespond);
   /**
    * Tells the scheduler of a stored cancellation, so that it need not wait for its
-   * inbox. Repeats that up to aAttempts times until the scheduler has applied it.
+   * inbox, in at most aAttempts attempts until the scheduler has applied it.
    */
   void NotifyScheduler(const std::string& aId, uint64_t aRevision, int aAttempts);
   void StateFromStore(const std::string& aId, const respond& aRespond);
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -108,8 +108,9 @@
   void ObserveIntake(bool aIsClosed);
 
   /**
-   * Applies a cancellation that another VM has stored at aRevision, without waiting for
-   * the inbox. Returns false if this VM does not schedule the job, or not yet.
+   * Applies a cancellation without waiting for the inbox. The caller has stored it at
+   * aRevision, which is not checked. Returns false if this VM does not schedule the
+   * job, or not yet.
    */
   bool ObserveCancellation(const std::string& aJob, uint64_t aRevision);
 
@@ -153,6 +154,8 @@
   void ApplyLoadedItems(const std::shared_ptr<takeover_state>& aState);
   void ApplyRecord(job_entry& aJob, const std::string& aRecord);
   void FinishTakeover(const takeover_state& aTakeover);
+  /** Stops runs that the records show, but that are not to go on. */
+  void StopLeftoverRuns();
   /** Keeps what a successor cannot read in the store. */
   void SaveSummary();
   void OnSummaryAnswer(takeover_state& aTakeover,
--- a/src/scheduler/FleetSchedulerTakeover.cpp
+++ b/src/scheduler/FleetSchedulerTakeover.cpp
@@ -132,23 +132,19 @@
                                 const std::string& aPrefix,
                                 stored_range takeover_state::*aTarget)
 {
-  mPorts.mStore.List(
-    aPrefix,
-    false,
-    UnlessTermEnded(
-      [this, aState, aPrefix, aTarget](const result<stored_range>& aRange) {
-        if (!aRange) {
-          RepeatRead(aRange.error(), [this, aState, aPrefix, aTarget] {
-            ReadRange(aState, aPrefix, aTarget);
-          });
-          return;
-        }
-        if (aPrefix == store_keys::kInbox) {
-          mInboxMonitor.OnAnswer(inbox_source::kTakeover, mPorts.mLoop.Now());
-        }
-        (*aState).*aTarget = *aRange;
-        FinishRead(aState);
-      }));
+  mPorts.mStore.List(aPrefix,
+                     false,
+                     UnlessTermEnded([this, aState, aPrefix, aTarget](
+                                       const result<stored_range>& aRange) {
+                       if (!aRange) {
+                         RepeatRead(aRange.error(), [this, aState, aPrefix, aTarget] {
+                           ReadRange(aState, aPrefix, aTarget);
+                         });
+                         return;
+                       }
+                       (*aState).*aTarget = *aRange;
+                       FinishRead(aState);
+                     }));
 }
 
 void fleet_scheduler::ReadLastWrite(const std::shared_ptr<takeover_state>& aState)
@@ -185,6 +181,7 @@
 void fleet_scheduler::OnLoaded(const std::shared_ptr<takeover_state>& aState)
 {
   auto& takeover = *aState;
+  mInboxMonitor.OnAnswer(inbox_source::kTakeover, mPorts.mLoop.Now());
   mWriter.Begin(mTerm, takeover.mWriterRevision);
   if (mLastSummary &&
       (!takeover.mSummary || takeover.mSummary->mFence < mLastSummary->mFence)) {
@@ -305,6 +302,15 @@
       ScheduleHold(*worker, duration::zero());
     }
   }
+  StopLeftoverRuns();
+  mInbox.Begin(aTakeover.mInbox.mRevision);
+  PollDirectory();
+  Tick();
+  SchedulePlan();
+}
+
+void fleet_scheduler::StopLeftoverRuns()
+{
   for (auto& [id, job] : mJobs) {
     if (job->mState.Outcome() != job_outcome::kOpen) {
       StopJob(*job, "the job has ended");
@@ -316,10 +322,6 @@
       }
     }
   }
-  mInbox.Begin(aTakeover.mInbox.mRevision);
-  PollDirectory();
-  Tick();
-  SchedulePlan();
 }
 
 } // namespace anvildoor
