Overdue runs are counted when the metrics are read, not four times a second

The gauge stopping_runs_overdue was set at each tick by a pass over all runs with a look-up of their jobs.

Change: the count is made for the answer to a scrape, like the other gauges there. What it counts, its name and its value are as before.

--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -99,7 +99,6 @@
   mWriter.End();
   mInbox.End();
   mInboxMonitor.End();
-  mPorts.mMetrics.Set(kOverdueMetric, 0.0);
   mJobs.clear();
   mUnmatchedCancels.clear();
   mIsIntakeClosed = false;
@@ -355,7 +354,6 @@
     CheckWorker(*worker, now);
   }
   mInboxMonitor.Check(now);
-  CountOverdueRuns(now);
   std::erase_if(mUnmatchedCancels, [now](const auto& aCancel) {
     return now - aCancel.second.mReadAt > kMaxUnmatchedAge;
   });
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -114,6 +114,12 @@
    */
   bool ObserveCancellation(const std::string& aJob, uint64_t aRevision);
 
+  /**
+   * Returns how many runs go on although their job ended, or they were told to stop,
+   * more than 3 s ago. Looks at all runs.
+   */
+  size_t CountOverdueRuns() const;
+
   /** Sets the rules of queues and workspaces. */
   void SetPolicy(std::shared_ptr<const fleet_policy> aPolicy);
 
@@ -222,8 +228,6 @@
                      const task_ref& aTask,
                      uint32_t aRun,
                      run_request_status aAnswer);
-  /** Sets the gauge of runs that go on although their job has ended. */
-  void CountOverdueRuns(time_point aNow);
   void StopTask(const job_entry& aJob, const task_ref& aTask, const char* aReason);
   void StopJob(const job_entry& aJob, const char* aReason);
   void StopGang(const job_entry& aJob,
--- a/src/scheduler/FleetSchedulerState.h
+++ b/src/scheduler/FleetSchedulerState.h
@@ -33,9 +33,6 @@
 constexpr const char* kDoneByEarlierRunReason =
   "an earlier run of the task has ended as done";
 
-/** Gauge of the runs that go on although their job has ended. */
-constexpr const char* kOverdueMetric = "stopping_runs_overdue";
-
 /** The stop requests for one run, for the log. */
 struct stop_calls
 {
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -586,8 +586,9 @@
   }
 }
 
-void fleet_scheduler::CountOverdueRuns(time_point aNow)
+size_t fleet_scheduler::CountOverdueRuns() const
 {
+  const auto now = mPorts.mLoop.Now();
   size_t overdue = 0;
   for (const auto& [id, worker] : mWorkers) {
     const std::string* jobId = nullptr;
@@ -599,16 +600,16 @@
         const auto found = mJobs.find(task.mJob);
         isOverdue = found != mJobs.end() &&
                     found->second->mState.Outcome() != job_outcome::kOpen &&
-                    aNow - found->second->mEndedAt > kOverdueAfterEnd;
+                    now - found->second->mEndedAt > kOverdueAfterEnd;
       }
       overdue += isOverdue ? 1 : 0;
     }
     for (const auto& [run, calls] : worker->mStops) {
       const bool isRegistered = RegisteredRun(worker->mRuns, run.first) == run.second;
-      overdue += !isRegistered && aNow - calls.mFirstAt > kOverdueAfterEnd ? 1 : 0;
+      overdue += !isRegistered && now - calls.mFirstAt > kOverdueAfterEnd ? 1 : 0;
     }
   }
-  mPorts.mMetrics.Set(kOverdueMetric, static_cast<double>(overdue));
+  return overdue;
 }
 
 } // namespace anvildoor
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -85,7 +85,13 @@
   void Stop() { mLoop.Stop(); }
 
   entry_node& Node() { return *mNode; }
-  std::string MetricsText() const { return mMetrics.Text(); }
+  /** Like the entry program's answer to a scrape. */
+  std::string MetricsText()
+  {
+    mMetrics.Set("stopping_runs_overdue",
+                 static_cast<double>(mNode->Scheduler().CountOverdueRuns()));
+    return mMetrics.Text();
+  }
 
 private:
   bool IsBlocked(const std::string& aOther) const
