The watch of the desired state counts its calls once

Reads and watches had a counter each; a watch supersedes the read before it just as a read supersedes the watch, so that one number tells whether an answer or a timer is still wanted. Two comments on the probe say whom they mean.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -140,7 +140,7 @@
 
 void entry_node::ProbeStore()
 {
-  // Its renewals tell the holder of the key.
+  // The holder learns of the end of its lease by the renewals.
   const bool mayBeStale = mElection.IsHolder() || ++mProbes % kProbesPerFreshRead != 0;
   mPorts.mStore.List(
     store_keys::kScheduler, mayBeStale, [this](const result<stored_range>& aRange) {
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -92,7 +92,7 @@
   bool mDraining = false;
   time_point mStoreAnsweredAt{ 0 };
   bool mWasStoreReachable = false;
-  uint64_t mProbes = 0; ///< Probes sent while another VM held the scheduler's key.
+  uint64_t mProbes = 0; ///< Probes sent while this VM didn't hold the scheduler's key.
   bool mIsIntakeClosed = false; ///< As last read from the store.
 };
 
--- a/src/entry/PolicyWatch.cpp
+++ b/src/entry/PolicyWatch.cpp
@@ -31,9 +31,9 @@
 
 void policy_watch::ScheduleRead()
 {
-  const auto generation = mReadGeneration;
-  mLoop.RunAfter(kReadRetryDelay, [this, generation] {
-    if (generation == mReadGeneration) {
+  const auto number = mCallNumber;
+  mLoop.RunAfter(kReadRetryDelay, [this, number] {
+    if (number == mCallNumber) {
       Read();
     }
   });
@@ -41,9 +41,9 @@
 
 void policy_watch::Read()
 {
-  const auto generation = ++mReadGeneration;
-  mStore.GetForWatch(mKey, [this, generation](const result<stored_range>& aRead) {
-    if (generation != mReadGeneration) {
+  const auto number = ++mCallNumber;
+  mStore.GetForWatch(mKey, [this, number](const result<stored_range>& aRead) {
+    if (number != mCallNumber) {
       return;
     }
     if (!aRead || aRead->mItems.empty()) {
@@ -57,12 +57,12 @@
 
 void policy_watch::Watch(uint64_t aRevision)
 {
-  const auto generation = mReadGeneration;
+  const auto number = ++mCallNumber;
   mStore.Watch(mKey,
                aRevision,
                kWatchTimeout,
-               [this, generation, aRevision](const result<stored_changes>& aChanges) {
-                 if (generation != mReadGeneration) {
+               [this, number, aRevision](const result<stored_changes>& aChanges) {
+                 if (number != mCallNumber) {
                    return;
                  }
                  if (!aChanges || aChanges->mHistoryLost) {
@@ -76,9 +76,8 @@
                  }
                  Watch(std::max(aRevision, aChanges->mRevision));
                });
-  const auto number = ++mWatchNumber;
-  mLoop.RunAfter(kWatchTimeout + kOverdueMargin, [this, generation, number] {
-    if (generation == mReadGeneration && number == mWatchNumber) {
+  mLoop.RunAfter(kWatchTimeout + kOverdueMargin, [this, number] {
+    if (number == mCallNumber) {
       // Its connection may have gone silent; a read shows what it would have told.
       Read();
     }
--- a/src/entry/PolicyWatch.h
+++ b/src/entry/PolicyWatch.h
@@ -49,8 +49,7 @@
   std::string mKey;
   decoder mDecode;
   listener mListener;
-  uint64_t mReadGeneration = 0;
-  uint64_t mWatchNumber = 0; ///< Counts the watches that were sent.
+  uint64_t mCallNumber = 0; ///< Counts reads and watches; earlier ones do nothing.
   std::shared_ptr<const fleet_policy> mCurrent;
 };
 
