--- a/tests/platform/check_cancellations.py
+++ b/tests/platform/check_cancellations.py
@@ -1,9 +1,8 @@
 """Checks with real processes that a cancelled job's runs end in time.
 
-Usage: check_cancellations.py BUILD [--known-red] [--rows TEXT] [ENTRY_BUILD]. --known-red
-runs the rows that KNOWN-RED.txt lists, and only these; --rows the rows whose name has
-TEXT. The last folder, if given, has the anvildoor-entry to be checked. Fails if a run goes
-on for longer than the platform allows.
+Usage: check_cancellations.py BUILD [--rows TEXT] [ENTRY_BUILD]. --rows runs the rows whose
+name has TEXT. The last folder, if given, has the anvildoor-entry to be checked. Fails if a
+run goes on for longer than the platform allows.
 """
 
 import argparse
@@ -104,9 +103,8 @@
 class Row:
     """A scenario: steps at seconds from its begin, each for the scheduler or others."""
 
-    def __init__(self, name, steps, cancels, disrupted_s, known_red=False,
-                 lease_ms=6000):
-        self.name, self.steps, self.known_red = name, steps, known_red
+    def __init__(self, name, steps, cancels, disrupted_s, lease_ms=6000):
+        self.name, self.steps = name, steps
         self.cancels = [Cancellation(number, at) for number, at in enumerate(cancels)]
         # The end of the last disruption; None: there is none at all.
         self.disrupted_s = disrupted_s
@@ -212,11 +210,9 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("build")
     parser.add_argument("entry_build", nargs="?")
-    parser.add_argument("--known-red", action="store_true")
     parser.add_argument("--rows", default="")
     options = parser.parse_intermixed_args()
-    rows = [row for row in ROWS if options.rows in row.name
-            and (options.rows or row.known_red == options.known_red)]
+    rows = [row for row in ROWS if options.rows in row.name]
     with concurrent.futures.ThreadPoolExecutor(SITES) as pool:
         played = pool.map(
             lambda row: row.play(options.build, options.entry_build or options.build), rows)
