--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -186,7 +186,7 @@
   void OnJobRemoved(const std::string& aId);
   void ForgetRemovedJobs();
 
-  // Workers: hold calls, ends of runs, stops (FleetSchedulerWorkers.cpp).
+  // Workers: hold calls and ends of runs (FleetSchedulerWorkers.cpp).
   void PollDirectory();
   /** Applies a list that was requested at aRequestedAt. */
   void OnWorkersListed(const std::vector<listed_worker>& aListed,
@@ -200,19 +200,14 @@
   void OnHoldFailed(worker_entry& aWorker, run_request_status aAnswer);
   void ApplyRunEvents(worker_entry& aWorker, const std::vector<run_event>& aEvents);
   void ApplyRunEnd(worker_entry& aWorker, const run_event& aEvent);
-  static bool IsCancelled(const job_entry* aJob);
-  /** Logs the end of a run, and measures it if its job was cancelled. */
-  void ReportRunEnd(const worker_entry& aWorker,
-                    const run_event& aEvent,
-                    const job_entry* aJob,
-                    bool aIsCurrent);
   /** Ends all runs of a worker that can have none any more. */
   void DropRuns(worker_entry& aWorker, run_end aEnd);
   void HandleUnexpectedRun(worker_entry& aWorker, const run_event& aEvent);
   void UpdateWorkerHealth(worker_entry& aWorker, const run_event& aEvent);
-  void LogUnexpectedRun(const worker_entry& aWorker,
-                        const run_event& aEvent,
-                        bool aIsStopped) const;
+  void Tick();
+  void CheckWorker(worker_entry& aWorker, time_point aNow);
+
+  // Stops of runs, and what is logged of them (FleetSchedulerStops.cpp).
   void StopRun(worker_entry& aWorker,
                const task_ref& aTask,
                uint32_t aRun,
@@ -228,6 +223,8 @@
                      const task_ref& aTask,
                      uint32_t aRun,
                      run_request_status aAnswer);
+  /** Forgets the stops of runs that are neither registered nor listed in aReply. */
+  static void ForgetEndedStops(worker_entry& aWorker, const hold_reply& aReply);
   void StopTask(const job_entry& aJob, const task_ref& aTask, const char* aReason);
   void StopJob(const job_entry& aJob, const char* aReason);
   void StopGang(const job_entry& aJob,
@@ -236,8 +233,15 @@
                 const char* aReason);
   /** Stops the runs of a task, or of its whole gang, that is done without them. */
   void StopNewerRuns(const job_entry& aJob, const task_ref& aTask);
-  void Tick();
-  void CheckWorker(worker_entry& aWorker, time_point aNow);
+  static bool IsCancelled(const job_entry* aJob);
+  /** Logs the end of a run, and measures it if its job was cancelled. */
+  void ReportRunEnd(const worker_entry& aWorker,
+                    const run_event& aEvent,
+                    const job_entry* aJob,
+                    bool aIsCurrent);
+  void LogUnexpectedRun(const worker_entry& aWorker,
+                        const run_event& aEvent,
+                        bool aIsStopped) const;
 
   // Runs that should be restarted on another worker (FleetSchedulerProgress.cpp).
   void CheckProgress(worker_entry& aWorker, time_point aNow);
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -508,12 +508,7 @@
     job->second->mState.MarkStarted();
   }
   if (aAnswer != run_request_status::kAccepted) {
-    mPorts.mLog.Write(log_event("run_start_failed")
-                        .Add("job", aTask.mJob)
-                        .Add("step", aTask.mStep)
-                        .Add("index", aTask.mIndex)
-                        .Add("run", aRun)
-                        .Add("worker", aWorker)
+    mPorts.mLog.Write(RunEvent("run_start_failed", aWorker, aTask, aRun)
                         .Add("answer", ToString(aAnswer))
                         .Add("ms", (now - aSentAt).count()));
     worker.mHealth.OnStartFailed(now);
--- a/src/scheduler/FleetSchedulerState.h
+++ b/src/scheduler/FleetSchedulerState.h
@@ -33,6 +33,12 @@
 constexpr const char* kDoneByEarlierRunReason =
   "an earlier run of the task has ended as done";
 
+/** Returns an event with the fields that name a run and its worker. Thread-safe. */
+log_event RunEvent(const char* aName,
+                   const std::string& aWorker,
+                   const task_ref& aTask,
+                   uint32_t aRun);
+
 /** The stop requests for one run, for the log. */
 struct stop_calls
 {
--- /dev/null
+++ b/src/scheduler/FleetSchedulerStops.cpp
@@ -0,0 +1,246 @@
+#include "scheduler/FleetScheduler.h"
+#include "scheduler/FleetSchedulerState.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace anvildoor {
+
+namespace {
+
+/** A run that is listed for longer than this after its job's end counts as overdue. */
+constexpr duration kOverdueAfterEnd{ 3'000 };
+
+/** Returns the number under which a task's run is registered; 0: none. */
+uint32_t RegisteredRun(const worker_runs& aRuns, const task_ref& aTask)
+{
+  const auto found = aRuns.Runs().find(aTask);
+  return found == aRuns.Runs().end() ? 0 : found->second.mRun;
+}
+
+bool IsListed(const hold_reply& aReply, const task_ref& aTask, uint32_t aRun)
+{
+  return std::any_of(
+    aReply.mRunning.begin(), aReply.mRunning.end(), [&](const auto& aEach) {
+      return aEach.mRun == aRun && aEach.mTask == aTask;
+    });
+}
+
+} // namespace
+
+log_event RunEvent(const char* aName,
+                   const std::string& aWorker,
+                   const task_ref& aTask,
+                   uint32_t aRun)
+{
+  log_event event(aName);
+  event.Add("job", aTask.mJob)
+    .Add("step", aTask.mStep)
+    .Add("index", aTask.mIndex)
+    .Add("run", aRun)
+    .Add("worker", aWorker);
+  return event;
+}
+
+void fleet_scheduler::StopRun(worker_entry& aWorker,
+                              const task_ref& aTask,
+                              uint32_t aRun,
+                              const char* aReason)
+{
+  aWorker.mRuns.MarkStopping(aTask, mPorts.mLoop.Now());
+  const bool isSent = MaySendRequests() && !aWorker.mListed.mAddress.empty();
+  LogStop(aWorker, aTask, aRun, aReason, isSent);
+  if (!isSent) {
+    return;
+  }
+  stop_run_request request;
+  request.mWorker = { aWorker.mListed.mId, aWorker.mListed.mAddress };
+  request.mTask = aTask;
+  request.mRun = aRun;
+  request.mFence = mTerm.mFence;
+  const auto id = aWorker.mListed.mId;
+  mPorts.mWorkers.Stop(
+    request,
+    UnlessTermEnded([this, id, aTask, aRun](const run_request_status& aAnswer) {
+      const auto found = mWorkers.find(id);
+      if (found == mWorkers.end()) {
+        return;
+      }
+      if (aAnswer == run_request_status::kFenced) {
+        OnFenced("worker " + id + " has received a newer fencing token");
+        return;
+      }
+      LogStopAnswer(*found->second, aTask, aRun, aAnswer);
+      found->second->mRuns.OnStopAnswer(aTask, aRun, aAnswer, mPorts.mLoop.Now());
+    }));
+}
+
+void fleet_scheduler::LogStop(worker_entry& aWorker,
+                              const task_ref& aTask,
+                              uint32_t aRun,
+                              const char* aReason,
+                              bool aIsSent)
+{
+  auto& calls = aWorker.mStops[{ aTask, aRun }];
+  const auto formerAnswer = std::exchange(calls.mAnswer, std::nullopt);
+  ++calls.mCount;
+  if (calls.mCount == 1) {
+    calls.mFirstAt = mPorts.mLoop.Now();
+  }
+  if (!std::has_single_bit(calls.mCount)) {
+    return;
+  }
+  const bool isFirst = calls.mCount == 1;
+  auto event = RunEvent(
+    isFirst ? "run_stop" : "run_stop_retried", aWorker.mListed.mId, aTask, aRun);
+  event.Add("registered_run", RegisteredRun(aWorker.mRuns, aTask))
+    .Add("sent", aIsSent ? 1 : 0);
+  if (!isFirst) {
+    event.Add("count", calls.mCount)
+      .Add("former_answer", formerAnswer ? ToString(*formerAnswer) : "none");
+  }
+  mPorts.mLog.Write(event.Add("reason", aReason));
+}
+
+void fleet_scheduler::LogStopAnswer(worker_entry& aWorker,
+                                    const task_ref& aTask,
+                                    uint32_t aRun,
+                                    run_request_status aAnswer)
+{
+  const auto found = aWorker.mStops.find({ aTask, aRun });
+  if (found == aWorker.mStops.end()) {
+    return;
+  }
+  auto& calls = found->second;
+  calls.mAnswer = aAnswer;
+  if (aAnswer != run_request_status::kAccepted && calls.mLoggedAnswer != aAnswer) {
+    mPorts.mLog.Write(
+      RunEvent("run_stop_failed", aWorker.mListed.mId, aTask, aRun)
+        .Add("answer", ToString(aAnswer))
+        .Add("since_stop_ms", (mPorts.mLoop.Now() - calls.mFirstAt).count()));
+  }
+  calls.mLoggedAnswer = aAnswer;
+}
+
+void fleet_scheduler::ForgetEndedStops(worker_entry& aWorker, const hold_reply& aReply)
+{
+  std::erase_if(aWorker.mStops, [&](const auto& aStop) {
+    const auto& [task, run] = aStop.first;
+    return RegisteredRun(aWorker.mRuns, task) != run && !IsListed(aReply, task, run);
+  });
+}
+
+void fleet_scheduler::StopTask(const job_entry& aJob,
+                               const task_ref& aTask,
+                               const char* aReason)
+{
+  const auto& task = aJob.mState.Task(aTask);
+  const auto found = mWorkers.find(task.mWorker);
+  if (found == mWorkers.end()) {
+    return;
+  }
+  auto& worker = *found->second;
+  const auto run = worker.mRuns.Runs().find(aTask);
+  if (run == worker.mRuns.Runs().end() || run->second.mStopping) {
+    return;
+  }
+  StopRun(worker, aTask, task.mRun, aReason);
+}
+
+void fleet_scheduler::StopJob(const job_entry& aJob, const char* aReason)
+{
+  for (const auto& task : aJob.mState.PlacedTasks()) {
+    StopTask(aJob, task, aReason);
+  }
+}
+
+void fleet_scheduler::StopGang(const job_entry& aJob,
+                               const task_ref& aTask,
+                               uint32_t aRun,
+                               const char* aReason)
+{
+  for (const auto& member : aJob.mState.PlacedTasksOf(aTask.mOccurrence, aTask.mStep)) {
+    if (aJob.mState.Task(member).mRun == aRun) {
+      StopTask(aJob, member, aReason);
+    }
+  }
+}
+
+void fleet_scheduler::StopNewerRuns(const job_entry& aJob, const task_ref& aTask)
+{
+  if (aJob.mState.StepOf(aTask).mGang) {
+    StopGang(aJob, aTask, aJob.mState.Task(aTask).mRun, kDoneByEarlierRunReason);
+  } else if (!aJob.mState.Task(aTask).mWorker.empty()) {
+    StopTask(aJob, aTask, kDoneByEarlierRunReason);
+  }
+}
+
+bool fleet_scheduler::IsCancelled(const job_entry* aJob)
+{
+  return aJob != nullptr && aJob->mState.Outcome() == job_outcome::kCancelled;
+}
+
+void fleet_scheduler::ReportRunEnd(const worker_entry& aWorker,
+                                   const run_event& aEvent,
+                                   const job_entry* aJob,
+                                   bool aIsCurrent)
+{
+  auto event = RunEvent("run_ended", aWorker.mListed.mId, aEvent.mTask, aEvent.mRun);
+  event.Add("end", ToString(aEvent.mEnd)).Add("current", aIsCurrent ? 1 : 0);
+  if (IsCancelled(aJob)) {
+    const auto sinceCancel = mPorts.mLoop.Now() - aJob->mEndedAt;
+    const auto& job = aJob->mState.Job();
+    constexpr double kMsPerSecond = 1'000.0;
+    event.Add("since_cancel_ms", sinceCancel.count());
+    mPorts.mMetrics.Observe("cancel_to_end_seconds",
+                            job.mWorkspace,
+                            job.mQueue,
+                            static_cast<double>(sinceCancel.count()) / kMsPerSecond);
+  }
+  mPorts.mLog.Write(event);
+}
+
+void fleet_scheduler::LogUnexpectedRun(const worker_entry& aWorker,
+                                       const run_event& aEvent,
+                                       bool aIsStopped) const
+{
+  const auto found = mJobs.find(aEvent.mTask.mJob);
+  const char* state = "unknown";
+  if (found != mJobs.end()) {
+    state = found->second->mHasTasks ? ToString(found->second->mState.Outcome())
+                                     : "tasks_dropped";
+  }
+  mPorts.mLog.Write(
+    RunEvent("run_unexpected", aWorker.mListed.mId, aEvent.mTask, aEvent.mRun)
+      .Add("job_state", state)
+      .Add("registered_run", RegisteredRun(aWorker.mRuns, aEvent.mTask))
+      .Add("stopped", aIsStopped ? 1 : 0));
+}
+
+size_t fleet_scheduler::CountOverdueRuns() const
+{
+  const auto now = mPorts.mLoop.Now();
+  size_t overdue = 0;
+  for (const auto& [id, worker] : mWorkers) {
+    const std::string* jobId = nullptr;
+    bool isOverdue = false;
+    for (const auto& [task, run] : worker->mRuns.Runs()) {
+      // The runs of one job follow each other.
+      if (jobId == nullptr || *jobId != task.mJob) {
+        jobId = &task.mJob;
+        const auto found = mJobs.find(task.mJob);
+        isOverdue = found != mJobs.end() &&
+                    found->second->mState.Outcome() != job_outcome::kOpen &&
+                    now - found->second->mEndedAt > kOverdueAfterEnd;
+      }
+      overdue += isOverdue ? 1 : 0;
+    }
+    for (const auto& [run, calls] : worker->mStops) {
+      const bool isRegistered = RegisteredRun(worker->mRuns, run.first) == run.second;
+      overdue += !isRegistered && now - calls.mFirstAt > kOverdueAfterEnd ? 1 : 0;
+    }
+  }
+  return overdue;
+}
+
+} // namespace anvildoor
