The checks with real processes share one site

Four scripts started the stand-in and the VMs, put the desired state and waited for a scheduler in the same way; entry_site.Site does that now, and they keep what is theirs.

--- a/tests/platform/check_cancellations.py
+++ b/tests/platform/check_cancellations.py
@@ -13,7 +13,7 @@
 import time
 
 import entry_site
-from entry_site import Vm, call, expect, free_ports, wait_until
+from entry_site import call, expect, wait_until
 
 VMS = 3
 WORKERS = 12
@@ -33,25 +33,13 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-class Site:
+class Site(entry_site.Site):
     """Entry VMs, each with a port of the store of its own, and the stand-in."""
 
     def __init__(self, folder, build, entry_build, jobs, lease_ms):
-        self.processes, self.vms = [], []
         with ports_lock:
-            ports = free_ports(VMS + WORKERS + 4 * VMS)
-            self.stores = ports[:VMS]
-            self.processes.append(entry_site.start_standin(
-                build, f"4,{lease_ms}", ports[:VMS + WORKERS], VMS))
-            for number in range(VMS):
-                first = VMS + WORKERS + 4 * number
-                self.vms.append(Vm(entry_build, folder, f"e{number}",
-                                   ports[first:first + 4], self.stores[number],
-                                   f"[bounds]\nlease_max_ms = {lease_ms}\n"))
-                self.processes.append(self.vms[-1].process)
-            entry_site.put_policy(self.stores[0])
-            wait_until(lambda: all(vm.is_ready() for vm in self.vms), "all VMs are ready")
-        wait_until(lambda: self.scheduler() is not None, "one VM is the scheduler")
+            super().__init__(folder, build, entry_build, VMS, WORKERS, 4, VMS, lease_ms)
+            self.wait_until_ready()
         for job in jobs:
             body = {"spec": "60000", "steps": [{"count": TASKS, "cpu": 4000, "gpu": 2,
                                                 "estimate_ms": 60000}]}
@@ -59,19 +47,10 @@
                 expect(f"job {job} is accepted", False)
         wait_until(lambda: len(self.traces()) == TASKS * len(jobs), "the jobs are running")
 
-    def scheduler(self):
-        """Returns the number of the VM that schedules, if there is one."""
-        return next((number for number, vm in enumerate(self.vms)
-                     if vm.process.poll() is None and vm.schedules()), None)
-
-    def traces(self, job=""):
-        rows = call(self.stores[0], "GET", "/traces")[1]
-        return [row for row in rows if row["task"].startswith(job)]
-
     def fault(self, vms, **fault):
         """Adds a fault at the store's ports of these VMs."""
         for vm in vms:
-            call(self.stores[0], "POST", "/store-fault",
+            call(self.store, "POST", "/store-fault",
                  {"port": str(self.stores[vm]), **fault})
 
 
@@ -115,7 +94,7 @@
             site = Site(folder, build, entry_build, [each.job for each in self.cancels],
                         self.lease_ms)
             try:
-                scheduler = site.scheduler()
+                scheduler = site.vms.index(site.scheduler())
                 others = [vm for vm in range(VMS) if vm != scheduler]
                 groups = {"scheduler": [scheduler], "others": others,
                           "all": list(range(VMS))}
--- a/tests/platform/check_late_submissions.py
+++ b/tests/platform/check_late_submissions.py
@@ -13,7 +13,7 @@
 import time
 
 import entry_site
-from entry_site import Vm, call, checks, expect, free_ports, wait_until
+from entry_site import call, checks, expect
 
 ARGUMENTS = sys.argv[1:]
 BUILD = ARGUMENTS[0]
@@ -30,25 +30,18 @@
 JOB = {"spec": "60000", "steps": [{"count": 1, "cpu": 100, "estimate_ms": 60000}]}
 
 
-class Site:
+class Site(entry_site.Site):
     """Entry VMs and the stand-in."""
 
     def __init__(self, folder):
-        ports = free_ports(1 + WORKERS + 4 * VMS)
-        self.store, first = ports[0], 1 + WORKERS
-        self.processes = [entry_site.start_standin(BUILD, WORKERS, ports[:first])]
-        self.vms = [Vm(ENTRY_BUILD, folder, f"e{number}",
-                       ports[first + 4 * number:first + 4 * number + 4], self.store)
-                    for number in range(VMS)]
-        self.processes += [vm.process for vm in self.vms]
-        entry_site.put_policy(self.store)
-        wait_until(lambda: all(vm.is_ready() for vm in self.vms), "all VMs are ready")
-        wait_until(lambda: any(vm.schedules() for vm in self.vms), "one VM is the scheduler")
-        self.fronts = [vm for vm in self.vms if not vm.schedules()]
+        super().__init__(folder, BUILD, ENTRY_BUILD, VMS, WORKERS, WORKERS)
+        self.wait_until_ready()
+        scheduler = self.scheduler()
+        self.fronts = [vm for vm in self.vms if vm is not scheduler]
 
     def open_runs(self, jobs):
-        rows = call(self.store, "GET", "/traces")[1]
-        return [row for row in rows if row["task"].split(".")[0] in jobs and not row["end"]]
+        return [row for row in self.traces()
+                if row["task"].split(".")[0] in jobs and not row["end"]]
 
 
 def submit_and_leave(vm, job):
--- a/tests/platform/check_waiting.py
+++ b/tests/platform/check_waiting.py
@@ -11,7 +11,7 @@
 import time
 
 import entry_site
-from entry_site import Vm, call, checks, expect, free_ports, wait_until
+from entry_site import call, checks, expect, wait_until
 
 ARGUMENTS = [each for each in sys.argv[1:] if each != "--known-red"]
 BUILD = ARGUMENTS[0]
@@ -24,37 +24,18 @@
 BUSY_MS = 6000
 
 
-class Site:
+class Site(entry_site.Site):
     """Entry VMs and the stand-in."""
 
     def __init__(self, folder, workers, workers_per_rack):
-        ports = free_ports(1 + workers + 4 * VMS)
-        self.store, self.processes = ports[0], []
-        self.processes.append(
-            entry_site.start_standin(BUILD, workers_per_rack, ports[:1 + workers]))
-        self.vms = []
-        for number in range(VMS):
-            first = 1 + workers + 4 * number
-            self.vms.append(Vm(ENTRY_BUILD, folder, f"e{number}", ports[first:first + 4],
-                               self.store))
-            self.processes.append(self.vms[-1].process)
-        entry_site.put_policy(self.store)
-        wait_until(lambda: all(vm.is_ready() for vm in self.vms), "all VMs are ready")
-        wait_until(lambda: self.scheduler() is not None, "one VM is the scheduler")
-
-    def scheduler(self):
-        return next((vm for vm in self.vms
-                     if vm.process.poll() is None and vm.schedules()), None)
+        super().__init__(folder, BUILD, ENTRY_BUILD, VMS, workers, workers_per_rack)
+        self.wait_until_ready()
 
     def submit(self, job, spec, step, vm=0):
         body = {"spec": spec, "steps": [step]}
         if call(self.vms[vm].jobs, "POST", f"/q/{job}", body)[0] != 200:
             expect(f"job {job} is accepted", False)
 
-    def traces(self, job):
-        rows = call(self.store, "GET", "/traces")[1]
-        return [row for row in rows if row["task"].startswith(job)]
-
     def starts_within(self, job, tasks, limit_s):
         """Returns the seconds until all tasks of the job have started; None: not in time."""
         began = time.monotonic()
--- a/tests/platform/check_worker_faults.py
+++ b/tests/platform/check_worker_faults.py
@@ -3,8 +3,9 @@
 Usage: check_worker_faults.py BUILD [--seeds FIRST COUNT] [--scenarios] [--mixes]
 [--only TEXT] [--part NUMBER COUNT] [--lease-ms MS] [--entry ENTRY_BUILD]. Without
 --scenarios and --mixes, runs both. ENTRY_BUILD has the anvildoor-entry to be checked.
---part runs only each COUNT-th round. --lease-ms: the longest lease of a worker. Fails if a run goes on for longer after the acknowledgement of its
-job's cancellation than the platform allows.
+--part runs only each COUNT-th round. --lease-ms: the longest lease of a worker. Fails if a
+run goes on for longer after the acknowledgement of its job's cancellation than the platform
+allows.
 """
 
 import argparse
@@ -14,7 +15,7 @@
 import time
 
 import entry_site
-from entry_site import Vm, call, checks, expect, free_ports, wait_until
+from entry_site import call, checks, expect, wait_until
 
 VMS = 3
 WORKERS = 6
@@ -38,29 +39,17 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-class Site:
+class Site(entry_site.Site):
     """Entry VMs and the stand-in."""
 
     def __init__(self, folder, args):
-        entry_build = args.entry or args.build
-        settings = f"[bounds]\nlease_max_ms = {args.lease_ms}\n"
-        ports = free_ports(1 + WORKERS + 4 * VMS)
-        self.store, self.processes = ports[0], []
-        self.processes.append(entry_site.start_standin(
-            args.build, f"3,{args.lease_ms}", ports[:1 + WORKERS]))
-        self.vms = []
-        for number in range(VMS):
-            first = 1 + WORKERS + 4 * number
-            self.vms.append(Vm(entry_build, folder, f"e{number}", ports[first:first + 4],
-                               self.store, settings))
-            self.processes.append(self.vms[-1].process)
-        entry_site.put_policy(self.store)
+        super().__init__(folder, args.build, args.entry or args.build, VMS, WORKERS, 3,
+                         lease_ms=args.lease_ms)
         self.workers = [f"i-{number}" for number in range(3, 3 + WORKERS)]
         # When the last disruption ended, by worker; "" is the scheduler's VM.
         self.disrupted_until = {}
         self.fault(kind="heartbeats", period_ms=HEARTBEAT_MS)
-        wait_until(lambda: all(vm.is_ready() for vm in self.vms), "all VMs are ready")
-        wait_until(lambda: self.scheduler() is not None, "one VM is the scheduler")
+        self.wait_until_ready()
 
     def fault(self, lasts_s=None, **body):
         """Applies a fault of a worker; lasts_s: how long it counts as a disruption."""
@@ -73,10 +62,6 @@
         until = now_s() + lasts_s
         self.disrupted_until[worker] = max(until, self.disrupted_until.get(worker, 0))
 
-    def scheduler(self):
-        return next((vm for vm in self.vms
-                     if vm.process.poll() is None and vm.schedules()), None)
-
     def end_scheduler(self, how):
         """Ends the scheduler's process: kill or term."""
         vm = self.scheduler()
@@ -97,9 +82,8 @@
                 return
         expect(f"job {job} is accepted", False)
 
-    def traces(self, jobs):
-        rows = call(self.store, "GET", "/traces")[1]
-        return [row for row in rows if row["task"].split(".")[0] in jobs]
+    def traces_of(self, jobs):
+        return [row for row in self.traces() if row["task"].split(".")[0] in jobs]
 
     def cancel(self, job):
         """Cancels at a VM that isn't the scheduler; returns when it was acknowledged."""
@@ -120,7 +104,7 @@
         time.sleep(least_s)
         end = time.monotonic() + limit_s
         while time.monotonic() < end and any(
-                not row["ended"] for row in self.traces(JOBS)):
+                not row["ended"] for row in self.traces_of(JOBS)):
             time.sleep(0.1)
 
     def check(self, title, acknowledged):
@@ -128,7 +112,7 @@
         late = {(row["task"], row["run"])
                 for row in call(self.store, "GET", "/late-starts")[1]}
         worst, wrong = None, []
-        for row in self.traces(acknowledged):
+        for row in self.traces_of(acknowledged):
             ack = acknowledged[row["task"].split(".")[0]]
             calm = max(self.disrupted_until.get(row["worker"], 0),
                        self.disrupted_until.get("", 0)) + CONTACT_S
@@ -179,7 +163,7 @@
 
 
 def all_started(site):
-    wait_until(lambda: len(site.traces(JOBS)) >= 5, "all tasks have started")
+    wait_until(lambda: len(site.traces_of(JOBS)) >= 5, "all tasks have started")
     time.sleep(1.2)
 
 
--- a/tests/platform/entry_site.py
+++ b/tests/platform/entry_site.py
@@ -105,6 +105,40 @@
     call(store, "POST", "/put", {"key": "op/config", "value": json.dumps(POLICY)})
 
 
+class Site:
+    """Entry VMs on one stand-in. With several stores, each VM has a port of its own."""
+
+    def __init__(self, folder, build, entry_build, vms, workers, workers_per_rack, stores=1,
+                 lease_ms=6000):
+        own = stores + workers  # Ports of the stand-in.
+        ports = free_ports(own + 4 * vms)
+        self.stores, self.store = ports[:stores], ports[0]
+        self.processes = [
+            start_standin(build, f"{workers_per_rack},{lease_ms}", ports[:own], stores)]
+        self.vms = []
+        for number in range(vms):
+            first = own + 4 * number
+            self.vms.append(Vm(entry_build, folder, f"e{number}", ports[first:first + 4],
+                               self.stores[number % stores],
+                               f"[bounds]\nlease_max_ms = {lease_ms}\n"))
+            self.processes.append(self.vms[-1].process)
+        put_policy(self.store)
+
+    def wait_until_ready(self):
+        wait_until(lambda: all(vm.is_ready() for vm in self.vms), "all VMs are ready")
+        wait_until(lambda: self.scheduler() is not None, "one VM is the scheduler")
+
+    def scheduler(self):
+        """Returns the VM that schedules, if there is one."""
+        return next((vm for vm in self.vms
+                     if vm.process.poll() is None and vm.schedules()), None)
+
+    def traces(self, job=""):
+        """Returns all runs so far of jobs whose id begins with job."""
+        rows = call(self.store, "GET", "/traces")[1]
+        return [row for row in rows if row["task"].startswith(job)]
+
+
 def end_all(processes):
     """Ends the processes that still run."""
     for process in processes:
