--- a/tests/platform/StoreFaults.cpp
+++ b/tests/platform/StoreFaults.cpp
@@ -113,13 +113,6 @@
   return fault;
 }
 
-void store_faults::EndAll(time_point aNow)
-{
-  for (auto& fault : mFaults) {
-    fault.mUntil = std::min(fault.mUntil, aNow);
-  }
-}
-
 bool store_faults::Matches(const store_fault& aFault,
                            const std::string& aPort,
                            const store_call& aCall,
--- a/tests/platform/StoreFaults.h
+++ b/tests/platform/StoreFaults.h
@@ -89,9 +89,6 @@
 public:
   void Add(const store_fault& aFault) { mFaults.push_back(aFault); }
 
-  /** Ends all faults. Calls that were silent stay silent. */
-  void EndAll(time_point aNow);
-
   /** Returns the first fault of a call that has arrived, which counts as one call. */
   std::optional<store_fault> OnCall(const std::string& aPort,
                                     const store_call& aCall,
--- a/tests/platform/platform-standin.cpp
+++ b/tests/platform/platform-standin.cpp
@@ -4,8 +4,8 @@
  * the store's address, GET /traces lists every run so far, POST /put writes a key as
  * the operator does, POST /busy has the store answer 503 for a time, and POST /leave
  * ends a worker, whose port is closed then. The store may have several ports;
- * POST /store-fault adds a fault (DecodeStoreFault) and POST /store-calm ends all.
- * WorkerFaults.h has the faults of workers.
+ * POST /store-fault adds a fault of one (DecodeStoreFault). WorkerFaults.h has the
+ * faults of workers.
  */
 #include "StoreFaults.h"
 #include "WorkerFaults.h"
@@ -164,9 +164,6 @@
     } else if (path == "/store-fault") {
       mFaults.Add(DecodeStoreFault(aRequest.mBody, mLoop.Now()));
       aRespond(JsonReply(200, json::object()));
-    } else if (path == "/store-calm") {
-      mFaults.EndAll(mLoop.Now());
-      aRespond(JsonReply(200, json::object()));
     } else if (path == "/leave") {
       mLeave(json::parse(aRequest.mBody).at("worker").get<std::string>());
       aRespond(JsonReply(200, json::object()));
