The stand-ins couple the members of a gang, and cancellations are checked with gangs

No test of ours could show such an end: in both stand-ins each member of a gang ran and ended by itself.

A run's end no longer uses the key of a run that it has erased, which gave the wrong task for lapsed leases. check_cancellations.py cancels a gang beside each job of single tasks, and one more row has last holds that lie apart.

--- a/src/standin/RunWorker.cpp
+++ b/src/standin/RunWorker.cpp
@@ -16,12 +16,14 @@
                        int64_t aStartedAtMs,
                        duration aLeaseMax,
                        behaviour_resolver aResolveBehaviour,
+                       gang_registry& aGangs,
                        std::vector<run_trace>& aTraces)
   : mLoop(aLoop)
   , mId(std::move(aId))
   , mStartedAtMs(aStartedAtMs)
   , mLeaseMax(aLeaseMax)
   , mResolveBehaviour(std::move(aResolveBehaviour))
+  , mGangs(aGangs)
   , mTraces(aTraces)
   , mAlive(std::make_shared<bool>(true))
   , mStartedAt(aLoop.Now())
@@ -34,6 +36,7 @@
   for (const auto& [task, run] : mRuns) {
     mTraces[run.mTraceIndex].mEnded = mLoop.Now();
     mTraces[run.mTraceIndex].mEnd = run_end::kLost;
+    mGangs.Leave(task, run.mRun, run_end::kLost);
   }
 }
 
@@ -60,8 +63,7 @@
   active_run run;
   run.mRun = aRequest.mRun;
   run.mTraceIndex = mTraces.size();
-  run.mStartedAt = mLoop.Now();
-  run.mBehaviour = mResolveBehaviour(aRequest.mPayload);
+  run.mBehaviour = mResolveBehaviour(aRequest);
   run_trace trace;
   trace.mWorker = mId;
   trace.mTask = aRequest.mTask;
@@ -69,23 +71,52 @@
   trace.mStartedAt = mLoop.Now();
   mTraces.push_back(trace);
   mRuns[aRequest.mTask] = run;
-  mLoop.RunAfter(
-    run.mBehaviour.mDuration,
-    [this, alive = mAlive, task = aRequest.mTask, runNumber = aRequest.mRun] {
-      if (!*alive) {
-        return;
-      }
-      const auto found = mRuns.find(task);
-      const bool isSameRun = found != mRuns.end() && found->second.mRun == runNumber;
-      if (isSameRun && !found->second.mBehaviour.mRunsUntilStopped) {
-        FinishRun(task,
-                  found->second.mBehaviour.mFails ? run_end::kFailed : run_end::kDone);
-      }
-    });
+  if (run.mBehaviour.mGangSize > 0) {
+    JoinGang(aRequest.mTask, aRequest.mRun, run.mBehaviour.mGangSize);
+  } else {
+    BeginWork(aRequest.mTask, aRequest.mRun);
+  }
   ScheduleLeaseExpiry();
   return run_request_status::kAccepted;
 }
 
+run_worker::active_run* run_worker::FindRun(const task_ref& aTask, uint32_t aRun)
+{
+  const auto found = mRuns.find(aTask);
+  const bool isSameRun = found != mRuns.end() && found->second.mRun == aRun;
+  return isSameRun ? &found->second : nullptr;
+}
+
+void run_worker::BeginWork(const task_ref& aTask, uint32_t aRun)
+{
+  auto* const run = FindRun(aTask, aRun);
+  if (run == nullptr) {
+    return;
+  }
+  run->mIsWorking = true;
+  run->mWorkingSince = mLoop.Now();
+  const auto workEnds = [this, alive = mAlive, aTask, aRun] {
+    const auto* const working = *alive ? FindRun(aTask, aRun) : nullptr;
+    if (working != nullptr && !working->mBehaviour.mRunsUntilStopped) {
+      FinishRun(aTask, working->mBehaviour.mFails ? run_end::kFailed : run_end::kDone);
+    }
+  };
+  mLoop.RunAfter(run->mBehaviour.mDuration, workEnds);
+}
+
+void run_worker::JoinGang(const task_ref& aTask, uint32_t aRun, uint32_t aGangSize)
+{
+  mGangs.Join(aTask,
+              aRun,
+              aGangSize,
+              { [this, aTask, aRun] { BeginWork(aTask, aRun); },
+                [this, aTask, aRun](run_end aEnd) {
+                  if (FindRun(aTask, aRun) != nullptr) {
+                    FinishRun(aTask, aEnd);
+                  }
+                } });
+}
+
 run_request_status run_worker::Stop(const stop_run_request& aRequest)
 {
   if (aRequest.mFence < mFence) {
@@ -116,7 +147,8 @@
   reply.mStartedAtMs = mStartedAtMs;
   constexpr int64_t kFullPercent = 100;
   for (const auto& [task, run] : mRuns) {
-    const auto elapsedMs = (mLoop.Now() - run.mStartedAt).count();
+    const auto elapsedMs =
+      run.mIsWorking ? (mLoop.Now() - run.mWorkingSince).count() : 0;
     const auto durationMs = std::max<int64_t>(1, run.mBehaviour.mDuration.count());
     reply.mRunning.push_back(
       { task,
@@ -163,7 +195,7 @@
   mLoop.RunAfter(aRequest.mWait, answer);
 }
 
-void run_worker::FinishRun(const task_ref& aTask, run_end aEnd)
+void run_worker::FinishRun(task_ref aTask, run_end aEnd)
 {
   const auto found = mRuns.find(aTask);
   const auto run = found->second;
@@ -174,6 +206,7 @@
   refusedUpTo = std::max(refusedUpTo, run.mRun);
   mUnacknowledgedEnds.push_back({ mNextEndNumber++, aTask, run.mRun, aEnd, "" });
   AnswerPendingHolds();
+  mGangs.Leave(aTask, run.mRun, aEnd);
 }
 
 void run_worker::AnswerPendingHolds()
--- a/src/standin/RunWorker.h
+++ b/src/standin/RunWorker.h
@@ -2,6 +2,7 @@
 
 #include "base/EventLoop.h"
 #include "runs/RunPort.h"
+#include "standin/GangRegistry.h"
 
 #include <deque>
 #include <map>
@@ -16,6 +17,7 @@
   bool mFails = false;
   /** Runs until it is stopped; reports 100 % after mDuration. */
   bool mRunsUntilStopped = false;
+  uint32_t mGangSize = 0; ///< Number of tasks of its gang; 0: it belongs to none.
 
   auto operator<=>(const run_behaviour&) const = default;
 };
@@ -42,10 +44,10 @@
 class run_worker
 {
 public:
-  using behaviour_resolver = std::function<run_behaviour(const std::string& aPayload)>;
+  using behaviour_resolver = std::function<run_behaviour(const start_run_request&)>;
 
   /**
-   * aLoop and aTraces must outlive the worker. Leases longer than aLeaseMax are
+   * aLoop, aGangs and aTraces must outlive the worker. Leases longer than aLeaseMax are
    * shortened to it.
    */
   run_worker(event_loop& aLoop,
@@ -53,6 +55,7 @@
              int64_t aStartedAtMs,
              duration aLeaseMax,
              behaviour_resolver aResolveBehaviour,
+             gang_registry& aGangs,
              std::vector<run_trace>& aTraces);
   ~run_worker();
 
@@ -75,12 +78,18 @@
   {
     uint32_t mRun = 0;
     size_t mTraceIndex = 0;
-    time_point mStartedAt{ 0 };
+    bool mIsWorking = false; ///< False while the rest of its gang isn't there.
+    time_point mWorkingSince{ 0 };
     run_behaviour mBehaviour;
   };
 
   hold_reply Reply() const;
-  void FinishRun(const task_ref& aTask, run_end aEnd);
+  /** Returns a run that is there; null if there is none, or another one. */
+  active_run* FindRun(const task_ref& aTask, uint32_t aRun);
+  void BeginWork(const task_ref& aTask, uint32_t aRun);
+  void JoinGang(const task_ref& aTask, uint32_t aRun, uint32_t aGangSize);
+  /** aTask is a copy, as it may name the key of the run that is erased. */
+  void FinishRun(task_ref aTask, run_end aEnd);
   void ScheduleLeaseExpiry();
   void AnswerPendingHolds();
 
@@ -89,6 +98,7 @@
   int64_t mStartedAtMs; ///< Start time that hold replies report.
   duration mLeaseMax;
   behaviour_resolver mResolveBehaviour;
+  gang_registry& mGangs;
   std::vector<run_trace>& mTraces;
   std::shared_ptr<bool> mAlive; ///< Set to false on destruction, for pending timers.
   time_point mStartedAt;        ///< Start time on mLoop.
--- a/tests/platform/check_cancellations.py
+++ b/tests/platform/check_cancellations.py
@@ -40,12 +40,27 @@
         with ports_lock:
             super().__init__(folder, build, entry_build, VMS, WORKERS, 4, VMS, lease_ms)
             self.wait_until_ready()
-        for job in jobs:
-            body = {"spec": "60000", "steps": [{"count": TASKS, "cpu": 4000, "gpu": 2,
-                                                "estimate_ms": 60000}]}
-            if call(self.vms[0].jobs, "POST", f"/q/{job}", body)[0] != 200:
-                expect(f"job {job} is accepted", False)
-        wait_until(lambda: len(self.traces()) == TASKS * len(jobs), "the jobs are running")
+        self.spread_holds()
+        for job, is_gang in jobs:
+            step = {"count": TASKS, "cpu": 4000, "gpu": 1, "estimate_ms": 60000}
+            if is_gang:
+                step.update(gang=True, max_per_server=1)
+            self.submit(job, 60000, step)
+        wait_until(lambda: len(self.traces("00000000000000")) == TASKS * len(jobs),
+                   "the jobs are running")
+
+    def submit(self, job, run_ms, step):
+        body = {"spec": str(run_ms), "steps": [step]}
+        if call(self.vms[0].jobs, "POST", f"/q/{job}", body)[0] != 200:
+            expect(f"job {job} is accepted", False)
+
+    def spread_holds(self):
+        """Has a short run end on each worker in turn, as a hold is answered with an end."""
+        for number in range(WORKERS):
+            self.submit(f"ffff{number:012x}", 100 + 370 * number % 1000,
+                        {"count": 1, "cpu": 4000, "gpu": 8, "estimate_ms": 1000})
+        wait_until(lambda: sum(row["end"] == "done" for row in self.traces("ffff")) == WORKERS,
+                   "the short runs have ended")
 
     def fault(self, vms, **fault):
         """Adds a fault at the store's ports of these VMs."""
@@ -57,8 +72,9 @@
 class Cancellation:
     """A job that is cancelled at a time of the scenario, at a VM that doesn't schedule."""
 
-    def __init__(self, number, at_s):
-        self.job, self.at_s, self.acknowledged = f"{0xa0 + number:016x}", at_s, None
+    def __init__(self, number, at_s, is_gang):
+        self.job = f"{(0xb0 if is_gang else 0xa0) + number:016x}"
+        self.at_s, self.is_gang, self.acknowledged = at_s, is_gang, None
 
     def send(self, site, vm, began):
         """Cancels until it is acknowledged; consumers retry, too."""
@@ -70,13 +86,15 @@
                 time.sleep(0.1)
 
     def result(self, site, disturbed_until):
-        """Returns the seconds from the acknowledgement, those beyond the bound, the end."""
+        """Returns the seconds from the acknowledgement, those beyond the bound, the ends."""
         if self.acknowledged is None:
             return None
         last = max(site.traces(self.job), key=lambda row: row["ended"] or float("inf"))
         ended = last["ended"] / 1000 if last["ended"] else float("inf")
         due = max(self.acknowledged, disturbed_until) + BOUND_S
-        return ended - self.acknowledged, ended - due, last["end"] or "runs on"
+        ends = [f"{row['end']} at {row['ended'] / 1000 - self.acknowledged:.2f}"
+                if row["ended"] else "runs on" for row in site.traces(self.job)]
+        return ended - self.acknowledged, ended - due, ", ".join(ends)
 
 
 class Row:
@@ -84,15 +102,16 @@
 
     def __init__(self, name, steps, cancels, disrupted_s, lease_ms=6000):
         self.name, self.steps = name, steps
-        self.cancels = [Cancellation(number, at) for number, at in enumerate(cancels)]
+        self.cancels = [Cancellation(number, at, is_gang)
+                        for number, at in enumerate(cancels) for is_gang in (False, True)]
         # The end of the last disruption; None: there is none at all.
         self.disrupted_s = disrupted_s
         self.lease_ms = lease_ms
 
     def play(self, build, entry_build):
         with tempfile.TemporaryDirectory() as folder:
-            site = Site(folder, build, entry_build, [each.job for each in self.cancels],
-                        self.lease_ms)
+            site = Site(folder, build, entry_build,
+                        [(each.job, each.is_gang) for each in self.cancels], self.lease_ms)
             try:
                 scheduler = site.vms.index(site.scheduler())
                 others = [vm for vm in range(VMS) if vm != scheduler]
@@ -144,6 +163,9 @@
         [10.5, 13, 15, 16, 18], 16),
     Row("the scheduler ends by itself while its key's watches are silent and reads old",
         DEAF + [(10, "scheduler", signal.SIGABRT)], DEAF_CANCELS, None),
+    Row("a gang's last holds lie apart, the scheduler ends by itself while its key's "
+        "watches are silent and reads old",
+        DEAF + [(10, "scheduler", signal.SIGABRT)], DEAF_CANCELS[1:], None),
     Row("the scheduler is killed while its key's watches are silent and reads old, "
         "leases of 10 s",
         DEAF + [(10, "scheduler", signal.SIGKILL)], DEAF_CANCELS, 10,
@@ -198,7 +220,8 @@
         for row, results in zip(rows, played):
             print(row.name)
             for each, result in zip(row.cancels, results):
-                what = f"cancelled at {each.at_s:.1f} s: the runs end in time"
+                kind = "gang's runs" if each.is_gang else "runs"
+                what = f"cancelled at {each.at_s:.1f} s: the {kind} end in time"
                 if result is None:
                     expect(what, False, "not acknowledged")
                     continue
--- a/tests/platform/platform-standin.cpp
+++ b/tests/platform/platform-standin.cpp
@@ -381,6 +381,7 @@
   asio_loop loop(context);
   memory_transaction_store store(loop);
   std::vector<run_trace> traces;
+  gang_registry gangs(loop);
   std::map<std::string, std::unique_ptr<run_worker>> workers;
   std::map<std::string, std::unique_ptr<single_thread_server>> servers;
   const auto endWorker = [&](const std::string& aWorker) {
@@ -398,10 +399,14 @@
       ++lastStartedAtMs,
       leaseMax,
       // A task's payload is its run time in ms.
-      [](const std::string& aPayload) {
-        return run_behaviour{ duration(std::max(1L, std::atol(aPayload.c_str()))),
-                              false };
+      [&store](const start_run_request& aRequest) {
+        run_behaviour behaviour;
+        behaviour.mDuration =
+          duration(std::max(1L, std::atol(aRequest.mPayload.c_str())));
+        behaviour.mGangSize = GangSizeOf(store, aRequest.mTask);
+        return behaviour;
       },
+      gangs,
       traces);
   };
   worker_faults faults({ loop,
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -612,15 +612,17 @@
     aId,
     ++mLastWorkerStartedAtMs,
     mBounds.mRuns.mLeaseMax,
-    [this, aId](const std::string& aPayload) {
-      const auto found = mBehaviourByPayload.find(aPayload);
+    [this, aId](const start_run_request& aRequest) {
+      const auto found = mBehaviourByPayload.find(aRequest.mPayload);
       auto behaviour =
         found == mBehaviourByPayload.end() ? run_behaviour() : found->second;
       const auto slowdown = mFaults.mSlowdownFactors.find(aId);
       behaviour.mDuration *=
         slowdown == mFaults.mSlowdownFactors.end() ? 1 : slowdown->second;
+      behaviour.mGangSize = GangSizeOf(mStore, aRequest.mTask);
       return behaviour;
     },
+    mGangs,
     mTraces);
   ListWorker(aId);
 }
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -171,6 +171,7 @@
   recording_log mLog;
   std::vector<run_trace> mTraces;
   size_t mHoldCalls = 0; ///< Hold calls that reached a worker.
+  gang_registry mGangs{ mLoop };
   std::map<std::string, std::unique_ptr<run_worker>> mWorkers;
   /** Behaviour of runs by the payload of their job. */
   std::map<std::string, run_behaviour> mBehaviourByPayload;
