A scheduler that can't read its inbox or the workers is replaced

Callers: with all reads of the inbox, or all lists of the workers, refused or unanswered to the scheduler's VM while it renewed its lease, no other VM took over: jobs and cancellations were not read, or new and draining workers not seen, for as long as that lasted.

Cause: the same as for writes: a term was renewed whether or not its scheduler could do its work. Change: the term runs out after 10 s without an answer to a read of the inbox or of the workers, as it does without a stored write. All three share 10 s instead of 8 s for writes, as after an outage of 5.2 s a silent watch takes up to 2.3 s more to be replaced.

--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -19,9 +19,10 @@
 constexpr int kRetentionFactor = 2;
 /**
  * A term runs out if it could not do a part of its work for so long. Longer than a term
- * outlasts an outage of the store, so that one which is renewed after it goes on.
+ * outlasts an outage of the store, with the retries after it, so that one which is
+ * renewed then goes on.
  */
-constexpr duration kMaxImpairment{ 8'000 };
+constexpr duration kMaxImpairment{ 10'000 };
 
 } // namespace
 
@@ -356,8 +357,17 @@
 
 void fleet_scheduler::CheckAbilities()
 {
-  if (mWriter.InFlightFor() >= kMaxImpairment) {
-    mOnImpaired("the store has taken no write");
+  const auto now = mPorts.mLoop.Now();
+  const std::pair<duration, const char*> impairments[] = {
+    { mWriter.InFlightFor(), "the store has taken no write" },
+    { mInboxMonitor.SilentFor(now), "the inbox could not be read" },
+    { now - mDirectoryReadAt, "the list of workers could not be read" },
+  };
+  for (const auto& [lasts, reason] : impairments) {
+    if (lasts >= kMaxImpairment) {
+      mOnImpaired(reason);
+      return;
+    }
   }
 }
 
