logs and metrics tell which member broke a gang

What could not be told apart: which member ended first, whether the scheduler inferred that end or the worker listed it, whether its worker had been held before, and whether a takeover found the cancellation unhandled.

The change: - gang_broken, once for each run of a gang: the first end that the scheduler learned of, listed=0 if it inferred that end, the members left, and the time since the cancellation was read. anvildoor_gangs_broken_total{end}. - run_ended has listed=, and silent_ms= unless the end is done: how long the worker had not answered a hold; -1 at its first answer in a term. - takeover has cancelled_jobs=, oldest_cancel_revision= and stopped_runs=, and is logged after the stops that it counts.

No decision changes.

--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -136,6 +136,7 @@
   struct job_entry;
   struct worker_entry;
   struct takeover_state;
+  struct takeover_cancels;
   struct unmatched_cancel
   {
     uint64_t mRevision = 0; ///< At which it was stored.
@@ -162,6 +163,10 @@
   void FinishTakeover(const takeover_state& aTakeover);
   /** Stops runs that the records show, but that are not to go on. */
   void StopLeftoverRuns();
+  /** Applies the cancellations that were read. */
+  takeover_cancels ApplyLoadedCancels(const takeover_state& aTakeover);
+  void LogTakeover(const takeover_state& aTakeover,
+                   const takeover_cancels& aCancels) const;
   /** Keeps what a successor cannot read in the store. */
   void SaveSummary();
   void OnSummaryAnswer(takeover_state& aTakeover,
@@ -200,6 +205,8 @@
   void OnHoldFailed(worker_entry& aWorker, run_request_status aAnswer);
   void ApplyRunEvents(worker_entry& aWorker, const std::vector<run_event>& aEvents);
   void ApplyRunEnd(worker_entry& aWorker, const run_event& aEvent);
+  /** Notes how long a worker has not answered, before run events are applied. */
+  void NoteSilence(worker_entry& aWorker) const;
   /** Ends all runs of a worker that can have none any more. */
   void DropRuns(worker_entry& aWorker, run_end aEnd);
   void HandleUnexpectedRun(worker_entry& aWorker, const run_event& aEvent);
@@ -239,6 +246,13 @@
                     const run_event& aEvent,
                     const job_entry* aJob,
                     bool aIsCurrent);
+  /**
+   * Logs and counts the first end of a member of a gang's run, which has been applied
+   * to aJob. Does nothing for the further ones.
+   */
+  void ReportGangBroken(const worker_entry& aWorker,
+                        const run_event& aEvent,
+                        const job_entry& aJob);
   void LogUnexpectedRun(const worker_entry& aWorker,
                         const run_event& aEvent,
                         bool aIsStopped) const;
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -469,6 +469,7 @@
                              !task.mDone && job.mState.Outcome() == job_outcome::kOpen;
   if (!isStillWanted || !MaySendRequests() || worker.mListed.mDraining ||
       !worker.mIsListed) {
+    NoteSilence(worker);
     const auto events =
       worker.mRuns.OnStartAnswer(aTask, aRun, run_request_status::kNotSent, now);
     ApplyRunEvents(worker, events);
@@ -513,6 +514,7 @@
                         .Add("ms", (now - aSentAt).count()));
     worker.mHealth.OnStartFailed(now);
   }
+  NoteSilence(worker);
   const auto events = worker.mRuns.OnStartAnswer(aTask, aRun, aAnswer, now);
   ApplyRunEvents(worker, events);
   if (aAnswer != run_request_status::kAccepted && !worker.mHoldInFlight) {
--- a/src/scheduler/FleetSchedulerState.h
+++ b/src/scheduler/FleetSchedulerState.h
@@ -69,6 +69,11 @@
   bool mHoldInFlight = false;
   /** Rises with each scheduled hold; timers of older generations do nothing. */
   uint64_t mHoldGeneration = 0;
+  /**
+   * How long the worker had not answered a hold when the run events being applied were
+   * learned; nothing if it had not answered one in this term.
+   */
+  std::optional<duration> mSilence;
   /** True if the last hold call failed or got no answer. */
   bool mIsUnresponsive = false;
   /** Runs that were told to stop and have not ended, by task and run number. */
--- a/src/scheduler/FleetSchedulerStops.cpp
+++ b/src/scheduler/FleetSchedulerStops.cpp
@@ -186,7 +186,12 @@
                                    bool aIsCurrent)
 {
   auto event = RunEvent("run_ended", aWorker.mListed.mId, aEvent.mTask, aEvent.mRun);
-  event.Add("end", ToString(aEvent.mEnd)).Add("current", aIsCurrent ? 1 : 0);
+  event.Add("end", ToString(aEvent.mEnd))
+    .Add("listed", aEvent.mNumber != 0 ? 1 : 0)
+    .Add("current", aIsCurrent ? 1 : 0);
+  if (aEvent.mEnd != run_end::kDone) {
+    event.Add("silent_ms", aWorker.mSilence ? aWorker.mSilence->count() : -1);
+  }
   if (IsCancelled(aJob)) {
     const auto sinceCancel = mPorts.mLoop.Now() - aJob->mEndedAt;
     const auto& job = aJob->mState.Job();
@@ -200,6 +205,36 @@
   mPorts.mLog.Write(event);
 }
 
+void fleet_scheduler::ReportGangBroken(const worker_entry& aWorker,
+                                       const run_event& aEvent,
+                                       const job_entry& aJob)
+{
+  const auto& state = aJob.mState;
+  const auto& ended = aEvent.mTask;
+  const auto placed = state.PlacedTasksOf(ended.mOccurrence, ended.mStep);
+  const auto left = std::count_if(placed.begin(), placed.end(), [&](const auto& aTask) {
+    return state.Task(aTask).mRun == aEvent.mRun;
+  });
+  // All members are placed at once and share the run's number.
+  if (left == 0 || left + 1 != int64_t{ state.StepOf(ended).mCount }) {
+    return;
+  }
+  log_event event("gang_broken");
+  event.Add("job", ended.mJob)
+    .Add("step", ended.mStep)
+    .Add("run", aEvent.mRun)
+    .Add("first_index", ended.mIndex)
+    .Add("worker", aWorker.mListed.mId)
+    .Add("end", ToString(aEvent.mEnd))
+    .Add("listed", aEvent.mNumber != 0 ? 1 : 0)
+    .Add("members_left", left);
+  if (IsCancelled(&aJob)) {
+    event.Add("since_cancel_ms", (mPorts.mLoop.Now() - aJob.mEndedAt).count());
+  }
+  mPorts.mLog.Write(event);
+  mPorts.mMetrics.Count("gangs_broken_total", "end", ToString(aEvent.mEnd));
+}
+
 void fleet_scheduler::LogUnexpectedRun(const worker_entry& aWorker,
                                        const run_event& aEvent,
                                        bool aIsStopped) const
--- a/src/scheduler/FleetSchedulerTakeover.cpp
+++ b/src/scheduler/FleetSchedulerTakeover.cpp
@@ -37,6 +37,13 @@
   int64_t mSlices = 0;  ///< Turns of the event loop that the items have taken.
 };
 
+/** The cancellations that a takeover was the first to see. */
+struct fleet_scheduler::takeover_cancels
+{
+  int64_t mJobs = 0;
+  uint64_t mOldestRevision = 0; ///< 0: none.
+};
+
 void fleet_scheduler::SaveSummary()
 {
   term_summary summary;
@@ -284,17 +291,7 @@
   }
   // Applies cancellations after the progress records, so that a finished job keeps its
   // outcome.
-  for (const auto& item : aTakeover.mInbox.mItems) {
-    if (store_keys::StripPrefix(item.mKey, store_keys::kCancels)) {
-      HandleInboxItem(item, inbox_source::kTakeover);
-    }
-  }
-  mPorts.mLog.Write(log_event("takeover")
-                      .Add("fence", static_cast<int64_t>(mTerm.mFence))
-                      .Add("jobs", static_cast<int64_t>(mJobs.size()))
-                      .Add("workers", static_cast<int64_t>(aTakeover.mWorkers.size()))
-                      .Add("slices", aTakeover.mSlices)
-                      .Add("ms", (mPorts.mLoop.Now() - mTermBegunAt).count()));
+  const auto cancels = ApplyLoadedCancels(aTakeover);
   OnWorkersListed(aTakeover.mWorkers, aTakeover.mRequestedAt);
   for (auto& [id, worker] : mWorkers) {
     if (!worker->mIsListed) {
@@ -303,12 +300,53 @@
     }
   }
   StopLeftoverRuns();
+  LogTakeover(aTakeover, cancels);
   mInbox.Begin(aTakeover.mInbox.mRevision);
   PollDirectory();
   Tick();
   SchedulePlan();
 }
 
+fleet_scheduler::takeover_cancels fleet_scheduler::ApplyLoadedCancels(
+  const takeover_state& aTakeover)
+{
+  takeover_cancels cancels;
+  for (const auto& item : aTakeover.mInbox.mItems) {
+    const auto id = store_keys::StripPrefix(item.mKey, store_keys::kCancels);
+    if (!id) {
+      continue;
+    }
+    const auto job = mJobs.find(*id);
+    if (job != mJobs.end() && job->second->mState.Outcome() == job_outcome::kOpen) {
+      ++cancels.mJobs;
+      cancels.mOldestRevision = cancels.mOldestRevision == 0
+                                  ? item.mRevision
+                                  : std::min(cancels.mOldestRevision, item.mRevision);
+    }
+    HandleInboxItem(item, inbox_source::kTakeover);
+  }
+  return cancels;
+}
+
+void fleet_scheduler::LogTakeover(const takeover_state& aTakeover,
+                                  const takeover_cancels& aCancels) const
+{
+  size_t stoppedRuns = 0;
+  for (const auto& [id, worker] : mWorkers) {
+    stoppedRuns += worker->mStops.size();
+  }
+  mPorts.mLog.Write(
+    log_event("takeover")
+      .Add("fence", static_cast<int64_t>(mTerm.mFence))
+      .Add("jobs", static_cast<int64_t>(mJobs.size()))
+      .Add("workers", static_cast<int64_t>(aTakeover.mWorkers.size()))
+      .Add("slices", aTakeover.mSlices)
+      .Add("cancelled_jobs", aCancels.mJobs)
+      .Add("oldest_cancel_revision", static_cast<int64_t>(aCancels.mOldestRevision))
+      .Add("stopped_runs", static_cast<int64_t>(stoppedRuns))
+      .Add("ms", (mPorts.mLoop.Now() - mTermBegunAt).count()));
+}
+
 void fleet_scheduler::StopLeftoverRuns()
 {
   for (auto& [id, job] : mJobs) {
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -177,6 +177,7 @@
   }
   aWorker.mIsUnresponsive = false;
   aWorker.mDroppedRuns = 0;
+  NoteSilence(aWorker);
   const auto events = aWorker.mRuns.OnHoldReply(aReply, aSentAt, mPorts.mLoop.Now());
   ApplyRunEvents(aWorker, events);
   if (aReply.mComplete) {
@@ -224,8 +225,18 @@
                       .Add("dropped_runs", static_cast<int64_t>(aWorker.mDroppedRuns)));
 }
 
+void fleet_scheduler::NoteSilence(worker_entry& aWorker) const
+{
+  const auto& runs = aWorker.mRuns;
+  aWorker.mSilence.reset();
+  if (runs.HasAcceptedToken()) {
+    aWorker.mSilence = mPorts.mLoop.Now() - runs.LastAnswer();
+  }
+}
+
 void fleet_scheduler::DropRuns(worker_entry& aWorker, run_end aEnd)
 {
+  NoteSilence(aWorker);
   aWorker.mDroppedRuns += aWorker.mRuns.Runs().size();
   ApplyRunEvents(aWorker, aWorker.mRuns.DropAll(aEnd));
   aWorker.mStops.clear();
@@ -305,6 +316,7 @@
     StopNewerRuns(job, aEvent.mTask);
   }
   if (effect.mGangBroken) {
+    ReportGangBroken(aWorker, aEvent, job);
     StopGang(job, aEvent.mTask, aEvent.mRun, kGangMemberEndedReason);
   }
   if (effect.mJobFinished) {
