Records keep workers that were given up until their leases have lapsed

Cause: a worker whose entry is removed with a fresh heartbeat is given up at once, so that its tasks can start elsewhere. The record then named neither the worker nor its address, so the next scheduler never asked it. Within the term the worker is asked until its lease has lapsed, and what it lists is stopped.

Change: before such a worker is given up, it is noted with its address and the time in the states of its runs' jobs (former_places). The record that is written for the end holds it, also that of an ended job; no write is added, and records without any are as before. The next scheduler asks these workers, and stops what they list and no record shows. Tasks don't count as placed there, and no job is tidied later. A place is dropped after twice the longest lease, as clocks of VMs step; a job keeps the latest 256, which count towards the memory of jobs.

Ruled out: task and run number in the field, as the worker lists them itself and a row per run would grow with the job; waiting for the lease before tasks start elsewhere, as that delays every planned leave. The other ways to give runs up leave nothing to be asked: the lease has lapsed, a complete list didn't show the run, or another incarnation answers at the address.

Limits: a run that can't be stopped for over two leases while schedulers change twice isn't known to the third; of a job with more than 256 such workers at once the earlier ones aren't.

--- a/src/jobs/JobState.cpp
+++ b/src/jobs/JobState.cpp
@@ -303,6 +303,27 @@
   }
 }
 
+void job_state::AddFormerPlace(const former_place& aPlace)
+{
+  std::erase_if(mFormerPlaces, [&](const former_place& aOther) {
+    return aOther.mWorker == aPlace.mWorker;
+  });
+  if (mFormerPlaces.size() == kMaxFormerPlaces) {
+    mFormerPlaces.erase(mFormerPlaces.begin());
+  }
+  mFormerPlaces.push_back(aPlace);
+}
+
+void job_state::ForgetFormerPlaces(int64_t aUnixMs)
+{
+  const auto isOld = [aUnixMs](const former_place& aPlace) {
+    return aPlace.mGivenUpAtMs < aUnixMs;
+  };
+  if (std::erase_if(mFormerPlaces, isOld) != 0) {
+    mFormerPlaces.shrink_to_fit();
+  }
+}
+
 end_effect job_state::End(const task_ref& aTask,
                           uint32_t aRun,
                           run_end aEnd,
@@ -452,6 +473,13 @@
     }
     text["addresses"] = std::move(addresses);
   }
+  if (!mFormerPlaces.empty()) {
+    json places = json::array();
+    for (const auto& place : mFormerPlaces) {
+      places.push_back({ place.mWorker, place.mAddress, place.mGivenUpAtMs });
+    }
+    text["former_places"] = std::move(places);
+  }
   text["workers"] = std::move(workers);
   text["tasks"] = std::move(rows);
   if (!hasRowPerDoneTask) {
@@ -547,6 +575,11 @@
   for (const auto occurrence : begun) {
     CloseOccurrence(occurrence);
   }
+  for (const auto& row : text.value("former_places", json::array())) {
+    AddFormerPlace({ row.at(0).get<std::string>(),
+                     row.at(1).get<std::string>(),
+                     row.at(2).get<int64_t>() });
+  }
   mHasStarted = text.at("begun").get<bool>();
   mEndedAtMs = text.value("ended", int64_t(0));
 }
--- a/src/jobs/JobState.h
+++ b/src/jobs/JobState.h
@@ -60,6 +60,16 @@
   auto operator<=>(const task_progress&) const = default;
 };
 
+/** A worker that may run what was given up of a job, until its lease lapses. */
+struct former_place
+{
+  std::string mWorker;
+  std::string mAddress;
+  int64_t mGivenUpAtMs = 0; ///< Unix time in ms.
+
+  auto operator<=>(const former_place&) const = default;
+};
+
 /** The effects of a run's end on its job. */
 struct end_effect
 {
@@ -90,6 +100,11 @@
   /** Longer checkpoints are not kept; a run then resumes from an earlier one. */
   static constexpr size_t kMaxCheckpointBytes = 128;
 
+  /** Limit on former places; of more, the latest are kept. */
+  static constexpr size_t kMaxFormerPlaces = 256;
+  /** Upper bound in bytes on the memory of a former place. */
+  static constexpr size_t kBytesPerFormerPlace = 256;
+
   explicit job_state(const accepted_job& aJob);
 
   const accepted_job& Job() const { return mJob; }
@@ -165,6 +180,18 @@
                       uint32_t aRun,
                       const std::string& aCheckpoint);
 
+  /**
+   * Records a worker that may still have runs of the job that count as ended; replaces
+   * what is recorded of the same worker. Its tasks don't count as placed there.
+   */
+  void AddFormerPlace(const former_place& aPlace);
+
+  /** Forgets the former places that were given up before aUnixMs. */
+  void ForgetFormerPlaces(int64_t aUnixMs);
+
+  /** Returns the former places, also of a job that has ended, the latest last. */
+  const std::vector<former_place>& FormerPlaces() const { return mFormerPlaces; }
+
   /**
    * Applies the end of a run. An end as done completes the task whichever of its runs
    * it is of; a newer run then stays placed until its own end. Other ends of older runs
@@ -238,6 +265,7 @@
   uint32_t mFirstUnfinished = 0;
   size_t mOpenTasks = 0;
   uint64_t mDoneTasks = 0; ///< Of all occurrences.
+  std::vector<former_place> mFormerPlaces;
 };
 
 /**
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -283,7 +283,9 @@
 void fleet_scheduler::TidyEndedJobs()
 {
   const auto now = mPorts.mLoop.Now();
+  const auto oldestPlaceMs = OldestFormerPlaceMs();
   for (auto& [id, job] : mJobs) {
+    job->mState.ForgetFormerPlaces(oldestPlaceMs);
     const bool isOver =
       !job->mIsBeingRemoved && job->mDurableOutcome != job_outcome::kOpen &&
       job->mState.PlacedTasks().empty() && mWriter.IsStored(store_keys::kProgress + id);
@@ -318,7 +320,8 @@
 {
   size_t bytes = 0;
   for (const auto& [id, job] : mJobs) {
-    bytes += job->mMemory + job->mState.OpenTaskCount() * job_state::kBytesPerOpenTask;
+    bytes += job->mMemory + job->mState.OpenTaskCount() * job_state::kBytesPerOpenTask +
+             job->mState.FormerPlaces().size() * job_state::kBytesPerFormerPlace;
   }
   // Opens again only at a distance below the bound, so that it doesn't alternate.
   constexpr size_t kReopenPercent = 90;
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -162,6 +162,13 @@
   void FinishTakeover(const takeover_state& aTakeover);
   /** Stops runs that the records show, but that are not to go on. */
   void StopLeftoverRuns();
+  /**
+   * Notes a worker that is about to be given up in the records of its runs' jobs, so
+   * that a successor asks it, too.
+   */
+  void RememberFormerPlaces(const worker_entry& aWorker);
+  /** Returns the Unix time in ms before which all that was given up has lapsed. */
+  int64_t OldestFormerPlaceMs() const;
   /** Keeps what a successor cannot read in the store. */
   void SaveSummary();
   void OnSummaryAnswer(takeover_state& aTakeover,
--- a/src/scheduler/FleetSchedulerTakeover.cpp
+++ b/src/scheduler/FleetSchedulerTakeover.cpp
@@ -17,6 +17,11 @@
 constexpr duration kMaxReadTime{ 1'000 };
 /** Jobs that a takeover decodes in one turn of the event loop: a few milliseconds. */
 constexpr size_t kItemsPerSlice = 250;
+/**
+ * A worker that was given up is known for this multiple of the longest lease, as clocks
+ * of VMs step and workers' clocks are slow.
+ */
+constexpr int kFormerPlaceLeases = 2;
 
 } // namespace
 
@@ -250,14 +255,20 @@
   const auto endedAtMs = state.EndedAtMs();
   const auto age = endedAtMs == 0 ? 0 : mPorts.mUnixMs() - endedAtMs;
   aJob.mEndedAt = now - duration(std::max<int64_t>(0, age));
+  // Where workers can be reached that are in no list any more.
+  state.ForgetFormerPlaces(OldestFormerPlaceMs());
+  for (const auto& place : state.FormerPlaces()) {
+    addresses.try_emplace(place.mWorker, place.mAddress);
+  }
+  for (const auto& [id, address] : addresses) {
+    auto& listed = FindOrAddWorker(id).mListed;
+    if (listed.mAddress.empty()) {
+      listed.mAddress = address;
+    }
+  }
   for (const auto& task : state.PlacedTasks()) {
     const auto& taskState = state.Task(task);
     auto& worker = FindOrAddWorker(taskState.mWorker);
-    // Where a worker can be reached that is in no list any more.
-    if (const auto address = addresses.find(taskState.mWorker);
-        address != addresses.end() && worker.mListed.mAddress.empty()) {
-      worker.mListed.mAddress = address->second;
-    }
     const auto& step = state.StepOf(task);
     worker.mRuns.RegisterExisting(task,
                                   taskState.mRun,
@@ -269,6 +280,23 @@
   }
 }
 
+void fleet_scheduler::RememberFormerPlaces(const worker_entry& aWorker)
+{
+  const auto& listed = aWorker.mListed;
+  for (const auto& [task, run] : aWorker.mRuns.Runs()) {
+    const auto found = mJobs.find(task.mJob);
+    if (found != mJobs.end()) {
+      found->second->mState.AddFormerPlace(
+        { listed.mId, listed.mAddress, mPorts.mUnixMs() });
+    }
+  }
+}
+
+int64_t fleet_scheduler::OldestFormerPlaceMs() const
+{
+  return mPorts.mUnixMs() - kFormerPlaceLeases * mBounds.mRuns.mLeaseMax.count();
+}
+
 void fleet_scheduler::FinishTakeover(const takeover_state& aTakeover)
 {
   mLoaded = true;
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -111,6 +111,7 @@
           .Add("runs", static_cast<int64_t>(worker->mRuns.Runs().size())));
       if (hasLeft) {
         // A worker that left has no runs any more, so its lease need not expire first.
+        RememberFormerPlaces(*worker);
         DropRuns(*worker, run_end::kLost);
       }
     }
--- a/tests/JobSizeTest.cpp
+++ b/tests/JobSizeTest.cpp
@@ -209,14 +209,16 @@
     size_t mNameBytes;
     uint32_t mRepeats;
     uint32_t mOpenTasks;
+    size_t mFormerPlaces;
   };
-  const auto [payloadBytes, steps, nameBytes, repeats, openTasks] =
-    GENERATE(row{ 0, 1, 0, 0, 0 },
-             row{ 4'000, 1, 0, 0, 0 },
-             row{ 100, 64, 256, 0, 0 },
-             row{ 100, 2, 20, 10'000, 0 },
-             row{ 100, 1, 0, 0, 1'000 });
-  CAPTURE(payloadBytes, steps, repeats, openTasks);
+  const auto [payloadBytes, steps, nameBytes, repeats, openTasks, formerPlaces] =
+    GENERATE(row{ 0, 1, 0, 0, 0, 0 },
+             row{ 4'000, 1, 0, 0, 0, 0 },
+             row{ 100, 64, 256, 0, 0, 0 },
+             row{ 100, 2, 20, 10'000, 0, 0 },
+             row{ 100, 1, 0, 0, 1'000, 0 },
+             row{ 0, 1, 0, 0, 0, job_state::kMaxFormerPlaces });
+  CAPTURE(payloadBytes, steps, repeats, openTasks, formerPlaces);
   accepted_job job = Job(std::vector<uint32_t>(steps, 1'000), repeats);
   job.mQueue = std::string(30, 'q');
   job.mWorkspace = std::string(30, 'w');
@@ -237,7 +239,12 @@
       states.back()->SaveCheckpoint(
         task, 1, std::string(job_state::kMaxCheckpointBytes, 'c'));
     }
+    for (size_t place = 0; place < formerPlaces; ++place) {
+      const auto worker = "worker-of-a-long-name-" + std::to_string(place);
+      states.back()->AddFormerPlace({ worker, "address-of-" + worker, 1 });
+    }
   }
   CHECK((HeapBytes() - before) / kJobs <=
-        MemoryBound(job) + openTasks * job_state::kBytesPerOpenTask);
+        MemoryBound(job) + openTasks * job_state::kBytesPerOpenTask +
+          formerPlaces * job_state::kBytesPerFormerPlace);
 }
--- a/tests/JobStateTest.cpp
+++ b/tests/JobStateTest.cpp
@@ -234,6 +234,8 @@
                               "{\"outcome\":\"open\",\"begun\":true,\"workers\":[],"
                               "\"tasks\":[[0,9,0,1,-1,0,0]]}",
                               "{\"outcome\":\"open\",\"begun\":true,\"workers\":[],"
+                              "\"tasks\":[],\"former_places\":[[\"w\",\"a\"]]}",
+                              "{\"outcome\":\"open\",\"begun\":true,\"workers\":[],"
                               "\"tasks\":[[0,0,0,1,5,0,0]]}");
   job_state state(Job({ Step(1) }));
   CHECK_FALSE(state.DecodeProgress(text));
@@ -318,3 +320,56 @@
   }
   CHECK(state.Outcome() == job_outcome::kOpen);
 }
+
+TEST_CASE("former places are stored until they are forgotten", "[jobs]")
+{
+  const auto isCancelled = GENERATE(false, true);
+  const auto hasTasks = GENERATE(true, false);
+  CAPTURE(isCancelled, hasTasks);
+  const auto job = Job({ Step(2) });
+  job_state state(job);
+  PlaceAll(state, 0);
+  state.AddFormerPlace({ "w", "a:1", 100 });
+  state.AddFormerPlace({ "v", "b:1", 200 });
+  state.AddFormerPlace({ "w", "a:2", 300 });
+  state.End(Task(0, 0), 1, run_end::kLost, "");
+  state.End(Task(0, 1), 1, run_end::kLost, "");
+  if (isCancelled) {
+    state.Cancel();
+    if (!hasTasks) {
+      state.DropTasks();
+    }
+  }
+  using places = std::vector<former_place>;
+  const places expected{ { "v", "b:1", 200 }, { "w", "a:2", 300 } };
+  CHECK(state.FormerPlaces() == expected);
+  job_state read(job);
+  std::map<std::string, std::string> addresses;
+  REQUIRE(read.DecodeProgress(state.EncodeProgress(), &addresses));
+  CHECK(read.FormerPlaces() == expected);
+  CHECK(addresses.empty());
+  CHECK(read.PlacedTasks().empty());
+  CHECK(read.WaitingTasks(0, 0).size() == (isCancelled ? 0 : 2));
+  read.ForgetFormerPlaces(200);
+  CHECK(read.FormerPlaces() == expected);
+  read.ForgetFormerPlaces(201);
+  CHECK(read.FormerPlaces() == places{ expected.back() });
+  read.ForgetFormerPlaces(301);
+  CHECK(read.FormerPlaces().empty());
+  // Without any, the record is as earlier versions wrote it.
+  CHECK(read.EncodeProgress().find("former_places") == std::string::npos);
+  job_state fromEarlier(job);
+  REQUIRE(fromEarlier.DecodeProgress(read.EncodeProgress()));
+  CHECK(fromEarlier.FormerPlaces().empty());
+}
+
+TEST_CASE("a job keeps the latest of too many former places", "[jobs]")
+{
+  constexpr size_t kMost = job_state::kMaxFormerPlaces;
+  job_state state(Job({ Step(1) }));
+  for (size_t number = 0; number < kMost + 10; ++number) {
+    state.AddFormerPlace({ "w" + std::to_string(number), "a", 1 });
+  }
+  REQUIRE(state.FormerPlaces().size() == kMost);
+  CHECK(state.FormerPlaces().front().mWorker == "w10");
+}
--- a/tests/StopTest.cpp
+++ b/tests/StopTest.cpp
@@ -393,6 +393,22 @@
   REQUIRE_FALSE(aSite.mTraces[1].mEnded);
 }
 
+/** Runs a job until its worker is given up, which drains and outlives its entry. */
+void RunUntilGivenUp(fake_installation& aSite)
+{
+  aSite.mBehaviourByPayload["long"] = { duration(60'000), false };
+  auto job = fake_installation::MakeJob(kJob, 1);
+  job.mSpec.mPayload = "long";
+  REQUIRE(aSite.Submit("vm0", job) == job_answer::kAccepted);
+  aSite.mLoop.RunFor(duration(1'000));
+  REQUIRE(aSite.mTraces.size() == 1);
+  aSite.ListWorker("w0", true);
+  aSite.mLoop.RunFor(duration(1'600));
+  aSite.mStore.Remove("workers/w0");
+  const auto isGivenUp = [&] { return aSite.mLog.CountLines("left=1") == 1; };
+  REQUIRE(aSite.mLoop.RunUntil(isGivenUp, duration(1'500)));
+}
+
 /** Checks that the run of a worker ends that drains and runs on after its entry. */
 void CheckWorkerInNoList(scheduler_change aChange)
 {
@@ -404,18 +420,7 @@
   scheduler_bounds bounds;
   bounds.mRuns.mLeaseMax = duration(leaseMs);
   fake_installation site(3, 1, 4, bounds);
-  site.mBehaviourByPayload["long"] = { duration(60'000), false };
-  auto job = fake_installation::MakeJob(kJob, 1);
-  job.mSpec.mPayload = "long";
-  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
-  site.mLoop.RunFor(duration(1'000));
-  REQUIRE(site.mTraces.size() == 1);
-  // The worker drains, and runs on for a while after its entry has been removed.
-  site.ListWorker("w0", true);
-  site.mLoop.RunFor(duration(1'600));
-  site.mStore.Remove("workers/w0");
-  const auto isGivenUp = [&] { return site.mLog.CountLines("left=1") == 1; };
-  REQUIRE(site.mLoop.RunUntil(isGivenUp, duration(1'500)));
+  RunUntilGivenUp(site);
   site.mLoop.RunFor(duration(recordedAfterMs));
   auto disruptionEnd = site.mLoop.Now();
   if (aChange == scheduler_change::kNone) {
@@ -503,13 +508,74 @@
 }
 
 // Guards against schedulers that don't know a worker whose runs have been given up.
-TEST_CASE("a run of a worker in no list is stopped by the next scheduler",
-          "[stop][known-red]")
+TEST_CASE("a run of a worker in no list is stopped by the next scheduler", "[stop]")
 {
   CheckWorkerInNoList(
     GENERATE(scheduler_change::kKilled, scheduler_change::kHandedOver));
 }
 
+// Guards against records of ended jobs that name only the placed tasks' workers.
+TEST_CASE("a run that was given up before its job's cancellation is stopped", "[stop]")
+{
+  const auto change =
+    GENERATE(scheduler_change::kKilled, scheduler_change::kHandedOver);
+  const auto recordedAfterMs = GENERATE(0, 200);
+  CAPTURE(static_cast<int>(change), recordedAfterMs);
+  fake_installation site(3, 1, 4, BoundsWithLongLeases());
+  RunUntilGivenUp(site);
+  site.mFaults.mFateOfOrder = [](const std::string&, const std::string&) {
+    order_fate fate;
+    fate.mIsLost = true;
+    return fate;
+  };
+  site.mLoop.RunFor(duration(recordedAfterMs));
+  REQUIRE(site.Cancel(VmThatFollows(site), kJob) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(300));
+  ChangeScheduler(site, change);
+  site.mFaults.mFateOfOrder = nullptr;
+  REQUIRE(CountRuns(site) == 1);
+  site.mLoop.RunFor(kContactTime + kCancelBound);
+  CHECK(CountRuns(site) == 0);
+}
+
+// Guards against calls to workers that left long ago.
+TEST_CASE("the next scheduler asks a worker that was given up while it may run",
+          "[stop]")
+{
+  struct row
+  {
+    int mChangedAfterMs; // Leases last 6 s, former places twice that.
+    bool mIsAsked;
+  };
+  const auto [changedAfterMs, isAsked] = GENERATE(
+    row{ 200, true }, row{ 5'000, true }, row{ 10'000, true }, row{ 12'500, false });
+  const auto isCancelled = GENERATE(false, true);
+  CAPTURE(changedAfterMs, isCancelled);
+  fake_installation site(3, 1);
+  RunUntilGivenUp(site);
+  size_t asked = 0;
+  site.mFaults.mFateOfOrder = [&asked](const std::string&, const std::string&) {
+    ++asked;
+    order_fate fate;
+    fate.mIsLost = true;
+    return fate;
+  };
+  const auto changesAt = site.mLoop.Now() + duration(changedAfterMs);
+  if (isCancelled) {
+    REQUIRE(site.Cancel(VmThatFollows(site), kJob) == job_answer::kAccepted);
+  }
+  site.mLoop.RunFor(std::max(duration(0), changesAt - site.mLoop.Now()));
+  const auto former = site.SchedulerVm();
+  site.Kill(former);
+  asked = 0;
+  constexpr duration kUntilLeaseLapsed{ 20'000 };
+  site.mLoop.RunFor(kUntilLeaseLapsed);
+  CHECK((asked > 0) == isAsked);
+  asked = 0;
+  site.mLoop.RunFor(kUntilLeaseLapsed);
+  CHECK(asked == 0);
+}
+
 TEST_CASE("cancelled jobs stop in time beside random faults of their workers", "[stop]")
 {
   const char* const first = std::getenv("STOP_MIX_FIRST");
