A stop of an unexpected run leaves the wanted run of its task alone

What callers saw: where a worker lists an earlier run of a task beside the wanted one, the wanted run was stopped within a second, too, and its task began anew.

Cause: a stop marked whatever run of the task was registered at that worker, though it was for another number. 700 ms later it was repeated, for the registered run. That run also counted as being stopped, so that a cancellation sent it no stop of its own.

How a worker comes to two runs: a start is carried out seconds after newer calls, by a worker that has begun a new life under its id meanwhile, knows no ended runs, and whose clock hasn't reached the start's deadline.

Ruled out: that it lets a run of a cancelled job go on past the bound.

Change: MarkStopping takes the run's number. An unexpected run beside a registered one is stopped again after each hold reply that lists it. The stand-in's worker keeps such runs apart; it used to overwrite the later one, whose trace then never ended.

The new test failed before in 2 of 2 rows (the wanted run ended) and passes after it.

--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -181,10 +181,10 @@
   return {};
 }
 
-bool worker_runs::MarkStopping(const task_ref& aTask, time_point aNow)
+bool worker_runs::MarkStopping(const task_ref& aTask, uint32_t aRun, time_point aNow)
 {
   const auto found = mRuns.find(aTask);
-  if (found == mRuns.end()) {
+  if (found == mRuns.end() || found->second.mRun != aRun) {
     return false;
   }
   found->second.mStopping = true;
--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -179,8 +179,11 @@
                                        run_request_status aAnswer,
                                        time_point aNow);
 
-  /** Marks a run as being stopped. Returns false if it is not registered. */
-  bool MarkStopping(const task_ref& aTask, time_point aNow);
+  /**
+   * Marks a run as being stopped. Returns false if it is not registered; another run of
+   * its task that is registered goes on.
+   */
+  bool MarkStopping(const task_ref& aTask, uint32_t aRun, time_point aNow);
   void OnStopAnswer(const task_ref& aTask,
                     uint32_t aRun,
                     run_request_status aAnswer,
--- a/src/scheduler/FleetSchedulerStops.cpp
+++ b/src/scheduler/FleetSchedulerStops.cpp
@@ -47,7 +47,7 @@
                               uint32_t aRun,
                               const char* aReason)
 {
-  aWorker.mRuns.MarkStopping(aTask, mPorts.mLoop.Now());
+  aWorker.mRuns.MarkStopping(aTask, aRun, mPorts.mLoop.Now());
   const bool isSent = MaySendRequests() && !aWorker.mListed.mAddress.empty();
   LogStop(aWorker, aTask, aRun, aReason, isSent);
   if (!isSent) {
--- a/src/standin/RunWorker.cpp
+++ b/src/standin/RunWorker.cpp
@@ -33,10 +33,10 @@
 run_worker::~run_worker()
 {
   *mAlive = false;
-  for (const auto& [task, run] : mRuns) {
+  for (const auto& [key, run] : mRuns) {
     mTraces[run.mTraceIndex].mEnded = mLoop.Now();
     mTraces[run.mTraceIndex].mEnd = run_end::kLost;
-    mGangs.Leave(task, run.mRun, run_end::kLost);
+    mGangs.Leave(key.first, key.second, run_end::kLost);
   }
 }
 
@@ -46,8 +46,7 @@
     return run_request_status::kFenced;
   }
   mFence = aRequest.mFence;
-  const auto running = mRuns.find(aRequest.mTask);
-  if (running != mRuns.end() && running->second.mRun == aRequest.mRun) {
+  if (FindRun(aRequest.mTask, aRequest.mRun) != nullptr) {
     return run_request_status::kAccepted;
   }
   const auto refusedUpTo = mRefusedUpTo.find(aRequest.mTask);
@@ -61,7 +60,6 @@
   mLeaseDeadlineMs =
     std::max(mLeaseDeadlineMs, std::min(aRequest.mWorkerDeadlineMs, latestDeadline));
   active_run run;
-  run.mRun = aRequest.mRun;
   run.mTraceIndex = mTraces.size();
   run.mBehaviour = mResolveBehaviour(aRequest);
   run_trace trace;
@@ -70,7 +68,7 @@
   trace.mRun = aRequest.mRun;
   trace.mStartedAt = mLoop.Now();
   mTraces.push_back(trace);
-  mRuns[aRequest.mTask] = run;
+  mRuns[{ aRequest.mTask, aRequest.mRun }] = run;
   if (run.mBehaviour.mGangSize > 0) {
     JoinGang(aRequest.mTask, aRequest.mRun, run.mBehaviour.mGangSize);
   } else {
@@ -82,9 +80,8 @@
 
 run_worker::active_run* run_worker::FindRun(const task_ref& aTask, uint32_t aRun)
 {
-  const auto found = mRuns.find(aTask);
-  const bool isSameRun = found != mRuns.end() && found->second.mRun == aRun;
-  return isSameRun ? &found->second : nullptr;
+  const auto found = mRuns.find({ aTask, aRun });
+  return found == mRuns.end() ? nullptr : &found->second;
 }
 
 void run_worker::BeginWork(const task_ref& aTask, uint32_t aRun)
@@ -98,7 +95,8 @@
   const auto workEnds = [this, alive = mAlive, aTask, aRun] {
     const auto* const working = *alive ? FindRun(aTask, aRun) : nullptr;
     if (working != nullptr && !working->mBehaviour.mRunsUntilStopped) {
-      FinishRun(aTask, working->mBehaviour.mFails ? run_end::kFailed : run_end::kDone);
+      FinishRun(
+        aTask, aRun, working->mBehaviour.mFails ? run_end::kFailed : run_end::kDone);
     }
   };
   mLoop.RunAfter(run->mBehaviour.mDuration, workEnds);
@@ -112,7 +110,7 @@
               { [this, aTask, aRun] { BeginWork(aTask, aRun); },
                 [this, aTask, aRun](run_end aEnd) {
                   if (FindRun(aTask, aRun) != nullptr) {
-                    FinishRun(aTask, aEnd);
+                    FinishRun(aTask, aRun, aEnd);
                   }
                 } });
 }
@@ -131,9 +129,15 @@
       if (!*alive) {
         return;
       }
-      const auto found = mRuns.find(task);
-      if (found != mRuns.end() && found->second.mRun <= runNumber) {
-        FinishRun(task, run_end::kStopped);
+      std::vector<uint32_t> stopped;
+      for (auto at = mRuns.lower_bound({ task, 0 });
+           at != mRuns.end() && at->first.first == task &&
+           at->first.second <= runNumber;
+           ++at) {
+        stopped.push_back(at->first.second);
+      }
+      for (const auto run : stopped) {
+        FinishRun(task, run, run_end::kStopped);
       }
     });
   return run_request_status::kAccepted;
@@ -146,13 +150,13 @@
   reply.mClockMs = ClockMs();
   reply.mStartedAtMs = mStartedAtMs;
   constexpr int64_t kFullPercent = 100;
-  for (const auto& [task, run] : mRuns) {
+  for (const auto& [key, run] : mRuns) {
     const auto elapsedMs =
       run.mIsWorking ? (mLoop.Now() - run.mWorkingSince).count() : 0;
     const auto durationMs = std::max<int64_t>(1, run.mBehaviour.mDuration.count());
     reply.mRunning.push_back(
-      { task,
-        run.mRun,
+      { key.first,
+        key.second,
         "",
         std::min(kFullPercent, kFullPercent * elapsedMs / durationMs) });
   }
@@ -195,18 +199,18 @@
   mLoop.RunAfter(aRequest.mWait, answer);
 }
 
-void run_worker::FinishRun(task_ref aTask, run_end aEnd)
+void run_worker::FinishRun(task_ref aTask, uint32_t aRun, run_end aEnd)
 {
-  const auto found = mRuns.find(aTask);
+  const auto found = mRuns.find({ aTask, aRun });
   const auto run = found->second;
   mRuns.erase(found);
   mTraces[run.mTraceIndex].mEnded = mLoop.Now();
   mTraces[run.mTraceIndex].mEnd = aEnd;
   auto& refusedUpTo = mRefusedUpTo[aTask];
-  refusedUpTo = std::max(refusedUpTo, run.mRun);
-  mUnacknowledgedEnds.push_back({ mNextEndNumber++, aTask, run.mRun, aEnd, "" });
+  refusedUpTo = std::max(refusedUpTo, aRun);
+  mUnacknowledgedEnds.push_back({ mNextEndNumber++, aTask, aRun, aEnd, "" });
   AnswerPendingHolds();
-  mGangs.Leave(aTask, run.mRun, aEnd);
+  mGangs.Leave(aTask, aRun, aEnd);
 }
 
 void run_worker::AnswerPendingHolds()
@@ -227,7 +231,8 @@
                      return;
                    }
                    while (!mRuns.empty()) {
-                     FinishRun(mRuns.begin()->first, run_end::kLeaseExpired);
+                     const auto& [task, run] = mRuns.begin()->first;
+                     FinishRun(task, run, run_end::kLeaseExpired);
                    }
                  });
 }
--- a/src/standin/RunWorker.h
+++ b/src/standin/RunWorker.h
@@ -76,7 +76,6 @@
 private:
   struct active_run
   {
-    uint32_t mRun = 0;
     size_t mTraceIndex = 0;
     bool mIsWorking = false; ///< False while the rest of its gang isn't there.
     time_point mWorkingSince{ 0 };
@@ -84,12 +83,12 @@
   };
 
   hold_reply Reply() const;
-  /** Returns a run that is there; null if there is none, or another one. */
+  /** Returns a run that is there; null if there is none. */
   active_run* FindRun(const task_ref& aTask, uint32_t aRun);
   void BeginWork(const task_ref& aTask, uint32_t aRun);
   void JoinGang(const task_ref& aTask, uint32_t aRun, uint32_t aGangSize);
   /** aTask is a copy, as it may name the key of the run that is erased. */
-  void FinishRun(task_ref aTask, run_end aEnd);
+  void FinishRun(task_ref aTask, uint32_t aRun, run_end aEnd);
   void ScheduleLeaseExpiry();
   void AnswerPendingHolds();
 
@@ -104,7 +103,8 @@
   time_point mStartedAt;        ///< Start time on mLoop.
   uint64_t mFence = 0;
   int64_t mLeaseDeadlineMs = 0;
-  std::map<task_ref, active_run> mRuns;
+  /** A late start may add an earlier run of a task beside a later one. */
+  std::map<std::pair<task_ref, uint32_t>, active_run> mRuns;
   /** Highest ended or stopped run of each task; starts up to it are refused. */
   std::map<task_ref, uint32_t> mRefusedUpTo;
   std::deque<ended_run> mUnacknowledgedEnds;
--- a/tests/StopTest.cpp
+++ b/tests/StopTest.cpp
@@ -510,6 +510,54 @@
     GENERATE(scheduler_change::kKilled, scheduler_change::kHandedOver));
 }
 
+// Guards against stops that meet the run beside the one that nobody wants.
+TEST_CASE("a late start of an earlier run leaves the wanted run alone", "[stop]")
+{
+  const auto firstStopIsLost = GENERATE(false, true);
+  CAPTURE(firstStopIsLost);
+  constexpr duration kLateBy{ 9'000 };
+  fake_installation site(3, 2, 4);
+  site.mLoop.RunFor(duration(8'000)); // So that the deadline is late for a new life.
+  site.mBehaviourByPayload["long"] = { duration(60'000), false };
+  auto submitted = fake_installation::MakeJob(kJob, 2);
+  submitted.mSpec.mPayload = "long";
+  submitted.mSpec.mSteps.front().mPerTask.mAccelerators = 8;
+  bool isStartLate = true;
+  site.mFaults.mFateOfOrder = [&](const std::string& aWorker,
+                                  const std::string& aOrder) {
+    order_fate fate;
+    if (aOrder == "start" && aWorker == "w0" && std::exchange(isStartLate, false)) {
+      fate.mIsAnswered = false;
+      fate.mDelay = kLateBy;
+    }
+    return fate;
+  };
+  const auto sentAt = site.mLoop.Now();
+  REQUIRE(site.Submit("vm0", submitted) == job_answer::kAccepted);
+  // The run is given up after its deadline; its start meets the worker's next life.
+  site.mLoop.RunFor(duration(3'800));
+  site.CrashWorker("w0", true);
+  site.mFaults.mLosesFirstStops = firstStopIsLost;
+  const auto isLateRun = [&](const run_trace& aTrace) {
+    return aTrace.mRun == 1 && aTrace.mWorker == "w0";
+  };
+  const auto hasLateRun = [&] {
+    return std::any_of(site.mTraces.begin(), site.mTraces.end(), isLateRun);
+  };
+  REQUIRE(site.mLoop.RunUntil(hasLateRun, kLateBy));
+  CHECK(site.mLoop.Now() - sentAt >= kLateBy);
+  const auto isWanted = [](const run_trace& aTrace) {
+    return aTrace.mWorker == "w0" && aTrace.mRun > 1 && !aTrace.mEnded;
+  };
+  const auto wanted = std::find_if(site.mTraces.begin(), site.mTraces.end(), isWanted);
+  REQUIRE(wanted != site.mTraces.end());
+  const auto wantedIndex = wanted - site.mTraces.begin();
+  site.mLoop.RunFor(kCancelBound);
+  CHECK_FALSE(site.mTraces[static_cast<size_t>(wantedIndex)].mEnded.has_value());
+  const auto late = std::find_if(site.mTraces.begin(), site.mTraces.end(), isLateRun);
+  CHECK(late->mEnded.has_value());
+}
+
 TEST_CASE("cancelled jobs stop in time beside random faults of their workers", "[stop]")
 {
   const char* const first = std::getenv("STOP_MIX_FIRST");
--- a/tests/WorkerRunsTest.cpp
+++ b/tests/WorkerRunsTest.cpp
@@ -113,7 +113,7 @@
   runs.RecordStartRequest(kTask, 1, 5'000, kStart);
   runs.OnStartAnswer(kTask, 1, run_request_status::kNoAnswer, kStart + duration(900));
   if (stopAnswered) {
-    runs.MarkStopping(kTask, kStart + duration(900));
+    runs.MarkStopping(kTask, 1, kStart + duration(900));
     runs.OnStopAnswer(kTask, 1, run_request_status::kAccepted, kStart + duration(950));
   }
   const auto sentAt = kStart + duration(1'000);
