--- a/src/standin/RunWorker.cpp
+++ b/src/standin/RunWorker.cpp
@@ -1,6 +1,7 @@
 #include "standin/RunWorker.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace anvildoor {
 
@@ -143,6 +144,12 @@
   return run_request_status::kAccepted;
 }
 
+int64_t run_worker::ClockMs() const
+{
+  const auto elapsedMs = static_cast<double>((mLoop.Now() - mStartedAt).count());
+  return static_cast<int64_t>(elapsedMs * mClockRate) + 1;
+}
+
 hold_reply run_worker::Reply() const
 {
   hold_reply reply;
@@ -224,17 +231,17 @@
 
 void run_worker::ScheduleLeaseExpiry()
 {
-  const auto remaining = duration(mLeaseDeadlineMs - ClockMs());
-  mLoop.RunAfter(std::max(duration(1), remaining + duration(1)),
-                 [this, alive = mAlive] {
-                   if (!*alive || ClockMs() <= mLeaseDeadlineMs) {
-                     return;
-                   }
-                   while (!mRuns.empty()) {
-                     const auto& [task, run] = mRuns.begin()->first;
-                     FinishRun(task, run, run_end::kLeaseExpired);
-                   }
-                 });
+  const auto remainingMs = static_cast<double>(mLeaseDeadlineMs - ClockMs() + 1);
+  const duration remaining(static_cast<int64_t>(std::ceil(remainingMs / mClockRate)));
+  mLoop.RunAfter(std::max(duration(1), remaining), [this, alive = mAlive] {
+    if (!*alive || ClockMs() <= mLeaseDeadlineMs) {
+      return;
+    }
+    while (!mRuns.empty()) {
+      const auto& [task, run] = mRuns.begin()->first;
+      FinishRun(task, run, run_end::kLeaseExpired);
+    }
+  });
 }
 
 } // namespace anvildoor
--- a/src/standin/RunWorker.h
+++ b/src/standin/RunWorker.h
@@ -70,7 +70,9 @@
   void Hold(const hold_request& aRequest, std::function<void(const hold_reply&)> aDone);
 
   /** Returns the worker's clock in milliseconds, which starts at 1. */
-  int64_t ClockMs() const { return (mLoop.Now() - mStartedAt).count() + 1; }
+  int64_t ClockMs() const;
+  /** Sets how fast the clock runs; 1: exactly. Only before the first request. */
+  void SetClockRate(double aRate) { mClockRate = aRate; }
   const std::string& Id() const { return mId; }
 
 private:
@@ -101,6 +103,7 @@
   std::vector<run_trace>& mTraces;
   std::shared_ptr<bool> mAlive; ///< Set to false on destruction, for pending timers.
   time_point mStartedAt;        ///< Start time on mLoop.
+  double mClockRate = 1.0;
   uint64_t mFence = 0;
   int64_t mLeaseDeadlineMs = 0;
   /** A late start may add an earlier run of a task beside a later one. */
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -72,17 +72,17 @@
     options.mDecodePolicy = [](const std::string& aValue) -> result<fleet_policy> {
       return MakePolicy(std::stoull(aValue));
     };
-    const entry_ports ports{ mLoop,    *this,
-                             *this,    *this,
-                             *this,    aSite.mLog,
-                             mMetrics, [&aSite] {
-        return aSite.mLoop.Now().count(); } };
+    const entry_ports ports{ mLoop, *this,      *this,    *this,
+                             *this, aSite.mLog, mMetrics, [this] {
+        return UnixMs(); } };
     mNode = std::make_unique<entry_node>(ports, options);
     mNode->Begin();
   }
 
   /** Simulates the end of the process: no further callback runs. */
   void Stop() { mLoop.Stop(); }
+  void Freeze() { mLoop.Pause(); }
+  void Thaw() { mLoop.Resume(); }
 
   entry_node& Node() { return *mNode; }
   /** Like the entry program's answer to a scrape. */
@@ -94,6 +94,13 @@
   }
 
 private:
+  int64_t UnixMs() const
+  {
+    const auto& steps = mSite.mFaults.mUnixStepsMs;
+    const auto step = steps.find(mName);
+    return mSite.mLoop.Now().count() + (step == steps.end() ? 0 : step->second);
+  }
+
   bool IsBlocked(const std::string& aOther) const
   {
     return mSite.mFaults.mBlockedLinks.count({ mName, aOther }) != 0;
@@ -394,7 +401,8 @@
       return;
     }
     const auto answer = worker->Start(aRequest);
-    RunLater([answer, done = std::move(aDone)] { done(answer); });
+    RunLater([answer, done = std::move(aDone)] { done(answer); },
+             kCallLatency + fate.mAnswerDelay);
   }
   void OnStop(const stop_run_request& aRequest,
               run_port::done<run_request_status> aDone) override
@@ -413,7 +421,8 @@
       return;
     }
     const auto answer = worker->Stop(aRequest);
-    RunLater([answer, done = std::move(aDone)] { done(answer); });
+    RunLater([answer, done = std::move(aDone)] { done(answer); },
+             kCallLatency + fate.mAnswerDelay);
   }
   void OnHold(const hold_request& aRequest, run_port::done<hold_reply> aDone) override
   {
@@ -450,8 +459,13 @@
     mLoop.RunAfter(aRequest.mWait + kCallTimeout, [answer] { answer(hold_reply()); });
     if (worker != nullptr) {
       const auto id = aRequest.mWorker.mId;
-      worker->Hold(aRequest, [this, id, answer](const hold_reply& aReply) {
-        if (!IsBlocked(id)) {
+      worker->Hold(aRequest, [this, id, answer, fate](const hold_reply& aReply) {
+        if (IsBlocked(id)) {
+          return;
+        }
+        if (fate.mAnswerDelay > duration::zero()) {
+          mSite.mLoop.RunAfter(fate.mAnswerDelay, [answer, aReply] { answer(aReply); });
+        } else {
           answer(aReply);
         }
       });
@@ -548,7 +562,7 @@
                           uint64_t aFence,
                           peer_query::done<std::string> aDone)
 {
-  if (IsBlocked(aAddress) || !mSite.IsUp(aAddress)) {
+  if (IsBlocked(aAddress) || !mSite.IsUp(aAddress) || mSite.IsFrozen(aAddress)) {
     RunLater([done = std::move(aDone)] {
       done(Fail(error_code::kUnavailable, "ask", "peer", "no answer"));
     });
@@ -567,7 +581,7 @@
                                      peer_query::done<std::string> aDone)
 {
   if (mSite.mFaults.mLosesNotifications || IsBlocked(aAddress) ||
-      !mSite.IsUp(aAddress)) {
+      !mSite.IsUp(aAddress) || mSite.IsFrozen(aAddress)) {
     RunLater([done = std::move(aDone)] {
       done(Fail(error_code::kUnavailable, "notify", "peer", "no answer"));
     });
@@ -624,6 +638,7 @@
     },
     mGangs,
     mTraces);
+  mWorkers[aId]->SetClockRate(mFaults.mSlowClockWorkers.count(aId) != 0 ? 0.98 : 1.0);
   ListWorker(aId);
 }
 
@@ -652,11 +667,25 @@
 void fake_installation::Kill(const std::string& aVm)
 {
   // The object is kept, since answers to it are still in flight; they are dropped.
+  mFrozenVms.erase(aVm);
   mVms.at(aVm)->Stop();
   mStoppedVms.push_back(std::move(mVms.at(aVm)));
   mVms.erase(aVm);
 }
 
+void fake_installation::Freeze(const std::string& aVm)
+{
+  mFrozenVms.insert(aVm);
+  mVms.at(aVm)->Freeze();
+}
+
+void fake_installation::Thaw(const std::string& aVm)
+{
+  if (mFrozenVms.erase(aVm) != 0) {
+    mVms.at(aVm)->Thaw();
+  }
+}
+
 void fake_installation::Restart(const std::string& aVm)
 {
   constexpr int64_t kStaggerMs = 10;
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -69,10 +69,11 @@
 /** What becomes of one call to a worker. */
 struct order_fate
 {
-  bool mIsRefused = false; ///< As by an unhealthy worker, without effect.
-  bool mIsLost = false;    ///< Neither carried out nor answered.
-  bool mIsAnswered = true; ///< Only calls without a delay are answered.
-  duration mDelay{ 0 };    ///< Until it is carried out.
+  bool mIsRefused = false;    ///< As by an unhealthy worker, without effect.
+  bool mIsLost = false;       ///< Neither carried out nor answered.
+  bool mIsAnswered = true;    ///< Only calls without a delay are answered.
+  duration mDelay{ 0 };       ///< Until it is carried out.
+  duration mAnswerDelay{ 0 }; ///< Of an answer, which newer ones may overtake.
   std::function<void(run_request_status)> mOnCarriedOut; ///< Of starts; may be null.
 };
 
@@ -103,6 +104,10 @@
   /** Decides the fate of each call (start, stop, hold) to a worker, if set. */
   std::function<order_fate(const std::string& aWorker, const std::string& aOrder)>
     mFateOfOrder;
+  /** By how much the Unix clock of a VM is off, in milliseconds. */
+  std::map<std::string, int64_t> mUnixStepsMs;
+  /** Workers whose clock is slow by 2 %, from their next start on. */
+  std::set<std::string> mSlowClockWorkers;
   /** Factor on the duration of runs that begin on a worker. */
   std::map<std::string, int> mSlowdownFactors;
 };
@@ -145,6 +150,10 @@
 
   void Kill(const std::string& aVm);
   void Restart(const std::string& aVm);
+  /** Halts a VM, whose calls and answers wait until it is thawed. */
+  void Freeze(const std::string& aVm);
+  void Thaw(const std::string& aVm);
+  bool IsFrozen(const std::string& aVm) const { return mFrozenVms.count(aVm) != 0; }
   void CrashWorker(const std::string& aId, bool aRestarts);
   void ListWorker(const std::string& aId,
                   bool aDraining = false,
@@ -186,6 +195,7 @@
   int64_t mLastWorkerStartedAtMs = 1'000;
   std::map<std::string, std::unique_ptr<fake_vm>> mVms;
   std::vector<std::unique_ptr<fake_vm>> mStoppedVms;
+  std::set<std::string> mFrozenVms;
   /** Runs of which a stop has been sent. */
   std::set<std::pair<task_ref, uint32_t>> mRunsToStop;
   /** Former answers to lists that may be stale, by prefix and time. */
