A VM whose term has run out takes part in elections again

Callers: with two VMs, one whose writes had failed let its term run out; if the other one drained within about 2 s after it had taken over, a cancellation acknowledged by the first ended the runs too late: in 4 of 8 rows of the test, all with two VMs, one or more members of the gang went on after 3.4 s. Found in review.

Cause: the time for which a VM leaves elections to others counted from the end of the grace, up to 5.2 s later than the end of its term. Change: it counts from the end of the term at the latest. An answer to a renewal that was under way when the renewals stopped no longer ends the term before the grace is over; that part was found by reading, and no test shows it.

Test: 'a VM whose writes failed schedules again once its successor has left' failed before in these rows and passes.

--- a/src/scheduler/Election.cpp
+++ b/src/scheduler/Election.cpp
@@ -299,8 +299,10 @@
         !aRenewal && aRenewal.error().mCode == error_code::kNotFound;
       ReportStoreReachability(aRenewal.has_value() || hasExpired);
       if (hasExpired) {
-        EndTerm("the lease expired at the store");
-        ReadKeyAfter(duration::zero());
+        if (mIsRenewing) {
+          EndTerm("the lease expired at the store");
+          ReadKeyAfter(duration::zero());
+        }
         return;
       }
       if (aRenewal) {
@@ -341,6 +343,7 @@
   ++mGeneration;
   mIsHolder = false;
   mRequestDeadline = time_point(0);
+  mYieldsUntil = std::min(mYieldsUntil, mLoop.Now() + mTimes.mYieldTime);
   mCurrent = scheduler_term();
   mLog.Write(log_event("scheduler_lost").Add("reason", aReason));
   mCallbacks.mOnTermEnded(aReason);
--- a/tests/CancellationTest.cpp
+++ b/tests/CancellationTest.cpp
@@ -680,3 +680,37 @@
   }
   CHECK(site.SchedulerVm() != cut);
 }
+
+// Guards against a VM that takes part in no election after its term has run out.
+TEST_CASE("a VM whose writes failed schedules again once its successor has left",
+          "[cancellation]")
+{
+  const size_t vms = GENERATE(2, 3);
+  const auto leavesAfter = GENERATE(300, 600, 1'000, 2'000);
+  CAPTURE(vms, leavesAfter);
+  fake_installation site(vms, 4);
+  site.mFaults.mLosesNotifications = true;
+  site.mBehaviourByPayload["long"] = { duration(120'000), false };
+  auto job = fake_installation::MakeJob(kJob, 3, true);
+  job.mSpec.mPayload = "long";
+  REQUIRE(site.Submit("vm1", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(3'000));
+  REQUIRE(site.CountStarts(kJob) == 3);
+  const auto impaired = site.SchedulerVm();
+  site.mFaults.mStoreFaults.push_back({ fate::kRefused, impaired, { call::kCommit } });
+  // Gives the scheduler something to write.
+  REQUIRE(site.Submit("vm1", fake_installation::MakeJob("00000000000000c2", 1)) ==
+          job_answer::kAccepted);
+  const auto isReplaced = [&] {
+    return site.SchedulerVm() != impaired && !site.SchedulerVm().empty();
+  };
+  REQUIRE(site.mLoop.RunUntil(isReplaced, duration(20'000)));
+  site.mFaults.mStoreFaults.clear();
+  site.mLoop.RunFor(duration(leavesAfter));
+  site.Node(site.SchedulerVm()).StartDraining();
+  REQUIRE(site.Cancel(impaired, kJob) == job_answer::kAccepted);
+  site.mLoop.RunFor(kBound);
+  for (const auto& trace : site.mTraces) {
+    CHECK(trace.mEnded.has_value());
+  }
+}
