The soak also removes schedulers for good, in calm and after faults

The rule holds for runs whose starter was removed, too. The soak counted every SIGTERM as a disruption, so nothing was judged beside a removal, and no VM was replaced.

A SIGTERM that ends within its grace is no disruption for the runs whose starter got it: a second kind of violation, with the same bound of 3.4 s. The report adds the longest end after a removal and the longest time without a live scheduler in calm and beside removals.

New VMs now take ports when they start.

--- a/tests/platform/soak_cancellations.py
+++ b/tests/platform/soak_cancellations.py
@@ -1,14 +1,18 @@
 """Soak with real processes: cancelled jobs stop in time while the scheduler changes.
 
 Usage: soak_cancellations.py BUILD [--seed N] [--seconds S] [--vms V] [--workers W]
-[--logs FOLDER] [ENTRY_BUILD]. ENTRY_BUILD, if given, has the anvildoor-entry to be
-checked; FOLDER, if given, keeps the VMs' logs. Callers submit jobs and cancel them at other
-VMs while VMs are killed, stopped, frozen and started again and the store is busy. Fails if
-a run goes on, or a run starts, too long after its job's cancellation was answered; such a
-time counts only in stretches without disruption.
+[--removals] [--logs FOLDER] [ENTRY_BUILD]. ENTRY_BUILD, if given, has the anvildoor-entry
+to be checked; FOLDER, if given, keeps the VMs' logs. Callers submit jobs and cancel them at
+other VMs while VMs are killed, stopped, frozen and started again and the store is busy. With
+--removals, VMs are also removed for good and replaced, or stopped in turn, single calls to
+the store fail, and workers leave. Fails if a run goes on, or a run starts, too long after
+its job's cancellation was answered; such a time counts only in stretches without
+disruption. The end of a run counts also beside a SIGTERM, if that ended its starter.
 """
 
 import argparse
+import base64
+import bisect
 import heapq
 import http.client
 import json
@@ -29,6 +33,8 @@
 # From the answer of a cancellation to the last start, and to the end of the last run.
 START_BOUND_S = 3.0
 END_BOUND_S = 3.4
+# A longer time is noted beside the logs.
+NOTED_S = 1.0
 # A disruption counts for this long after its end.
 CONTACT_S = 3.0
 CALLERS = 16
@@ -38,6 +44,8 @@
 TIMEOUT_S = 3
 GIVE_UP_S = 0.5
 GRACE_S = 6
+# Between two VMs that are stopped in turn.
+ROLL_S = 1.3
 SCHEDULER_KEY = "anvildoor/scheduler"
 
 
@@ -46,9 +54,9 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def ports_for_servers(count):
+def ports_for_servers(count, picker):
     """Free ports that no outgoing connection takes while a VM is down."""
-    picker, ports = random.Random(os.getpid()), []
+    ports = []
     while len(ports) < count:
         port = picker.randrange(12000, 32000)
         with socket.socket() as probe:
@@ -64,10 +72,12 @@
 class Job:
     """A job of the soak and what its caller has seen."""
 
-    def __init__(self, seed, number):
+    KINDS = ("single", "single", "gang", "steps", "long", "long gang")
+
+    def __init__(self, seed, number, kinds=KINDS):
         plan = random.Random(seed * 1000003 + number)
         self.id = f"{seed % 65536:04x}{number:012x}"
-        self.kind = plan.choice(("single", "single", "gang", "steps", "long", "long gang"))
+        self.kind = plan.choice(kinds)
         run_ms = plan.randrange(20000, 60000) if "long" in self.kind else \
             plan.randrange(100, 4000)
         task = {"cpu": 1000, "mem_mb": 256, "estimate_ms": run_ms}
@@ -106,7 +116,7 @@
     """An entry VM that starts again on the same settings."""
 
     def __init__(self, build, folder, name, ports, store):
-        self.build, self.is_disturbed = build, False
+        self.build, self.is_disturbed, self.is_removed = build, False, False
         self.is_scheduler, self.in_rotation = False, False
         super().__init__(build, folder, name, ports, store)
 
@@ -133,21 +143,38 @@
 
     def __init__(self, options, folder):
         self.seed, self.seconds, self.folder = options.seed, options.seconds, folder
-        ports = ports_for_servers(1 + options.workers + 4 * options.vms)
-        self.store, first = ports[0], 1 + options.workers
-        self.processes = [entry_site.start_standin(options.build, 6, ports[:first])]
-        self.vms = [SoakVm(options.entry_build, folder, f"e{number}",
-                           ports[first + 4 * number:first + 4 * number + 4], self.store)
-                    for number in range(options.vms)]
+        # With removals, each VM has a port of the store of its own, and this process, too.
+        stores = 1 + options.vms if options.removals else 1
+        self.port_picker = random.Random(os.getpid())
+        ports = ports_for_servers(stores + options.workers + 4 * options.vms, self.port_picker)
+        self.store, self.stores = ports[0], ports[1:stores] or ports[:1]
+        first = stores + options.workers
+        self.processes = [entry_site.start_standin(options.build, 6, ports[:first], stores)]
+        self.entry_build = options.entry_build
+        self.vms = []
+        for at in range(first, len(ports), 4):
+            self.add_vm(ports[at:at + 4])
+        self.workers = [f"i-{number}" for number in range(3, 3 + options.workers)]
+        self.removals = options.removals and Removals(self)
+        self.kinds = Removals.KINDS if options.removals else Job.KINDS
+        self.slowest = (0.0, None, None)  # The time, job and row of the longest in calm.
         self.trouble = random.Random(self.seed * 7919 + 1)
         self.jobs, self.actions, self.lock = [], [], threading.Lock()
         self.order = 0  # Of actions that are due at the same time.
-        self.disruptions = []  # [begin, end, what]
-        self.key_reads = []  # (sent, whether a VM held the scheduler's key).
-        self.ends = False
+        self.disruptions = []  # [begin, end, what, whether it is a planned SIGTERM]
+        self.removed = []  # (when it got the SIGTERM, name)
+        self.key_reads = []  # (sent, the live VM that held the scheduler's key, or "").
+        self.began, self.ends = 0.0, False
         self.acknowledged = threading.Event()  # A cancellation has just been answered.
         self.version = entry_site.POLICY["version"]
 
+    def add_vm(self, ports):
+        number = len(self.vms)
+        vm = SoakVm(self.entry_build, self.folder, f"e{number}", ports,
+                    self.stores[number % len(self.stores)])
+        self.vms.append(vm)
+        return vm
+
     # Callers
 
     def schedule(self, at, what, job):
@@ -244,7 +271,7 @@
     def submit_jobs(self, until):
         pace = random.Random(self.seed)
         while now() < until:
-            job = Job(self.seed, len(self.jobs))
+            job = Job(self.seed, len(self.jobs), self.kinds)
             self.jobs.append(job)
             self.schedule(now(), "submit", job)
             time.sleep(pace.expovariate(JOBS_PER_S))
@@ -261,22 +288,28 @@
     # Disruptions
 
     def poll(self, vm):
-        while not self.ends:
+        while not self.ends and not vm.is_removed:
             gauges = vm.gauges()
             vm.is_scheduler = "anvildoor_schedules 1" in gauges
             vm.in_rotation = "anvildoor_ready 1" in gauges
             time.sleep(0.1)
+        vm.is_scheduler = vm.in_rotation = False
 
     def poll_key(self):
         while not self.ends:
             sent = now()
-            status = call(self.store, "GET", f"/kv-key?key={SCHEDULER_KEY}")[0]
+            status, item = call(self.store, "GET", f"/kv-key?key={SCHEDULER_KEY}")
             if status in (200, 404):
-                self.key_reads.append((sent, status == 200))
+                self.key_reads.append((sent, self.live_holder(item) if item else ""))
             time.sleep(0.05)
 
-    def disrupt(self, what, begin, end=None):
-        self.disruptions.append([begin, end or now(), what])
+    def live_holder(self, item):
+        """Returns the VM that the scheduler's key names; an empty name if it has ended."""
+        name = json.loads(base64.b64decode(item["value"]))["vm"]
+        return name if any(vm.name == name and vm.is_alive() for vm in self.vms) else ""
+
+    def disrupt(self, what, begin, end=None, is_planned=False):
+        self.disruptions.append([begin, end or now(), what, is_planned])
 
     def target(self):
         """Returns the scheduler's VM, seldom another; None if too few would be left."""
@@ -296,21 +329,44 @@
         self.start_again(vm)
 
     def terminate(self, vm, picker):
-        begin = now()
+        self.end_in_order(vm)
+        time.sleep(picker.uniform(0.1, 2))
+        self.start_again(vm, True)
+
+    def end_in_order(self, vm):
+        begin, is_late = now(), False
+        self.removed.append((begin, vm.name))
         vm.process.terminate()
         try:
             vm.process.wait(GRACE_S)
         except subprocess.TimeoutExpired:
+            is_late = True
             vm.process.kill()
             vm.process.wait()
-        self.disrupt(f"SIGTERM {vm.name}", begin)
-        time.sleep(picker.uniform(0.1, 2))
-        self.start_again(vm)
+        self.disrupt(f"SIGTERM {vm.name}", begin, is_planned=not is_late)
 
-    def start_again(self, vm):
+    def start_again(self, vm, is_planned=False):
         begin = now()
         vm.start_again()
-        self.disrupt(f"start {vm.name}", begin)
+        self.disrupt(f"start {vm.name}", begin, is_planned=is_planned)
+
+    def replace(self, vm, picker):
+        """Ends the VM for good; one with another name and other ports takes its place."""
+        is_first = picker.random() < 0.5
+        if is_first:
+            self.start_new()
+        self.end_in_order(vm)
+        vm.is_removed = True
+        if not is_first:
+            time.sleep(picker.uniform(0, 3))
+            self.start_new()
+
+    def start_new(self):
+        with self.lock:
+            begin = now()
+            vm = self.add_vm(ports_for_servers(4, self.port_picker))
+        self.disrupt(f"start {vm.name}", begin, is_planned=True)
+        threading.Thread(target=self.poll, args=(vm,)).start()
 
     def freeze(self, vm, picker):
         begin = now()
@@ -365,6 +421,9 @@
 
     def make_trouble(self, until):
         while now() < until:
+            if self.removals and self.trouble.random() < 0.8:
+                self.removals.play()
+                continue
             self.cancel_soon(self.trouble.choice((0, 0.5, 0.9)))
             started = []
             for _ in range(self.trouble.choice((1, 1, 2, 3, 4))):
@@ -377,10 +436,12 @@
 
     # Judging
 
-    def calm(self, until):
-        """Returns the stretches without disruption."""
+    def calm(self, until, with_planned=False):
+        """Returns the stretches without disruption, or with planned SIGTERMs at most."""
         stretches, begin = [], 0.0
-        for start, end, _ in sorted(self.disruptions):
+        for start, end, _, is_planned in sorted(self.disruptions):
+            if with_planned and is_planned:
+                continue
             if start > begin:
                 stretches.append((begin, start))
             begin = max(begin, end + CONTACT_S)
@@ -431,29 +492,88 @@
                         continue
                     counts["judged"] += 1
                     if kind == "2xx":
+                        self.note_slow(min(ended, end) - since, job, row)
                         longest = max(longest, min(ended, end) - since)
                     if since + START_BOUND_S < began < end:
                         violations.append((job, row, f"late start after {kind}", began - since))
                     elif began < end and min(ended, end) - since > END_BOUND_S:
                         violations.append((job, row, f"late end after {kind}",
                                            min(ended, end) - since))
-        gap, free_since = 0.0, None
-        for at, is_held in self.key_reads:
-            is_calm = any(0 < begin <= at < end for begin, end in calm)
-            free_since = (free_since or at) if is_calm and not is_held else None
-            gap = max(gap, at - (free_since or at))
-        counts.update(jobs=len(self.jobs), traces=len(rows),
+        late, after_removal = self.judge_removals(runs, read_at, counts)
+        calm_or_planned = self.calm(read_at, True)
+        if self.removals:  # All VMs were ready when the soak began.
+            calm, calm_or_planned = ([(max(begin, self.began), end) for begin, end in each
+                                      if end > self.began]
+                                     for each in (calm, calm_or_planned))
+        names = [name for _, name in self.key_reads if name]
+        counts.update(schedulers=sum(a != b for a, b in zip(names, names[1:])),
+                      removed=len(self.removed),
+                      killed_after_grace=sum(what.startswith("SIGTERM") and not is_planned
+                                             for _, _, what, is_planned in self.disruptions),
+                      jobs=len(self.jobs), traces=len(rows),
                       longest=round(longest, 2), longest_with_disruptions=round(raw, 2),
-                      no_scheduler=round(gap, 2),
+                      longest_after_removal=round(after_removal, 2),
+                      no_scheduler=round(self.longest_without_scheduler(calm), 2),
+                      no_scheduler_with_removals=round(
+                          self.longest_without_scheduler(calm_or_planned), 2),
                       calm=round(sum(end - begin for begin, end in calm if begin > 0), 1),
+                      calm_with_removals=round(
+                          sum(end - begin for begin, end in calm_or_planned if begin > 0), 1),
                       disruptions=len(self.disruptions))
-        return violations, counts
+        return violations + late, counts
+
+    def note_slow(self, seconds, job, row):
+        if seconds > self.slowest[0]:
+            self.slowest = (seconds, job, row)
+
+    def longest_without_scheduler(self, calm):
+        gap, free_since = 0.0, None
+        for at, name in self.key_reads:
+            is_calm = any(0 < begin <= at < end for begin, end in calm)
+            free_since = (free_since or at) if is_calm and not name else None
+            gap = max(gap, at - (free_since or at))
+        return gap
+
+    def judge_removals(self, runs, read_at, counts):
+        """Returns violations by runs whose starters got a SIGTERM, and the longest time.
 
-    def report(self, violation):
+        Unlike for others, a planned SIGTERM is no disruption for these runs."""
+        calm, violations, longest = self.calm(read_at, True), [], 0.0
+        counts["judged_removed"] = counts["broken_removed"] = 0
+        for job in self.jobs:
+            acknowledged = job.acknowledgement()
+            if not acknowledged:
+                continue
+            for row in runs.get(job.id, ()):
+                began = row["began"] / 1000
+                ended = row["ended"] / 1000 if row["end"] else read_at
+                starter = self.holder_at(began)
+                if not any(name == starter and began - GRACE_S < at < ended
+                           for at, name in self.removed):
+                    continue
+                for begin, end in calm:
+                    since = max(acknowledged[2], begin)
+                    if since >= end or ended <= since:
+                        continue
+                    counts["judged_removed"] += 1
+                    counts["broken_removed"] += row["end"] == "broken"
+                    seconds = min(ended, end) - since
+                    self.note_slow(seconds, job, row)
+                    longest = max(longest, seconds)
+                    if seconds > END_BOUND_S:
+                        violations.append((job, row, "late end after a removal", seconds))
+        return violations, longest
+
+    def holder_at(self, at):
+        """Returns the VM that scheduled last up to this time, or an empty name."""
+        number = bisect.bisect(self.key_reads, (at, "~"))
+        return next((name for _, name in reversed(self.key_reads[:number]) if name), "")
+
+    def report(self, violation, title="VIOLATION"):
         job, row, kind, seconds = violation
         origin = job.acknowledgement()[2]
         unix_origin = origin + time.time() - now()
-        print(f"VIOLATION {kind} {seconds:.2f} s: job {job.id} ({job.kind}); times in s after "
+        print(f"{title} {kind} {seconds:.2f} s: job {job.id} ({job.kind}); times in s after "
               "the answer")
         if row:
             ended = f"{row['ended'] / 1000 - origin:.2f}" if row["end"] else "none"
@@ -464,7 +584,7 @@
         for sent, status, answered, vm in job.cancelled:
             print(f"  cancelled {sent - origin:.2f} answer {status} at {answered - origin:.2f} "
                   f"by {vm.name}")
-        for begin, end, what in sorted(self.disruptions):
+        for begin, end, what, _ in sorted(self.disruptions):
             if end > origin - 12 and begin < origin + 25:
                 print(f"  {what} {begin - origin:.2f} to {end - origin:.2f}")
         lines = []
@@ -486,6 +606,9 @@
         entry_site.put_policy(self.store)
         wait_until(lambda: all(vm.is_ready() for vm in self.vms), "all VMs are ready")
         wait_until(lambda: any(vm.schedules() for vm in self.vms), "one VM is the scheduler")
+        self.began = now()
+        if self.removals:
+            self.removals.begin()
         until = now() + self.seconds
         threads = [threading.Thread(target=self.poll, args=(vm,)) for vm in self.vms]
         threads += [threading.Thread(target=self.run_caller, args=(number,))
@@ -507,12 +630,110 @@
         entry_site.end_all(self.processes + [vm.process for vm in self.vms])
 
 
+class Removals:
+    """Removals of VMs in calm and after faults that reach into it, and workers that leave."""
+
+    KINDS = ("single", "gang", "steps", "long", "long gang", "long gang", "long gang")
+    CALLS = ("watch", "list", "get", "txn", "grant", "renew", "any")
+    PREFIXES = ("", "", SCHEDULER_KEY, "anvildoor/in/", "anvildoor/jobs/", "op/", "servers/")
+    EFFECTS = ("silent", "silent", "answer-lost", "503", "429", "410", "late", "slow")
+
+    def __init__(self, soak):
+        self.soak, self.picker = soak, random.Random(soak.seed * 104729 + 1)
+        self.workers = list(soak.workers)
+
+    def begin(self):
+        if self.picker.random() < 0.5:
+            # Cheap reads may be this old at any time.
+            call(self.soak.store, "POST", "/store-fault",
+                 {"call": "list", "effect": "stale", "delay_ms": 5000})
+
+    def play(self):
+        """Plays one episode and waits until it is over."""
+        picker, soak = self.picker, self.soak
+        threads = []
+        if picker.random() < 0.4:
+            self.fail_store_calls()
+            # What was lost may still be awaited once times count again.
+            time.sleep(CONTACT_S + picker.uniform(0, 1))
+        soak.cancel_soon(picker.choice((0.2, 0.5, 0.9)))
+        for _ in range(picker.choice((0, 0, 1, 3))):
+            self.end_worker()
+        if picker.random() < 0.3:
+            time.sleep(picker.uniform(0, 2))
+        for _ in range(picker.choice((1, 1, 2, 4, 8))):
+            vm = self.next_vm()
+            if not vm:
+                break
+            vm.is_disturbed = True
+            how = picker.choice((soak.replace, soak.replace, soak.terminate))
+            threads.append(threading.Thread(
+                target=soak.disturb, args=(how, vm, random.Random(picker.random()))))
+            threads[-1].start()
+            time.sleep(ROLL_S)
+            soak.cancel_soon(picker.choice((0, 0.3, 0.6)))
+        for each in threads:
+            each.join()
+        time.sleep(picker.choice((0.5, 4, 7)))
+
+    def next_vm(self):
+        """Returns the scheduler's VM, also one that has just begun, or seldom another."""
+        sound = [vm for vm in self.soak.vms if vm.is_alive() and not vm.is_disturbed]
+        if len(sound) < 3:
+            return None
+        name = self.soak.key_reads[-1][1] if self.soak.key_reads else ""
+        schedulers = [vm for vm in sound if vm.name == name]
+        return self.picker.choice(schedulers if schedulers and self.picker.random() < 0.8
+                                  else sound)
+
+    def fail_store_calls(self):
+        """Has single calls fail at one VM, often the scheduler's, or at all of them."""
+        picker, soak = self.picker, self.soak
+        vm = picker.choice((self.next_vm(), picker.choice(soak.vms), None))
+        port = str(soak.stores[soak.vms.index(vm) % len(soak.stores)]) if vm else ""
+        begin, spell_s = now(), picker.choice((0.5, 2, 6))
+        is_deaf = picker.random() < 0.3  # No VM is told of the end of a term.
+        if is_deaf:
+            vm, port = None, ""
+        for _ in range(picker.choice((1, 1, 2))):
+            effect, kind = picker.choice(self.EFFECTS), picker.choice(self.CALLS)
+            body = {"call": kind, "prefix": picker.choice(self.PREFIXES), "effect": effect,
+                    "for_ms": int(1000 * spell_s), "delay_ms": picker.choice((200, 1000, 2000)),
+                    "calls": picker.choice((1, 2, 5, -1)), "percent": picker.choice((100, 60))}
+            if is_deaf:
+                body.update(call="watch", prefix=SCHEDULER_KEY, effect="silent", calls=-1)
+            elif kind in ("grant", "renew", "any"):
+                body["prefix"] = ""  # They name no key.
+            for each in [port] if port else [str(each) for each in soak.stores]:
+                call(soak.store, "POST", "/store-fault", dict(body, port=each))
+            time.sleep(0.01)
+            what = f"{body['effect']} {body['call']} {body['prefix']}"
+            soak.disrupt(f"store: {what} at {vm.name if vm else 'all VMs'}", begin,
+                         begin + spell_s + (2 if body["effect"] in ("late", "slow") else 0))
+        time.sleep(max(0, begin + spell_s - now()))
+
+    def end_worker(self):
+        """Has a worker drain and leave, or leave at once; half of them stay."""
+        if len(self.workers) <= len(self.soak.workers) // 2:
+            return
+        worker = self.picker.choice(self.workers)
+        self.workers.remove(worker)
+        if self.picker.random() < 0.2:
+            call(self.soak.store, "POST", "/leave", {"worker": worker})
+            return
+        call(self.soak.store, "POST", "/worker-fault",
+             {"worker": worker, "kind": "drain", "stays_ms": 0,
+              "remaining_ms": self.picker.choice((0, 3000, 8000)),
+              "entry_ms": self.picker.choice((300, 2000, 5000, 8000))})
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("build")
     parser.add_argument("entry_build", nargs="?")
     for name, value in (("seed", 1), ("seconds", 40), ("vms", 5), ("workers", 24)):
         parser.add_argument(f"--{name}", type=int, default=value)
+    parser.add_argument("--removals", action="store_true")
     parser.add_argument("--logs")
     options = parser.parse_args()
     options.entry_build = options.entry_build or options.build
@@ -532,6 +753,9 @@
                     if (each[0].id, each[2]) not in reported:
                         reported.add((each[0].id, each[2]))
                         soak.report(each)
+                seconds, job, row = soak.slowest
+                if options.logs and seconds > NOTED_S:
+                    soak.report((job, row, "end", seconds), "SLOWEST")
             finally:
                 soak.end()
     finally:
