--- a/tests/platform/soak_cancellations.py
+++ b/tests/platform/soak_cancellations.py
@@ -635,7 +635,7 @@
 
     KINDS = ("single", "gang", "steps", "long", "long gang", "long gang", "long gang")
     CALLS = ("watch", "list", "get", "txn", "grant", "renew", "any")
-    PREFIXES = ("", "", SCHEDULER_KEY, "anvildoor/in/", "anvildoor/jobs/", "op/", "servers/")
+    PREFIXES = ("", "", SCHEDULER_KEY, "anvildoor/in/", "anvildoor/progress/", "op/", "servers/")
     EFFECTS = ("silent", "silent", "answer-lost", "503", "429", "410", "late", "slow")
 
     def __init__(self, soak):
