Tests of impaired schedulers begin their gang in one place

Three tests of CancellationTest.cpp submitted the same gang and waited for the same change of the scheduler, each in lines of its own. They share BeginGang and IsReplacedWithin now. Runs take 120 s in all three, 60 s in two before; none ends by itself in either.

--- a/tests/CancellationTest.cpp
+++ b/tests/CancellationTest.cpp
@@ -231,6 +231,29 @@
            aEvery, aDelay };
 }
 
+/** Runs kJob as a gang of three that goes on until it is stopped, for aFor so far. */
+void BeginGang(fake_installation& aSite, duration aFor)
+{
+  constexpr uint32_t kMembers = 3;
+  aSite.mBehaviourByPayload["long"] = { duration(120'000), false };
+  auto job = fake_installation::MakeJob(kJob, kMembers, true);
+  job.mSpec.mPayload = "long";
+  REQUIRE(aSite.Submit("vm1", job) == job_answer::kAccepted);
+  aSite.mLoop.RunFor(aFor);
+  REQUIRE(aSite.CountStarts(kJob) == kMembers);
+}
+
+/** Runs until another VM is the scheduler; returns false if that takes too long. */
+bool IsReplacedWithin(fake_installation& aSite,
+                      const std::string& aScheduler,
+                      duration aLimit)
+{
+  const auto isReplaced = [&] {
+    return aSite.SchedulerVm() != aScheduler && !aSite.SchedulerVm().empty();
+  };
+  return aSite.mLoop.RunUntil(isReplaced, aLimit);
+}
+
 void CheckBound(const disturbance& aDisturbance, const cancellation& aCase)
 {
   CAPTURE(aDisturbance.mName,
@@ -631,20 +654,12 @@
   const auto phase = GENERATE(range(0, 1'250, 250));
   CAPTURE(prefix, phase);
   fake_installation site(3, 4);
-  site.mBehaviourByPayload["long"] = { duration(60'000), false };
   site.mFaults.mLosesNotifications = true;
-  auto job = fake_installation::MakeJob(kJob, 3, true);
-  job.mSpec.mPayload = "long";
-  REQUIRE(site.Submit("vm2", job) == job_answer::kAccepted);
-  site.mLoop.RunFor(duration(3'000 + phase));
-  REQUIRE(site.CountStarts(kJob) == 3);
+  BeginGang(site, duration(3'000 + phase));
   const auto impaired = site.SchedulerVm();
   site.mFaults.mStoreFaults.push_back(
     { fate, impaired, { call::kList, call::kWatch }, prefix });
-  const auto isReplaced = [&] {
-    return site.SchedulerVm() != impaired && !site.SchedulerVm().empty();
-  };
-  CHECK(site.mLoop.RunUntil(isReplaced, duration(15'000)));
+  CHECK(IsReplacedWithin(site, impaired, duration(15'000)));
   site.mLoop.RunFor(duration(7'000));
   CHECK(std::none_of(site.mTraces.begin(), site.mTraces.end(), [](const auto& aTrace) {
     return aTrace.mEnded.has_value();
@@ -662,12 +677,7 @@
   const auto phase = GENERATE(range(0, 1'250, 250));
   CAPTURE(phase);
   fake_installation site(3, 4);
-  site.mBehaviourByPayload["long"] = { duration(60'000), false };
-  auto job = fake_installation::MakeJob(kJob, 3, true);
-  job.mSpec.mPayload = "long";
-  REQUIRE(site.Submit("vm2", job) == job_answer::kAccepted);
-  site.mLoop.RunFor(duration(3'000 + phase));
-  REQUIRE(site.CountStarts(kJob) == 3);
+  BeginGang(site, duration(3'000 + phase));
   const auto cut = site.SchedulerVm();
   for (const auto& [id, worker] : site.mWorkers) {
     site.mFaults.mBlockedLinks.insert({ cut, id });
@@ -690,21 +700,13 @@
   CAPTURE(vms, leavesAfter);
   fake_installation site(vms, 4);
   site.mFaults.mLosesNotifications = true;
-  site.mBehaviourByPayload["long"] = { duration(120'000), false };
-  auto job = fake_installation::MakeJob(kJob, 3, true);
-  job.mSpec.mPayload = "long";
-  REQUIRE(site.Submit("vm1", job) == job_answer::kAccepted);
-  site.mLoop.RunFor(duration(3'000));
-  REQUIRE(site.CountStarts(kJob) == 3);
+  BeginGang(site, duration(3'000));
   const auto impaired = site.SchedulerVm();
   site.mFaults.mStoreFaults.push_back({ fate::kRefused, impaired, { call::kCommit } });
   // Gives the scheduler something to write.
   REQUIRE(site.Submit("vm1", fake_installation::MakeJob("00000000000000c2", 1)) ==
           job_answer::kAccepted);
-  const auto isReplaced = [&] {
-    return site.SchedulerVm() != impaired && !site.SchedulerVm().empty();
-  };
-  REQUIRE(site.mLoop.RunUntil(isReplaced, duration(20'000)));
+  REQUIRE(IsReplacedWithin(site, impaired, duration(20'000)));
   site.mFaults.mStoreFaults.clear();
   site.mLoop.RunFor(duration(leavesAfter));
   site.Node(site.SchedulerVm()).StartDraining();
