The log tells what delays the notes of ends

Cause of the gap in the log: worker_regained told neither the silence nor the calls lost, ends as done left no line, and neither did a loop that was held up or a write of records that was slow rather than failed. Ruled out: the time at which a hold is answered as the time of a note. A hold that waits is answered up to 1 s later in calm; taken is when it was sent, or the answer less its wait if that is later. Change: worker_regained silent_ms= failed_holds=; loop_held_up ms= and a gauge of the longest; ends_noted_late, at most one line a hold, and the histogram end_to_note_seconds; record_write_slow. No decision is changed.

The tests of DelayLog, RecordWriter, CancellationLog, GangLog and Cancellation that aren't known red pass with 26,203 assertions; other tests were not run.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -27,6 +27,7 @@
 entry_node::entry_node(const entry_ports& aPorts, const entry_options& aOptions)
   : mPorts(aPorts)
   , mOptions(aOptions)
+  , mLoopMonitor(aPorts.mLoop, aPorts.mLog, aPorts.mMetrics)
   , mPolicy(aPorts.mLoop,
             aPorts.mStore,
             aPorts.mLog,
@@ -85,6 +86,7 @@
 
 void entry_node::Begin()
 {
+  mLoopMonitor.Begin();
   mPolicy.Begin();
   mElection.Begin();
   ProbeStore();
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/JobService.h"
+#include "entry/LoopMonitor.h"
 #include "entry/PolicyWatch.h"
 
 namespace anvildoor {
@@ -84,6 +85,7 @@
 
   entry_ports mPorts;
   entry_options mOptions;
+  loop_monitor mLoopMonitor;
   policy_watch::listener mPolicyListener;
   policy_watch mPolicy;
   fleet_scheduler mScheduler;
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -8,6 +8,7 @@
 #include "planner/DurationModel.h"
 #include "planner/RackPatience.h"
 #include "planner/TaskPlacement.h"
+#include "runs/EndNotes.h"
 #include "runs/WorkerDirectory.h"
 #include "runs/WorkerHealth.h"
 #include "runs/WorkerRuns.h"
@@ -212,10 +213,14 @@
   void Hold(worker_entry& aWorker);
   void OnHoldAccepted(worker_entry& aWorker,
                       const hold_reply& aReply,
+                      const hold_request& aRequest,
                       time_point aSentAt);
   void OnHoldFailed(worker_entry& aWorker, run_request_status aAnswer);
   void ApplyRunEvents(worker_entry& aWorker, const std::vector<run_event>& aEvents);
   void ApplyRunEnd(worker_entry& aWorker, const run_event& aEvent);
+  /** Measures the ends that a hold has acknowledged; logs them if they waited long. */
+  void ReportNotedEnds(const worker_entry& aWorker,
+                       const std::vector<end_note>& aNotes);
   /** Notes how long a worker has not answered, before run events are applied. */
   void NoteSilence(worker_entry& aWorker) const;
   /** Ends all runs of a worker that can have none any more. */
--- a/src/scheduler/FleetSchedulerState.h
+++ b/src/scheduler/FleetSchedulerState.h
@@ -76,6 +76,8 @@
   std::optional<duration> mSilence;
   /** True if the last hold call failed or got no answer. */
   bool mIsUnresponsive = false;
+  uint64_t mFailedHolds = 0; ///< Since the last accepted hold, or the term's begin.
+  end_notes mEndNotes;
   /** Runs that were told to stop and have not ended, by task and run number. */
   std::map<std::pair<task_ref, uint32_t>, stop_calls> mStops;
   /** Runs given up without a report of their end since the last accepted hold. */
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -2,6 +2,7 @@
 #include "scheduler/FleetSchedulerState.h"
 #include "scheduler/StoreKeys.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace anvildoor {
@@ -29,6 +30,13 @@
  * that it can expire.
  */
 constexpr duration kUnresponsiveAfter{ 2'000 };
+/** Ends that wait longer than this for their acknowledgement are logged. */
+constexpr duration kLateNoteAfter{ 1'000 };
+/**
+ * Ends that a worker lists after a longer silence are logged. One that is held answers
+ * at least every kHoldWait.
+ */
+constexpr duration kLateListAfter{ 1'500 };
 /** Delay before a stop is retried; a run ends within 400 ms of its stop. */
 constexpr duration kStopRetryDelay{ 700 };
 
@@ -156,35 +164,48 @@
   runs.RecordAckSent(request.mAcknowledged);
   aWorker.mHoldInFlight = true;
   const auto id = aWorker.mListed.mId;
-  mPorts.mWorkers.Hold(request,
-                       UnlessTermEnded([this, id, now](const hold_reply& aReply) {
-                         auto& worker = FindOrAddWorker(id);
-                         worker.mHoldInFlight = false;
-                         if (aReply.mAnswer == run_request_status::kAccepted) {
-                           OnHoldAccepted(worker, aReply, now);
-                         } else {
-                           OnHoldFailed(worker, aReply.mAnswer);
-                         }
-                       }));
+  mPorts.mWorkers.Hold(
+    request, UnlessTermEnded([this, id, now, request](const hold_reply& aReply) {
+      auto& worker = FindOrAddWorker(id);
+      worker.mHoldInFlight = false;
+      if (aReply.mAnswer == run_request_status::kAccepted) {
+        OnHoldAccepted(worker, aReply, request, now);
+      } else {
+        OnHoldFailed(worker, aReply.mAnswer);
+      }
+    }));
 }
 
 void fleet_scheduler::OnHoldAccepted(worker_entry& aWorker,
                                      const hold_reply& aReply,
+                                     const hold_request& aRequest,
                                      time_point aSentAt)
 {
+  const auto now = mPorts.mLoop.Now();
   const bool isFirstAnswer = !aWorker.mRuns.HasAcceptedToken();
+  NoteSilence(aWorker);
   if (aWorker.mIsUnresponsive) {
-    mPorts.mLog.Write(log_event("worker_regained").Add("worker", aWorker.mListed.mId));
+    mPorts.mLog.Write(
+      log_event("worker_regained")
+        .Add("worker", aWorker.mListed.mId)
+        .Add("silent_ms", aWorker.mSilence ? aWorker.mSilence->count() : -1)
+        .Add("failed_holds", static_cast<int64_t>(aWorker.mFailedHolds)));
   }
   aWorker.mIsUnresponsive = false;
+  aWorker.mFailedHolds = 0;
   aWorker.mDroppedRuns = 0;
-  NoteSilence(aWorker);
-  const auto events = aWorker.mRuns.OnHoldReply(aReply, aSentAt, mPorts.mLoop.Now());
+  // A worker answers after the hold's wait at the latest, so the hold has not reached
+  // it before.
+  const auto notedAt = std::max(aSentAt, now - aRequest.mWait);
+  ReportNotedEnds(aWorker,
+                  aWorker.mEndNotes.OnHoldReply(
+                    aReply, aRequest.mAcknowledged, notedAt, now, aWorker.mSilence));
+  const auto events = aWorker.mRuns.OnHoldReply(aReply, aSentAt, now);
   ApplyRunEvents(aWorker, events);
   if (aReply.mComplete) {
     ForgetEndedStops(aWorker, aReply);
   }
-  CheckProgress(aWorker, mPorts.mLoop.Now());
+  CheckProgress(aWorker, now);
   // A worker answers at once while it lists ends. Without a pause, holds would be sent
   // in a tight loop while the store is unavailable and the ends cannot become durable.
   const bool isDue = aWorker.mRuns.HasUnsentAcknowledgement() || aReply.mEnded.empty();
@@ -200,6 +221,7 @@
     OnFenced("worker " + aWorker.mListed.mId + " has received a newer fencing token");
     return;
   }
+  ++aWorker.mFailedHolds;
   if (!aWorker.mIsUnresponsive) {
     mPorts.mLog.Write(log_event("worker_silent")
                         .Add("worker", aWorker.mListed.mId)
@@ -226,6 +248,38 @@
                       .Add("dropped_runs", static_cast<int64_t>(aWorker.mDroppedRuns)));
 }
 
+void fleet_scheduler::ReportNotedEnds(const worker_entry& aWorker,
+                                      const std::vector<end_note>& aNotes)
+{
+  int64_t lateEnds = 0;
+  duration longestSilence(-1);
+  duration longestWait(0);
+  for (const auto& note : aNotes) {
+    const auto found = mJobs.find(note.mJob);
+    if (found != mJobs.end()) {
+      const auto& job = found->second->mState.Job();
+      constexpr double kMsPerSecond = 1'000.0;
+      mPorts.mMetrics.Observe("end_to_note_seconds",
+                              job.mWorkspace,
+                              job.mQueue,
+                              static_cast<double>(note.mWaited.count()) / kMsPerSecond);
+    }
+    if (note.mWaited > kLateNoteAfter ||
+        (note.mSilence && *note.mSilence > kLateListAfter)) {
+      ++lateEnds;
+      longestSilence = std::max(longestSilence, note.mSilence.value_or(duration(-1)));
+      longestWait = std::max(longestWait, note.mWaited);
+    }
+  }
+  if (lateEnds > 0) {
+    mPorts.mLog.Write(log_event("ends_noted_late")
+                        .Add("worker", aWorker.mListed.mId)
+                        .Add("ends", lateEnds)
+                        .Add("silent_ms", longestSilence.count())
+                        .Add("listed_to_noted_ms", longestWait.count()));
+  }
+}
+
 void fleet_scheduler::NoteSilence(worker_entry& aWorker) const
 {
   const auto& runs = aWorker.mRuns;
@@ -240,6 +294,7 @@
   NoteSilence(aWorker);
   aWorker.mDroppedRuns += aWorker.mRuns.Runs().size();
   ApplyRunEvents(aWorker, aWorker.mRuns.DropAll(aEnd));
+  aWorker.mEndNotes.Forget();
   aWorker.mStops.clear();
 }
 
--- a/src/scheduler/RecordWriter.cpp
+++ b/src/scheduler/RecordWriter.cpp
@@ -21,6 +21,8 @@
  * links carry it well within the timeout of the call.
  */
 constexpr size_t kMaxBatchBytes = 262'144;
+/** Transactions that take longer than this until they are stored are logged. */
+constexpr duration kSlowWriteAfter{ 1'000 };
 
 } // namespace
 
@@ -164,6 +166,7 @@
   }
   mInFlight = true;
   mInFlightSince = mLoop.Now();
+  mAttempts = 0;
   mSendAt.reset();
   mBatchName = std::to_string(mTerm.mFence) + "." + std::to_string(++mBatchNumber);
   mInFlightTransaction = store_transaction();
@@ -198,6 +201,7 @@
 {
   const auto generation = mGeneration;
   ++mTransactions;
+  ++mAttempts;
   mStore.Commit(mInFlightTransaction,
                 [this, generation](const result<transaction_outcome>& aOutcome) {
                   if (generation == mGeneration) {
@@ -268,8 +272,30 @@
   }
 }
 
+void record_writer::ReportSlowWrite() const
+{
+  const auto took = mLoop.Now() - mInFlightSince;
+  if (took <= kSlowWriteAfter) {
+    return;
+  }
+  // The writer's key, which each transaction writes, is no record.
+  const auto records =
+    mInFlightTransaction.mPuts.size() - 1 + mInFlightTransaction.mRemovals.size();
+  auto waiting = mPendingWrites.size();
+  for (const auto& removed : mRemovals) {
+    waiting += removed.mKeys.size();
+  }
+  mLog.Write(log_event("record_write_slow")
+               .Add("batch", mBatchName)
+               .Add("ms", took.count())
+               .Add("attempts", static_cast<int64_t>(mAttempts))
+               .Add("records", static_cast<int64_t>(records))
+               .Add("waiting", static_cast<int64_t>(waiting)));
+}
+
 void record_writer::OnCommitted(uint64_t aRevision)
 {
+  ReportSlowWrite();
   mWriterRevision = aRevision;
   mInFlight = false;
   mInFlightTransaction = store_transaction();
--- a/src/scheduler/RecordWriter.h
+++ b/src/scheduler/RecordWriter.h
@@ -117,6 +117,8 @@
   void Commit();
   void OnCommitResult(const result<transaction_outcome>& aOutcome);
   void OnCommitted(uint64_t aRevision);
+  /** Logs the transaction in flight, which has just been stored, if it took long. */
+  void ReportSlowWrite() const;
   void OnBatchRefused(const error& aError);
   /** Returns whether the transaction in flight writes aKey. */
   bool IsInFlight(const std::string& aKey) const;
@@ -130,6 +132,7 @@
   bool mActive = false;
   bool mInFlight = false;
   time_point mInFlightSince{ 0 }; ///< When the transaction in flight was first sent.
+  uint64_t mAttempts = 0;         ///< How often the transaction in flight was sent.
   uint64_t mTimerGeneration = 0;  ///< Rises with each timer; older timers do nothing.
   std::optional<time_point> mSendAt;
   uint64_t mWriterRevision = 0;
