Checks and soak judge how long ends wait for their acknowledgement

Cause: the stand-in's traces lacked when an end was listed and when a hold acknowledged it. Ruled out: a bound of 100 ms after the list. That is when the platform counts an end as taken note of, not what it demands. A bound on a fifth of the ends after ack_timeout_ms (4 s at least) says less than one on each end. Change: traces have listed, noted and forgotten (its worker ended first). The soak and the check of cancellations report the median and the longest wait of all ends, in calm and beside planned SIGTERMs, and fail if an end in calm waits longer than a cancelled run may go on, 3.4 s: a change of the scheduler must be over by then.

--- a/src/standin/RunWorker.cpp
+++ b/src/standin/RunWorker.cpp
@@ -39,6 +39,9 @@
     mTraces[run.mTraceIndex].mEnd = run_end::kLost;
     mGangs.Leave(key.first, key.second, run_end::kLost);
   }
+  for (const auto trace : mUnacknowledgedTraces) {
+    mTraces[trace].mForgotten = mLoop.Now();
+  }
 }
 
 run_request_status run_worker::Start(const start_run_request& aRequest)
@@ -150,7 +153,7 @@
   return static_cast<int64_t>(elapsedMs * mClockRate) + 1;
 }
 
-hold_reply run_worker::Reply() const
+hold_reply run_worker::Reply()
 {
   hold_reply reply;
   reply.mAnswer = run_request_status::kAccepted;
@@ -168,9 +171,22 @@
         std::min(kFullPercent, kFullPercent * elapsedMs / durationMs) });
   }
   reply.mEnded.assign(mUnacknowledgedEnds.begin(), mUnacknowledgedEnds.end());
+  for (const auto trace : mUnacknowledgedTraces) {
+    mTraces[trace].mListed = mTraces[trace].mListed.value_or(mLoop.Now());
+  }
   return reply;
 }
 
+void run_worker::Acknowledge(uint64_t aNumber)
+{
+  while (!mUnacknowledgedEnds.empty() &&
+         mUnacknowledgedEnds.front().mNumber <= aNumber) {
+    mTraces[mUnacknowledgedTraces.front()].mNoted = mLoop.Now();
+    mUnacknowledgedTraces.pop_front();
+    mUnacknowledgedEnds.pop_front();
+  }
+}
+
 void run_worker::Hold(const hold_request& aRequest,
                       std::function<void(const hold_reply&)> aDone)
 {
@@ -187,10 +203,7 @@
       std::max(mLeaseDeadlineMs, std::min(*aRequest.mWorkerDeadlineMs, latestDeadline));
     ScheduleLeaseExpiry();
   }
-  while (!mUnacknowledgedEnds.empty() &&
-         mUnacknowledgedEnds.front().mNumber <= aRequest.mAcknowledged) {
-    mUnacknowledgedEnds.pop_front();
-  }
+  Acknowledge(aRequest.mAcknowledged);
   if (!mUnacknowledgedEnds.empty() || aRequest.mWait <= duration::zero()) {
     aDone(Reply());
     return;
@@ -216,6 +229,7 @@
   auto& refusedUpTo = mRefusedUpTo[aTask];
   refusedUpTo = std::max(refusedUpTo, aRun);
   mUnacknowledgedEnds.push_back({ mNextEndNumber++, aTask, aRun, aEnd, "" });
+  mUnacknowledgedTraces.push_back(run.mTraceIndex);
   AnswerPendingHolds();
   mGangs.Leave(aTask, aRun, aEnd);
 }
--- a/src/standin/RunWorker.h
+++ b/src/standin/RunWorker.h
@@ -31,6 +31,10 @@
   time_point mStartedAt{ 0 };
   std::optional<time_point> mEnded;
   run_end mEnd = run_end::kLost;
+  std::optional<time_point> mListed; ///< When a list first showed the end.
+  std::optional<time_point> mNoted;  ///< When a hold that acknowledged the end came.
+  /** When the worker ended with the end not acknowledged. */
+  std::optional<time_point> mForgotten;
 
   auto operator<=>(const run_trace&) const = default;
 };
@@ -84,7 +88,10 @@
     run_behaviour mBehaviour;
   };
 
-  hold_reply Reply() const;
+  /** Returns the lists, and records in the traces that they show the ends. */
+  hold_reply Reply();
+  /** Forgets the ends up to aNumber. */
+  void Acknowledge(uint64_t aNumber);
   /** Returns a run that is there; null if there is none. */
   active_run* FindRun(const task_ref& aTask, uint32_t aRun);
   void BeginWork(const task_ref& aTask, uint32_t aRun);
@@ -111,6 +118,7 @@
   /** Highest ended or stopped run of each task; starts up to it are refused. */
   std::map<task_ref, uint32_t> mRefusedUpTo;
   std::deque<ended_run> mUnacknowledgedEnds;
+  std::deque<size_t> mUnacknowledgedTraces; ///< The traces of the same ends.
   uint64_t mNextEndNumber = 1;
   std::vector<std::function<void()>> mPendingHolds;
 };
--- a/tests/platform/check_cancellations.py
+++ b/tests/platform/check_cancellations.py
@@ -2,7 +2,8 @@
 
 Usage: check_cancellations.py BUILD [--rows TEXT] [--known-red] [ENTRY_BUILD]. --rows runs the
 rows whose name has TEXT, --known-red those in KNOWN-RED.txt, not the others. The last folder, if given, has the anvildoor-entry to be checked. Fails if a
-run goes on for longer than the platform allows.
+run goes on for longer than the platform allows, or if an end in calm waits too long until a
+hold acknowledges it.
 """
 
 import argparse
@@ -132,11 +133,13 @@
                 for thread in threads:
                     thread.join()
                 end = now_s() + 12
-                while now_s() < end and any(not row["ended"] for row in site.traces()):
+                while now_s() < end and any(not row["noted"] for row in site.traces()):
                     time.sleep(0.05)
                 disturbed = 0 if self.disrupted_s is None else (
                     began + self.disrupted_s + CONTACT_S)
-                return [each.result(site, disturbed) for each in self.cancels]
+                read_at = now_s()
+                waits = entry_site.Waits(site.traces(), [(disturbed, read_at)], read_at)
+                return [each.result(site, disturbed) for each in self.cancels], waits
             finally:
                 entry_site.end_all(site.processes)
 
@@ -219,8 +222,13 @@
     with concurrent.futures.ThreadPoolExecutor(SITES) as pool:
         played = pool.map(
             lambda row: row.play(options.build, options.entry_build or options.build), rows)
-        for row, results in zip(rows, played):
+        for row, (results, waits) in zip(rows, played):
             print(row.name)
+            figures = {**waits.figures("calm_note", waits.calm),
+                       **waits.figures("note", waits.all)}
+            expect(f"ends in calm are acknowledged within {entry_site.NOTE_BOUND_S} s",
+                   not waits.late, f"{waits.longest:.2f} s, " +
+                   ", ".join(f"{name} {value}" for name, value in figures.items()))
             for each, result in zip(row.cancels, results):
                 kind = "gang's runs" if each.is_gang else "runs"
                 what = f"cancelled at {each.at_s:.1f} s: the {kind} end in time"
--- a/tests/platform/entry_site.py
+++ b/tests/platform/entry_site.py
@@ -3,12 +3,17 @@
 import json
 import os
 import socket
+import statistics
 import subprocess
 import time
 import urllib.error
 import urllib.request
 
 WAIT_S = 30
+# From the end of a run in calm until a hold acknowledges it. A change of the scheduler has to
+# be over within the time in which a cancelled run has to end, cancel_ms + stop_timeout_ms;
+# ack_timeout_ms, after which a fifth of the ends may still wait, is longer.
+NOTE_BOUND_S = 3.4
 
 checks = {"failed": 0}
 
@@ -139,6 +144,40 @@
         return [row for row in rows if row["task"].startswith(job)]
 
 
+class Waits:
+    """How long the ends of runs waited until a hold that acknowledged them arrived."""
+
+    def __init__(self, rows, calm, read_at):
+        """Takes the stand-in's rows as of read_at, and stretches without disruption.
+
+        An end in calm counts until it is noted, the stretch is over or its worker is."""
+        self.all, self.listed, self.calm, self.late = [], [], [], []
+        self.longest, self.longest_row = 0.0, None
+        for row in rows:
+            if not row["end"] or row["end"] == "lost":  # Lost with its worker: no list has it.
+                continue
+            ended, noted = row["ended"] / 1000, row["noted"] / 1000
+            if noted:
+                self.all.append(noted - ended)
+                self.listed.append(noted - (row["listed"] or row["noted"]) / 1000)
+            until = noted or row["forgotten"] / 1000 or read_at
+            for begin, end in calm:
+                if not begin <= ended < end:
+                    continue
+                seconds = min(until, end) - ended
+                if noted and noted <= end:
+                    self.calm.append(seconds)
+                if seconds > self.longest:
+                    self.longest, self.longest_row = seconds, row
+                if seconds > NOTE_BOUND_S:
+                    self.late.append((row, seconds))
+
+    @staticmethod
+    def figures(name, values):
+        return {f"{name}s": len(values), f"{name}_median": round(statistics.median(values), 3),
+                f"{name}_longest": round(max(values), 2)} if values else {f"{name}s": 0}
+
+
 def end_all(processes):
     """Ends the processes that still run."""
     for process in processes:
--- a/tests/platform/platform-standin.cpp
+++ b/tests/platform/platform-standin.cpp
@@ -263,12 +263,16 @@
   {
     json rows = json::array();
     for (const auto& trace : mTraces) {
-      rows.push_back({ { "task", wire::FormatTaskName(trace.mTask) },
-                       { "run", trace.mRun },
-                       { "worker", trace.mWorker },
-                       { "began", trace.mStartedAt.count() },
-                       { "ended", trace.mEnded ? trace.mEnded->count() : 0 },
-                       { "end", trace.mEnded ? ToString(trace.mEnd) : "" } });
+      rows.push_back(
+        { { "task", wire::FormatTaskName(trace.mTask) },
+          { "run", trace.mRun },
+          { "worker", trace.mWorker },
+          { "began", trace.mStartedAt.count() },
+          { "ended", trace.mEnded ? trace.mEnded->count() : 0 },
+          { "end", trace.mEnded ? ToString(trace.mEnd) : "" },
+          { "listed", trace.mListed ? trace.mListed->count() : 0 },
+          { "noted", trace.mNoted ? trace.mNoted->count() : 0 },
+          { "forgotten", trace.mForgotten ? trace.mForgotten->count() : 0 } });
     }
     aRespond(JsonReply(200, rows));
   }
--- a/tests/platform/soak_cancellations.py
+++ b/tests/platform/soak_cancellations.py
@@ -7,7 +7,8 @@
 --removals, VMs are also removed for good and replaced, or stopped in turn, single calls to
 the store fail, and workers leave. Fails if a run goes on, or a run starts, too long after
 its job's cancellation was answered; such a time counts only in stretches without
-disruption. The end of a run counts also beside a SIGTERM, if that ended its starter.
+disruption. The end of a run counts also beside a SIGTERM, if that ended its starter. Fails also
+if an end in calm waits too long until a hold acknowledges it, beside a SIGTERM or not.
 """
 
 import argparse
@@ -149,6 +150,7 @@
         self.removals = options.removals and Removals(self)
         self.kinds = Removals.KINDS if options.removals else Job.KINDS
         self.slowest = (0.0, None, None)  # The time, job and row of the longest in calm.
+        self.slowest_note = (0.0, None, None)  # The same for the note of an end.
         self.trouble = random.Random(self.seed * 7919 + 1)
         self.jobs, self.actions, self.lock = [], [], threading.Lock()
         self.order = 0  # Of actions that are due at the same time.
@@ -496,6 +498,7 @@
             calm, calm_or_planned = ([(max(begin, self.began), end) for begin, end in each
                                       if end > self.began]
                                      for each in (calm, calm_or_planned))
+        late += self.judge_notes(rows, calm, calm_or_planned, read_at, counts)
         names = [name for _, name in self.key_reads if name]
         counts.update(schedulers=sum(a != b for a, b in zip(names, names[1:])),
                       removed=len(self.removed),
@@ -513,6 +516,20 @@
                       disruptions=len(self.disruptions))
         return violations + late, counts
 
+    def judge_notes(self, rows, calm, calm_or_planned, read_at, counts):
+        """Returns violations by ends that waited too long for their acknowledgement."""
+        waits = entry_site.Waits(rows, calm, read_at)
+        with_planned = entry_site.Waits(rows, calm_or_planned, read_at)
+        for name, values in (("calm_note", waits.calm), ("planned_note", with_planned.calm),
+                             ("note", waits.all), ("listed_to_note", waits.listed)):
+            counts.update(entry_site.Waits.figures(name, values))
+        jobs = {job.id: job for job in self.jobs}
+        if with_planned.longest_row:
+            row = with_planned.longest_row
+            self.slowest_note = (with_planned.longest, jobs[row["task"].split(".")[0]], row)
+        return [(jobs[row["task"].split(".")[0]], row, "late note", seconds)
+                for row, seconds in with_planned.late]
+
     def note_slow(self, seconds, job, row):
         if seconds > self.slowest[0]:
             self.slowest = (seconds, job, row)
@@ -562,14 +579,18 @@
 
     def report(self, violation, title="VIOLATION"):
         job, row, kind, seconds = violation
-        origin = job.acknowledgement()[2]
+        acknowledged = job.acknowledgement()
+        origin = acknowledged[2] if acknowledged else row["ended"] / 1000
         unix_origin = origin + time.time() - now()
         print(f"{title} {kind} {seconds:.2f} s: job {job.id} ({job.kind}); times in s after "
-              "the answer")
+              f"the {'answer' if acknowledged else 'end'}")
         if row:
             ended = f"{row['ended'] / 1000 - origin:.2f}" if row["end"] else "none"
             print(f"  task {row['task']} run {row['run']} worker {row['worker']} began "
                   f"{row['began'] / 1000 - origin:.2f} ended {ended} as {row['end'] or '-'}")
+            for what in ("listed", "noted", "forgotten"):
+                if row[what]:
+                    print(f"  {what} {row[what] / 1000 - origin:.2f}")
         for sent, status, answered in job.submitted:
             print(f"  submitted {sent - origin:.2f} answer {status} at {answered - origin:.2f}")
         for sent, status, answered, vm in job.cancelled:
@@ -650,6 +671,9 @@
                 seconds, job, row = soak.slowest
                 if options.logs and seconds > NOTED_S:
                     soak.report((job, row, "end", seconds), "SLOWEST")
+                seconds, job, row = soak.slowest_note
+                if options.logs and seconds > NOTED_S:
+                    soak.report((job, row, "note", seconds), "SLOWEST")
             finally:
                 soak.end()
     finally:
