--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -32,6 +32,7 @@
 entry_node::entry_node(const entry_ports& aPorts, const entry_options& aOptions)
   : mPorts(aPorts)
   , mOptions(aOptions)
+  , mLoopMonitor(aPorts.mLoop, aPorts.mLog, aPorts.mMetrics)
   , mPolicy(aPorts.mLoop,
             aPorts.mStore,
             aPorts.mLog,
@@ -96,6 +97,7 @@
 
 void entry_node::Begin()
 {
+  mLoopMonitor.Begin();
   mPolicy.Begin();
   mElection.Begin();
   ProbeStore();
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/JobService.h"
+#include "entry/LoopMonitor.h"
 #include "entry/PolicyWatch.h"
 #include "entry/Standby.h"
 
@@ -91,6 +92,7 @@
 
   entry_ports mPorts;
   entry_options mOptions;
+  loop_monitor mLoopMonitor;
   policy_watch::listener mPolicyListener;
   policy_watch mPolicy;
   fleet_scheduler mScheduler;
