--- a/tests/platform/check_cancellations.py
+++ b/tests/platform/check_cancellations.py
@@ -1,12 +1,15 @@
 """Checks with real processes that a cancelled job's runs end in time.
 
-Usage: check_cancellations.py BUILD [--rows TEXT] [--known-red] [ENTRY_BUILD]. --rows runs the
-rows whose name has TEXT, --known-red those in KNOWN-RED.txt, not the others. The last folder, if given, has the anvildoor-entry to be checked. Fails if a
-run goes on for longer than the platform allows.
+Usage: check_cancellations.py BUILD [--rows TEXT] [--known-red] [--logs FOLDER] [ENTRY_BUILD].
+--rows runs the rows whose name has TEXT, --known-red those in KNOWN-RED.txt, not the others.
+FOLDER, if given, keeps the VMs' logs of each row. ENTRY_BUILD, if given, has the
+anvildoor-entry to be checked. Fails if a run goes on for longer than the platform allows.
 """
 
 import argparse
 import concurrent.futures
+import json
+import os
 import signal
 import tempfile
 import threading
@@ -108,8 +111,11 @@
         self.disrupted_s = disrupted_s
         self.lease_ms = lease_ms
 
-    def play(self, build, entry_build):
+    def play(self, build, entry_build, logs):
         with tempfile.TemporaryDirectory() as folder:
+            if logs:
+                folder = os.path.join(logs, f"row-{ROWS.index(self)}")
+                os.makedirs(folder, exist_ok=True)
             site = Site(folder, build, entry_build,
                         [(each.job, each.is_gang) for each in self.cancels], self.lease_ms)
             try:
@@ -134,6 +140,8 @@
                 end = now_s() + 12
                 while now_s() < end and any(not row["ended"] for row in site.traces()):
                     time.sleep(0.05)
+                if logs:
+                    self.keep_times(folder, site, began)
                 disturbed = 0 if self.disrupted_s is None else (
                     began + self.disrupted_s + CONTACT_S)
                 return [each.result(site, disturbed) for each in self.cancels]
@@ -141,6 +149,14 @@
                 entry_site.end_all(site.processes)
 
 
+    def keep_times(self, folder, site, began):
+        """Notes beside the logs when the row began and what became of its jobs."""
+        with open(os.path.join(folder, "times.json"), "w", encoding="utf-8") as text:
+            json.dump({"row": self.name, "began": began, "unix_offset": time.time() - now_s(),
+                       "acknowledged": {each.job: each.acknowledged for each in self.cancels},
+                       "traces": site.traces()}, text, indent=1)
+
+
 def fault(call_kind, effect, **more):
     return {"call": call_kind, "effect": effect, **more}
 
@@ -213,12 +229,14 @@
     parser.add_argument("entry_build", nargs="?")
     parser.add_argument("--rows", default="")
     parser.add_argument("--known-red", action="store_true")
+    parser.add_argument("--logs")
     options = parser.parse_intermixed_args()
     rows = [row for row in ROWS
             if options.rows in row.name and row.known_red == options.known_red]
     with concurrent.futures.ThreadPoolExecutor(SITES) as pool:
         played = pool.map(
-            lambda row: row.play(options.build, options.entry_build or options.build), rows)
+            lambda row: row.play(options.build, options.entry_build or options.build,
+                                 options.logs), rows)
         for row, results in zip(rows, played):
             print(row.name)
             for each, result in zip(row.cancels, results):
