A record that the store refuses is kept, told of and sent again

What callers saw: a job whose record the store refuses for good (an answer 4xx other than 429, as for a value beyond its limit) never started and kept its accelerators, and the ends of its runs were never acknowledged, even after the store would have taken the record. As a worker's ends are acknowledged in order, all its later ends waited, too. A refused record that changed was sent with others again, and they waited while all were sent one by one.

Cause: the writer dropped a record that was refused alone, with what waited for it, and said that it was stored; the next change of it joined a batch again.

Ruled out: stops, holds and the listing of ends wait for no record. 429, 503 and lost answers were no cause, as the same transaction is sent again after them.

Change: a refused record is set aside with what waits for it, and sent by itself: 1 s after the refusal if it has been written since, else 10 s after it. The scheduler is told, takes back the starts that wait for it, and places the job again after 10 s. Nothing that waits runs before the record is stored, and WhenStored, IsStored and the summary for a successor count it as not stored.

--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -17,6 +17,8 @@
 constexpr duration kMaxUnmatchedAge{ 150'000 };
 /** Outcomes are kept for this multiple of mMinStatusRetention. */
 constexpr int kRetentionFactor = 2;
+/** A job whose record was refused before it could start is not placed for so long. */
+constexpr duration kRefusedStartDelay{ 10'000 };
 /**
  * A term runs out if it could not do a part of its work for so long. Longer than a term
  * outlasts an outage of the store, with the retries after it, so that one which is
@@ -41,7 +43,8 @@
             aPorts.mStore,
             aPorts.mLog,
             { [this](const std::string& aKey) { return EncodeRecord(aKey); },
-              [this](const std::string& aReason) { OnFenced(aReason); } })
+              [this](const std::string& aReason) { OnFenced(aReason); },
+              [this](const std::string& aKey) { OnRecordRefused(aKey); } })
   , mInboxMonitor(aPorts.mLog, aPorts.mMetrics)
   , mInbox(aPorts.mLoop,
            aPorts.mStore,
@@ -261,6 +264,37 @@
   });
 }
 
+void fleet_scheduler::OnRecordRefused(const std::string& aKey)
+{
+  const auto id = store_keys::StripPrefix(aKey, store_keys::kProgress);
+  const auto found = id ? mJobs.find(*id) : mJobs.end();
+  if (found == mJobs.end() || !found->second->mHasTasks) {
+    return;
+  }
+  auto& job = *found->second;
+  const auto now = mPorts.mLoop.Now();
+  int64_t takenBack = 0;
+  for (const auto& task : job.mState.PlacedTasks()) {
+    const auto* run = FindPlacedRun(job.mState, task);
+    if (run == nullptr || run->mPhase != run_phase::kRequested ||
+        run->mWorkerDeadlineMs != 0) {
+      continue; // Its start has been sent.
+    }
+    auto& worker = *mWorkers.at(job.mState.Task(task).mWorker);
+    const auto number = run->mRun;
+    NoteSilence(worker);
+    const auto events =
+      worker.mRuns.OnStartAnswer(task, number, run_request_status::kNotSent, now);
+    ApplyRunEvents(worker, events);
+    ++takenBack;
+  }
+  if (takenBack > 0) {
+    job.mMayStartFrom = now + kRefusedStartDelay;
+    mPorts.mLog.Write(
+      log_event("starts_taken_back").Add("job", *id).Add("runs", takenBack));
+  }
+}
+
 std::optional<std::string> fleet_scheduler::StateOf(const std::string& aJob) const
 {
   const auto found = mJobs.find(aJob);
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -191,6 +191,8 @@
                      record_writer::urgency aUrgency,
                      std::function<void()> aDurable);
   std::string EncodeRecord(const std::string& aKey) const;
+  /** Takes the starts back that wait for a record which the store has refused. */
+  void OnRecordRefused(const std::string& aKey);
   void OnJobEnded(job_entry& aJob);
   /** Drops what is no longer needed of ended jobs; removes those that have expired. */
   void TidyEndedJobs();
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -172,7 +172,8 @@
   placement_input input;
   mPriorityZeroDemand = DemandByWorkspace();
   for (auto& [id, job] : mJobs) {
-    if (job->mState.Outcome() == job_outcome::kOpen && job->mMayHaveWaitingTasks) {
+    if (job->mState.Outcome() == job_outcome::kOpen && job->mMayHaveWaitingTasks &&
+        job->mMayStartFrom <= now) {
       AddGroups(*job, input.mGroups);
     }
   }
--- a/src/scheduler/FleetSchedulerState.h
+++ b/src/scheduler/FleetSchedulerState.h
@@ -20,7 +20,8 @@
   job_outcome mDurableOutcome = job_outcome::kOpen;
   /** Whether tasks may be waiting; the next planning round checks. */
   bool mMayHaveWaitingTasks = true;
-  bool mIsBeingRemoved = false; ///< The removal of its records has been queued.
+  bool mIsBeingRemoved = false;  ///< The removal of its records has been queued.
+  time_point mMayStartFrom{ 0 }; ///< Until then it is not placed.
   time_point mFirstSeenAt{ 0 };
   time_point mEndedAt{ 0 };
   /** Workers on which a task failed, stalled or could not be completed. */
--- a/src/scheduler/RecordWriter.cpp
+++ b/src/scheduler/RecordWriter.cpp
@@ -16,6 +16,12 @@
 constexpr duration kBatchDelay{ 120 };
 /** Delay before a transaction is sent again after a failed call to the store. */
 constexpr duration kRetryDelay{ 120 };
+/** Delay before a refused record is sent again if it has been written again. */
+constexpr duration kChangedRefusedDelay{ 1'000 };
+/** The same if it hasn't: the store may take later what it refuses now. */
+constexpr duration kRefusedDelay{ 10'000 };
+/** Refused records are sent this far apart, so that others needn't wait for many. */
+constexpr duration kRefusedGap{ 200 };
 /**
  * Size in bytes after which no further record joins a transaction, so that the smallest
  * links carry it well within the timeout of the call.
@@ -50,10 +56,12 @@
   mInFlight = false;
   mSendAt.reset();
   mPendingWrites.clear();
+  mRefusedWrites.clear();
   mRemovals.clear();
   mInFlightWrites.clear();
   mInFlightRemovals.clear();
   mInFlightTransaction = store_transaction();
+  mIsRefusedInFlight = false;
   mSinglesLeft = 0;
 }
 
@@ -63,6 +71,9 @@
   for (const auto& [key, callbacks] : mPendingWrites) {
     keys.push_back(key);
   }
+  for (const auto& [key, refused] : mRefusedWrites) {
+    keys.push_back(key);
+  }
   for (const auto& write : mInFlightWrites) {
     if (mPendingWrites.count(write.mKey) == 0) {
       keys.push_back(write.mKey);
@@ -91,6 +102,15 @@
   if (!mActive) {
     return;
   }
+  if (const auto refused = mRefusedWrites.find(aKey); refused != mRefusedWrites.end()) {
+    if (aDurable) {
+      refused->second.mDurable.push_back(std::move(aDurable));
+    }
+    refused->second.mSendAt = std::min(
+      refused->second.mSendAt, refused->second.mRefusedAt + kChangedRefusedDelay);
+    ScheduleRefused();
+    return;
+  }
   auto& callbacksOfKey = mPendingWrites[aKey];
   if (aDurable) {
     callbacksOfKey.push_back(std::move(aDurable));
@@ -116,6 +136,11 @@
     pending->second.push_back(std::move(aDurable));
     return;
   }
+  const auto refused = mRefusedWrites.find(aKey);
+  if (refused != mRefusedWrites.end()) {
+    refused->second.mDurable.push_back(std::move(aDurable));
+    return;
+  }
   for (auto& write : mInFlightWrites) {
     if (write.mKey == aKey) {
       write.mDurable.push_back(std::move(aDurable));
@@ -157,9 +182,55 @@
   });
 }
 
+void record_writer::ScheduleRefused()
+{
+  if (mRefusedWrites.empty()) {
+    return;
+  }
+  const auto next =
+    std::min_element(mRefusedWrites.begin(),
+                     mRefusedWrites.end(),
+                     [](const auto& aLeft, const auto& aRight) {
+                       return aLeft.second.mSendAt < aRight.second.mSendAt;
+                     });
+  const auto at = std::max(next->second.mSendAt, mRefusedSentAt + kRefusedGap);
+  const auto timer = ++mRefusedTimerGeneration;
+  mLoop.RunAfter(std::max(duration::zero(), at - mLoop.Now()), [this, timer] {
+    if (timer == mRefusedTimerGeneration && !mInFlight) {
+      Send();
+    }
+  });
+}
+
+std::map<std::string, record_writer::refused_write>::iterator
+record_writer::FindDueRefused()
+{
+  const auto now = mLoop.Now();
+  const bool sendsSingles = mSinglesLeft > 0 && !mPendingWrites.empty();
+  if (sendsSingles || now < mRefusedSentAt + kRefusedGap) {
+    return mRefusedWrites.end();
+  }
+  return std::find_if(
+    mRefusedWrites.begin(), mRefusedWrites.end(), [now](const auto& aWrite) {
+      return aWrite.second.mSendAt <= now;
+    });
+}
+
+size_t record_writer::AddToTransaction(const std::string& aKey,
+                                       durable_callbacks aDurable)
+{
+  auto value = mCallbacks.mEncode(aKey);
+  const auto bytes = value.size();
+  mInFlightTransaction.mPuts.push_back({ aKey, std::move(value), 0 });
+  mInFlightWrites.push_back({ aKey, std::move(aDurable) });
+  return bytes;
+}
+
 void record_writer::Send()
 {
-  if (mInFlight || (mPendingWrites.empty() && mRemovals.empty())) {
+  const auto dueRefused = FindDueRefused();
+  const bool sendsRefused = dueRefused != mRefusedWrites.end();
+  if (mInFlight || (mPendingWrites.empty() && mRemovals.empty() && !sendsRefused)) {
     return;
   }
   mInFlight = true;
@@ -171,14 +242,19 @@
     { store_keys::kScheduler, mTerm.mRevision });
   mInFlightTransaction.mConditions.push_back({ store_keys::kWriter, mWriterRevision });
   mInFlightTransaction.mPuts.push_back({ store_keys::kWriter, mBatchName, 0 });
+  if (sendsRefused) {
+    auto refused = mRefusedWrites.extract(dueRefused);
+    mRefusedSentAt = mLoop.Now();
+    mIsRefusedInFlight = true;
+    AddToTransaction(refused.key(), std::move(refused.mapped().mDurable));
+    Commit();
+    return;
+  }
   size_t recordsLeft = mSinglesLeft > 0 ? 1 : kMaxRecordsPerTransaction;
   size_t bytes = 0;
   while (recordsLeft > 0 && bytes < kMaxBatchBytes && !mPendingWrites.empty()) {
     auto first = mPendingWrites.extract(mPendingWrites.begin());
-    auto value = mCallbacks.mEncode(first.key());
-    bytes += value.size();
-    mInFlightTransaction.mPuts.push_back({ first.key(), std::move(value), 0 });
-    mInFlightWrites.push_back({ first.key(), std::move(first.mapped()) });
+    bytes += AddToTransaction(first.key(), std::move(first.mapped()));
     --recordsLeft;
   }
   auto& removedKeys = mInFlightTransaction.mRemovals;
@@ -241,30 +317,54 @@
 
 void record_writer::OnBatchRefused(const error& aError)
 {
-  const bool isSingle = mInFlightWrites.size() == 1 && mInFlightRemovals.empty();
   mInFlight = false;
   mInFlightTransaction = store_transaction();
-  if (isSingle) {
-    mLog.Write(log_event("record_refused")
-                 .Add("key", mInFlightWrites.front().mKey)
-                 .Add("error", Describe(aError)));
-  } else {
-    mSinglesLeft = mInFlightWrites.size();
-    for (auto& write : mInFlightWrites) {
-      auto& callbacks = mPendingWrites[write.mKey];
-      callbacks.insert(callbacks.begin(),
-                       std::make_move_iterator(write.mDurable.begin()),
-                       std::make_move_iterator(write.mDurable.end()));
-    }
-    std::move(mInFlightRemovals.begin(),
-              mInFlightRemovals.end(),
-              std::back_inserter(mRemovals));
+  mSendAt.reset();
+  if (mInFlightWrites.size() == 1 && mInFlightRemovals.empty()) {
+    SetAside(aError);
+    return;
+  }
+  mSinglesLeft = mInFlightWrites.size();
+  for (auto& write : mInFlightWrites) {
+    auto& callbacks = mPendingWrites[write.mKey];
+    callbacks.insert(callbacks.begin(),
+                     std::make_move_iterator(write.mDurable.begin()),
+                     std::make_move_iterator(write.mDurable.end()));
   }
+  std::move(
+    mInFlightRemovals.begin(), mInFlightRemovals.end(), std::back_inserter(mRemovals));
   mInFlightWrites.clear();
   mInFlightRemovals.clear();
-  mSendAt.reset();
+  ScheduleSend(kRetryDelay);
+}
+
+void record_writer::SetAside(const error& aError)
+{
+  const bool wasSentAgain = std::exchange(mIsRefusedInFlight, false);
+  auto write = std::move(mInFlightWrites.front());
+  mInFlightWrites.clear();
+  auto& refused = mRefusedWrites[write.mKey];
+  refused.mDurable = std::move(write.mDurable);
+  refused.mRefusedAt = mLoop.Now();
+  refused.mSendAt = mLoop.Now() + kRefusedDelay;
+  if (auto pending = mPendingWrites.extract(write.mKey)) {
+    refused.mDurable.insert(refused.mDurable.end(),
+                            std::make_move_iterator(pending.mapped().begin()),
+                            std::make_move_iterator(pending.mapped().end()));
+    refused.mSendAt = mLoop.Now() + kChangedRefusedDelay;
+  }
+  ScheduleRefused();
   if (!mPendingWrites.empty() || !mRemovals.empty()) {
-    ScheduleSend(kRetryDelay);
+    // One that was refused before is sent at intervals, so the others needn't wait.
+    ScheduleSend(wasSentAgain ? duration::zero() : kRetryDelay);
+  }
+  if (!wasSentAgain) {
+    mLog.Write(log_event("record_refused")
+                 .Add("key", write.mKey)
+                 .Add("error", Describe(aError)));
+  }
+  if (mCallbacks.mOnRefused) {
+    mCallbacks.mOnRefused(write.mKey);
   }
 }
 
@@ -272,6 +372,7 @@
 {
   mWriterRevision = aRevision;
   mInFlight = false;
+  mIsRefusedInFlight = false;
   mInFlightTransaction = store_transaction();
   const auto generation = mGeneration;
   const auto writes = std::exchange(mInFlightWrites, {});
@@ -289,6 +390,7 @@
       return;
     }
   }
+  ScheduleRefused();
   if (mPendingWrites.empty() && mRemovals.empty()) {
     return;
   }
--- a/src/scheduler/RecordWriter.h
+++ b/src/scheduler/RecordWriter.h
@@ -18,8 +18,9 @@
  * transaction rewrites the writer's key on condition of its previous revision, so that
  * one whose answer was lost cannot take effect after a later one. It also requires that
  * the scheduler's term still holds. If the store refuses a batch, its records are sent
- * one by one, and one that is refused alone is dropped, so that it doesn't hold up the
- * others. Not thread-safe.
+ * one by one. One that is refused alone is set aside with what waits for it, and sent
+ * again, alone, soon after it is written again, and from time to time otherwise. Not
+ * thread-safe.
  */
 class record_writer
 {
@@ -30,6 +31,11 @@
     std::function<std::string(const std::string& aKey)> mEncode;
     /** Called when the store rejects a write because the term has ended. */
     std::function<void(const std::string& aReason)> mOnFenced;
+    /**
+     * Called each time the store refuses a record alone, which is then not stored; what
+     * waits for it goes on waiting. May be null, and may write records.
+     */
+    std::function<void(const std::string& aKey)> mOnRefused;
   };
 
   /** References must outlive the writer and its pending calls. */
@@ -52,8 +58,8 @@
   };
 
   /**
-   * Writes aKey; aDurable runs when the current value or a later one is stored, and
-   * never if the store refuses the record.
+   * Writes aKey; aDurable runs when the current value or a later one is stored. It goes
+   * on waiting while the store refuses the record.
    */
   void Write(const std::string& aKey, urgency aUrgency, std::function<void()> aDurable);
 
@@ -72,7 +78,8 @@
   /** Returns whether every write of aKey is stored. */
   bool IsStored(const std::string& aKey) const
   {
-    return mPendingWrites.count(aKey) == 0 && !IsInFlight(aKey);
+    return mPendingWrites.count(aKey) == 0 && mRefusedWrites.count(aKey) == 0 &&
+           !IsInFlight(aKey);
   }
 
   /** Returns for how long the transaction in flight has not been stored; 0: none is. */
@@ -105,6 +112,13 @@
     std::string mKey;
     durable_callbacks mDurable;
   };
+  /** A record that the store has refused alone. */
+  struct refused_write
+  {
+    durable_callbacks mDurable;
+    time_point mRefusedAt{ 0 };
+    time_point mSendAt{ 0 };
+  };
   /** Keys that are removed together. */
   struct removal
   {
@@ -118,6 +132,14 @@
   void OnCommitResult(const result<transaction_outcome>& aOutcome);
   void OnCommitted(uint64_t aRevision);
   void OnBatchRefused(const error& aError);
+  /** Sets the record in flight, which is alone, aside. */
+  void SetAside(const error& aError);
+  /** Makes a timer for the refused record that is to be sent next, if there is one. */
+  void ScheduleRefused();
+  /** Returns the refused record that is to be sent by now; the end if there is none. */
+  std::map<std::string, refused_write>::iterator FindDueRefused();
+  /** Puts aKey into the transaction in flight; returns the size of its value. */
+  size_t AddToTransaction(const std::string& aKey, durable_callbacks aDurable);
   /** Returns whether the transaction in flight writes aKey. */
   bool IsInFlight(const std::string& aKey) const;
 
@@ -137,6 +159,10 @@
   uint64_t mTransactions = 0;
   std::string mBatchName;
   std::map<std::string, durable_callbacks> mPendingWrites;
+  std::map<std::string, refused_write> mRefusedWrites; ///< None of them is pending.
+  bool mIsRefusedInFlight = false;      ///< A refused record has been sent again.
+  time_point mRefusedSentAt{ 0 };       ///< When a refused record was last sent again.
+  uint64_t mRefusedTimerGeneration = 0; ///< Like mTimerGeneration.
   std::deque<removal> mRemovals;
   store_transaction mInFlightTransaction;
   std::vector<in_flight_write> mInFlightWrites;
