A refused renewal of the scheduler's lease is repeated after 50 ms

Cause: the term lapsed by chance. The election that follows takes seconds, as it begins with the read of the key again after each refused step, and what is cancelled in that time is not stopped.

Change: a refused renewal is repeated after 50 ms, so that 16 fit. A renewal has one tenth of the price of a read, and only the scheduler sends it.

--- a/src/scheduler/Election.h
+++ b/src/scheduler/Election.h
@@ -25,7 +25,7 @@
    */
   duration mRequestGrace{ 4'000 };
   /** Delay before a renewal that failed is sent again, if none has been sent since. */
-  duration mRefusedRenewalDelay{ 100 };
+  duration mRefusedRenewalDelay{ 50 };
   /** How long a VM that gave way leaves elections to the others. */
   duration mYieldTime{ 1'400 };
   duration mRetryDelay{ 150 }; ///< Delay before the key is read again after a failure.
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -112,6 +112,13 @@
     mLoop.RunAfter(aAfter, std::move(aTask));
   }
 
+  bool IsDrawn(const store_fault& aFault)
+  {
+    constexpr int kAll = 100;
+    return aFault.mPercent == kAll ||
+           static_cast<int>(mSite.mFaults.mRandom() % kAll) < aFault.mPercent;
+  }
+
   /** Returns the fault that decides the fate of a call, if that is one of aFates. */
   const store_fault* TakeFault(store_call aCall,
                                const std::string& aKey,
@@ -123,7 +130,8 @@
         (fault.mCalls.empty() || fault.mCalls.count(aCall) != 0) &&
         aKey.compare(0, fault.mPrefix.size(), fault.mPrefix) == 0;
       if (isAffected && aFates.count(fault.mFate) != 0 && fault.mCallsLeft > 0 &&
-          mLoop.Now() < fault.mUntil && ++fault.mCallsSeen % fault.mEvery == 0) {
+          mLoop.Now() < fault.mUntil && ++fault.mCallsSeen % fault.mEvery == 0 &&
+          IsDrawn(fault)) {
         --fault.mCallsLeft;
         return &fault;
       }
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -10,6 +10,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 
 namespace anvildoor {
@@ -62,6 +63,8 @@
   int mEvery = 1; ///< It affects every mEvery-th call; the others go to later faults.
   duration mDelay{ 0 };
   int mCallsSeen = 0; ///< Calls that matched so far.
+  int mPercent =
+    100; ///< Share of calls that it affects, drawn by fake_faults::mRandom.
 
   auto operator<=>(const store_fault&) const = default;
 };
@@ -91,6 +94,7 @@
   time_point mSilentBefore{ 0 };
   /** The first one that matches a call decides its fate. */
   std::vector<store_fault> mStoreFaults;
+  std::mt19937 mRandom; ///< Draws the calls that a store_fault::mPercent affects.
   /** Age of the answers to lists that may be stale. */
   duration mStaleReadAge{ 0 };
   /** Whether the first stop of each run is lost, with its answer. */
