Known red: a scheduler is relieved by VMs that can't take over

Callers: while cancellations can be listed, but the whole inbox can't, a VM finds itself fit, relieves the scheduler and gives way after 1 s, as a takeover needs the whole inbox. Nobody holds the runs.

Seen: 23 terms in 30 s, all six runs of a gang ended. A fault of the fake store can be confined to one exact key or prefix; other tests don't use it.

No logic is changed.

--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -62,9 +62,9 @@
   int mCallsLeft = std::numeric_limits<int>::max(); ///< How many calls it affects.
   int mEvery = 1; ///< It affects every mEvery-th call; the others go to later faults.
   duration mDelay{ 0 };
-  int mCallsSeen = 0; ///< Calls that matched so far.
-  int mPercent =
-    100; ///< Share of calls that it affects, drawn by fake_faults::mRandom.
+  int mCallsSeen = 0;    ///< Calls that matched so far.
+  bool mIsExact = false; ///< Whether mPrefix is the whole key or prefix of the call.
+  int mPercent = 100;    ///< Share of calls affected, drawn by fake_faults::mRandom.
 
   auto operator<=>(const store_fault&) const = default;
 };
