An election repeats a refused step instead of beginning again

What callers saw: where calls to the store are refused by chance (429), seconds passed between the end of a term and the next one, and runs that were cancelled in that time went on.

Cause: an election reads the key, is granted a lease and creates the key. After a refused step it began with the read again, so that with three of five calls refused one attempt in 16 came through, and one attempt took 150 ms and the VM's delay.

Change: a step that was refused without effect is repeated after 60 ms, for 800 ms at most. The creation of the key goes on with its lease for 400 ms, then with a new one, and a term that begins late in its lease renews it at once. After an answer that was lost the key is read, as before.

--- a/src/scheduler/Election.cpp
+++ b/src/scheduler/Election.cpp
@@ -142,7 +142,7 @@
   const auto delay = std::max(mElectionDelay, mYieldsUntil - mLoop.Now());
   mLoop.RunAfter(delay, [this, generation] {
     if (generation == mGeneration && !mResigned) {
-      RequestLease();
+      RequestLease(mLoop.Now());
     }
   });
 }
@@ -198,46 +198,74 @@
                });
 }
 
-void scheduler_election::RequestLease()
+void scheduler_election::RepeatStep(const error& aError,
+                                    time_point aBegunAt,
+                                    task aStep)
+{
+  const bool hadNoEffect = aError.mCode == error_code::kUnavailable;
+  // Without an answer the key may exist; if so, it is removed when its lease expires.
+  if (!hadNoEffect || mLoop.Now() - aBegunAt >= mTimes.mMaxElectionTime) {
+    ReadKeyAfter(mTimes.mRetryDelay);
+    return;
+  }
+  const auto generation = mGeneration;
+  mLoop.RunAfter(mTimes.mRefusedStepDelay, [this, generation, step = std::move(aStep)] {
+    if (generation == mGeneration && !mResigned) {
+      step();
+    }
+  });
+}
+
+void scheduler_election::RequestLease(time_point aBegunAt)
 {
   const auto generation = ++mGeneration;
   const auto sentAt = mLoop.Now();
   mNonce =
     mSelf.mVm + "-" + std::to_string(sentAt.count()) + "-" + std::to_string(generation);
-  mStore.GrantLease(mTimes.mTtl,
-                    [this, generation, sentAt](const result<uint64_t>& aLease) {
-                      if (generation != mGeneration) {
-                        return;
-                      }
-                      if (!aLease) {
-                        ReadKeyAfter(mTimes.mRetryDelay);
-                        return;
-                      }
-                      CreateKey(*aLease, sentAt);
-                    });
+  mStore.GrantLease(
+    mTimes.mTtl, [this, generation, sentAt, aBegunAt](const result<uint64_t>& aLease) {
+      if (generation != mGeneration) {
+        return;
+      }
+      if (!aLease) {
+        RepeatStep(
+          aLease.error(), aBegunAt, [this, aBegunAt] { RequestLease(aBegunAt); });
+        return;
+      }
+      CreateKey(*aLease, sentAt, aBegunAt);
+    });
 }
 
-void scheduler_election::CreateKey(uint64_t aLease, time_point aRequestedAt)
+void scheduler_election::CreateKey(uint64_t aLease,
+                                   time_point aRequestedAt,
+                                   time_point aBegunAt)
 {
   store_transaction transaction;
   transaction.mConditions.push_back({ store_keys::kScheduler, 0 });
   transaction.mPuts.push_back({ store_keys::kScheduler, EncodeKeyValue(), aLease });
   const auto generation = mGeneration;
-  mStore.Commit(transaction,
-                [this, generation, aLease, aRequestedAt](
-                  const result<transaction_outcome>& aOutcome) {
-                  if (generation != mGeneration) {
-                    return;
-                  }
-                  if (aOutcome && aOutcome->mCommitted) {
-                    mLeaseId = aLease;
-                    BeginTerm(aOutcome->mRevision, aOutcome->mRevision, aRequestedAt);
-                    return;
-                  }
-                  // Without an answer the key may exist; if so, it is removed when its
-                  // lease expires.
-                  ReadKeyAfter(aOutcome ? duration::zero() : mTimes.mRetryDelay);
-                });
+  mStore.Commit(
+    transaction,
+    [this, generation, aLease, aRequestedAt, aBegunAt](
+      const result<transaction_outcome>& aOutcome) {
+      if (generation != mGeneration) {
+        return;
+      }
+      if (!aOutcome) {
+        // The lease must last until it has been renewed.
+        const bool isFresh = mLoop.Now() - aRequestedAt < mTimes.mRenewPeriod;
+        RepeatStep(aOutcome.error(), aBegunAt, [=, this] {
+          isFresh ? CreateKey(aLease, aRequestedAt, aBegunAt) : RequestLease(aBegunAt);
+        });
+        return;
+      }
+      if (aOutcome->mCommitted) {
+        mLeaseId = aLease;
+        BeginTerm(aOutcome->mRevision, aOutcome->mRevision, aRequestedAt);
+        return;
+      }
+      ReadKeyAfter(duration::zero());
+    });
 }
 
 void scheduler_election::BeginTerm(uint64_t aRevision,
@@ -254,6 +282,9 @@
   mIsOnGrace = false;
   mLog.Write(log_event("scheduler_won").Add("fence", static_cast<int64_t>(aFence)));
   ScheduleRenewal();
+  if (mLoop.Now() - aLeaseRequestedAt >= mTimes.mRefusedStepDelay) {
+    SendRenewal(); // Refused steps have used up a part of the lease.
+  }
   const auto predecessor = std::exchange(mLastKnown, mCurrent);
   mCallbacks.mOnElected(mCurrent, predecessor);
 }
--- a/src/scheduler/Election.h
+++ b/src/scheduler/Election.h
@@ -29,6 +29,11 @@
   /** How long a VM that gave way leaves elections to the others. */
   duration mYieldTime{ 1'400 };
   duration mRetryDelay{ 150 }; ///< Delay before the key is read again after a failure.
+  /** Delay before a refused step of an election is repeated. */
+  duration mRefusedStepDelay{ 60 };
+  /** After this time a VM doesn't repeat steps of an election, but reads the key again.
+   */
+  duration mMaxElectionTime{ 800 };
   /** Timeout of one watch call on the key; the platform allows at most 30 s. */
   duration mWatchTimeout{ 20'000 };
 
@@ -131,8 +136,10 @@
   void OnKeyRead(const result<stored_range>& aRead);
   void Follow(const stored_item& aItem, uint64_t aRevision);
   void Watch(uint64_t aRevision);
-  void RequestLease();
-  void CreateKey(uint64_t aLease, time_point aRequestedAt);
+  void RequestLease(time_point aBegunAt);
+  void CreateKey(uint64_t aLease, time_point aRequestedAt, time_point aBegunAt);
+  /** Repeats a step of an election that failed, or begins with the read of the key. */
+  void RepeatStep(const error& aError, time_point aBegunAt, task aStep);
   void BeginTerm(uint64_t aRevision, uint64_t aFence, time_point aLeaseRequestedAt);
   /** Logs that the key of the scheduler known so far is missing. */
   void LogMissingScheduler();
--- a/tests/RefusedCallsTest.cpp
+++ b/tests/RefusedCallsTest.cpp
@@ -150,3 +150,26 @@
   CHECK(seen.mUnacknowledged == 0);
   CHECK(seen.mLastEnd.count() <= kBound.count());
 }
+
+// Guards against elections that begin again with the read of the key.
+TEST_CASE("an election goes on soon after refused steps", "[scheduler]")
+{
+  const auto step = GENERATE(store_call::kGrantLease, store_call::kCommit);
+  const auto refused = GENERATE(3, 5, 8);
+  const auto phase = GENERATE(range(0, 400, 100));
+  CAPTURE(static_cast<int>(step), refused, phase);
+  fake_installation site(3, 4);
+  site.mLoop.RunFor(duration(3'000 + phase));
+  const auto killed = site.SchedulerVm();
+  site.Kill(killed);
+  for (const std::string vm : { "vm0", "vm1", "vm2" }) {
+    store_fault refusal{ store_fate::kRefused, vm, { step } };
+    refusal.mCallsLeft = refused;
+    site.mFaults.mStoreFaults.push_back(refusal);
+  }
+  constexpr duration kLeaseTtl{ 1'200 };
+  constexpr duration kPerRefusal{ 65 };
+  constexpr duration kOtherSteps{ 60 };
+  CHECK(site.mLoop.RunUntil([&] { return !site.SchedulerVm().empty(); },
+                            kLeaseTtl + refused * kPerRefusal + kOtherSteps));
+}
