Kept connections that are dead fail one call, not one each

A call that times out closed its own connection only, and the next call to that address took the next idle one. After a link has forgotten its connections, or another host has taken the address, each of the N idle ones costs a timeout: 0.9 s for a stop, of which one is sent every 0.7 s or so. Cause: the pool took nothing from a dead connection about the others to the same address. Change: a call whose connection times out, or breaks without any data of a response, closes the connections to its address that were idle already when it was sent. Those in use are left, as a waiting hold or watch may be sound and times out by itself; so are those answered since, so that a peer that is slow with some calls costs at most the connections that nothing else has used meanwhile. A connection that the peer has broken counts, too: calls that aren't idempotent, such as starts, had an unknown effect on each such connection in turn. Ruled out: sending a call that waits on a reused connection a second time on a new one.

The second new test bounds the price: it passes on the code before, too, and fails if all idle connections are closed.

--- a/src/http/HttpPool.cpp
+++ b/src/http/HttpPool.cpp
@@ -60,6 +60,9 @@
   std::unique_ptr<beast::tcp_stream> TakeIdle(const std::string& aAddress);
   void ReturnIdle(const std::string& aAddress,
                   std::unique_ptr<beast::tcp_stream> aStream);
+  /** Closes the connections to aAddress that have been idle since aTime or longer. */
+  void CloseIdleSince(const std::string& aAddress,
+                      std::chrono::steady_clock::time_point aTime);
 
   asio::io_context& mContext;
   std::map<std::string, std::vector<idle_connection>> mIdle;
@@ -98,6 +101,14 @@
   idle.push_back({ std::move(aStream), std::chrono::steady_clock::now() });
 }
 
+void http_pool::state::CloseIdleSince(const std::string& aAddress,
+                                      std::chrono::steady_clock::time_point aTime)
+{
+  std::erase_if(mIdle[aAddress], [&](const idle_connection& aIdle) {
+    return aIdle.mIdleSince <= aTime;
+  });
+}
+
 namespace {
 
 /** One request: connects, writes, reads the response and runs the callback. */
@@ -164,6 +175,7 @@
   void Write()
   {
     mMaybeSent = true;
+    mSentAt = std::chrono::steady_clock::now();
     mStream->expires_at(mDeadline);
     SetUserTimeout();
     http::async_write(
@@ -210,6 +222,11 @@
   {
     const bool noResponseData = !mParser || !mParser->got_some();
     mStream.reset();
+    if (noResponseData || aError == beast::error::timeout) {
+      // What ended this connection, such as a cut link or another host at the address,
+      // may have ended those too that no answer has arrived on since.
+      mPool->CloseIdleSince(mAddress, mSentAt);
+    }
     if (mReused && mIdempotent && noResponseData && aError != beast::error::timeout) {
       mBuffer.clear();
       Begin(false);
@@ -252,6 +269,7 @@
   bool mMaybeSent = false; ///< Some of the request may have been sent.
   http_pool::done mDone;
   std::chrono::steady_clock::time_point mDeadline;
+  std::chrono::steady_clock::time_point mSentAt;
   std::unique_ptr<beast::tcp_stream> mStream;
   http::request<http::string_body> mRequest;
   std::optional<http::response_parser<http::string_body>> mParser;
--- a/src/http/HttpPool.h
+++ b/src/http/HttpPool.h
@@ -41,8 +41,10 @@
  * HTTP client with a pool of persistent connections per address. A request fails with
  * kInvalid if its address is malformed, with kUnavailable if nothing was sent, and with
  * kUnknownEffect if something was sent and no complete response arrived in time; its
- * connection is then closed. Not thread-safe: use it on the context's thread, where the
- * callbacks run too.
+ * connection is then closed. If that connection timed out or broke without any data of
+ * a response, so are the idle ones to its address that were idle when the request was
+ * sent; those in use and those that were answered since are kept. Not thread-safe: use
+ * it on the context's thread, where the callbacks run too.
  */
 class http_pool
 {
--- a/tests/HttpPoolTest.cpp
+++ b/tests/HttpPoolTest.cpp
@@ -3,7 +3,9 @@
 
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
+#include <map>
 #include <optional>
+#include <utility>
 
 using namespace anvildoor;
 
@@ -19,6 +21,7 @@
   kDisconnect,                 ///< Closes the connection without a response.
   kDisconnectAndStopListening, ///< As above, and stops listening.
   kIgnore,
+  kHoldBack, ///< Responds at ReleaseAll.
 };
 
 /**
@@ -43,6 +46,22 @@
   void StopListening() { mAcceptor.close(); }
   size_t Calls() const { return mCalls; }
 
+  /** Performs aAction for every request on a connection that is open now. */
+  void ImpairOpen(peer_action aAction)
+  {
+    for (const auto& socket : mSockets) {
+      mImpaired[socket.get()] = aAction;
+    }
+  }
+
+  /** Responds to the requests that are held back. */
+  void ReleaseAll()
+  {
+    for (auto* socket : std::exchange(mHeldBack, {})) {
+      Respond(*socket);
+    }
+  }
+
 private:
   void Accept()
   {
@@ -73,17 +92,20 @@
 
   void Perform(tcp::socket& aSocket)
   {
-    const auto act =
-      mCalls < mActions.size() ? mActions[mCalls] : peer_action::kRespond;
+    auto act = mCalls < mActions.size() ? mActions[mCalls] : peer_action::kRespond;
+    if (const auto found = mImpaired.find(&aSocket); found != mImpaired.end()) {
+      act = found->second;
+    }
     ++mCalls;
     if (act == peer_action::kIgnore) {
       return;
     }
+    if (act == peer_action::kHoldBack) {
+      mHeldBack.push_back(&aSocket);
+      return;
+    }
     if (act == peer_action::kRespond) {
-      static const std::string sAnswer =
-        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-      asio::write(aSocket, asio::buffer(sAnswer));
-      Read(aSocket);
+      Respond(aSocket);
       return;
     }
     if (act == peer_action::kDisconnectAndStopListening) {
@@ -92,9 +114,18 @@
     aSocket.close();
   }
 
+  void Respond(tcp::socket& aSocket)
+  {
+    static const std::string sAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    asio::write(aSocket, asio::buffer(sAnswer));
+    Read(aSocket);
+  }
+
   tcp::acceptor mAcceptor;
   std::vector<peer_action> mActions;
   std::vector<std::unique_ptr<tcp::socket>> mSockets;
+  std::map<const tcp::socket*, peer_action> mImpaired;
+  std::vector<tcp::socket*> mHeldBack;
   size_t mCalls = 0;
 };
 
@@ -114,6 +145,42 @@
     Fail(error_code::kInvalid, "test", "peer", "the callback did not run"));
 }
 
+/** Runs the context until aCondition holds. Returns whether it does within 5 s. */
+bool RunUntil(asio::io_context& aContext, const std::function<bool()>& aCondition)
+{
+  const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (!aCondition() && std::chrono::steady_clock::now() < deadline) {
+    aContext.run_one_until(std::min(
+      deadline, std::chrono::steady_clock::now() + std::chrono::milliseconds(10)));
+  }
+  return aCondition();
+}
+
+/** Leaves aCount idle connections in the pool, by as many calls at a time. */
+void KeepConnections(asio::io_context& aContext,
+                     http_pool& aPool,
+                     const pooled_call& aCall,
+                     size_t aCount)
+{
+  size_t answered = 0;
+  for (size_t number = 0; number < aCount; ++number) {
+    aPool.Call(aCall, [&](const result<pooled_response>& aAnswer) {
+      answered += aAnswer ? 1 : 0;
+    });
+  }
+  REQUIRE(RunUntil(aContext, [&] { return answered == aCount; }));
+  REQUIRE(aPool.ConnectionsOpened() == aCount);
+}
+
+pooled_call CallTo(const scripted_peer& aPeer)
+{
+  pooled_call call;
+  call.mAddress = aPeer.Address();
+  call.mTarget = "/";
+  call.mTimeout = duration(500);
+  return call;
+}
+
 } // namespace
 
 TEST_CASE("a request on a broken connection is retried only if it is idempotent",
@@ -173,6 +240,81 @@
   CHECK(answer.error().mCode == error_code::kUnavailable);
 }
 
+TEST_CASE("kept connections that are dead fail one call, however many there are",
+          "[http][pool]")
+{
+  struct row
+  {
+    peer_action mKept;
+    bool mIdempotent;
+    size_t mFailedCalls;
+  };
+  const auto [action, isIdempotent, failedCalls] =
+    GENERATE(row{ peer_action::kIgnore, true, 1 },
+             row{ peer_action::kIgnore, false, 1 },
+             row{ peer_action::kDisconnect, true, 0 },
+             row{ peer_action::kDisconnect, false, 1 });
+  const auto kept = GENERATE(size_t(1), size_t(2), size_t(4), size_t(8));
+  asio::io_context context;
+  scripted_peer peer(context, {});
+  http_pool pool(context);
+  auto call = CallTo(peer);
+  call.mIdempotent = isIdempotent;
+  KeepConnections(context, pool, call, kept);
+  peer.ImpairOpen(action);
+  constexpr duration kScheduling{ 300 }; // Of a busy machine.
+  const auto begin = std::chrono::steady_clock::now();
+  size_t failed = 0;
+  while (failed <= kept && !CallOnce(context, pool, call)) {
+    ++failed;
+  }
+  const auto elapsed =
+    std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - begin);
+  INFO("connections kept: " << kept << ", answered after ms: " << elapsed.count());
+  CHECK(failed == failedCalls);
+  CHECK(elapsed < call.mTimeout + kScheduling);
+  // The next call uses the new connection.
+  CHECK(CallOnce(context, pool, call));
+  CHECK(pool.ConnectionsOpened() == kept + 1);
+}
+
+TEST_CASE("a call that times out leaves connections that were answered since it was "
+          "sent, those in use and those to other addresses",
+          "[http][pool]")
+{
+  using act = peer_action;
+  asio::io_context context;
+  // Three calls open a connection each; then one is held back, one never answered.
+  scripted_peer peer(
+    context,
+    { act::kRespond, act::kRespond, act::kRespond, act::kHoldBack, act::kIgnore });
+  scripted_peer other(context, {});
+  http_pool pool(context);
+  const auto call = CallTo(peer);
+  KeepConnections(context, pool, call, 3);
+  REQUIRE(CallOnce(context, pool, CallTo(other)));
+  auto held = call;
+  held.mTimeout = duration(4'000);
+  std::optional<result<pooled_response>> heldAnswer;
+  std::optional<result<pooled_response>> ignoredAnswer;
+  pool.Call(held,
+            [&](const result<pooled_response>& aAnswer) { heldAnswer = aAnswer; });
+  REQUIRE(RunUntil(context, [&] { return peer.Calls() == 4; }));
+  pool.Call(call,
+            [&](const result<pooled_response>& aAnswer) { ignoredAnswer = aAnswer; });
+  REQUIRE(RunUntil(context, [&] { return peer.Calls() == 5; }));
+  REQUIRE(CallOnce(context, pool, call));
+  REQUIRE(RunUntil(context, [&] { return ignoredAnswer.has_value(); }));
+  CHECK_FALSE(*ignoredAnswer);
+  CHECK_FALSE(heldAnswer);
+  CHECK(CallOnce(context, pool, call));
+  CHECK(CallOnce(context, pool, CallTo(other)));
+  peer.ReleaseAll();
+  REQUIRE(RunUntil(context, [&] { return heldAnswer.has_value(); }));
+  CHECK(*heldAnswer);
+  CHECK(pool.ConnectionsOpened() == 4);
+}
+
 TEST_CASE("a server keeps a connection open, and rejects bodies over the limit",
           "[http]")
 {
