The cancellations' check cuts kept connections for good

No check with real processes had connections that stay dead after a cut while new ones work. Change: the stand-in's POST /kill-connections has connections that were used so far arrive nowhere, with what waits on them; for that a request tells the number of its connection at the server. Six rows cancel jobs 0 to 3 s after the connections to all workers, or those of the scheduler or of all VMs to the store, are dead. In three of them each worker has one run of the cancelled job, and 6 to 8 connections: several stops at a time to one worker would use up its dead connections together.

--- a/src/http/SingleThreadServer.cpp
+++ b/src/http/SingleThreadServer.cpp
@@ -49,6 +49,7 @@
   server_limits mLimits;
   bool mKeepAliveDisabled = false;
   size_t mActive = 0;
+  uint64_t mConnections = 0;
   std::set<std::shared_ptr<single_thread_session>> mSessions;
 };
 
@@ -67,6 +68,7 @@
     , mLimits(&aState->mLimits)
     , mKeepAliveDisabled(&aState->mKeepAliveDisabled)
     , mActive(&aState->mActive)
+    , mNumber(++aState->mConnections)
     , mServerState(aState)
   {
     std::weak_ptr<State> weak = aState;
@@ -157,6 +159,7 @@
     const auto timeout = HeaderValue(message, "X-Timeout-Ms");
     request.mTimeout = duration(std::strtoll(timeout.c_str(), nullptr, 10));
     request.mBody = std::move(message.body());
+    request.mConnection = mNumber;
     mStream.expires_never();
     ++*mActive;
     (*mHandler)(request,
@@ -211,6 +214,7 @@
   const server_limits* mLimits;
   const bool* mKeepAliveDisabled;
   size_t* mActive;
+  uint64_t mNumber;
   std::shared_ptr<void> mServerState;
   std::function<void(const std::shared_ptr<single_thread_session>&)> mUnregister;
   bool mIdle = true;
--- a/src/http/SingleThreadServer.h
+++ b/src/http/SingleThreadServer.h
@@ -19,6 +19,7 @@
   std::string mApiKey;    ///< Header X-Api-Key; empty if missing.
   duration mTimeout{ 0 }; ///< Header X-Timeout-Ms; 0 if missing.
   std::string mBody;
+  uint64_t mConnection = 0; ///< Counts the server's connections, from 1.
 
   auto operator<=>(const server_request&) const = default;
 };
--- a/tests/HttpPoolTest.cpp
+++ b/tests/HttpPoolTest.cpp
@@ -333,9 +333,11 @@
   tcp::acceptor port(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
   const auto address = "127.0.0.1:" + std::to_string(port.local_endpoint().port());
   port.close();
+  std::vector<uint64_t> connections;
   single_thread_server server(
     context,
-    [](const server_request& aRequest, const single_thread_server::respond& aRespond) {
+    [&](const server_request& aRequest, const single_thread_server::respond& aRespond) {
+      connections.push_back(aRequest.mConnection);
       server_reply reply;
       reply.mBody = aRequest.mMethod + std::to_string(aRequest.mBody.size());
       aRespond(reply);
@@ -361,5 +363,8 @@
   CHECK(server.Active() == 0);
   if (status == 200) {
     CHECK(pool.ConnectionsOpened() == 1);
+    http_pool otherPool(context);
+    REQUIRE(CallOnce(context, otherPool, call));
+    CHECK(connections == std::vector<uint64_t>{ 1, 1, 2 });
   }
 }
--- a/tests/platform/check_cancellations.py
+++ b/tests/platform/check_cancellations.py
@@ -36,7 +36,7 @@
 class Site(entry_site.Site):
     """Entry VMs, each with a port of the store of its own, and the stand-in."""
 
-    def __init__(self, folder, build, entry_build, jobs, lease_ms):
+    def __init__(self, folder, build, entry_build, jobs, lease_ms, is_spread):
         with ports_lock:
             super().__init__(folder, build, entry_build, VMS, WORKERS, 4, VMS, lease_ms)
             self.wait_until_ready()
@@ -44,7 +44,9 @@
         for job, is_gang in jobs:
             step = {"count": TASKS, "cpu": 4000, "gpu": 1, "estimate_ms": 60000}
             if is_gang:
-                step.update(gang=True, max_per_server=1)
+                step.update(gang=True)
+            if is_gang or is_spread:
+                step.update(max_per_server=1)
             self.submit(job, 60000, step)
         wait_until(lambda: len(self.traces("00000000000000")) == TASKS * len(jobs),
                    "the jobs are running")
@@ -100,10 +102,13 @@
 class Row:
     """A scenario: steps at seconds from its begin, each for the scheduler or others."""
 
-    def __init__(self, name, steps, cancels, disrupted_s, lease_ms=6000, known_red=False):
+    def __init__(self, name, steps, cancels, disrupted_s, lease_ms=6000, known_red=False,
+                 is_spread=False):
         self.name, self.steps, self.known_red = name, steps, known_red
-        self.cancels = [Cancellation(number, at, is_gang)
-                        for number, at in enumerate(cancels) for is_gang in (False, True)]
+        # Spread: no gangs, and no two tasks of a job on one worker.
+        self.is_spread = is_spread
+        self.cancels = [Cancellation(number, at, is_gang) for number, at in enumerate(cancels)
+                        for is_gang in ((False,) if is_spread else (False, True))]
         # The end of the last disruption; None: there is none at all.
         self.disrupted_s = disrupted_s
         self.lease_ms = lease_ms
@@ -111,7 +116,8 @@
     def play(self, build, entry_build):
         with tempfile.TemporaryDirectory() as folder:
             site = Site(folder, build, entry_build,
-                        [(each.job, each.is_gang) for each in self.cancels], self.lease_ms)
+                        [(each.job, each.is_gang) for each in self.cancels], self.lease_ms,
+                        self.is_spread)
             try:
                 scheduler = site.vms.index(site.scheduler())
                 others = [vm for vm in range(VMS) if vm != scheduler]
@@ -124,7 +130,9 @@
                     thread.start()
                 for at_s, who, action in self.steps:
                     time.sleep(max(0, began + at_s - now_s()))
-                    if isinstance(action, dict):
+                    if callable(action):
+                        action(site, groups[who])
+                    elif isinstance(action, dict):
                         site.fault(groups[who], **action)
                     else:
                         for vm in groups[who]:
@@ -149,11 +157,27 @@
     return fault("watch", effect, for_ms=6000, **more)
 
 
+def start_short_runs(site, _vms):
+    """Has many starts at once leave idle connections to each worker."""
+    site.submit("eeee000000000000", 100, {"count": 90, "cpu": 4000, "gpu": 1,
+                                          "estimate_ms": 100})
+
+
+def kill_worker_connections(site, _vms):
+    site.kill_connections(site.worker_ports)
+
+
+def kill_store_connections(site, vms):
+    site.kill_connections(site.stores[vm] for vm in vms)
+
+
 SILENT_KEY = [(0, "all", fault("watch", "silent", prefix=SCHEDULER, for_ms=500))]
 # Besides, cheap reads are old. Until they show the key, each of them renews the watch.
 DEAF = [(0, "all", fault("list", "stale", delay_ms=5000)),
         (6, "all", fault("watch", "silent", prefix=SCHEDULER, for_ms=500))]
 CANCELS = [0.5, 2, 3.5, 5, 7]
+# The connections die at 1.5 s.
+DEAD_CANCELS = [1.5, 1.8, 2.5, 3.5, 4.5]
 DEAF_CANCELS = [9.5, 10.5, 12, 13.5, 15]
 ROWS = [
     Row("the scheduler is killed while its key's watches are silent and reads old",
@@ -201,6 +225,19 @@
     Row("the scheduler is killed, its key's watches are silent, reads up to date",
         SILENT_KEY + [(4, "scheduler", signal.SIGKILL)], [4.5, 6, 7.5, 9], 4,
         lease_ms=10000),
+    Row("the kept connections to all workers are dead for good",
+        [(0, "all", start_short_runs), (1.5, "all", kill_worker_connections)],
+        DEAD_CANCELS, None),
+    *[Row(f"the kept connections to all workers are dead for good, one run on each, "
+          f"cancelled after {after_s} s",
+          [(0, "all", start_short_runs), (1.5, "all", kill_worker_connections)],
+          [1.6 + after_s], None, is_spread=True) for after_s in (0, 1, 2)],
+    Row("the scheduler's kept connections to the store are dead for good",
+        [(0, "all", start_short_runs), (1.5, "scheduler", kill_store_connections)],
+        DEAD_CANCELS, None),
+    Row("all VMs' kept connections to the store are dead for good",
+        [(0, "all", start_short_runs), (1.5, "all", kill_store_connections)],
+        DEAD_CANCELS, None),
     Row("the scheduler ends by itself", [(0.5, "scheduler", signal.SIGABRT)],
         [0, 0.4, 0.6, 0.8, 1.2, 2], None),
     Row("no fault", [], [0, 0.7, 1.4], None),
--- a/tests/platform/entry_site.py
+++ b/tests/platform/entry_site.py
@@ -113,6 +113,7 @@
         own = stores + workers  # Ports of the stand-in.
         ports = free_ports(own + 4 * vms)
         self.stores, self.store = ports[:stores], ports[0]
+        self.worker_ports = ports[stores:own]
         self.processes = [
             start_standin(build, f"{workers_per_rack},{lease_ms}", ports[:own], stores)]
         self.vms = []
@@ -133,6 +134,10 @@
         return next((vm for vm in self.vms
                      if vm.process.poll() is None and vm.schedules()), None)
 
+    def kill_connections(self, ports):
+        """Has the connections to these ports of the stand-in stay silent for good."""
+        call(self.store, "POST", "/kill-connections", {"ports": [str(port) for port in ports]})
+
     def traces(self, job=""):
         """Returns all runs so far of jobs whose id begins with job."""
         rows = call(self.store, "GET", "/traces")[1]
--- a/tests/platform/platform-standin.cpp
+++ b/tests/platform/platform-standin.cpp
@@ -5,8 +5,9 @@
  * the operator does, POST /busy has the store answer 503 for a time, and POST /leave
  * ends a worker, whose port is closed then. The store may have several ports;
  * POST /store-fault adds a fault of one (DecodeStoreFault). WorkerFaults.h has the
- * faults of workers.
+ * faults of workers, DeadConnections.h the one of connections.
  */
+#include "DeadConnections.h"
 #include "StoreFaults.h"
 #include "WorkerFaults.h"
 #include "base/JsonText.h"
@@ -428,6 +429,7 @@
       faults.Forget(aWorker);
       endWorker(aWorker);
     });
+  dead_connections connections;
   server_limits limits;
   limits.mBodyBytes = 1'000'000;
   const auto address = [&](int aNumber) {
@@ -440,8 +442,15 @@
       context,
       [&, port](const server_request& aRequest,
                 const single_thread_server::respond& aRespond) {
-        if (!faults.ServeControl(aRequest, aRespond)) {
-          storeHandler.Serve(port, aRequest, aRespond);
+        if (!faults.ServeControl(aRequest, aRespond) &&
+            !connections.ServeControl(aRequest, aRespond)) {
+          connections.Serve(port,
+                            aRequest,
+                            aRespond,
+                            [&](const server_request& aServed,
+                                const single_thread_server::respond& aAnswer) {
+                              storeHandler.Serve(port, aServed, aAnswer);
+                            });
         }
       }));
     storeServers.back()->SetLimits(limits);
@@ -458,9 +467,15 @@
     beginWorker(id);
     servers[id] = std::make_unique<single_thread_server>(
       context,
-      [&faults, id](const server_request& aRequest,
-                    const single_thread_server::respond& aRespond) {
-        faults.Serve(id, aRequest, aRespond);
+      [&, id, port = std::string(aArguments[number])](
+        const server_request& aRequest, const single_thread_server::respond& aRespond) {
+        connections.Serve(port,
+                          aRequest,
+                          aRespond,
+                          [&](const server_request& aServed,
+                              const single_thread_server::respond& aAnswer) {
+                            faults.Serve(id, aServed, aAnswer);
+                          });
       });
     if (const auto listening = servers.at(id)->Listen(address(number)); !listening) {
       std::fprintf(stderr, "%s\n", Describe(listening.error()).c_str());
