Known red: a term changes over and over although no VM does better

Callers: with 11 of 20 workers crashed or cut off from all VMs, and their entries still listed, the scheduler is relieved every 3 to 4 s. Each term assumes that the leases of silent workers may last 10 s more, so that the runs on them are never given up and their tasks don't start elsewhere. The same change of terms goes on while workers answer holds with an error.

No logic is changed.

--- a/tests/StandbyTest.cpp
+++ b/tests/StandbyTest.cpp
@@ -168,3 +168,60 @@
     CHECK((site.SchedulerVm() == unable) == (up == 2));
   }
 }
+
+// Guards against terms that change over and over, so that no lease is ever over.
+TEST_CASE("tasks of workers that no VM reaches start elsewhere", "[standby][known-red]")
+{
+  const bool isCrash = GENERATE(true, false);
+  CAPTURE(isCrash);
+  fake_installation site(4, 20);
+  site.mBehaviourByPayload["long"] = { duration(120'000), false };
+  site.mLoop.RunFor(duration(3'000));
+  auto job = fake_installation::MakeJob(kJob, 3);
+  job.mSpec.mPayload = "long";
+  job.mSpec.mSteps.front().mPerTask.mAccelerators = 8;
+  REQUIRE(site.Submit("vm1", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(3'000));
+  REQUIRE(site.CountStarts(kJob) == 3);
+  // Eleven of 20 workers, whose entries stay in the list.
+  std::vector<std::string> lost;
+  for (const auto& [id, worker] : site.mWorkers) {
+    if (id.compare(0, 2, "w1") == 0) {
+      lost.push_back(id);
+    }
+  }
+  REQUIRE(lost.size() == 11);
+  const auto lostRuns = static_cast<size_t>(
+    std::count_if(site.mTraces.begin(), site.mTraces.end(), [&](const auto& aTrace) {
+      return std::count(lost.begin(), lost.end(), aTrace.mWorker) != 0;
+    }));
+  REQUIRE(lostRuns > 0);
+  for (const auto& id : lost) {
+    if (isCrash) {
+      site.mWorkers.erase(id);
+      continue;
+    }
+    for (const auto& vm : VmNames(4)) {
+      site.mFaults.mBlockedLinks.insert({ vm, id });
+    }
+  }
+  site.mLoop.RunFor(duration(20'000));
+  CHECK(site.CountStarts(kJob) == 3 + lostRuns);
+  CHECK(site.mLog.CountLines("event=scheduler_won") == 1);
+}
+
+// Guards against a check of other VMs that asks for less than the scheduler's own.
+TEST_CASE("a scheduler is kept while workers refuse the holds of all VMs",
+          "[standby][known-red]")
+{
+  fake_installation site(4, 8);
+  BeginRuns(site, 8, false);
+  site.mFaults.mFateOfOrder = [](const std::string& aWorker,
+                                 const std::string& aOrder) {
+    order_fate refused;
+    refused.mIsRefused = aOrder == "hold" && aWorker < "w5";
+    return refused;
+  };
+  site.mLoop.RunFor(duration(20'000));
+  CHECK(site.mLog.CountLines("event=scheduler_won") == 1);
+}
