Known red: a scheduler is relieved by VMs that can't take over

Callers: while cancellations can be listed, but the whole inbox can't, a VM finds itself fit, relieves the scheduler and gives way after 1 s, as a takeover needs the whole inbox. Nobody holds the runs.

Seen: 23 terms in 30 s, all six runs of a gang ended. A fault of the fake store can be confined to one exact key or prefix; other tests don't use it.

No logic is changed.

--- a/tests/StandbyTest.cpp
+++ b/tests/StandbyTest.cpp
@@ -225,3 +225,21 @@
   site.mLoop.RunFor(duration(20'000));
   CHECK(site.mLog.CountLines("event=scheduler_won") == 1);
 }
+
+// Guards against a check of other VMs that asks for less than a takeover reads.
+TEST_CASE("runs are held while no VM can list the whole inbox", "[standby][known-red]")
+{
+  fake_installation site(4, 8);
+  BeginRuns(site, 6, true);
+  const auto scheduler = site.SchedulerVm();
+  // Cancellations can still be listed by themselves.
+  store_fault refused{
+    fate::kRefused, "", { call::kList, call::kWatch }, store_keys::kInbox
+  };
+  refused.mIsExact = true;
+  site.mFaults.mStoreFaults.push_back(refused);
+  site.mLoop.RunFor(duration(30'000));
+  CHECK(site.SchedulerVm() == scheduler);
+  CHECK(site.mLog.CountLines("event=scheduler_won") == 1);
+  CHECK(CountEnded(site) == 0);
+}
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -121,7 +121,8 @@
       const bool isAffected =
         (fault.mVm.empty() || fault.mVm == mName) &&
         (fault.mCalls.empty() || fault.mCalls.count(aCall) != 0) &&
-        aKey.compare(0, fault.mPrefix.size(), fault.mPrefix) == 0;
+        aKey.compare(0, fault.mPrefix.size(), fault.mPrefix) == 0 &&
+        (!fault.mIsExact || aKey.size() == fault.mPrefix.size());
       if (isAffected && aFates.count(fault.mFate) != 0 && fault.mCallsLeft > 0 &&
           mLoop.Now() < fault.mUntil && ++fault.mCallsSeen % fault.mEvery == 0) {
         --fault.mCallsLeft;
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -61,7 +61,8 @@
   int mCallsLeft = std::numeric_limits<int>::max(); ///< How many calls it affects.
   int mEvery = 1; ///< It affects every mEvery-th call; the others go to later faults.
   duration mDelay{ 0 };
-  int mCallsSeen = 0; ///< Calls that matched so far.
+  int mCallsSeen = 0;    ///< Calls that matched so far.
+  bool mIsExact = false; ///< Whether mPrefix is the whole key or prefix of the call.
 
   auto operator<=>(const store_fault&) const = default;
 };
