Known red: a relieved scheduler's runs start again while it holds them

Callers: two data centres don't reach each other, both reach the store. The scheduler reaches a third of the workers and is relieved by a VM that reaches the rest. Its renewals succeed, as the lease lives on without its key, so it goes on to hold its workers. It learns of its successor by a cheap read, which may be 5 s old; the successor counts on 4 s. The tasks start again beside their first runs (TWICE).

No logic is changed.

--- a/tests/StandbyTest.cpp
+++ b/tests/StandbyTest.cpp
@@ -243,3 +243,56 @@
   CHECK(site.mLog.CountLines("event=scheduler_won") == 1);
   CHECK(CountEnded(site) == 0);
 }
+
+// Guards against a former scheduler whose lease is renewed although its key is gone.
+TEST_CASE("a relieved scheduler holds no run longer than its successor assumes",
+          "[standby][known-red]")
+{
+  struct row
+  {
+    std::string mName;
+    duration mReadAge{ 0 };
+    bool mLosesProbes = false; ///< Reads that may be stale aren't answered.
+  };
+  const auto each = GENERATE(values<row>({
+    { "reads of the present", duration(0), false },
+    { "reads 5 s old", duration(5'000), false },
+    { "no cheap reads", duration(0), true },
+  }));
+  CAPTURE(each.mName);
+  fake_installation site(4, 6);
+  site.mBehaviourByPayload["long"] = { duration(120'000), false };
+  site.mLoop.RunFor(duration(3'000));
+  auto job = fake_installation::MakeJob(kJob, 2);
+  job.mSpec.mPayload = "long";
+  job.mSpec.mSteps.front().mPerTask.mAccelerators = 8;
+  REQUIRE(site.Submit("vm1", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(3'000));
+  REQUIRE(site.CountStarts(kJob) == 2);
+  // Two data centres that don't reach each other; both reach the store.
+  const auto cut = site.SchedulerVm();
+  std::set<std::string> near;
+  for (const auto& trace : site.mTraces) {
+    near.insert(trace.mWorker);
+  }
+  for (const auto& [id, worker] : site.mWorkers) {
+    const bool isOfCut = near.count(id) != 0;
+    for (const auto& vm : VmNames(4)) {
+      if ((vm == cut) != isOfCut) {
+        site.mFaults.mBlockedLinks.insert({ vm, id });
+      }
+    }
+  }
+  for (const auto& vm : VmNames(4)) {
+    site.mFaults.mBlockedLinks.insert({ cut, vm });
+    site.mFaults.mBlockedLinks.insert({ vm, cut });
+  }
+  site.mFaults.mStaleReadAge = each.mReadAge;
+  if (each.mLosesProbes) {
+    site.mFaults.mStoreFaults.push_back({ fate::kUnsent, cut, { call::kStaleList } });
+  }
+  site.mLoop.RunFor(duration(25'000));
+  CHECK(site.mLog.CountLines("answer=relieved") == 1);
+  CHECK(site.MaxConcurrentRuns() == 1);
+  CHECK(!site.Node(cut).Scheduler().Active());
+}
