A relieved term ends before its successor counts on it

Callers: two data centres that don't reach each other, both reach the store; the scheduler reaches a third of the workers and is relieved.

Cause: the key was removed but its lease lived on. Renewals succeeded and extended the requests of the term; only a cheap read, which may be 5 s old or fail, told of the later term, and the successor counts on 4 s. Change: the impaired term names its lease. Who is elected after an impaired term ends that lease first, so that the next renewal fails. An impaired term sends requests for 4 s after its last renewal, without the time for which a lease outlasts it, so that it is over 4 s after its lease has been ended, however its calls to the store fare.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -58,7 +58,8 @@
       aOptions.mScheduler,
       [this](const std::string& aReason) { mElection.StepDown(aReason); },
       [this](const std::string& aReason) { mElection.GiveWay(aReason); },
-      [this](const std::string& aReason) { mElection.StopRenewing(aReason); })
+      [this](const std::string& aReason) { mElection.StopRenewing(aReason); },
+      [this](bool aIsRelievable) { mElection.SetImpaired(aIsRelievable); })
   , mElection(
       aPorts.mLoop,
       aPorts.mStore,
@@ -79,8 +80,12 @@
             mStoreAnsweredAt = mPorts.mLoop.Now();
           }
         } })
-  , mStandby(
-      { aPorts.mLoop, aPorts.mStore, aPorts.mWorkers, aPorts.mDirectory, aPorts.mLog })
+  , mStandby({ aPorts.mLoop,
+               aPorts.mStore,
+               aPorts.mWorkers,
+               aPorts.mDirectory,
+               aPorts.mLog,
+               [this] { return MayRelieve(); } })
   , mJobs({ aPorts.mLoop,
             aPorts.mStore,
             aPorts.mPeers,
@@ -160,12 +165,17 @@
 
 void entry_node::ObserveImpairment(const stored_range& aRange)
 {
-  const auto& term = mElection.Current();
-  if (term.mFence != 0 && !mElection.IsHolder() && !mDraining && mPolicy.Current()) {
-    mStandby.Observe(term, aRange);
+  if (MayRelieve()) {
+    mStandby.Observe(mElection.Current(), aRange);
   }
 }
 
+bool entry_node::MayRelieve() const
+{
+  return mElection.Current().mFence != 0 && !mElection.IsHolder() && !mDraining &&
+         mPolicy.Current();
+}
+
 duration entry_node::ExtraElectionDelay(const scheduler_term& aPredecessor) const
 {
   const bool isUnfit = !mPolicy.Current() || mHadImpairedTerm ||
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -86,6 +86,8 @@
   void EndTerm();
   /** Relieves the scheduler if aRange says that it can't do its work. */
   void ObserveImpairment(const stored_range& aRange);
+  /** Returns whether this VM may relieve the scheduler that it knows. */
+  bool MayRelieve() const;
   /** Returns how much longer than others this VM waits before it tries to be elected.
    */
   duration ExtraElectionDelay(const scheduler_term& aPredecessor) const;
--- a/src/entry/Standby.cpp
+++ b/src/entry/Standby.cpp
@@ -9,8 +9,11 @@
 
 namespace {
 
-/** Shortest time between two checks. */
-constexpr duration kCheckPeriod{ 1'000 };
+/** Delay between a check that found this VM fit and the one that confirms it. */
+constexpr duration kConfirmationDelay{ 700 };
+/** Delays after checks that found this VM unfit: the first, doubled up to the last. */
+constexpr duration kMinCheckDelay{ 1'000 };
+constexpr duration kMaxCheckDelay{ 16'000 };
 /** Workers that a check probes at most, spread over the list. */
 constexpr size_t kMaxProbes = 12;
 
@@ -34,19 +37,25 @@
       impaired->mImpairment == impairment::kNone) {
     return;
   }
-  mImpairedFence = impaired->mFence;
-  const bool wasJustChecked =
-    mCheckedAt != time_point(0) && mPorts.mLoop.Now() - mCheckedAt < kCheckPeriod;
-  if (mIsChecking || wasJustChecked) {
+  if (std::exchange(mImpairedFence, impaired->mFence) != impaired->mFence) {
+    mCheckDelay = duration::zero();
+    mMayCheckFrom = time_point(0);
+  }
+  if (mIsChecking || mPorts.mLoop.Now() < mMayCheckFrom) {
     return;
   }
   mIsChecking = true;
-  mCheckedAt = mPorts.mLoop.Now();
-  const auto begun = std::make_shared<check>();
-  begun->mTerm = aTerm;
-  begun->mImpaired = *impaired;
-  begun->mRevision = item->mRevision;
-  ReadRecords(begun, { store_keys::kInbox, store_keys::kProgress });
+  check first;
+  first.mTerm = aTerm;
+  first.mImpaired = *impaired;
+  first.mRevision = item->mRevision;
+  Begin(first);
+}
+
+void standby::Begin(const check& aCheck)
+{
+  ReadRecords(std::make_shared<check>(aCheck),
+              { store_keys::kInbox, store_keys::kProgress });
 }
 
 void standby::ReadRecords(const std::shared_ptr<check>& aCheck,
@@ -95,6 +104,7 @@
   for (size_t probe = 0; probe < probes; ++probe) {
     const auto& worker = aWorkers[probe * aWorkers.size() / probes];
     mPorts.mWorkers.Probe({ worker.mId, worker.mAddress },
+                          aCheck->mTerm.mFence,
                           [this, aCheck](const bool& aIsReached) {
                             aCheck->mReach.mReached += aIsReached ? 1 : 0;
                             if (--aCheck->mPendingProbes == 0) {
@@ -114,7 +124,6 @@
 
 void standby::Finish(const check& aCheck, bool aIsFit)
 {
-  mIsChecking = false;
   const bool isFirst =
     std::exchange(mCheckedFence, aCheck.mTerm.mFence) != aCheck.mTerm.mFence;
   if (isFirst || aIsFit) {
@@ -126,7 +135,19 @@
                         .Add("reached", static_cast<int64_t>(aCheck.mReach.mReached))
                         .Add("fit", aIsFit ? 1 : 0));
   }
-  if (aIsFit) {
+  if (aIsFit && !aCheck.mIsSecond) {
+    check second;
+    second.mTerm = aCheck.mTerm;
+    second.mImpaired = aCheck.mImpaired;
+    second.mRevision = aCheck.mRevision;
+    second.mIsSecond = true;
+    mPorts.mLoop.RunAfter(kConfirmationDelay, [this, second] { Begin(second); });
+    return;
+  }
+  mIsChecking = false;
+  mCheckDelay = std::clamp(2 * mCheckDelay, kMinCheckDelay, kMaxCheckDelay);
+  mMayCheckFrom = mPorts.mLoop.Now() + mCheckDelay;
+  if (aIsFit && mPorts.mMayRelieve()) {
     mFitFence = aCheck.mTerm.mFence;
     RemoveKey(aCheck);
   }
--- a/src/entry/Standby.h
+++ b/src/entry/Standby.h
@@ -8,8 +8,10 @@
 #include "scheduler/TermHealth.h"
 #include "store/TransactionStore.h"
 
+#include <functional>
 #include <memory>
-#include <optional>
+#include <string>
+#include <vector>
 
 namespace anvildoor {
 
@@ -30,6 +32,7 @@
     run_port& mWorkers;
     worker_directory& mDirectory;
     event_log& mLog;
+    std::function<bool()> mMayRelieve; ///< Whether this VM may become the scheduler.
   };
 
   explicit standby(const ports& aPorts)
@@ -40,8 +43,9 @@
   /**
    * Applies a list of the keys that begin with the scheduler's. aTerm is the term of
    * another VM that is known to this one. Begins a check of this VM if the list says
-   * that this term is impaired and no check of it has been made just before. The list
-   * may be old: the key is removed only if the store still says the same.
+   * that this term is impaired, less often the more checks of it have found this VM
+   * unfit. The list may be old: the key is removed only if the store still says the
+   * same, and two checks have found this VM fit.
    */
   void Observe(const scheduler_term& aTerm, const stored_range& aKeys);
 
@@ -61,10 +65,12 @@
     scheduler_term mTerm;
     impaired_term mImpaired;
     uint64_t mRevision = 0; ///< Of the key that says so.
+    bool mIsSecond = false; ///< Confirms a first one that found this VM fit.
     size_t mPendingProbes = 0;
     worker_reach mReach; ///< Of this VM, in a sample of the workers.
   };
 
+  void Begin(const check& aCheck);
   /** Reads what a takeover has to read, one of aPrefixes after the other. */
   void ReadRecords(const std::shared_ptr<check>& aCheck,
                    std::vector<std::string> aPrefixes);
@@ -76,13 +82,17 @@
    * the scheduler by its reach, or, if the scheduler can't read, not clearly worse.
    */
   static bool IsFit(const check& aCheck);
-  /** Ends the check, and logs the first of a term; with aIsFit, removes its key. */
+  /**
+   * Ends the check, and logs it if it is the first of a term or aIsFit. With aIsFit,
+   * begins the second check, or removes the key after it.
+   */
   void Finish(const check& aCheck, bool aIsFit);
   void RemoveKey(const check& aCheck);
 
   ports mPorts;
   bool mIsChecking = false;
-  time_point mCheckedAt{ 0 };
+  time_point mMayCheckFrom{ 0 };
+  duration mCheckDelay{ 0 };   ///< Between the last check and the next one.
   uint64_t mCheckedFence = 0;  ///< Of the term that was checked last.
   uint64_t mImpairedFence = 0; ///< Of the last term known to be impaired.
   uint64_t mFitFence = 0;      ///< Of the last impaired term that this VM can replace.
--- a/src/runs/RunPort.h
+++ b/src/runs/RunPort.h
@@ -138,10 +138,13 @@
     OnHold(aRequest, std::move(aDone));
   }
 
-  /** Passes on whether a worker can be reached. Changes nothing at the worker. */
-  void Probe(const worker_address& aWorker, done<bool> aDone)
+  /**
+   * Passes on whether a worker can be reached. Changes nothing at the worker. aFence is
+   * the fencing token of the current term, so that the worker doesn't refuse it.
+   */
+  void Probe(const worker_address& aWorker, uint64_t aFence, done<bool> aDone)
   {
-    OnProbe(aWorker, std::move(aDone));
+    OnProbe(aWorker, aFence, std::move(aDone));
   }
 
 protected:
@@ -150,7 +153,9 @@
   virtual void OnStop(const stop_run_request& aRequest,
                       done<run_request_status> aDone) = 0;
   virtual void OnHold(const hold_request& aRequest, done<hold_reply> aDone) = 0;
-  virtual void OnProbe(const worker_address& aWorker, done<bool> aDone) = 0;
+  virtual void OnProbe(const worker_address& aWorker,
+                       uint64_t aFence,
+                       done<bool> aDone) = 0;
 };
 
 } // namespace anvildoor
--- a/src/scheduler/Election.cpp
+++ b/src/scheduler/Election.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/Election.h"
 
 #include "scheduler/StoreKeys.h"
+#include "scheduler/TermHealth.h"
 
 #include <algorithm>
 #include <cmath>
@@ -39,9 +40,25 @@
   term.mAddress = text["address"].get<std::string>();
   term.mFence = aItem.mCreateRevision;
   term.mRevision = aItem.mRevision;
+  term.mLease = aItem.mLease;
   return term;
 }
 
+/**
+ * Returns the lease of the last term that the store shows as impaired; 0 if there is
+ * none. Its key may have been removed while the lease is still renewed.
+ */
+uint64_t FindImpairedLease(const stored_range& aKeys)
+{
+  for (const auto& item : aKeys.mItems) {
+    if (item.mKey == store_keys::kImpairedTerm) {
+      const auto term = DecodeImpairedTerm(item.mValue);
+      return term && term->mImpairment != impairment::kNone ? term->mLease : 0;
+    }
+  }
+  return 0;
+}
+
 } // namespace
 
 duration ElectionDelay(const std::string& aVm, const vm_size& aSize)
@@ -141,6 +158,7 @@
     return;
   }
   LogMissingScheduler();
+  mImpairedLease = FindImpairedLease(*aRead);
   mCurrent = scheduler_term();
   if (mResigned) {
     ReadKeyAfter(mTimes.mTtl);
@@ -162,11 +180,33 @@
   const auto generation = mGeneration;
   mLoop.RunAfter(delay, [this, generation] {
     if (generation == mGeneration && !mResigned) {
-      RequestLease(mLoop.Now());
+      EndImpairedLease(mLoop.Now());
     }
   });
 }
 
+void scheduler_election::EndImpairedLease(time_point aBegunAt)
+{
+  if (mImpairedLease == 0) {
+    RequestLease(aBegunAt);
+    return;
+  }
+  const auto generation = ++mGeneration;
+  mStore.EndLease(mImpairedLease,
+                  [this, generation, aBegunAt](const result<uint64_t>& aEnded) {
+                    if (generation != mGeneration) {
+                      return;
+                    }
+                    if (!aEnded && aEnded.error().mCode != error_code::kNotFound) {
+                      RepeatStep(aEnded.error(), aBegunAt, [this, aBegunAt] {
+                        EndImpairedLease(aBegunAt);
+                      });
+                      return;
+                    }
+                    RequestLease(aBegunAt);
+                  });
+}
+
 void scheduler_election::LogMissingScheduler()
 {
   if (mCurrent.mFence == 0) {
@@ -307,6 +347,8 @@
   mCurrent = mSelf;
   mCurrent.mFence = aFence;
   mCurrent.mRevision = aRevision;
+  mCurrent.mLease = mLeaseId;
+  mIsImpaired = false;
   mRequestDeadline = aLeaseRequestedAt + mTimes.mTtl + mTimes.mRequestGrace;
   mIsOnGrace = false;
   mLog.Write(log_event("scheduler_won").Add("fence", static_cast<int64_t>(aFence)));
@@ -366,14 +408,28 @@
         return;
       }
       if (aRenewal) {
-        const auto until = sentAt + mTimes.mTtl + mTimes.mRequestGrace;
-        mRequestDeadline = std::max(mRequestDeadline, until);
+        mRequestDeadline = std::max(mRequestDeadline, RequestDeadlineAfter(sentAt));
       } else if (number == mRenewalNumber) {
         RepeatRenewal();
       }
     });
 }
 
+time_point scheduler_election::RequestDeadlineAfter(time_point aRenewedAt) const
+{
+  // The key of an impaired term may be gone before its lease.
+  const auto keyOutlasts = mIsImpaired ? duration::zero() : mTimes.mTtl;
+  return aRenewedAt + keyOutlasts + mTimes.mRequestGrace;
+}
+
+void scheduler_election::SetImpaired(bool aIsImpaired)
+{
+  mIsImpaired = aIsImpaired;
+  if (mIsImpaired) {
+    mRequestDeadline = std::min(mRequestDeadline, RequestDeadlineAfter(mLoop.Now()));
+  }
+}
+
 void scheduler_election::RepeatRenewal()
 {
   const auto generation = mGeneration;
--- a/src/scheduler/Election.h
+++ b/src/scheduler/Election.h
@@ -63,6 +63,7 @@
   std::string mAddress;   ///< Address for calls from peers, "IP:port".
   uint64_t mFence = 0;    ///< Fencing token, rises with each term; 0: no scheduler.
   uint64_t mRevision = 0; ///< Revision of the key, for write conditions.
+  uint64_t mLease = 0;    ///< Lease of the key.
 
   auto operator<=>(const scheduler_term&) const = default;
 };
@@ -129,6 +130,13 @@
    */
   void StopRenewing(const std::string& aReason);
 
+  /**
+   * Sets whether another VM may remove the key of this VM's term, and end its lease,
+   * because the term is impaired. Must be called with true before the store says so,
+   * and with false once it no longer does.
+   */
+  void SetImpaired(bool aIsImpaired);
+
   bool IsHolder() const { return mIsHolder; }
 
   /** Returns the time until which requests may be sent under this VM's term. */
@@ -144,6 +152,11 @@
   void Follow(const stored_item& aItem, uint64_t aRevision);
   void Watch(uint64_t aRevision);
   void RequestLeaseAfterExtraDelay();
+  /**
+   * Ends the lease of a former term that was impaired, so that its VM, whose renewals
+   * fail then, sends no requests longer than after a lease that has expired.
+   */
+  void EndImpairedLease(time_point aBegunAt);
   void RequestLease(time_point aBegunAt);
   void CreateKey(uint64_t aLease, time_point aRequestedAt, time_point aBegunAt);
   /** Repeats a step of an election that failed, or begins with the read of the key. */
@@ -156,6 +169,8 @@
   void ScheduleRenewal();
   void Renew();
   void SendRenewal();
+  /** Returns until when requests may be sent if the lease was renewed at aRenewedAt. */
+  time_point RequestDeadlineAfter(time_point aRenewedAt) const;
   /** Sends the renewal that has just failed again, unless the next one comes first. */
   void RepeatRenewal();
   void EndTerm(const std::string& aReason);
@@ -175,10 +190,12 @@
   scheduler_term mCurrent;
   scheduler_term mLastKnown; ///< Like mCurrent, but kept after the end of the term.
   bool mIsHolder = false;
+  bool mIsImpaired = false; ///< See SetImpaired.
   bool mIsRenewing = false; ///< Whether the lease of this VM's term is renewed.
   bool mResigned = false;
   bool mIsStoreReachable = true;
   uint64_t mLeaseId = 0;
+  uint64_t mImpairedLease = 0; ///< See EndImpairedLease; 0: none.
   uint64_t mRenewalNumber = 0; ///< Counts the renewals that were sent.
   /** Rises with each change of role; callbacks of older generations do nothing. */
   uint64_t mGeneration = 0;
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -37,12 +37,14 @@
                                  const scheduler_bounds& aBounds,
                                  std::function<void(const std::string&)> aOnFenced,
                                  std::function<void(const std::string&)> aOnIncapable,
-                                 std::function<void(const std::string&)> aOnImpaired)
+                                 std::function<void(const std::string&)> aOnImpaired,
+                                 std::function<void(bool)> aOnRelievable)
   : mPorts(aPorts)
   , mBounds(aBounds)
   , mOnFenced(std::move(aOnFenced))
   , mOnIncapable(std::move(aOnIncapable))
   , mOnImpaired(std::move(aOnImpaired))
+  , mOnRelievable(std::move(aOnRelievable))
   , mPolicy(std::make_shared<fleet_policy>())
   , mWriter(aPorts.mLoop,
             aPorts.mStore,
@@ -264,7 +266,8 @@
     return mIsIntakeClosed ? store_keys::kIntakeClosed : store_keys::kIntakeOpen;
   }
   if (aKey == store_keys::kImpairedTerm) {
-    return EncodeImpairedTerm({ mTerm.mFence, mImpairment, ReachOfWorkers() });
+    return EncodeImpairedTerm(
+      { mTerm.mFence, mImpairment, ReachOfWorkers(), mTerm.mLease });
   }
   const auto id = store_keys::StripPrefix(aKey, store_keys::kProgress);
   assert(id);
@@ -427,7 +430,14 @@
       .Add("list_age_ms", observation.mListAge.count())
       .Add("reached", static_cast<int64_t>(observation.mReach.mReached))
       .Add("workers", static_cast<int64_t>(observation.mReach.mListed)));
-  mWriter.Write(store_keys::kImpairedTerm, record_writer::urgency::kImmediate, nullptr);
+  if (judged != impairment::kNone) {
+    mOnRelievable(true);
+  }
+  mWriter.Write(store_keys::kImpairedTerm, record_writer::urgency::kImmediate, [this] {
+    if (mImpairment == impairment::kNone) {
+      mOnRelievable(false);
+    }
+  });
 }
 
 worker_reach fleet_scheduler::ReachOfWorkers() const
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -69,13 +69,16 @@
   /**
    * aOnFenced ends the term because another VM has a later one, aOnIncapable because
    * another VM may do the work that this one can't. aOnImpaired lets the term run out:
-   * this VM holds the runs, but can't do a part of its work.
+   * this VM holds the runs, but can't do a part of its work. aOnRelievable is called
+   * with true before the store says that the term is impaired, so that other VMs may
+   * end it, and with false once the store no longer does.
    */
   fleet_scheduler(const scheduler_ports& aPorts,
                   const scheduler_bounds& aBounds,
                   std::function<void(const std::string& aReason)> aOnFenced,
                   std::function<void(const std::string& aReason)> aOnIncapable,
-                  std::function<void(const std::string& aReason)> aOnImpaired);
+                  std::function<void(const std::string& aReason)> aOnImpaired,
+                  std::function<void(bool aIsRelievable)> aOnRelievable);
   ~fleet_scheduler();
 
   /**
@@ -367,6 +370,7 @@
   std::function<void(const std::string&)> mOnFenced;
   std::function<void(const std::string&)> mOnIncapable;
   std::function<void(const std::string&)> mOnImpaired;
+  std::function<void(bool)> mOnRelievable;
   std::function<time_point()> mRequestDeadline;
   std::shared_ptr<const fleet_policy> mPolicy;
   record_writer mWriter;
--- a/src/scheduler/TermHealth.cpp
+++ b/src/scheduler/TermHealth.cpp
@@ -56,7 +56,8 @@
     { "fence", aTerm.mFence },
     { "impairment", ToString(aTerm.mImpairment) },
     { "listed", aTerm.mReach.mListed },
-    { "reached", aTerm.mReach.mReached }
+    { "reached", aTerm.mReach.mReached },
+    { "lease", aTerm.mLease }
   }.dump();
 }
 
@@ -67,7 +68,7 @@
     return text.contains(aName) && text[aName].is_number_unsigned();
   };
   if (!text.is_object() || !hasNumber("fence") || !hasNumber("listed") ||
-      !hasNumber("reached") || !text.contains("impairment")) {
+      !hasNumber("reached") || !hasNumber("lease") || !text.contains("impairment")) {
     return std::nullopt;
   }
   const auto found =
@@ -80,7 +81,8 @@
   return impaired_term{ text["fence"].get<uint64_t>(),
                         *found,
                         { text["listed"].get<uint64_t>(),
-                          text["reached"].get<uint64_t>() } };
+                          text["reached"].get<uint64_t>() },
+                        text["lease"].get<uint64_t>() };
 }
 
 void term_health::Begin()
@@ -91,7 +93,8 @@
 impairment term_health::Observe(const term_observation& aObservation)
 {
   const auto judged = Judge(aObservation);
-  if (judged == std::exchange(mLast, judged)) {
+  const bool isRepeated = judged == std::exchange(mLast, judged);
+  if (isRepeated || judged == impairment::kNone) {
     mConfirmed = judged;
   }
   return mConfirmed;
--- a/src/scheduler/TermHealth.h
+++ b/src/scheduler/TermHealth.h
@@ -43,6 +43,7 @@
   uint64_t mFence = 0; ///< The term's fencing token.
   impairment mImpairment = impairment::kNone;
   worker_reach mReach; ///< Of the scheduler's VM.
+  uint64_t mLease = 0; ///< The term's lease at the store.
 
   auto operator<=>(const impaired_term&) const = default;
 };
@@ -65,8 +66,8 @@
 
 /**
  * Judges from regular observations whether the VM of a scheduler can do its work. A
- * single observation decides nothing, as a process that stood still sees old answers
- * only. Reads no clock; not thread-safe.
+ * single observation shows no impairment, as a process that stood still sees old
+ * answers only; a single sound one ends it. Reads no clock; not thread-safe.
  */
 class term_health
 {
@@ -74,7 +75,7 @@
   /** Forgets all observations. */
   void Begin();
 
-  /** Takes one observation and returns the impairment that it and the last one show. */
+  /** Takes one observation and returns the impairment that is shown by now. */
   impairment Observe(const term_observation& aObservation);
 
 private:
