--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -453,7 +453,12 @@
       [this, answered, done = std::move(aDone)](const hold_reply& aReply) {
         if (!*answered) {
           *answered = true;
-          RunLater([done, aReply] { done(aReply); });
+          RunLater([this, done, aReply] {
+            for (const auto& end : aReply.mEnded) {
+              mSite.mListedAt.emplace(std::pair(end.mTask, end.mRun), mLoop.Now());
+            }
+            done(aReply);
+          });
         }
       };
     mLoop.RunAfter(aRequest.mWait + kCallTimeout, [answer] { answer(hold_reply()); });
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -180,6 +180,8 @@
   recording_log mLog;
   std::vector<run_trace> mTraces;
   size_t mHoldCalls = 0; ///< Hold calls that reached a worker.
+  /** When a VM that was up first received the list with the end of a run. */
+  std::map<std::pair<task_ref, uint32_t>, time_point> mListedAt;
   gang_registry mGangs{ mLoop };
   std::map<std::string, std::unique_ptr<run_worker>> mWorkers;
   /** Behaviour of runs by the payload of their job. */
