--- a/tests/DataCentreCutTest.cpp
+++ b/tests/DataCentreCutTest.cpp
@@ -17,6 +17,9 @@
 /** For this long after its end a disruption counts as going on. */
 constexpr duration kContactTime{ 3'000 };
 
+/** Delay before a cancellation is sent to the next VM. */
+constexpr duration kRetryDelay{ 100 };
+
 constexpr size_t kVms = 7;
 constexpr size_t kWorkers = 24;
 constexpr size_t kWorkersPerRack = 4;
@@ -249,10 +252,9 @@
   /** Cancels at one VM after the other until that is acknowledged. */
   void Cancel(size_t aNumber, size_t aAttempt)
   {
-    constexpr duration kRetryDelay{ 100 };
     constexpr size_t kMaxAttempts = 60;
     const auto vms = VmsElsewhere();
-    const auto vm = vms[(aNumber + aAttempt) % vms.size()];
+    const auto& vm = vms[(aNumber + aAttempt) % vms.size()];
     mSite.Node(vm).Jobs().Cancel(
       JobName(aNumber), "gyms", [this, aNumber, aAttempt, vm](const job_reply& aReply) {
         if (aReply.mAnswer == job_answer::kAccepted) {
