--- a/src/entry/Standby.h
+++ b/src/entry/Standby.h
@@ -17,8 +17,8 @@
 
 /**
  * Relieves a scheduler that has written to the store that it can't do a part of its
- * work. A VM that finds that it can do this part removes the scheduler's key, so that
- * an election begins. While no VM can, the scheduler goes on and holds the runs. Not
+ * work. A VM that finds that it does better removes the scheduler's key, so that an
+ * election begins. While no VM does, the scheduler goes on and holds the runs. Not
  * thread-safe: all calls come from the thread of the event loop.
  */
 class standby
@@ -70,6 +70,7 @@
     worker_reach mReach; ///< Of this VM, in a sample of the workers.
   };
 
+  /** Begins a check of the term that aCheck names. */
   void Begin(const check& aCheck);
   /** Reads what a takeover has to read, one of aPrefixes after the other. */
   void ReadRecords(const std::shared_ptr<check>& aCheck,
--- a/src/scheduler/Election.cpp
+++ b/src/scheduler/Election.cpp
@@ -349,7 +349,7 @@
   mCurrent.mRevision = aRevision;
   mCurrent.mLease = mLeaseId;
   mIsImpaired = false;
-  mRequestDeadline = aLeaseRequestedAt + mTimes.mTtl + mTimes.mRequestGrace;
+  mRenewedAt = aLeaseRequestedAt;
   mIsOnGrace = false;
   mLog.Write(log_event("scheduler_won").Add("fence", static_cast<int64_t>(aFence)));
   ScheduleRenewal();
@@ -372,7 +372,7 @@
 
 void scheduler_election::Renew()
 {
-  if (mLoop.Now() >= mRequestDeadline) {
+  if (mLoop.Now() >= RequestDeadline()) {
     EndTerm("the lease was not renewed in time");
     ReadKeyAfter(duration::zero());
     return;
@@ -408,26 +408,21 @@
         return;
       }
       if (aRenewal) {
-        mRequestDeadline = std::max(mRequestDeadline, RequestDeadlineAfter(sentAt));
+        mRenewedAt = std::max(mRenewedAt, sentAt);
       } else if (number == mRenewalNumber) {
         RepeatRenewal();
       }
     });
 }
 
-time_point scheduler_election::RequestDeadlineAfter(time_point aRenewedAt) const
+time_point scheduler_election::RequestDeadline() const
 {
-  // The key of an impaired term may be gone before its lease.
-  const auto keyOutlasts = mIsImpaired ? duration::zero() : mTimes.mTtl;
-  return aRenewedAt + keyOutlasts + mTimes.mRequestGrace;
-}
-
-void scheduler_election::SetImpaired(bool aIsImpaired)
-{
-  mIsImpaired = aIsImpaired;
-  if (mIsImpaired) {
-    mRequestDeadline = std::min(mRequestDeadline, RequestDeadlineAfter(mLoop.Now()));
+  if (!mIsHolder) {
+    return time_point(0);
   }
+  // The lease of an impaired term may be ended at any time after a renewal.
+  const auto leaseTime = mIsImpaired ? duration::zero() : mTimes.mTtl;
+  return mRenewedAt + leaseTime + mTimes.mRequestGrace;
 }
 
 void scheduler_election::RepeatRenewal()
@@ -443,14 +438,14 @@
 
 void scheduler_election::CheckRenewals()
 {
-  const auto leaseEnd = mRequestDeadline - mTimes.mRequestGrace;
+  const auto leaseEnd = mRenewedAt + mTimes.mTtl;
   const auto now = mLoop.Now();
   const bool wasOnGrace = std::exchange(mIsOnGrace, now >= leaseEnd);
   if (mIsOnGrace && !wasOnGrace) {
     mLog.Write(log_event("term_extended_without_store")
                  .Add("fence", static_cast<int64_t>(mCurrent.mFence))
                  .Add("lease_ended_ms", (now - leaseEnd).count())
-                 .Add("remaining_ms", (mRequestDeadline - now).count()));
+                 .Add("remaining_ms", (RequestDeadline() - now).count()));
   }
 }
 
@@ -458,7 +453,6 @@
 {
   ++mGeneration;
   mIsHolder = false;
-  mRequestDeadline = time_point(0);
   mYieldsUntil = std::min(mYieldsUntil, mLoop.Now() + mTimes.mYieldTime);
   mCurrent = scheduler_term();
   mLog.Write(log_event("scheduler_lost").Add("reason", aReason));
@@ -498,11 +492,11 @@
     return;
   }
   mIsRenewing = false;
-  mYieldsUntil = mRequestDeadline + mTimes.mYieldTime;
+  mYieldsUntil = RequestDeadline() + mTimes.mYieldTime;
   mLog.Write(log_event("renewals_stopped")
                .Add("fence", static_cast<int64_t>(mCurrent.mFence))
                .Add("reason", aReason)
-               .Add("remaining_ms", (mRequestDeadline - mLoop.Now()).count()));
+               .Add("remaining_ms", (RequestDeadline() - mLoop.Now()).count()));
 }
 
 void scheduler_election::Resign()
--- a/src/scheduler/Election.h
+++ b/src/scheduler/Election.h
@@ -135,12 +135,12 @@
    * because the term is impaired. Must be called with true before the store says so,
    * and with false once it no longer does.
    */
-  void SetImpaired(bool aIsImpaired);
+  void SetImpaired(bool aIsImpaired) { mIsImpaired = aIsImpaired; }
 
   bool IsHolder() const { return mIsHolder; }
 
   /** Returns the time until which requests may be sent under this VM's term. */
-  time_point RequestDeadline() const { return mRequestDeadline; }
+  time_point RequestDeadline() const;
 
   /** Returns the latest known term; its mFence is 0 if there is none. */
   const scheduler_term& Current() const { return mCurrent; }
@@ -169,8 +169,7 @@
   void ScheduleRenewal();
   void Renew();
   void SendRenewal();
-  /** Returns until when requests may be sent if the lease was renewed at aRenewedAt. */
-  time_point RequestDeadlineAfter(time_point aRenewedAt) const;
+
   /** Sends the renewal that has just failed again, unless the next one comes first. */
   void RepeatRenewal();
   void EndTerm(const std::string& aReason);
@@ -199,7 +198,7 @@
   uint64_t mRenewalNumber = 0; ///< Counts the renewals that were sent.
   /** Rises with each change of role; callbacks of older generations do nothing. */
   uint64_t mGeneration = 0;
-  time_point mRequestDeadline{ 0 };
+  time_point mRenewedAt{ 0 };       ///< When the last renewal that succeeded was sent.
   time_point mYieldsUntil{ 0 };     ///< Until then this VM takes part in no election.
   time_point mKeySeenAt{ 0 };       ///< When the store last showed the key of mCurrent.
   const char* mReadCause = "begin"; ///< See ReadKey.
