--- a/src/base/Metrics.h
+++ b/src/base/Metrics.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "base/EventLoop.h"
+
+#include <chrono>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -10,6 +13,12 @@
 
 namespace anvildoor {
 
+/** Returns aSpan in seconds, the unit of all times in metrics. Thread-safe. */
+inline double ToSeconds(duration aSpan)
+{
+  return std::chrono::duration<double>(aSpan).count();
+}
+
 /** The histograms, counters and gauges of one process. Thread-safe. */
 class metrics
 {
--- a/src/entry/LoopMonitor.cpp
+++ b/src/entry/LoopMonitor.cpp
@@ -26,9 +26,8 @@
 {
   const auto late = mLoop.Now() - aDueAt;
   if (late > mLongest) {
-    constexpr double kMsPerSecond = 1'000.0;
     mLongest = late;
-    mMetrics.Set(kLongestMetric, static_cast<double>(late.count()) / kMsPerSecond);
+    mMetrics.Set(kLongestMetric, ToSeconds(late));
   }
   if (late > kHeldUpAfter) {
     mLog.Write(log_event("loop_held_up").Add("ms", late.count()));
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -97,8 +97,7 @@
   mPorts.mMetrics.Set("placement_free_workers", report.mFree);
   mPorts.mMetrics.Set("placement_waiting_workers", report.mWaiting);
   mPorts.mMetrics.Set("placement_fragmented_workers", report.mFragmented);
-  mPorts.mMetrics.Set("placement_round_seconds",
-                      static_cast<double>(mLastPlanDuration.count()) / kMsPerSecond);
+  mPorts.mMetrics.Set("placement_round_seconds", ToSeconds(mLastPlanDuration));
   if (aPlan.mWaiting.empty()) {
     return;
   }
--- a/src/scheduler/FleetSchedulerStops.cpp
+++ b/src/scheduler/FleetSchedulerStops.cpp
@@ -195,12 +195,9 @@
   if (IsCancelled(aJob)) {
     const auto sinceCancel = mPorts.mLoop.Now() - aJob->mEndedAt;
     const auto& job = aJob->mState.Job();
-    constexpr double kMsPerSecond = 1'000.0;
     event.Add("since_cancel_ms", sinceCancel.count());
-    mPorts.mMetrics.Observe("cancel_to_end_seconds",
-                            job.mWorkspace,
-                            job.mQueue,
-                            static_cast<double>(sinceCancel.count()) / kMsPerSecond);
+    mPorts.mMetrics.Observe(
+      "cancel_to_end_seconds", job.mWorkspace, job.mQueue, ToSeconds(sinceCancel));
   }
   mPorts.mLog.Write(event);
 }
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -266,11 +266,8 @@
     const auto found = mJobs.find(note.mJob);
     if (found != mJobs.end()) {
       const auto& job = found->second->mState.Job();
-      constexpr double kMsPerSecond = 1'000.0;
-      mPorts.mMetrics.Observe("end_to_note_seconds",
-                              job.mWorkspace,
-                              job.mQueue,
-                              static_cast<double>(note.mWaited.count()) / kMsPerSecond);
+      mPorts.mMetrics.Observe(
+        "end_to_note_seconds", job.mWorkspace, job.mQueue, ToSeconds(note.mWaited));
     }
     if (note.mWaited > kLateNoteAfter ||
         (note.mSilence && *note.mSilence > kLateListAfter)) {
--- a/src/scheduler/InboxMonitor.cpp
+++ b/src/scheduler/InboxMonitor.cpp
@@ -6,12 +6,6 @@
 
 constexpr const char* kAgeMetric = "inbox_age_seconds";
 
-double Seconds(duration aSpan)
-{
-  constexpr double kMsPerSecond = 1'000.0;
-  return static_cast<double>(aSpan.count()) / kMsPerSecond;
-}
-
 } // namespace
 
 const char* ToString(inbox_source aSource)
@@ -48,7 +42,7 @@
 void inbox_monitor::Check(time_point aNow)
 {
   const auto age = aNow - mAnsweredAt;
-  mMetrics.Set(kAgeMetric, Seconds(age));
+  mMetrics.Set(kAgeMetric, ToSeconds(age));
   if (age > kSilentAfter && !mIsSilent) {
     mIsSilent = true;
     mLog.Write(log_event("inbox_silent")
