A key is looked up in a list in one place, and an impairment kept in one

The relief of impaired terms had written the search of a key in a list three times more, beside the one of the entry node: stored_range::Find serves all. The scheduler's copy of what term_health has judged is gone. A standby's second check names the scheduler that the first one named, instead of copying its fields. The callback of a term that runs out as the store takes no write was called like the impairment, which it isn't: renamed. No behaviour is changed.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -59,7 +59,7 @@
       [this](const std::string& aReason) { mElection.StepDown(aReason); },
       [this](const std::string& aReason) { mElection.GiveWay(aReason); },
       [this](const std::string& aReason) { mElection.StopRenewing(aReason); },
-      [this](bool aIsRelievable) { mElection.SetImpaired(aIsRelievable); })
+      [this](bool aIsImpaired) { mElection.SetImpaired(aIsImpaired); })
   , mElection(
       aPorts.mLoop,
       aPorts.mStore,
@@ -134,20 +134,12 @@
 
 void entry_node::ObserveSchedulerKeys(const stored_range& aRange)
 {
-  const auto find = [&](const std::string& aKey) -> const stored_item* {
-    for (const auto& item : aRange.mItems) {
-      if (item.mKey == aKey) {
-        return &item;
-      }
-    }
-    return nullptr;
-  };
-  const auto* intake = find(store_keys::kIntake);
+  const auto* intake = aRange.Find(store_keys::kIntake);
   mIsIntakeClosed = intake != nullptr && intake->mValue == store_keys::kIntakeClosed;
   mScheduler.ObserveIntake(mIsIntakeClosed);
   const bool expectsScheduler =
     mElection.Current().mFence != 0 && !mElection.IsHolder();
-  const auto* scheduler = find(store_keys::kScheduler);
+  const auto* scheduler = aRange.Find(store_keys::kScheduler);
   if (mElection.IsHolder() && scheduler != nullptr &&
       scheduler->mCreateRevision > mElection.Current().mFence) {
     mElection.StepDown("the store shows a later term");
--- a/src/entry/Standby.cpp
+++ b/src/entry/Standby.cpp
@@ -17,20 +17,11 @@
 /** Workers that a check probes at most, spread over the list. */
 constexpr size_t kMaxProbes = 12;
 
-const stored_item* FindImpairedTerm(const stored_range& aKeys)
-{
-  const auto found =
-    std::find_if(aKeys.mItems.begin(), aKeys.mItems.end(), [](const auto& aItem) {
-      return aItem.mKey == store_keys::kImpairedTerm;
-    });
-  return found == aKeys.mItems.end() ? nullptr : &*found;
-}
-
 } // namespace
 
 void standby::Observe(const scheduler_term& aTerm, const stored_range& aKeys)
 {
-  const auto* item = FindImpairedTerm(aKeys);
+  const auto* item = aKeys.Find(store_keys::kImpairedTerm);
   const auto impaired =
     item == nullptr ? std::nullopt : DecodeImpairedTerm(item->mValue);
   if (!impaired || impaired->mFence != aTerm.mFence ||
@@ -45,17 +36,15 @@
     return;
   }
   mIsChecking = true;
-  check first;
-  first.mTerm = aTerm;
-  first.mImpaired = *impaired;
-  first.mRevision = item->mRevision;
-  Begin(first);
+  Begin({ aTerm, *impaired, item->mRevision }, false);
 }
 
-void standby::Begin(const check& aCheck)
+void standby::Begin(const impaired_scheduler& aScheduler, bool aIsSecond)
 {
-  ReadRecords(std::make_shared<check>(aCheck),
-              { store_keys::kInbox, store_keys::kProgress });
+  const auto begun = std::make_shared<check>();
+  begun->mScheduler = aScheduler;
+  begun->mIsSecond = aIsSecond;
+  ReadRecords(begun, { store_keys::kInbox, store_keys::kProgress });
 }
 
 void standby::ReadRecords(const std::shared_ptr<check>& aCheck,
@@ -104,7 +93,7 @@
   for (size_t probe = 0; probe < probes; ++probe) {
     const auto& worker = aWorkers[probe * aWorkers.size() / probes];
     mPorts.mWorkers.Probe({ worker.mId, worker.mAddress },
-                          aCheck->mTerm.mFence,
+                          aCheck->mScheduler.mTerm.mFence,
                           [this, aCheck](const bool& aIsReached) {
                             aCheck->mReach.mReached += aIsReached ? 1 : 0;
                             if (--aCheck->mPendingProbes == 0) {
@@ -116,50 +105,48 @@
 
 bool standby::IsFit(const check& aCheck)
 {
-  const auto& former = aCheck.mImpaired.mReach;
-  return aCheck.mImpaired.mImpairment == impairment::kReads
+  const auto& former = aCheck.mScheduler.mImpaired.mReach;
+  return aCheck.mScheduler.mImpaired.mImpairment == impairment::kReads
            ? !former.IsClearlyBetterThan(aCheck.mReach)
            : aCheck.mReach.IsClearlyBetterThan(former);
 }
 
 void standby::Finish(const check& aCheck, bool aIsFit)
 {
-  const bool isFirst =
-    std::exchange(mCheckedFence, aCheck.mTerm.mFence) != aCheck.mTerm.mFence;
+  const bool isFirst = std::exchange(mCheckedFence, aCheck.mScheduler.mTerm.mFence) !=
+                       aCheck.mScheduler.mTerm.mFence;
   if (isFirst || aIsFit) {
-    mPorts.mLog.Write(log_event("standby_checked")
-                        .Add("scheduler", aCheck.mTerm.mVm)
-                        .Add("fence", static_cast<int64_t>(aCheck.mTerm.mFence))
-                        .Add("impairment", ToString(aCheck.mImpaired.mImpairment))
-                        .Add("probed", static_cast<int64_t>(aCheck.mReach.mListed))
-                        .Add("reached", static_cast<int64_t>(aCheck.mReach.mReached))
-                        .Add("fit", aIsFit ? 1 : 0));
+    mPorts.mLog.Write(
+      log_event("standby_checked")
+        .Add("scheduler", aCheck.mScheduler.mTerm.mVm)
+        .Add("fence", static_cast<int64_t>(aCheck.mScheduler.mTerm.mFence))
+        .Add("impairment", ToString(aCheck.mScheduler.mImpaired.mImpairment))
+        .Add("probed", static_cast<int64_t>(aCheck.mReach.mListed))
+        .Add("reached", static_cast<int64_t>(aCheck.mReach.mReached))
+        .Add("fit", aIsFit ? 1 : 0));
   }
   if (aIsFit && !aCheck.mIsSecond) {
-    check second;
-    second.mTerm = aCheck.mTerm;
-    second.mImpaired = aCheck.mImpaired;
-    second.mRevision = aCheck.mRevision;
-    second.mIsSecond = true;
-    mPorts.mLoop.RunAfter(kConfirmationDelay, [this, second] { Begin(second); });
+    mPorts.mLoop.RunAfter(kConfirmationDelay, [this, scheduler = aCheck.mScheduler] {
+      Begin(scheduler, true);
+    });
     return;
   }
   mIsChecking = false;
   mCheckDelay = std::clamp(2 * mCheckDelay, kMinCheckDelay, kMaxCheckDelay);
   mMayCheckFrom = mPorts.mLoop.Now() + mCheckDelay;
   if (aIsFit && mPorts.mMayRelieve()) {
-    mFitFence = aCheck.mTerm.mFence;
-    RemoveKey(aCheck);
+    mFitFence = aCheck.mScheduler.mTerm.mFence;
+    RemoveKey(aCheck.mScheduler);
   }
 }
 
-void standby::RemoveKey(const check& aCheck)
+void standby::RemoveKey(const impaired_scheduler& aScheduler)
 {
   store_transaction change;
-  change.mConditions.push_back({ store_keys::kScheduler, aCheck.mTerm.mRevision });
-  change.mConditions.push_back({ store_keys::kImpairedTerm, aCheck.mRevision });
+  change.mConditions.push_back({ store_keys::kScheduler, aScheduler.mTerm.mRevision });
+  change.mConditions.push_back({ store_keys::kImpairedTerm, aScheduler.mRevision });
   change.mRemovals.push_back(store_keys::kScheduler);
-  const auto fence = aCheck.mTerm.mFence;
+  const auto fence = aScheduler.mTerm.mFence;
   mPorts.mStore.Commit(change,
                        [this, fence](const result<transaction_outcome>& aOutcome) {
                          std::string answer = "relieved";
--- a/src/entry/Standby.h
+++ b/src/entry/Standby.h
@@ -59,19 +59,23 @@
   }
 
 private:
-  /** One check of this VM. */
-  struct check
+  /** The scheduler of an impaired term, as the store shows it. */
+  struct impaired_scheduler
   {
     scheduler_term mTerm;
     impaired_term mImpaired;
-    uint64_t mRevision = 0; ///< Of the key that says so.
+    uint64_t mRevision = 0; ///< Of the key that says that the term is impaired.
+  };
+  /** One check of this VM. */
+  struct check
+  {
+    impaired_scheduler mScheduler;
     bool mIsSecond = false; ///< Confirms a first one that found this VM fit.
     size_t mPendingProbes = 0;
     worker_reach mReach; ///< Of this VM, in a sample of the workers.
   };
 
-  /** Begins a check of the term that aCheck names. */
-  void Begin(const check& aCheck);
+  void Begin(const impaired_scheduler& aScheduler, bool aIsSecond);
   /** Reads what a takeover has to read, one of aPrefixes after the other. */
   void ReadRecords(const std::shared_ptr<check>& aCheck,
                    std::vector<std::string> aPrefixes);
@@ -88,7 +92,7 @@
    * begins the second check, or removes the key after it.
    */
   void Finish(const check& aCheck, bool aIsFit);
-  void RemoveKey(const check& aCheck);
+  void RemoveKey(const impaired_scheduler& aScheduler);
 
   ports mPorts;
   bool mIsChecking = false;
--- a/src/scheduler/Election.cpp
+++ b/src/scheduler/Election.cpp
@@ -50,13 +50,9 @@
  */
 uint64_t FindImpairedLease(const stored_range& aKeys)
 {
-  for (const auto& item : aKeys.mItems) {
-    if (item.mKey == store_keys::kImpairedTerm) {
-      const auto term = DecodeImpairedTerm(item.mValue);
-      return term && term->mImpairment != impairment::kNone ? term->mLease : 0;
-    }
-  }
-  return 0;
+  const auto* item = aKeys.Find(store_keys::kImpairedTerm);
+  const auto term = item == nullptr ? std::nullopt : DecodeImpairedTerm(item->mValue);
+  return term && term->mImpairment != impairment::kNone ? term->mLease : 0;
 }
 
 } // namespace
@@ -146,11 +142,7 @@
     ReadKeyAfter(mTimes.mRetryDelay);
     return;
   }
-  const auto key =
-    std::find_if(aRead->mItems.begin(), aRead->mItems.end(), [](const auto& aItem) {
-      return aItem.mKey == store_keys::kScheduler;
-    });
-  if (key != aRead->mItems.end()) {
+  if (const auto* key = aRead->Find(store_keys::kScheduler)) {
     Follow(*key, aRead->mRevision);
     if (mCallbacks.mOnKeysRead) {
       mCallbacks.mOnKeysRead(*aRead);
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -20,11 +20,11 @@
 /** A job whose record was refused before it could start is not placed for so long. */
 constexpr duration kRefusedStartDelay{ 10'000 };
 /**
- * A term runs out if it could not do a part of its work for so long. Longer than a term
+ * A term runs out if the store has taken no write of it for so long. Longer than a term
  * outlasts an outage of the store, with the retries after it, so that one which is
  * renewed then goes on.
  */
-constexpr duration kMaxImpairment{ 10'000 };
+constexpr duration kMaxWriteTime{ 10'000 };
 /**
  * A worker that has not answered a hold for so long counts as not reached. Longer than
  * one hold that waits and is answered.
@@ -37,14 +37,14 @@
                                  const scheduler_bounds& aBounds,
                                  std::function<void(const std::string&)> aOnFenced,
                                  std::function<void(const std::string&)> aOnIncapable,
-                                 std::function<void(const std::string&)> aOnImpaired,
-                                 std::function<void(bool)> aOnRelievable)
+                                 std::function<void(const std::string&)> aOnUnwritable,
+                                 std::function<void(bool)> aOnImpaired)
   : mPorts(aPorts)
   , mBounds(aBounds)
   , mOnFenced(std::move(aOnFenced))
   , mOnIncapable(std::move(aOnIncapable))
+  , mOnUnwritable(std::move(aOnUnwritable))
   , mOnImpaired(std::move(aOnImpaired))
-  , mOnRelievable(std::move(aOnRelievable))
   , mPolicy(std::make_shared<fleet_policy>())
   , mWriter(aPorts.mLoop,
             aPorts.mStore,
@@ -103,8 +103,6 @@
   mTermBegunAt = mPorts.mLoop.Now();
   mTakeoverReadAt = mTermBegunAt;
   mInboxMonitor.Begin(mTermBegunAt);
-  mHealth.Begin();
-  mImpairment = impairment::kNone;
   Load();
 }
 
@@ -127,7 +125,7 @@
   mUnrecordedRuns.clear();
   mWorkers.clear();
   mReserved.clear();
-  mImpairment = impairment::kNone;
+  mHealth.Begin();
   mHeadroom = capacity_headroom();
   mRackPatience = rack_patience();
   mDurations = duration_model();
@@ -228,12 +226,10 @@
                       .Add("job", job.mId)
                       .Add("outcome", ToString(outcome))
                       .Add("age_ms", mPorts.mUnixMs() - job.mAcceptedAtMs));
-  constexpr double kMsPerSecond = 1'000.0;
   mPorts.mMetrics.Observe("job_seconds",
                           job.mWorkspace,
                           job.mQueue,
-                          static_cast<double>(mPorts.mUnixMs() - job.mAcceptedAtMs) /
-                            kMsPerSecond);
+                          ToSeconds(duration(mPorts.mUnixMs() - job.mAcceptedAtMs)));
   mPorts.mMetrics.Count("jobs_ended_total", "outcome", ToString(outcome));
   if (outcome != job_outcome::kDone) {
     StopJob(aJob, ToString(outcome));
@@ -267,7 +263,7 @@
   }
   if (aKey == store_keys::kImpairedTerm) {
     return EncodeImpairedTerm(
-      { mTerm.mFence, mImpairment, ReachOfWorkers(), mTerm.mLease });
+      { mTerm.mFence, mHealth.Current(), ReachOfWorkers(), mTerm.mLease });
   }
   const auto id = store_keys::StripPrefix(aKey, store_keys::kProgress);
   assert(id);
@@ -409,8 +405,8 @@
 
 void fleet_scheduler::CheckAbilities()
 {
-  if (mWriter.InFlightFor() >= kMaxImpairment) {
-    mOnImpaired("the store has taken no write");
+  if (mWriter.InFlightFor() >= kMaxWriteTime) {
+    mOnUnwritable("the store has taken no write");
     return;
   }
   const auto now = mPorts.mLoop.Now();
@@ -418,8 +414,9 @@
   observation.mInboxAge = now - mInboxMonitor.AnsweredAt();
   observation.mListAge = now - mWorkersListedAt;
   observation.mReach = ReachOfWorkers();
+  const auto former = mHealth.Current();
   const auto judged = mHealth.Observe(observation);
-  if (judged == std::exchange(mImpairment, judged)) {
+  if (judged == former) {
     return;
   }
   mPorts.mLog.Write(
@@ -431,11 +428,11 @@
       .Add("reached", static_cast<int64_t>(observation.mReach.mReached))
       .Add("workers", static_cast<int64_t>(observation.mReach.mListed)));
   if (judged != impairment::kNone) {
-    mOnRelievable(true);
+    mOnImpaired(true);
   }
   mWriter.Write(store_keys::kImpairedTerm, record_writer::urgency::kImmediate, [this] {
-    if (mImpairment == impairment::kNone) {
-      mOnRelievable(false);
+    if (mHealth.Current() == impairment::kNone) {
+      mOnImpaired(false);
     }
   });
 }
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -68,17 +68,17 @@
 public:
   /**
    * aOnFenced ends the term because another VM has a later one, aOnIncapable because
-   * another VM may do the work that this one can't. aOnImpaired lets the term run out:
-   * this VM holds the runs, but can't do a part of its work. aOnRelievable is called
-   * with true before the store says that the term is impaired, so that other VMs may
-   * end it, and with false once the store no longer does.
+   * another VM may do the work that this one can't. aOnUnwritable lets the term run
+   * out: this VM holds the runs, but the store takes no write of it. aOnImpaired is
+   * called with true before the store says that the term is impaired, so that other VMs
+   * may end it, and with false once the store no longer does.
    */
   fleet_scheduler(const scheduler_ports& aPorts,
                   const scheduler_bounds& aBounds,
                   std::function<void(const std::string& aReason)> aOnFenced,
                   std::function<void(const std::string& aReason)> aOnIncapable,
-                  std::function<void(const std::string& aReason)> aOnImpaired,
-                  std::function<void(bool aIsRelievable)> aOnRelievable);
+                  std::function<void(const std::string& aReason)> aOnUnwritable,
+                  std::function<void(bool aIsImpaired)> aOnImpaired);
   ~fleet_scheduler();
 
   /**
@@ -100,7 +100,7 @@
   bool Active() const { return mActive; }
 
   /** Returns what this VM can't do of the work of its term. */
-  impairment Impairment() const { return mImpairment; }
+  impairment Impairment() const { return mHealth.Current(); }
 
   /** Returns the number of transactions that this VM has sent as the scheduler. */
   uint64_t TransactionCount() const { return mWriter.TransactionCount(); }
@@ -369,8 +369,8 @@
   scheduler_bounds mBounds;
   std::function<void(const std::string&)> mOnFenced;
   std::function<void(const std::string&)> mOnIncapable;
-  std::function<void(const std::string&)> mOnImpaired;
-  std::function<void(bool)> mOnRelievable;
+  std::function<void(const std::string&)> mOnUnwritable;
+  std::function<void(bool)> mOnImpaired;
   std::function<time_point()> mRequestDeadline;
   std::shared_ptr<const fleet_policy> mPolicy;
   record_writer mWriter;
@@ -395,7 +395,7 @@
   /** Kept in mJobs while the inbox is listed, as a list may still contain them. */
   std::vector<std::string> mRemovedWhileListing;
   term_health mHealth;
-  impairment mImpairment = impairment::kNone;
+
   time_point mWorkersListedAt{ 0 }; ///< When the list of the workers last came.
   std::map<std::string, std::unique_ptr<worker_entry>> mWorkers;
   /** Workers of runs that no record shows, by task. The task waits until they end. */
--- a/src/scheduler/TermHealth.h
+++ b/src/scheduler/TermHealth.h
@@ -78,6 +78,9 @@
   /** Takes one observation and returns the impairment that is shown by now. */
   impairment Observe(const term_observation& aObservation);
 
+  /** Returns the impairment that the observations so far have shown. */
+  impairment Current() const { return mConfirmed; }
+
 private:
   impairment mLast = impairment::kNone;
   impairment mConfirmed = impairment::kNone;
--- a/src/store/TransactionStore.h
+++ b/src/store/TransactionStore.h
@@ -3,6 +3,7 @@
 #include "anvildoor/Error.h"
 #include "base/EventLoop.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -29,6 +30,16 @@
   std::vector<stored_item> mItems;
   uint64_t mRevision = 0; ///< Store revision when the first page was read.
 
+  /** Returns the item of aKey, or null; it points into this range. */
+  const stored_item* Find(const std::string& aKey) const
+  {
+    const auto found =
+      std::find_if(mItems.begin(), mItems.end(), [&](const stored_item& aItem) {
+        return aItem.mKey == aKey;
+      });
+    return found == mItems.end() ? nullptr : &*found;
+  }
+
   auto operator<=>(const stored_range&) const = default;
 };
 
