--- a/tests/platform/check_cancellations.py
+++ b/tests/platform/check_cancellations.py
@@ -1,8 +1,7 @@
 """Checks with real processes that a cancelled job's runs end in time.
 
-Usage: check_cancellations.py BUILD [--rows TEXT] [--known-red] [--logs FOLDER] [ENTRY_BUILD].
---rows runs the rows whose name has TEXT, --known-red those in KNOWN-RED.txt, not the others.
-FOLDER, if given, keeps the VMs' logs of each row. ENTRY_BUILD, if given, has the
+Usage: check_cancellations.py BUILD [--rows TEXT] [--logs FOLDER] [ENTRY_BUILD].
+--rows runs the rows whose name has TEXT. FOLDER, if given, keeps the VMs' logs of each row. ENTRY_BUILD, if given, has the
 anvildoor-entry to be checked. Fails if a run goes on for longer than the platform allows, or
 if an end in calm waits too long until a hold acknowledges it.
 """
@@ -106,9 +105,8 @@
 class Row:
     """A scenario: steps at seconds from its begin, each for the scheduler or others."""
 
-    def __init__(self, name, steps, cancels, disrupted_s, lease_ms=6000, known_red=False,
-                 is_spread=False):
-        self.name, self.steps, self.known_red = name, steps, known_red
+    def __init__(self, name, steps, cancels, disrupted_s, lease_ms=6000, is_spread=False):
+        self.name, self.steps = name, steps
         # Spread: no gangs, and no two tasks of a job on one worker.
         self.is_spread = is_spread
         self.cancels = [Cancellation(number, at, is_gang) for number, at in enumerate(cancels)
@@ -159,7 +157,6 @@
             finally:
                 entry_site.end_all(site.processes)
 
-
     def keep_times(self, folder, site, began):
         """Notes beside the logs when the row began and what became of its jobs."""
         with open(os.path.join(folder, "times.json"), "w", encoding="utf-8") as text:
@@ -268,11 +265,9 @@
     parser.add_argument("build")
     parser.add_argument("entry_build", nargs="?")
     parser.add_argument("--rows", default="")
-    parser.add_argument("--known-red", action="store_true")
     parser.add_argument("--logs")
     options = parser.parse_intermixed_args()
-    rows = [row for row in ROWS
-            if options.rows in row.name and row.known_red == options.known_red]
+    rows = [row for row in ROWS if options.rows in row.name]
     with concurrent.futures.ThreadPoolExecutor(SITES) as pool:
         played = pool.map(
             lambda row: row.play(options.build, options.entry_build or options.build,
