A worker that answers again is logged with the stops that wait for it

When a worker that was silent while it had runs to stop got its stop could not be told from the logs: worker_regained did not count them. It has pending_stops= now, the runs that were told to stop and have not ended.

--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -197,7 +197,8 @@
       log_event("worker_regained")
         .Add("worker", aWorker.mListed.mId)
         .Add("silent_ms", aWorker.mSilence ? aWorker.mSilence->count() : -1)
-        .Add("failed_holds", static_cast<int64_t>(aWorker.mFailedHolds)));
+        .Add("failed_holds", static_cast<int64_t>(aWorker.mFailedHolds))
+        .Add("pending_stops", static_cast<int64_t>(aWorker.mStops.size())));
   }
   aWorker.mIsUnresponsive = false;
   aWorker.mFailedHolds = 0;
--- a/tests/DelayLogTest.cpp
+++ b/tests/DelayLogTest.cpp
@@ -4,6 +4,7 @@
 #include "support/LogLines.h"
 
 #include <catch2/catch.hpp>
+#include <functional>
 
 using namespace anvildoor;
 
@@ -29,17 +30,24 @@
 void PlayCalm(fake_installation&) {}
 
 /** No VM's calls reach a worker from before the ends until after them. */
-void PlayLostCalls(fake_installation& aSite)
+void PlayLostCallsWhile(fake_installation& aSite, const std::function<void()>& aPlay)
 {
   for (const auto& [id, worker] : aSite.mWorkers) {
     for (const auto* vm : { "vm0", "vm1", "vm2" }) {
       aSite.mFaults.mBlockedLinks.insert({ vm, id });
     }
   }
-  aSite.mLoop.RunFor(kUntilEnds + duration(500));
+  const auto until = aSite.mLoop.Now() + kUntilEnds + duration(500);
+  aPlay();
+  aSite.mLoop.RunFor(until - aSite.mLoop.Now());
   aSite.mFaults.mBlockedLinks.clear();
 }
 
+void PlayLostCalls(fake_installation& aSite)
+{
+  PlayLostCallsWhile(aSite, [] {});
+}
+
 /** The store refuses all records from before the ends until after them. */
 void PlaySlowRecords(fake_installation& aSite)
 {
@@ -137,6 +145,30 @@
   }
 }
 
+TEST_CASE("a worker that answers again is logged with the stops that wait for it",
+          "[delay-log]")
+{
+  const auto isCancelled = GENERATE(true, false);
+  CAPTURE(isCancelled);
+  fake_installation site(3, kWorkers);
+  BeginRuns(site);
+  const auto play = [&] {
+    site.mLoop.RunFor(duration(500));
+    if (isCancelled) {
+      REQUIRE(site.Cancel("vm2", kJob) == job_answer::kAccepted);
+    }
+  };
+  PlayLostCallsWhile(site, play);
+  site.mLoop.RunFor(duration(2'000));
+  CHECK(CountEvents(site, "worker_regained") == kWorkers);
+  for (uint32_t number = 0; number < kWorkers; ++number) {
+    const auto worker = "worker=w" + std::to_string(number) + " ";
+    const auto regained = FindLine(site, "worker_regained", worker);
+    CAPTURE(regained);
+    CHECK(Number(regained, "pending_stops") == (isCancelled ? 1 : 0));
+  }
+}
+
 TEST_CASE("a slow write of records is logged with the ends that waited for it",
           "[delay-log]")
 {
