A stop that is not answered is repeated after 0.4 s on a new connection

What callers would see: a run of a cancelled job that went on for up to 1.65 s with a scheduler in office and a worker that can be reached, or for up to 0.9 s after the end of a cut. A kill of all VMs and the takeover after it take 2 s of the 3.4 s, which leaves 1.4 s for all that comes before.

Cause: a stop was repeated 0.7 to 0.95 s after the one before, and a repeat took a kept connection as well, which could be dead, too; the timers of holds and stops of a silent worker knew nothing of each other. Ruled out: holds, which are not needed for the stop of a run that is registered.

Change: a stop that its worker has not answered for 0.4 s is repeated on a new connection; of each worker the oldest one, at most every 0.2 s beside the repeats after 0.7 s. A stop that is answered tells that those sent before it were lost, and so does the first hold that a silent worker answers: they are sent again at once. Holds, and thus leases, are as they were.

A test counted the lines of a stop that is repeated for 4.5 s, one for each doubling: three instead of two, as there are more than eight stops now.

--- a/src/http/HttpPool.cpp
+++ b/src/http/HttpPool.cpp
@@ -288,7 +288,7 @@
 void http_pool::Call(const pooled_call& aCall, done aDone)
 {
   std::make_shared<pooled_exchange<state>>(mState, aCall, std::move(aDone))
-    ->Begin(true);
+    ->Begin(aCall.mMayReuse);
 }
 
 uint64_t http_pool::ConnectionsOpened() const
--- a/src/http/HttpPool.h
+++ b/src/http/HttpPool.h
@@ -25,6 +25,7 @@
   std::vector<std::pair<std::string, std::string>> mHeaders;
   duration mTimeout{ 1'000 }; ///< Until the complete response, > 0 ms.
   bool mIdempotent = false;   ///< Retried once if a reused connection breaks.
+  bool mMayReuse = true;      ///< False: on a new connection, which is kept then.
 
   auto operator<=>(const pooled_call&) const = default;
 };
--- a/src/runs/RunPort.h
+++ b/src/runs/RunPort.h
@@ -37,6 +37,8 @@
   task_ref mTask;
   uint32_t mRun = 0;
   uint64_t mFence = 0;
+  /** Whether to use no kept connection, which may be dead. */
+  bool mOnNewConnection = false;
 
   auto operator<=>(const stop_run_request&) const = default;
 };
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -252,6 +252,25 @@
                const task_ref& aTask,
                uint32_t aRun,
                const char* aReason);
+  /** A stop that its worker has not answered. */
+  struct unanswered_stop
+  {
+    time_point mSentAt{ 0 }; ///< Of the last request.
+    task_ref mTask;
+    uint32_t mRun = 0;
+
+    auto operator<=>(const unanswered_stop&) const = default;
+  };
+  static std::vector<unanswered_stop> UnansweredStops(const worker_entry& aWorker);
+  void OnStopAnswered(worker_entry& aWorker,
+                      const task_ref& aTask,
+                      uint32_t aRun,
+                      time_point aSentAt);
+  /** Repeats the unanswered stops that were sent before a call that was answered. */
+  void RepeatLostStops(worker_entry& aWorker, time_point aBefore);
+  void ScheduleStopRepeat(worker_entry& aWorker, duration aAfter);
+  /** Repeats one stop, so that a worker that is silent or slow is not flooded. */
+  void RepeatOldestStop(worker_entry& aWorker);
   /** Counts a stop request, and logs the first one and each doubling of the count. */
   void LogStop(worker_entry& aWorker,
                const task_ref& aTask,
--- a/src/scheduler/FleetSchedulerState.h
+++ b/src/scheduler/FleetSchedulerState.h
@@ -45,6 +45,9 @@
 {
   uint32_t mCount = 0;
   time_point mFirstAt{ 0 };
+  time_point mLastAt{ 0 };
+  /** Whether the worker has answered one of the requests. */
+  bool mIsAnswered = false;
   /** Answer to the last request; nothing while it is pending. */
   std::optional<run_request_status> mAnswer;
   std::optional<run_request_status> mLoggedAnswer;
@@ -83,6 +86,8 @@
   end_notes mEndNotes;
   /** Runs that were told to stop and have not ended, by task and run number. */
   std::map<std::pair<task_ref, uint32_t>, stop_calls> mStops;
+  /** True while a timer waits to repeat a stop that is not answered. */
+  bool mRepeatsStops = false;
   /** Runs given up without a report of their end since the last accepted hold. */
   size_t mDroppedRuns = 0;
   /** Earliest time at which the draining worker shuts down, if it reported one. */
--- a/src/scheduler/FleetSchedulerStops.cpp
+++ b/src/scheduler/FleetSchedulerStops.cpp
@@ -10,6 +10,10 @@
 
 /** A run that is listed for longer than this after its job's end counts as overdue. */
 constexpr duration kOverdueAfterEnd{ 3'000 };
+/** A stop that has had no answer for so long may be lost, and is repeated. */
+constexpr duration kUnansweredStopDelay{ 400 };
+/** Least time between such repeats to one worker, which may only be slow. */
+constexpr duration kMinRepeatPause{ 200 };
 
 /** Returns the number under which a task's run is registered; 0: none. */
 uint32_t RegisteredRun(const worker_runs& aRuns, const task_ref& aTask)
@@ -26,6 +30,15 @@
     });
 }
 
+constexpr const char* kUnansweredReason = "its stop was not answered";
+
+/** Returns whether a call's outcome came from the worker. */
+bool IsAnswer(run_request_status aStatus)
+{
+  return aStatus != run_request_status::kNoAnswer &&
+         aStatus != run_request_status::kNotSent;
+}
+
 } // namespace
 
 log_event RunEvent(const char* aName,
@@ -48,8 +61,12 @@
                               const char* aReason)
 {
   aWorker.mRuns.MarkStopping(aTask, aRun, mPorts.mLoop.Now());
+  const auto former = aWorker.mStops.find({ aTask, aRun });
+  const bool isUnanswered =
+    former != aWorker.mStops.end() && !former->second.mIsAnswered;
   const bool isSent = MaySendRequests() && !aWorker.mListed.mAddress.empty();
   LogStop(aWorker, aTask, aRun, aReason, isSent);
+  ScheduleStopRepeat(aWorker, kUnansweredStopDelay);
   if (!isSent) {
     return;
   }
@@ -58,10 +75,12 @@
   request.mTask = aTask;
   request.mRun = aRun;
   request.mFence = mTerm.mFence;
+  request.mOnNewConnection = isUnanswered;
   const auto id = aWorker.mListed.mId;
+  const auto sentAt = mPorts.mLoop.Now();
   mPorts.mWorkers.Stop(
     request,
-    UnlessTermEnded([this, id, aTask, aRun](const run_request_status& aAnswer) {
+    UnlessTermEnded([this, id, aTask, aRun, sentAt](const run_request_status& aAnswer) {
       const auto found = mWorkers.find(id);
       if (found == mWorkers.end()) {
         return;
@@ -70,11 +89,80 @@
         OnFenced("worker " + id + " has received a newer fencing token");
         return;
       }
-      LogStopAnswer(*found->second, aTask, aRun, aAnswer);
-      found->second->mRuns.OnStopAnswer(aTask, aRun, aAnswer, mPorts.mLoop.Now());
+      auto& worker = *found->second;
+      LogStopAnswer(worker, aTask, aRun, aAnswer);
+      worker.mRuns.OnStopAnswer(aTask, aRun, aAnswer, mPorts.mLoop.Now());
+      if (IsAnswer(aAnswer)) {
+        OnStopAnswered(worker, aTask, aRun, sentAt);
+      }
     }));
 }
 
+void fleet_scheduler::OnStopAnswered(worker_entry& aWorker,
+                                     const task_ref& aTask,
+                                     uint32_t aRun,
+                                     time_point aSentAt)
+{
+  const auto calls = aWorker.mStops.find({ aTask, aRun });
+  if (calls != aWorker.mStops.end()) {
+    calls->second.mIsAnswered = true;
+  }
+  RepeatLostStops(aWorker, aSentAt);
+}
+
+std::vector<fleet_scheduler::unanswered_stop> fleet_scheduler::UnansweredStops(
+  const worker_entry& aWorker)
+{
+  std::vector<unanswered_stop> stops;
+  for (const auto& [task, run] : aWorker.mRuns.Runs()) {
+    const auto calls = aWorker.mStops.find({ task, run.mRun });
+    if (run.mStopping && calls != aWorker.mStops.end() && !calls->second.mIsAnswered) {
+      stops.push_back({ calls->second.mLastAt, task, run.mRun });
+    }
+  }
+  return stops;
+}
+
+void fleet_scheduler::RepeatLostStops(worker_entry& aWorker, time_point aBefore)
+{
+  for (const auto& stop : UnansweredStops(aWorker)) {
+    if (stop.mSentAt < aBefore) {
+      StopRun(aWorker, stop.mTask, stop.mRun, kUnansweredReason);
+    }
+  }
+}
+
+void fleet_scheduler::ScheduleStopRepeat(worker_entry& aWorker, duration aAfter)
+{
+  if (std::exchange(aWorker.mRepeatsStops, true)) {
+    return;
+  }
+  const auto id = aWorker.mListed.mId;
+  mPorts.mLoop.RunAfter(aAfter, UnlessTermEnded([this, id] {
+                          const auto found = mWorkers.find(id);
+                          if (found != mWorkers.end()) {
+                            found->second->mRepeatsStops = false;
+                            RepeatOldestStop(*found->second);
+                          }
+                        }));
+}
+
+void fleet_scheduler::RepeatOldestStop(worker_entry& aWorker)
+{
+  const auto stops = UnansweredStops(aWorker);
+  if (stops.empty()) {
+    return;
+  }
+  const auto oldest = *std::min_element(stops.begin(), stops.end());
+  const auto dueIn = oldest.mSentAt + kUnansweredStopDelay - mPorts.mLoop.Now();
+  if (dueIn > duration::zero()) {
+    ScheduleStopRepeat(aWorker, dueIn);
+    return;
+  }
+  ScheduleStopRepeat(aWorker, kMinRepeatPause);
+  StopRun(aWorker, oldest.mTask, oldest.mRun, kUnansweredReason);
+}
+
 void fleet_scheduler::LogStop(worker_entry& aWorker,
                               const task_ref& aTask,
                               uint32_t aRun,
@@ -84,6 +172,7 @@
   auto& calls = aWorker.mStops[{ aTask, aRun }];
   const auto formerAnswer = std::exchange(calls.mAnswer, std::nullopt);
   ++calls.mCount;
+  calls.mLastAt = mPorts.mLoop.Now();
   if (calls.mCount == 1) {
     calls.mFirstAt = mPorts.mLoop.Now();
   }
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -191,6 +191,7 @@
 {
   const auto now = mPorts.mLoop.Now();
   const bool isFirstAnswer = !aWorker.mRuns.HasAcceptedToken();
+  const bool wasUnresponsive = aWorker.mIsUnresponsive;
   NoteSilence(aWorker);
   if (aWorker.mIsUnresponsive) {
     mPorts.mLog.Write(
@@ -214,6 +215,9 @@
   if (aReply.mComplete) {
     ForgetEndedStops(aWorker, aReply);
   }
+  if (wasUnresponsive) {
+    RepeatLostStops(aWorker, aSentAt);
+  }
   CheckProgress(aWorker, now);
   // A worker answers at once while it lists ends. Without a pause, holds would be sent
   // in a tight loop while the store is unavailable and the ends cannot become durable.
--- a/tests/CancellationLogTest.cpp
+++ b/tests/CancellationLogTest.cpp
@@ -184,7 +184,7 @@
   REQUIRE(site.Cancel(OtherVm(site), kJob) == job_answer::kAccepted);
   site.mLoop.RunFor(duration(4'500));
   CHECK(CountEvents(site, "run_stop") == 1);
-  CHECK(CountEvents(site, "run_stop_retried") == 2);
+  CHECK(CountEvents(site, "run_stop_retried") == 3);
   CHECK(CountEvents(site, "run_stop_failed") == 1);
   CHECK(Field(FindLine(site, "run_stop_retried"), "count") == "2");
   CHECK(Field(FindLine(site, "run_stop_failed"), "answer") == "no_answer");
--- a/tests/HttpPoolTest.cpp
+++ b/tests/HttpPoolTest.cpp
@@ -278,6 +278,26 @@
   CHECK(pool.ConnectionsOpened() == kept + 1);
 }
 
+TEST_CASE("a call that may not reuse a connection is answered beside dead ones",
+          "[http][pool]")
+{
+  const auto kept = GENERATE(size_t(1), size_t(8));
+  asio::io_context context;
+  scripted_peer peer(context, {});
+  http_pool pool(context);
+  auto call = CallTo(peer);
+  KeepConnections(context, pool, call, kept);
+  peer.ImpairOpen(peer_action::kIgnore);
+  call.mMayReuse = false;
+  const auto begin = std::chrono::steady_clock::now();
+  CHECK(CallOnce(context, pool, call));
+  CHECK(std::chrono::steady_clock::now() - begin < call.mTimeout);
+  CHECK(pool.ConnectionsOpened() == kept + 1);
+  call.mMayReuse = true;
+  CHECK(CallOnce(context, pool, call)); // On the new connection, which was kept.
+  CHECK(pool.ConnectionsOpened() == kept + 1);
+}
+
 TEST_CASE("a call that times out leaves connections that were answered since it was "
           "sent, those in use and those to other addresses",
           "[http][pool]")
--- a/tests/StopTest.cpp
+++ b/tests/StopTest.cpp
@@ -409,6 +409,39 @@
   REQUIRE(aSite.mLoop.RunUntil(isGivenUp, duration(1'500)));
 }
 
+/**
+ * From the moment at which calls reach a worker again to the end of the runs on it that
+ * are to stop. 50 ms of it are the stop's, which takes up to 0.4 s on the platform; a
+ * kill of all VMs and a takeover, 2 s, have to fit into kCancelBound besides.
+ */
+constexpr duration kStopAfterContact{ 550 };
+
+/** Begins one gang of aTasks on each of two workers. Returns the jobs. */
+std::vector<std::string> BeginGangs(fake_installation& aSite, uint32_t aTasks)
+{
+  std::vector<std::string> jobs{ "00000000000000a1", "00000000000000a2" };
+  for (const auto& id : jobs) {
+    auto job = fake_installation::MakeJob(id, aTasks, true);
+    job.mSpec.mPayload = "long";
+    job.mSpec.mSteps.front().mPerTask = { 1'000, 1'000, 8 / aTasks };
+    aSite.mBehaviourByPayload["long"] = { duration(60'000), false };
+    REQUIRE(aSite.Submit("vm0", job) == job_answer::kAccepted);
+  }
+  aSite.mLoop.RunFor(duration(1'000));
+  REQUIRE(CountRuns(aSite) == size_t{ 2 } * aTasks);
+  return jobs;
+}
+
+/** Returns the last end of a run, or the maximum if one goes on. */
+time_point LastEnd(const fake_installation& aSite)
+{
+  time_point last{ 0 };
+  for (const auto& trace : aSite.mTraces) {
+    last = std::max(last, trace.mEnded.value_or(time_point::max()));
+  }
+  return last;
+}
+
 /** Checks that the run of a worker ends that drains and runs on after its entry. */
 void CheckWorkerInNoList(scheduler_change aChange)
 {
@@ -507,6 +540,135 @@
   CheckWorkerInNoList(scheduler_change::kNone);
 }
 
+// Guards against stops that a timer holds back once the worker can be reached.
+TEST_CASE("a worker that is reachable again ends the runs that are to stop in time",
+          "[stop]")
+{
+  const uint32_t tasks = GENERATE(1, 4, 8);
+  const auto cutForMs = GENERATE(int64_t(1'400), int64_t(6'300));
+  const auto cancelledBeforeEndMs = GENERATE(int64_t(10), int64_t(4'500));
+  CAPTURE(tasks, cutForMs, cancelledBeforeEndMs);
+  duration longest{ 0 };
+  for (int64_t phaseMs = 0; phaseMs < 1'300; phaseMs += 50) {
+    fake_installation site(3, 2, 4, BoundsWithLongLeases());
+    const auto jobs = BeginGangs(site, tasks);
+    site.mLoop.RunFor(duration(phaseMs));
+    SetReachable(site, "w0", false);
+    SetReachable(site, "w1", false);
+    const auto cutEnd = site.mLoop.Now() + duration(cutForMs);
+    const auto cancelAt =
+      cutEnd - duration(std::min(cancelledBeforeEndMs + phaseMs, cutForMs));
+    site.mLoop.RunFor(cancelAt - site.mLoop.Now());
+    for (const auto& job : jobs) {
+      REQUIRE(site.Cancel(VmThatFollows(site), job) == job_answer::kAccepted);
+    }
+    site.mLoop.RunFor(std::max(duration(0), cutEnd - site.mLoop.Now()));
+    SetReachable(site, "w0", true);
+    SetReachable(site, "w1", true);
+    const auto reachableAt = site.mLoop.Now();
+    site.mLoop.RunFor(duration(4'000));
+    REQUIRE(CountRuns(site) == 0);
+    longest = std::max(longest, LastEnd(site) - reachableAt);
+  }
+  INFO("longest in ms: " << longest.count());
+  CHECK(longest <= kStopAfterContact);
+}
+
+// Guards against a new term that waits for an answer before it stops a run.
+TEST_CASE("a worker that is reachable again ends the runs that a new term has to stop",
+          "[stop]")
+{
+  const uint32_t tasks = GENERATE(1, 4);
+  const auto change =
+    GENERATE(scheduler_change::kKilled, scheduler_change::kHandedOver);
+  const auto isCancelledBefore = GENERATE(true, false);
+  CAPTURE(tasks, static_cast<int>(change), isCancelledBefore);
+  duration longest{ 0 };
+  for (int64_t phaseMs = 0; phaseMs < 1'300; phaseMs += 50) {
+    fake_installation site(3, 2, 4, BoundsWithLongLeases());
+    const auto jobs = BeginGangs(site, tasks);
+    const auto cancel = [&] {
+      for (const auto& job : jobs) {
+        REQUIRE(site.Cancel(VmThatFollows(site), job) == job_answer::kAccepted);
+      }
+    };
+    SetReachable(site, "w0", false);
+    SetReachable(site, "w1", false);
+    site.mLoop.RunFor(duration(500));
+    if (isCancelledBefore) {
+      cancel();
+    }
+    ChangeScheduler(site, change);
+    if (!isCancelledBefore) {
+      cancel();
+    }
+    site.mLoop.RunFor(duration(1'000 + phaseMs));
+    SetReachable(site, "w0", true);
+    SetReachable(site, "w1", true);
+    const auto reachableAt = site.mLoop.Now();
+    site.mLoop.RunFor(duration(4'000));
+    REQUIRE(CountRuns(site) == 0);
+    longest = std::max(longest, LastEnd(site) - reachableAt);
+  }
+  INFO("longest in ms: " << longest.count());
+  CHECK(longest <= kStopAfterContact);
+}
+
+// Guards against stops that take one dead connection after the other.
+TEST_CASE("a run ends in time although the kept connections to its worker are dead",
+          "[stop]")
+{
+  const uint32_t tasks = GENERATE(1, 4, 8);
+  const int dead = GENERATE(1, 2, 3, 8);
+  CAPTURE(tasks, dead);
+  duration longest{ 0 };
+  for (int64_t phaseMs = 0; phaseMs < 1'300; phaseMs += 50) {
+    fake_installation site(3, 2, 4, BoundsWithLongLeases());
+    const auto jobs = BeginGangs(site, tasks);
+    site.mLoop.RunFor(duration(phaseMs));
+    site.mFaults.mDeadConnections = { { "w0", dead }, { "w1", dead } };
+    for (const auto& job : jobs) {
+      REQUIRE(site.Cancel(VmThatFollows(site), job) == job_answer::kAccepted);
+    }
+    const auto acknowledgedAt = site.mLoop.Now();
+    site.mLoop.RunFor(duration(4'000));
+    REQUIRE(CountRuns(site) == 0);
+    longest = std::max(longest, LastEnd(site) - acknowledgedAt);
+  }
+  INFO("longest in ms: " << longest.count());
+  CHECK(longest <= kStopAfterContact);
+}
+
+// Guards against floods of calls to workers that don't answer, or answer late.
+TEST_CASE("a worker that is silent or slow is sent a bounded number of stops", "[stop]")
+{
+  const uint32_t tasks = GENERATE(1, 4, 8);
+  const auto answersAfterMs = GENERATE(0, 600, 1'500); // 0: not at all.
+  CAPTURE(tasks, answersAfterMs);
+  fake_installation site(3, 2, 4, BoundsWithLongLeases());
+  const auto jobs = BeginGangs(site, tasks);
+  size_t stops = 0;
+  site.mFaults.mFateOfOrder = [&](const std::string&, const std::string& aOrder) {
+    order_fate fate;
+    fate.mIsLost = answersAfterMs == 0;
+    fate.mIsAnswered = answersAfterMs == 600;
+    fate.mAnswerDelay = duration(answersAfterMs);
+    fate.mDelay = duration(fate.mIsAnswered ? 0 : answersAfterMs);
+    stops += aOrder == "stop" ? 1 : 0;
+    return fate;
+  };
+  for (const auto& job : jobs) {
+    REQUIRE(site.Cancel(VmThatFollows(site), job) == job_answer::kAccepted);
+  }
+  constexpr size_t kSeconds = 4;
+  site.mLoop.RunFor(std::chrono::seconds(kSeconds));
+  // Each run every 0.7 s, and one run of each of the two workers every 0.2 s besides.
+  const auto perRun = size_t{ 2 } * tasks * (1 + kSeconds * 1'000 / 700);
+  const auto perWorker = 2 * kSeconds * 1'000 / 200;
+  INFO("stops: " << stops);
+  CHECK(stops <= perRun + perWorker);
+}
+
 // Guards against schedulers that don't know a worker whose runs have been given up.
 TEST_CASE("a run of a worker in no list is stopped by the next scheduler", "[stop]")
 {
--- a/tests/platform/check_cancellations.py
+++ b/tests/platform/check_cancellations.py
@@ -23,6 +23,8 @@
 TASKS = 3
 # From the acknowledgement to the end of the last run: cancel_ms + stop_timeout_ms.
 BOUND_S = 3.4
+# What a kill of all VMs and the takeover after it, 2 s, leave of it.
+BEFORE_KILL_S = 1.4
 # A disruption counts for this long after its end.
 CONTACT_S = 3
 # Sites that run at a time.
@@ -77,7 +79,8 @@
 class Cancellation:
     """A job that is cancelled at a time of the scenario, at a VM that doesn't schedule."""
 
-    def __init__(self, number, at_s, is_gang):
+    def __init__(self, number, at_s, is_gang, bound_s):
+        self.bound_s = bound_s
         self.job = f"{(0xb0 if is_gang else 0xa0) + number:016x}"
         self.at_s, self.is_gang, self.acknowledged = at_s, is_gang, None
 
@@ -96,7 +99,7 @@
             return None
         last = max(site.traces(self.job), key=lambda row: row["ended"] or float("inf"))
         ended = last["ended"] / 1000 if last["ended"] else float("inf")
-        due = max(self.acknowledged, disturbed_until) + BOUND_S
+        due = max(self.acknowledged, disturbed_until) + self.bound_s
         ends = [f"{row['end']} at {row['ended'] / 1000 - self.acknowledged:.2f}"
                 if row["ended"] else "runs on" for row in site.traces(self.job)]
         return ended - self.acknowledged, ended - due, ", ".join(ends)
@@ -105,11 +108,13 @@
 class Row:
     """A scenario: steps at seconds from its begin, each for the scheduler or others."""
 
-    def __init__(self, name, steps, cancels, disrupted_s, lease_ms=6000, is_spread=False):
+    def __init__(self, name, steps, cancels, disrupted_s, lease_ms=6000, is_spread=False,
+                 bound_s=BOUND_S):
         self.name, self.steps = name, steps
         # Spread: no gangs, and no two tasks of a job on one worker.
         self.is_spread = is_spread
-        self.cancels = [Cancellation(number, at, is_gang) for number, at in enumerate(cancels)
+        self.cancels = [Cancellation(number, at, is_gang, bound_s)
+                        for number, at in enumerate(cancels)
                         for is_gang in ((False,) if is_spread else (False, True))]
         # The end of the last disruption; None: there is none at all.
         self.disrupted_s = disrupted_s
@@ -243,11 +248,12 @@
         lease_ms=10000),
     Row("the kept connections to all workers are dead for good",
         [(0, "all", start_short_runs), (1.5, "all", kill_worker_connections)],
-        DEAD_CANCELS, None),
+        DEAD_CANCELS, None, bound_s=BEFORE_KILL_S),
     *[Row(f"the kept connections to all workers are dead for good, one run on each, "
           f"cancelled after {after_s} s",
           [(0, "all", start_short_runs), (1.5, "all", kill_worker_connections)],
-          [1.6 + after_s], None, is_spread=True) for after_s in (0, 1, 2)],
+          [1.6 + after_s], None, is_spread=True, bound_s=BEFORE_KILL_S)
+      for after_s in (0, 1, 2)],
     Row("the scheduler's kept connections to the store are dead for good",
         [(0, "all", start_short_runs), (1.5, "scheduler", kill_store_connections)],
         DEAD_CANCELS, None),
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -339,6 +339,20 @@
              : found->second.get();
   }
 
+  /** Returns whether a call is lost on a dead connection to aWorker. */
+  bool TakesDeadConnection(const worker_address& aWorker, duration aTimeout)
+  {
+    const auto found = mSite.mFaults.mDeadConnections.find(aWorker.mId);
+    if (found == mSite.mFaults.mDeadConnections.end() || found->second == 0) {
+      return false;
+    }
+    --found->second;
+    RunLater(
+      [&site = mSite, id = aWorker.mId] { site.mFaults.mDeadConnections.erase(id); },
+      aTimeout);
+    return true;
+  }
+
   order_fate FateOf(const worker_address& aWorker, const char* aOrder) const
   {
     const auto& fateOfOrder = mSite.mFaults.mFateOfOrder;
@@ -424,7 +438,10 @@
     auto* worker = FindReachableWorker(aRequest.mWorker);
     const bool isFirst =
       mSite.mRunsToStop.emplace(aRequest.mTask, aRequest.mRun).second;
-    if (worker == nullptr || (isFirst && mSite.mFaults.mLosesFirstStops)) {
+    const bool isOnDeadConnection =
+      !aRequest.mOnNewConnection && TakesDeadConnection(aRequest.mWorker, kCallTimeout);
+    if (worker == nullptr || (isFirst && mSite.mFaults.mLosesFirstStops) ||
+        isOnDeadConnection) {
       RunLater([done = std::move(aDone)] { done(run_request_status::kNoAnswer); },
                kCallTimeout);
       return;
@@ -456,6 +473,9 @@
       return;
     }
     auto* worker = FindReachableWorker(aRequest.mWorker);
+    if (TakesDeadConnection(aRequest.mWorker, aRequest.mWait + kCallTimeout)) {
+      worker = nullptr;
+    }
     mSite.mHoldCalls += worker != nullptr ? 1 : 0;
     const auto answered = std::make_shared<bool>(false);
     const auto answer =
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -99,6 +99,11 @@
   duration mStaleReadAge{ 0 };
   /** Whether the first stop of each run is lost, with its answer. */
   bool mLosesFirstStops = false;
+  /**
+   * How many kept connections to a worker are dead. Each call takes one, and is lost,
+   * until one of them has timed out. Of stops and holds.
+   */
+  std::map<std::string, int> mDeadConnections;
   /** How many of the next commits take effect but are not answered. */
   int mUnansweredCommits = 0;
   bool mLosesNotifications = false; ///< VMs don't hear of each other's cancellations.
