--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -191,13 +191,15 @@
 {
   const auto now = mPorts.mLoop.Now();
   const bool isFirstAnswer = !aWorker.mRuns.HasAcceptedToken();
+  const bool wasUnresponsive = aWorker.mIsUnresponsive;
   NoteSilence(aWorker);
   if (aWorker.mIsUnresponsive) {
     mPorts.mLog.Write(
       log_event("worker_regained")
         .Add("worker", aWorker.mListed.mId)
         .Add("silent_ms", aWorker.mSilence ? aWorker.mSilence->count() : -1)
-        .Add("failed_holds", static_cast<int64_t>(aWorker.mFailedHolds)));
+        .Add("failed_holds", static_cast<int64_t>(aWorker.mFailedHolds))
+        .Add("pending_stops", static_cast<int64_t>(aWorker.mStops.size())));
   }
   aWorker.mIsUnresponsive = false;
   aWorker.mFailedHolds = 0;
@@ -213,6 +215,9 @@
   if (aReply.mComplete) {
     ForgetEndedStops(aWorker, aReply);
   }
+  if (wasUnresponsive) {
+    RepeatLostStops(aWorker, aSentAt);
+  }
   CheckProgress(aWorker, now);
   // A worker answers at once while it lists ends. Without a pause, holds would be sent
   // in a tight loop while the store is unavailable and the ends cannot become durable.
