The log tells what a new term has waited for

After a closing (all VMs killed, started again) the log showed when a term was won, but not whether it had waited for the former term's lease or for the election itself, nor when the first worker answered. scheduler_won has since_start_ms, followed_ms (how long the former term's key was still there since this VM first saw it) and vacant_ms; scheduler_gone_noticed has followed_ms; first_worker_answer has the ms from the win to the term's first accepted hold.

--- a/src/scheduler/Election.cpp
+++ b/src/scheduler/Election.cpp
@@ -95,6 +95,7 @@
 
 void scheduler_election::Begin()
 {
+  mBegunAt = mLoop.Now();
   ReadKey("begin");
 }
 
@@ -150,6 +151,7 @@
     return;
   }
   LogMissingScheduler();
+  mVacantSince = mVacantSince.value_or(mLoop.Now());
   mImpairedLease = FindImpairedLease(*aRead);
   mCurrent = scheduler_term();
   if (mResigned) {
@@ -204,10 +206,12 @@
   if (mCurrent.mFence == 0) {
     return;
   }
+  mFollowedFor = mLoop.Now() - mFollowedSince;
   mLog.Write(log_event("scheduler_gone_noticed")
                .Add("by", mReadCause)
                .Add("vm", mCurrent.mVm)
                .Add("fence", static_cast<int64_t>(mCurrent.mFence))
+               .Add("followed_ms", mFollowedFor.count())
                .Add("last_seen_ms", (mLoop.Now() - mKeySeenAt).count()));
 }
 
@@ -215,10 +219,12 @@
 {
   const auto term = DecodeTerm(aItem);
   mKeySeenAt = mLoop.Now();
+  mVacantSince.reset();
   const bool isNewTerm = term && term->mFence != mCurrent.mFence;
   if (isNewTerm) {
     mCurrent = *term;
     mLastKnown = *term;
+    mFollowedSince = mLoop.Now();
     mLog.Write(log_event("scheduler_seen")
                  .Add("vm", mCurrent.mVm)
                  .Add("fence", static_cast<int64_t>(mCurrent.mFence)));
@@ -343,7 +349,7 @@
   mIsImpaired = false;
   mRenewedAt = aLeaseRequestedAt;
   mIsOnGrace = false;
-  mLog.Write(log_event("scheduler_won").Add("fence", static_cast<int64_t>(aFence)));
+  LogElected();
   ScheduleRenewal();
   if (mLoop.Now() - aLeaseRequestedAt >= mTimes.mRefusedStepDelay) {
     SendRenewal(); // Refused steps have used up a part of the lease.
@@ -352,6 +358,17 @@
   mCallbacks.mOnElected(mCurrent, predecessor);
 }
 
+void scheduler_election::LogElected()
+{
+  const auto now = mLoop.Now();
+  const auto vacantSince = std::exchange(mVacantSince, std::nullopt);
+  mLog.Write(log_event("scheduler_won")
+               .Add("fence", static_cast<int64_t>(mCurrent.mFence))
+               .Add("since_start_ms", (now - mBegunAt).count())
+               .Add("followed_ms", std::exchange(mFollowedFor, duration(0)).count())
+               .Add("vacant_ms", (now - vacantSince.value_or(now)).count()));
+}
+
 void scheduler_election::ScheduleRenewal()
 {
   const auto generation = mGeneration;
--- a/src/scheduler/Election.h
+++ b/src/scheduler/Election.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace anvildoor {
 
@@ -164,6 +165,8 @@
   void BeginTerm(uint64_t aRevision, uint64_t aFence, time_point aLeaseRequestedAt);
   /** Logs that the key of the scheduler known so far is missing. */
   void LogMissingScheduler();
+  /** Logs what this VM's new term has waited for. */
+  void LogElected();
   /** Logs once that the lease has run out while this VM sends requests on. */
   void CheckRenewals();
   void ScheduleRenewal();
@@ -198,10 +201,14 @@
   uint64_t mRenewalNumber = 0; ///< Counts the renewals that were sent.
   /** Rises with each change of role; callbacks of older generations do nothing. */
   uint64_t mGeneration = 0;
-  time_point mRenewedAt{ 0 };       ///< When the last renewal that succeeded was sent.
-  time_point mYieldsUntil{ 0 };     ///< Until then this VM takes part in no election.
-  time_point mKeySeenAt{ 0 };       ///< When the store last showed the key of mCurrent.
-  const char* mReadCause = "begin"; ///< See ReadKey.
+  time_point mRenewedAt{ 0 };     ///< When the last renewal that succeeded was sent.
+  time_point mYieldsUntil{ 0 };   ///< Until then this VM takes part in no election.
+  time_point mKeySeenAt{ 0 };     ///< When the store last showed the key of mCurrent.
+  time_point mBegunAt{ 0 };       ///< When Begin was called.
+  time_point mFollowedSince{ 0 }; ///< When this VM first saw the term that it follows.
+  duration mFollowedFor{ 0 };     ///< How long it followed the last term that ended.
+  std::optional<time_point> mVacantSince; ///< When it first saw that there is no key.
+  const char* mReadCause = "begin";       ///< See ReadKey.
   bool mIsOnGrace = false; ///< The lease has run out at the last renewal, as is known.
   std::string mNonce;
 };
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -115,6 +115,7 @@
   mActive = false;
   mLoaded = false;
   mPlanScheduled = false;
+  mHasWorkerAnswered = false;
   mWriter.End();
   mInbox.End();
   mInboxMonitor.End();
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -232,6 +232,8 @@
                       const hold_reply& aReply,
                       const hold_request& aRequest,
                       time_point aSentAt);
+  /** Logs once a term how long its first answer of a worker took. */
+  void LogFirstAnswer(const worker_entry& aWorker);
   void OnHoldFailed(worker_entry& aWorker, run_request_status aAnswer);
   void ApplyRunEvents(worker_entry& aWorker, const std::vector<run_event>& aEvents);
   void ApplyRunEnd(worker_entry& aWorker, const run_event& aEvent);
@@ -384,6 +386,7 @@
   bool mActive = false;
   bool mLoaded = false;
   bool mPlanScheduled = false;
+  bool mHasWorkerAnswered = false; ///< Whether a worker has accepted this term's token.
   time_point mTermBegunAt{ 0 };
   time_point mTakeoverReadAt{ 0 }; ///< When a read of the takeover last succeeded.
   std::map<std::string, std::unique_ptr<job_entry>> mJobs;
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace anvildoor {
 
@@ -219,10 +220,22 @@
   const bool isDue = aWorker.mRuns.HasUnsentAcknowledgement() || aReply.mEnded.empty();
   ScheduleHold(aWorker, isDue ? duration::zero() : kUndurableHoldPeriod);
   if (isFirstAnswer) {
+    LogFirstAnswer(aWorker);
     SchedulePlan();
   }
 }
 
+void fleet_scheduler::LogFirstAnswer(const worker_entry& aWorker)
+{
+  if (std::exchange(mHasWorkerAnswered, true)) {
+    return;
+  }
+  mPorts.mLog.Write(log_event("first_worker_answer")
+                      .Add("fence", static_cast<int64_t>(mTerm.mFence))
+                      .Add("worker", aWorker.mListed.mId)
+                      .Add("ms", (mPorts.mLoop.Now() - mTermBegunAt).count()));
+}
+
 void fleet_scheduler::OnHoldFailed(worker_entry& aWorker, run_request_status aAnswer)
 {
   if (aAnswer == run_request_status::kFenced) {
--- a/tests/ElectionTest.cpp
+++ b/tests/ElectionTest.cpp
@@ -1,6 +1,9 @@
 #include "support/FakeInstallation.h"
+#include "support/LogLines.h"
 
 #include <catch2/catch.hpp>
+#include <cstdlib>
+#include <optional>
 
 using namespace anvildoor;
 
@@ -46,3 +49,44 @@
   const std::string other = drained == "vm1" ? "vm2" : "vm1";
   CHECK(site.SchedulerVm() == other);
 }
+
+TEST_CASE("the log tells what a new term has waited for", "[election]")
+{
+  fake_installation site(1, 4);
+  site.mLoop.RunFor(duration(3'000));
+  const auto first = FindLine(site, "scheduler_won");
+  CAPTURE(first);
+  CHECK(Number(first, "followed_ms") == 0);
+  CHECK(Number(first, "since_start_ms") <= 20);
+  site.Kill("vm0");
+  site.mLog.mLines.clear();
+  const auto killedAt = site.mLoop.Now();
+  site.mLoop.RunFor(duration(300));
+  site.Restart("vm0");
+  const auto startedAt = site.mLoop.Now();
+  std::optional<time_point> goneAt;
+  REQUIRE(site.mLoop.RunUntil(
+    [&] {
+      if (!goneAt && !site.mStore.Peek("anvildoor/scheduler")) {
+        goneAt = site.mLoop.Now();
+      }
+      return !site.SchedulerVm().empty();
+    },
+    duration(3'000)));
+  const auto wonAt = site.mLoop.Now();
+  site.mLoop.RunFor(duration(1'500));
+  const auto gone = FindLine(site, "scheduler_gone_noticed");
+  const auto won = FindLine(site, "scheduler_won");
+  const auto answer = FindLine(site, "first_worker_answer");
+  CAPTURE(gone, won, answer, killedAt.count(), startedAt.count(), wonAt.count());
+  const auto near = [](int64_t aLogged, duration aActual) {
+    return std::abs(aLogged - aActual.count()) <= 5;
+  };
+  CHECK(near(Number(won, "since_start_ms"), wonAt - startedAt));
+  CHECK(near(Number(won, "followed_ms"), *goneAt - startedAt));
+  CHECK(near(Number(won, "vacant_ms"), wonAt - *goneAt));
+  CHECK(Field(gone, "followed_ms") == Field(won, "followed_ms"));
+  CHECK(CountEvents(site, "first_worker_answer") == 1);
+  CHECK(Field(answer, "fence") == Field(won, "fence"));
+  CHECK(Number(answer, "ms") >= Number(FindLine(site, "takeover"), "ms"));
+}
