A VM that is back ends its former term's lease at once

Callers saw runs of cancelled jobs go on while all VMs had been killed and were up again: the new processes found the former term's key and waited up to 1.2 s from its last renewal, although that term's process was known to be dead. With what was late before the kill, this share broke cancel_ms.

A VM whose first read of the key shows its own name and address now ends the lease: it listens at that address, so no other process does. Others notice by their watch. The same for a key with a nonce of this process that it does not hold: a commit or an EndLease whose answer was lost. Refused or lost calls are repeated for 0.8 s beside the watch of the key, so the expiry remains the last resort. The call names a lease, not the key: the lease of a later term is never ended. A key of another address or name, and one that another process of the same name and address wrote later, is followed as before (two processes configured alike would end each other's terms for ever).

What the former term may have in flight does not depend on its lease: requests are refused by the fencing token, writes by the key's revision, and leases are assumed from the new term's start + 4 s.

Ruled out: that the election itself or the takeover takes the time.

--- a/src/scheduler/Election.cpp
+++ b/src/scheduler/Election.cpp
@@ -28,6 +28,14 @@
  */
 constexpr double kDelayPerHalvingMs = 90.0;
 
+/** Returns the nonce in the value of the scheduler's key; empty if it has none. */
+std::string DecodeNonce(const stored_item& aItem)
+{
+  const auto text = json::parse(aItem.mValue, nullptr, false);
+  const auto nonce = text.is_object() ? text.find("nonce") : text.end();
+  return nonce != text.end() && nonce->is_string() ? nonce->get<std::string>() : "";
+}
+
 std::optional<scheduler_term> DecodeTerm(const stored_item& aItem)
 {
   const auto text = json::parse(aItem.mValue, nullptr, false);
@@ -143,8 +151,12 @@
     ReadKeyAfter(mTimes.mRetryDelay);
     return;
   }
+  const bool isFirstRead = !std::exchange(mHasReadKey, true);
   if (const auto* key = aRead->Find(store_keys::kScheduler)) {
     Follow(*key, aRead->mRevision);
+    if (IsAbandoned(*key, isFirstRead)) {
+      EndAbandonedLease(key->mLease, mLoop.Now());
+    }
     if (mCallbacks.mOnKeysRead) {
       mCallbacks.mOnKeysRead(*aRead);
     }
@@ -232,6 +244,45 @@
   Watch(aRevision);
 }
 
+bool scheduler_election::IsAbandoned(const stored_item& aItem, bool aIsFirstRead) const
+{
+  const auto term = DecodeTerm(aItem);
+  const bool namesSelf = term && !mSelf.mAddress.empty() && term->mVm == mSelf.mVm &&
+                         term->mAddress == mSelf.mAddress;
+  // A key of neither kind is that of another process with the same settings. Each would
+  // end the other's terms.
+  return namesSelf && term->mLease != 0 &&
+         (aIsFirstRead || (!mNonce.empty() && DecodeNonce(aItem) == mNonce));
+}
+
+void scheduler_election::EndAbandonedLease(uint64_t aLease, time_point aBegunAt)
+{
+  const auto generation = mGeneration;
+  mStore.EndLease(
+    aLease, [this, generation, aLease, aBegunAt](const result<uint64_t>& aEnded) {
+      const bool hasEnded = aEnded || aEnded.error().mCode == error_code::kNotFound;
+      const auto ms = (mLoop.Now() - aBegunAt).count();
+      mLog.Write(
+        log_event("abandoned_lease_ended")
+          .Add("answer", hasEnded ? std::string("ended") : Describe(aEnded.error()))
+          .Add("ms", ms));
+      if (hasEnded) {
+        if (generation == mGeneration) {
+          ReadKey("abandoned");
+        }
+        return;
+      }
+      if (mLoop.Now() - aBegunAt >= mTimes.mMaxElectionTime) {
+        return; // The watch tells when it expires.
+      }
+      mLoop.RunAfter(mTimes.mRefusedStepDelay, [this, aLease, aBegunAt] {
+        if (!mIsHolder && mCurrent.mLease == aLease) {
+          EndAbandonedLease(aLease, aBegunAt);
+        }
+      });
+    });
+}
+
 void scheduler_election::Watch(uint64_t aRevision)
 {
   const auto generation = mGeneration;
--- a/src/scheduler/Election.h
+++ b/src/scheduler/Election.h
@@ -107,6 +107,10 @@
                      const election_times& aTimes,
                      callbacks aCallbacks);
 
+  /**
+   * Begins to read the key. No other process may use this VM's name and address by now:
+   * a key that names them is that of a process that has ended.
+   */
   void Begin();
 
   /** Reads the key again at once, unless this VM holds it. */
@@ -151,6 +155,17 @@
   void ReadKey(const char* aCause);
   void OnKeyRead(const result<stored_range>& aRead);
   void Follow(const stored_item& aItem, uint64_t aRevision);
+  /**
+   * Returns whether the key is that of a term of this VM at this address that no
+   * process holds: one that was there before this process, or one of this process
+   * itself.
+   */
+  bool IsAbandoned(const stored_item& aItem, bool aIsFirstRead) const;
+  /**
+   * Ends the lease of an abandoned term, so that nobody waits until it expires. Repeats
+   * calls that fail for election_times::mMaxElectionTime.
+   */
+  void EndAbandonedLease(uint64_t aLease, time_point aBegunAt);
   void Watch(uint64_t aRevision);
   void RequestLeaseAfterExtraDelay();
   /**
@@ -195,6 +210,7 @@
   bool mIsImpaired = false; ///< See SetImpaired.
   bool mIsRenewing = false; ///< Whether the lease of this VM's term is renewed.
   bool mResigned = false;
+  bool mHasReadKey = false; ///< Whether a read of the key has succeeded.
   bool mIsStoreReachable = true;
   uint64_t mLeaseId = 0;
   uint64_t mImpairedLease = 0; ///< See EndImpairedLease; 0: none.
--- a/tests/ElectionTest.cpp
+++ b/tests/ElectionTest.cpp
@@ -1,8 +1,12 @@
+#include "scheduler/Election.h"
+#include "scheduler/StoreKeys.h"
 #include "support/FakeInstallation.h"
 #include "support/LogLines.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdlib>
+#include <memory>
 #include <optional>
 
 using namespace anvildoor;
@@ -90,3 +94,204 @@
   CHECK(Field(answer, "fence") == Field(won, "fence"));
   CHECK(Number(answer, "ms") >= Number(FindLine(site, "takeover"), "ms"));
 }
+
+namespace {
+
+const std::string kGang = "00000000000000a1";
+const std::vector<std::string> kVms{ "vm0", "vm1", "vm2" };
+
+constexpr duration kTtl = election_times().mTtl;
+
+/** A store with a scheduler's key, and elections that compete for it. */
+class key_site
+{
+public:
+  /** Writes the key of a term whose process has ended. */
+  void PutKey(const std::string& aVm, const std::string& aAddress)
+  {
+    uint64_t lease = 0;
+    mStore.GrantLease(kTtl, [&](const result<uint64_t>& aLease) { lease = *aLease; });
+    mLoop.RunUntil([&] { return lease != 0; }, duration(10));
+    store_transaction change;
+    change.mPuts.push_back(
+      { store_keys::kScheduler,
+        R"({"vm":")" + aVm + R"(","address":")" + aAddress + R"(","nonce":"former"})",
+        lease });
+    mStore.Commit(change, [](const result<transaction_outcome>&) {});
+    mLoop.RunFor(duration(1));
+  }
+
+  void Add(const std::string& aVm, const std::string& aAddress)
+  {
+    scheduler_election::callbacks callbacks;
+    callbacks.mOnElected = [this](const scheduler_term&, const scheduler_term&) {
+      ++mElected;
+    };
+    callbacks.mOnTermEnded = [](const std::string&) {};
+    mElections.push_back(
+      std::make_unique<scheduler_election>(mLoop,
+                                           mStore,
+                                           mLog,
+                                           scheduler_term{ aVm, aAddress, 0, 0, 0 },
+                                           duration(10),
+                                           election_times(),
+                                           callbacks));
+    mElections.back()->Begin();
+  }
+
+  /** Returns the time until an election is won, or 10 s. */
+  duration UntilElected(size_t aElection)
+  {
+    const auto begin = mLoop.Now();
+    mLoop.RunUntil([&] { return mElections[aElection]->IsHolder(); }, duration(10'000));
+    return mLoop.Now() - begin;
+  }
+
+  size_t CountHolders() const
+  {
+    return static_cast<size_t>(
+      std::count_if(mElections.begin(), mElections.end(), [](const auto& aElection) {
+        return aElection->IsHolder();
+      }));
+  }
+
+  virtual_loop mLoop{ time_point(1'000'000) };
+  memory_transaction_store mStore{ mLoop };
+  recording_log mLog;
+  size_t mElected = 0;
+
+private:
+  std::vector<std::unique_ptr<scheduler_election>> mElections;
+};
+
+} // namespace
+
+// Guards against new terms that wait for the lease of one whose VM is back already.
+TEST_CASE("a cancelled gang is stopped soon after all VMs were killed", "[election]")
+{
+  const auto down = GENERATE(300, 600, 1'300);
+  const auto phase = GENERATE(range(0, 400, 100));
+  CAPTURE(down, phase);
+  fake_installation site(kVms.size(), 4);
+  site.mBehaviourByPayload["long"] = { duration(60'000), false, true };
+  auto gang = fake_installation::MakeJob(kGang, 4, true);
+  gang.mSpec.mPayload = "long";
+  REQUIRE(site.Submit("vm1", gang) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(3'000 + phase));
+  REQUIRE(site.mTraces.size() == 4);
+  // The former scheduler's stops are all lost.
+  bool isDown = true;
+  std::optional<time_point> lastStopAt;
+  size_t stops = 0;
+  site.mFaults.mFateOfOrder = [&](const std::string&, const std::string& aOrder) {
+    order_fate fate;
+    if (aOrder == "stop") {
+      fate.mIsLost = isDown;
+      stops += isDown ? 0 : 1;
+      lastStopAt = site.mLoop.Now();
+    }
+    return fate;
+  };
+  REQUIRE(site.Cancel("vm1", kGang) == job_answer::kAccepted);
+  for (const auto& vm : kVms) {
+    site.Kill(vm);
+  }
+  site.mLoop.RunFor(duration(down));
+  isDown = false;
+  site.mLog.mLines.clear();
+  for (const auto& vm : kVms) {
+    site.Restart(vm);
+  }
+  const auto startedAt = site.mLoop.Now();
+  // cancel_ms, less 1.3 s without VMs and 1.4 s for what was late before.
+  constexpr duration kStopsSent{ 300 };
+  const bool areStopped =
+    site.mLoop.RunUntil([&] { return stops >= 4; }, duration(3'000));
+  REQUIRE(areStopped);
+  CAPTURE(FindLine(site, "scheduler_won"));
+  CHECK((*lastStopAt - startedAt).count() <= kStopsSent.count());
+}
+
+// Guards against ended leases of terms that another process may still have.
+TEST_CASE("only the lease of a VM's own former term is ended before it expires",
+          "[election]")
+{
+  struct former_term
+  {
+    const char* mName;
+    const char* mVm;
+    const char* mAddress;
+    bool mIsEnded;
+  };
+  const auto each = GENERATE(values<former_term>({
+    { "its own", "vm0", "10.0.0.1:80", true },
+    { "of the same name elsewhere", "vm0", "10.0.0.2:80", false },
+    { "of another name at its address", "vm1", "10.0.0.1:80", false },
+    { "of another VM", "vm1", "10.0.0.2:80", false },
+  }));
+  CAPTURE(each.mName);
+  key_site site;
+  site.PutKey(each.mVm, each.mAddress);
+  site.Add("vm0", "10.0.0.1:80");
+  const auto waited = site.UntilElected(0);
+  CHECK((waited <= duration(100)) == each.mIsEnded);
+  CHECK((waited >= kTtl - duration(10)) != each.mIsEnded);
+}
+
+// Guards against processes that end each other's terms for ever.
+TEST_CASE("of two processes with the same name and address one keeps the term",
+          "[election]")
+{
+  key_site site;
+  site.Add("vm0", "10.0.0.1:80");
+  site.mLoop.RunFor(duration(1'000));
+  site.Add("vm0", "10.0.0.1:80");
+  site.mLoop.RunFor(duration(30'000));
+  CHECK(site.mElected <= 2);
+  CHECK(site.CountHolders() == 1);
+}
+
+// Guards against elections that wait for the expiry of a lease whose end was refused.
+TEST_CASE("an abandoned lease is ended although calls for it fail", "[election]")
+{
+  struct failure
+  {
+    const char* mName;
+    store_fate mFate;
+    int mCalls;
+    duration mBound; // From the start of the VM to its election.
+  };
+  const auto each = GENERATE(values<failure>({
+    { "refused once", store_fate::kRefused, 1, duration(150) },
+    { "refused five times", store_fate::kRefused, 5, duration(400) },
+    { "answer lost", store_fate::kUnanswered, 1, duration(100) },
+    { "call lost", store_fate::kUnsent, 1, kTtl + duration(100) },
+    { "refused always", store_fate::kRefused, 1'000, kTtl + duration(100) },
+  }));
+  CAPTURE(each.mName);
+  fake_installation site(1, 4);
+  site.mLoop.RunFor(duration(3'000));
+  site.Kill("vm0");
+  store_fault fault{ each.mFate, "vm0", { store_call::kEndLease } };
+  fault.mCallsLeft = each.mCalls;
+  site.mFaults.mStoreFaults.push_back(fault);
+  site.mLoop.RunFor(duration(10));
+  site.Restart("vm0");
+  CHECK(site.mLoop.RunUntil([&] { return !site.SchedulerVm().empty(); }, each.mBound));
+}
+
+// Guards against waiting for the lease of a key that this VM wrote without an answer.
+TEST_CASE("a VM that finds its own key although it was not elected is elected soon",
+          "[election]")
+{
+  fake_installation site(1, 4);
+  site.mLoop.RunFor(duration(3'000));
+  site.Kill("vm0");
+  site.mLoop.RunFor(duration(3'000));
+  site.mFaults.mUnansweredCommits = 1;
+  site.Restart("vm0");
+  constexpr duration kCallTimeout{ 900 };
+  constexpr duration kOtherSteps{ 250 };
+  CHECK(site.mLoop.RunUntil([&] { return !site.SchedulerVm().empty(); },
+                            kCallTimeout + kOtherSteps));
+}
