Tests: stops left to the next term of the same VM, and one server an address

They guard what the end of an abandoned lease relies on: a VM forgets its term's unanswered stops with the term, and the takeover of the next term sends them again; and a process that listens at an address is the only one that does.

--- a/tests/ElectionTest.cpp
+++ b/tests/ElectionTest.cpp
@@ -295,3 +295,33 @@
   CHECK(site.mLoop.RunUntil([&] { return !site.SchedulerVm().empty(); },
                             kCallTimeout + kOtherSteps));
 }
+
+// Guards against stops that end with the term that sent them.
+TEST_CASE("the next term of the same VM sends the stops that its former one could not",
+          "[election]")
+{
+  fake_installation site(1, 4);
+  site.mBehaviourByPayload["long"] = { duration(60'000), false, true };
+  auto gang = fake_installation::MakeJob(kGang, 4, true);
+  gang.mSpec.mPayload = "long";
+  REQUIRE(site.Submit("vm0", gang) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(3'000));
+  REQUIRE(site.mTraces.size() == 4);
+  bool areStopsLost = true;
+  site.mFaults.mFateOfOrder = [&](const std::string&, const std::string& aOrder) {
+    order_fate fate;
+    fate.mIsLost = areStopsLost && aOrder == "stop";
+    return fate;
+  };
+  REQUIRE(site.Cancel("vm0", kGang) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(100));
+  REQUIRE(CountEvents(site, "run_stop") == 4);
+  const auto term = site.Node("vm0").Election().Current();
+  site.mStore.EndLease(term.mLease, [](const result<uint64_t>&) {});
+  areStopsLost = false;
+  constexpr duration kRenewPeriod = election_times().mRenewPeriod;
+  CHECK(site.mLoop.RunUntil([&] { return CountEvents(site, "run_stop") == 8; },
+                            kRenewPeriod + duration(50)));
+  CHECK(site.Node("vm0").Election().Current().mFence > term.mFence);
+  CHECK(site.ReachesState("vm0", kGang, "cancelled", duration(1'000)));
+}
--- a/tests/HttpPoolTest.cpp
+++ b/tests/HttpPoolTest.cpp
@@ -368,3 +368,24 @@
     CHECK(connections == std::vector<uint64_t>{ 1, 1, 2 });
   }
 }
+
+// Guards against processes that take another one's address while it runs.
+TEST_CASE("a server does not listen at an address at which another one does", "[http]")
+{
+  asio::io_context context;
+  const auto handler = [](const server_request&, const single_thread_server::respond&) {
+  };
+  std::string address;
+  {
+    const tcp::acceptor free(context,
+                             tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    address = "127.0.0.1:" + std::to_string(free.local_endpoint().port());
+  }
+  single_thread_server first(context, handler);
+  REQUIRE(first.Listen(address));
+  single_thread_server second(context, handler);
+  CHECK_FALSE(second.Listen(address));
+  first.StopAccepting();
+  single_thread_server third(context, handler);
+  CHECK(third.Listen(address));
+}
