--- a/src/scheduler/Election.h
+++ b/src/scheduler/Election.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace anvildoor {
 
@@ -106,6 +107,10 @@
                      const election_times& aTimes,
                      callbacks aCallbacks);
 
+  /**
+   * Begins to read the key. No other process may use this VM's name and address by now:
+   * a key that names them is that of a process that has ended.
+   */
   void Begin();
 
   /** Reads the key again at once, unless this VM holds it. */
@@ -150,6 +155,17 @@
   void ReadKey(const char* aCause);
   void OnKeyRead(const result<stored_range>& aRead);
   void Follow(const stored_item& aItem, uint64_t aRevision);
+  /**
+   * Returns whether the key is that of a term of this VM at this address that no
+   * process holds: one that was there before this process, or one of this process
+   * itself.
+   */
+  bool IsAbandoned(const stored_item& aItem, bool aIsFirstRead) const;
+  /**
+   * Ends the lease of an abandoned term, so that nobody waits until it expires. Repeats
+   * calls that fail for election_times::mMaxElectionTime.
+   */
+  void EndAbandonedLease(uint64_t aLease, time_point aBegunAt);
   void Watch(uint64_t aRevision);
   void RequestLeaseAfterExtraDelay();
   /**
@@ -164,6 +180,8 @@
   void BeginTerm(uint64_t aRevision, uint64_t aFence, time_point aLeaseRequestedAt);
   /** Logs that the key of the scheduler known so far is missing. */
   void LogMissingScheduler();
+  /** Logs what this VM's new term has waited for. */
+  void LogElected();
   /** Logs once that the lease has run out while this VM sends requests on. */
   void CheckRenewals();
   void ScheduleRenewal();
@@ -192,16 +210,21 @@
   bool mIsImpaired = false; ///< See SetImpaired.
   bool mIsRenewing = false; ///< Whether the lease of this VM's term is renewed.
   bool mResigned = false;
+  bool mHasReadKey = false; ///< Whether a read of the key has succeeded.
   bool mIsStoreReachable = true;
   uint64_t mLeaseId = 0;
   uint64_t mImpairedLease = 0; ///< See EndImpairedLease; 0: none.
   uint64_t mRenewalNumber = 0; ///< Counts the renewals that were sent.
   /** Rises with each change of role; callbacks of older generations do nothing. */
   uint64_t mGeneration = 0;
-  time_point mRenewedAt{ 0 };       ///< When the last renewal that succeeded was sent.
-  time_point mYieldsUntil{ 0 };     ///< Until then this VM takes part in no election.
-  time_point mKeySeenAt{ 0 };       ///< When the store last showed the key of mCurrent.
-  const char* mReadCause = "begin"; ///< See ReadKey.
+  time_point mRenewedAt{ 0 };     ///< When the last renewal that succeeded was sent.
+  time_point mYieldsUntil{ 0 };   ///< Until then this VM takes part in no election.
+  time_point mKeySeenAt{ 0 };     ///< When the store last showed the key of mCurrent.
+  time_point mBegunAt{ 0 };       ///< When Begin was called.
+  time_point mFollowedSince{ 0 }; ///< When this VM first saw the term that it follows.
+  duration mFollowedFor{ 0 };     ///< How long it followed the last term that ended.
+  std::optional<time_point> mVacantSince; ///< When it first saw that there is no key.
+  const char* mReadCause = "begin";       ///< See ReadKey.
   bool mIsOnGrace = false; ///< The lease has run out at the last renewal, as is known.
   std::string mNonce;
 };
