Logs tell the role of the VM that acknowledges a cancellation, and notices that are late

What callers saw: runs of cancelled jobs that went on for longer than 3.4 s after a VM had acknowledged the cancellation. The logs did not tell whether this VM scheduled, drained or could reach the scheduler.

Change: job_cancel has the fields schedules and drains. cancel_notice is logged for a notice to the scheduler that took more than one attempt or was given up; one that is confirmed at once leaves no line.

Before: the test finds neither fields nor line, as they did not exist. After: [cancellation-log] passes, 16 cases, 308 assertions.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -95,6 +95,7 @@
             mScheduler,
             [this] { return IsStoreReachable(); },
             [this] { return !mIsIntakeClosed; },
+            [this] { return mDraining; },
             kStoreAnswerTimeout })
 {
   mScheduler.SetRequestDeadline([this] { return mElection.RequestDeadline(); });
--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -226,7 +226,9 @@
       .Add("revision", static_cast<int64_t>(aRevision))
       .Add("ms", (mPorts.mLoop.Now() - aAskedAt).count())
       .Add("scheduler", term.mVm)
-      .Add("fence", static_cast<int64_t>(term.mFence)));
+      .Add("fence", static_cast<int64_t>(term.mFence))
+      .Add("schedules", mPorts.mElection.IsHolder() ? 1 : 0)
+      .Add("drains", mPorts.mIsDraining() ? 1 : 0));
   job_reply reply;
   reply.mAnswer = aAnswer;
   aRespond(reply);
@@ -277,7 +279,7 @@
             finish(job_answer::kNotFound, 0, "the job has been removed");
           } else {
             finish(job_answer::kAccepted, aOutcome->mRevision, "stored");
-            NotifyScheduler(aId, aOutcome->mRevision, kMaxNotifications);
+            NotifyScheduler({ aId, aOutcome->mRevision, mPorts.mLoop.Now() });
           }
         });
     });
@@ -326,32 +328,54 @@
     });
 }
 
-void job_service::NotifyScheduler(const std::string& aId,
-                                  uint64_t aRevision,
-                                  int aAttempts)
+void job_service::NotifyScheduler(cancel_notice aNotice)
 {
-  if (aAttempts == 0 || mPorts.mScheduler.ObserveCancellation(aId, aRevision)) {
+  if (aNotice.mAttempts == kMaxNotifications) {
+    ReportNotice(aNotice, "given_up");
     return;
   }
-  const auto retry = [this, aId, aRevision, aAttempts] {
-    NotifyScheduler(aId, aRevision, aAttempts - 1);
+  ++aNotice.mAttempts;
+  if (mPorts.mScheduler.ObserveCancellation(aNotice.mJob, aNotice.mRevision)) {
+    ReportNotice(aNotice, "confirmed");
+    return;
+  }
+  const auto retry = [this, aNotice] {
+    mPorts.mLoop.RunAfter(kNotificationRetryDelay,
+                          [this, aNotice] { NotifyScheduler(aNotice); });
   };
   const auto& term = mPorts.mElection.Current();
   if (term.mFence == 0 || mPorts.mElection.IsHolder()) {
-    mPorts.mLoop.RunAfter(kNotificationRetryDelay, retry);
+    retry();
     return;
   }
   mPorts.mPeers.NotifyOfCancellation(
     term.mAddress,
-    aId,
-    aRevision,
-    [this, retry](const result<std::optional<std::string>>& aAnswer) {
+    aNotice.mJob,
+    aNotice.mRevision,
+    [this, aNotice, retry](const result<std::optional<std::string>>& aAnswer) {
       if (!aAnswer || !*aAnswer) {
-        mPorts.mLoop.RunAfter(kNotificationRetryDelay, retry);
+        retry();
+      } else {
+        ReportNotice(aNotice, "confirmed");
       }
     });
 }
 
+void job_service::ReportNotice(const cancel_notice& aNotice, const char* aAnswer)
+{
+  if (aNotice.mAttempts == 1) {
+    return;
+  }
+  const auto& term = mPorts.mElection.Current();
+  mPorts.mLog.Write(log_event("cancel_notice")
+                      .Add("job", aNotice.mJob)
+                      .Add("answer", aAnswer)
+                      .Add("attempts", aNotice.mAttempts)
+                      .Add("ms", (mPorts.mLoop.Now() - aNotice.mStoredAt).count())
+                      .Add("scheduler", term.mVm)
+                      .Add("fence", static_cast<int64_t>(term.mFence)));
+}
+
 void job_service::State(const std::string& aId, respond aRespond)
 {
   job_reply reply;
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -59,6 +59,8 @@
     std::function<bool()> mStoreIsReachable;
     /** Returns whether the scheduler takes further jobs. */
     std::function<bool()> mIsIntakeOpen;
+    /** Returns whether this VM drains. */
+    std::function<bool()> mIsDraining;
     duration mStoreAnswerTimeout{ 0 };
   };
 
@@ -98,6 +100,14 @@
     bool mMaybeStored = false; ///< A write failed with an unknown effect.
     bool mInFlight = false;
   };
+  /** Tells the scheduler of a stored cancellation. */
+  struct cancel_notice
+  {
+    std::string mJob;
+    uint64_t mRevision = 0;
+    time_point mStoredAt{ 0 };
+    int mAttempts = 0; ///< Made so far.
+  };
   struct pending_count
   {
     size_t mCount = 0;
@@ -136,9 +146,11 @@
                     const respond& aRespond);
   /**
    * Tells the scheduler of a stored cancellation, so that it need not wait for its
-   * inbox, in at most aAttempts attempts until the scheduler has applied it.
+   * inbox, in a few attempts until the scheduler has applied it.
    */
-  void NotifyScheduler(const std::string& aId, uint64_t aRevision, int aAttempts);
+  void NotifyScheduler(cancel_notice aNotice);
+  /** Logs the end of a notice that took more than one attempt. */
+  void ReportNotice(const cancel_notice& aNotice, const char* aAnswer);
   void StateFromStore(const std::string& aId, const respond& aRespond);
   void PendingFromCache(const std::string& aQueue, const respond& aRespond);
 
--- a/tests/CancellationLogTest.cpp
+++ b/tests/CancellationLogTest.cpp
@@ -52,6 +52,47 @@
   CHECK(Number(read, "inbox_gap_ms") >= 0);
 }
 
+TEST_CASE("the role of the VM that acknowledges a cancellation is logged",
+          "[cancellation-log]")
+{
+  struct role
+  {
+    const char* mName;
+    bool mIsScheduler;
+    bool mDrains;
+    const char* mSchedules;
+    const char* mDrainsField;
+    const char* mNotice; // Empty: it takes one attempt, and no line.
+  };
+  const auto each = GENERATE(values<role>({
+    { "other VM", false, false, "0", "0", "" },
+    { "scheduler", true, false, "1", "0", "" },
+    { "former scheduler that drains", true, true, "0", "1", "confirmed" },
+    { "VM without a way to the scheduler", false, false, "0", "0", "given_up" },
+  }));
+  CAPTURE(each.mName);
+  fake_installation site(3, 4);
+  BeginLongRun(site);
+  const auto scheduler = site.SchedulerVm();
+  const auto vm = each.mIsScheduler ? scheduler : OtherVm(site);
+  if (each.mDrains) {
+    site.Node(vm).StartDraining();
+  }
+  site.mFaults.mLosesNotifications = std::string(each.mNotice) == "given_up";
+  REQUIRE(site.Cancel(vm, kJob) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(6'000));
+  const auto line = FindLine(site, "job_cancel", kJob);
+  const auto notice = FindLine(site, "cancel_notice", kJob);
+  CAPTURE(line, notice);
+  CHECK(Field(line, "schedules") == each.mSchedules);
+  CHECK(Field(line, "drains") == each.mDrainsField);
+  CHECK(Field(notice, "answer") == each.mNotice);
+  if (!notice.empty()) {
+    CHECK(Number(notice, "attempts") >= 2);
+    CHECK(Number(notice, "ms") >= 100);
+  }
+}
+
 TEST_CASE("a cancellation that is not acknowledged is logged with its reason",
           "[cancellation-log]")
 {
