A former scheduler stops the runs of cancelled jobs that its successor can't reach

Cause: an acknowledged cancellation depended on one other VM, the next scheduler. A scheduler that drains, hands over or loses its lease forgets its runs. If its data centre is cut off before the successor has taken over, nobody stops the runs there until the cut ends or the leases run out, although VMs beside them know of the cancellation.

Ruled out: a cancellation that was acknowledged 20 ms before the end of the term, for which the stops had been sent (no row late); workers of other data centres (no row late).

Change: a scheduler whose term ends keeps the places of its runs for the longest lease. If no scheduler answers for a cancellation 0.4 s after it has learned of it, it stops the runs itself under the token of its own term. A worker that refuses this token gets no further call. Other VMs that store a cancellation tell the last former scheduler, too, and a VM that drains exits only when its stops are settled. Considered and not done: stops by VMs that never were the scheduler under the token of the one they know, which would be two holders with one fencing token.

While the successor answers, no such stop is sent.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -2,6 +2,8 @@
 
 #include "scheduler/StoreKeys.h"
 
+#include <cmath>
+
 namespace anvildoor {
 
 namespace {
@@ -27,6 +29,14 @@
  */
 constexpr duration kUnfitElectionDelay{ 400 };
 
+/** Returns for how long a worker's runs may go on after the last hold of its lease. */
+duration LongestLease(const run_bounds& aBounds)
+{
+  const auto drift =
+    aBounds.mClockDrift * static_cast<double>(aBounds.mLeaseMax.count());
+  return aBounds.mLeaseMax + duration(std::llround(drift)) + aBounds.mLeaseExpiryMargin;
+}
+
 } // namespace
 
 entry_node::entry_node(const entry_ports& aPorts, const entry_options& aOptions)
@@ -60,6 +70,14 @@
       [this](const std::string& aReason) { mElection.GiveWay(aReason); },
       [this](const std::string& aReason) { mElection.StopRenewing(aReason); },
       [this](bool aIsImpaired) { mElection.SetImpaired(aIsImpaired); })
+  , mGuard(aPorts.mLoop,
+           aPorts.mWorkers,
+           aPorts.mLog,
+           aPorts.mMetrics,
+           LongestLease(aOptions.mScheduler.mRuns),
+           [this](const std::string& aJob, uint64_t aRevision, auto aDone) {
+             AskScheduler(aJob, aRevision, aDone);
+           })
   , mElection(
       aPorts.mLoop,
       aPorts.mStore,
@@ -68,6 +86,7 @@
       aOptions.mElectionDelay,
       aOptions.mElection,
       { [this](const scheduler_term& aTerm, const scheduler_term& aPredecessor) {
+         mGuard.End();
          mScheduler.Begin(aTerm, aPredecessor);
        },
         [this](const std::string&) { EndTerm(); },
@@ -93,10 +112,12 @@
             aPorts.mMetrics,
             mElection,
             mScheduler,
+            mGuard,
             [this] { return IsStoreReachable(); },
             [this] { return !mIsIntakeClosed; },
             [this] { return mDraining; },
-            kStoreAnswerTimeout })
+            kStoreAnswerTimeout,
+            LongestLease(aOptions.mScheduler.mRuns) })
 {
   mScheduler.SetRequestDeadline([this] { return mElection.RequestDeadline(); });
 }
@@ -179,9 +200,28 @@
 void entry_node::EndTerm()
 {
   mHadImpairedTerm = mScheduler.Impairment() != impairment::kNone;
+  mGuard.Begin(mScheduler.RunsOfTerm());
   mScheduler.End();
 }
 
+void entry_node::AskScheduler(const std::string& aJob,
+                              uint64_t aRevision,
+                              const std::function<void(bool)>& aDone)
+{
+  const auto& term = mElection.Current();
+  if (term.mFence == 0 || mElection.IsHolder()) {
+    mPorts.mLoop.RunAfter(duration::zero(), [aDone] { aDone(false); });
+    return;
+  }
+  mPorts.mPeers.NotifyOfCancellation(
+    term.mAddress,
+    aJob,
+    aRevision,
+    [aDone](const result<std::optional<std::string>>& aAnswer) {
+      aDone(aAnswer && *aAnswer);
+    });
+}
+
 void entry_node::ProbeStore()
 {
   // The holder learns of the end of its lease by the renewals.
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/CancellationGuard.h"
 #include "entry/JobService.h"
 #include "entry/LoopMonitor.h"
 #include "entry/PolicyWatch.h"
@@ -49,6 +50,9 @@
   /** Returns whether the VM can serve new clients. */
   bool IsReady() const;
 
+  /** Returns whether this VM still stops cancelled runs of a term that has ended. */
+  bool HasUnsettledStops() const { return mGuard.HasUnsettledStops(); }
+
   /** Returns whether the store has answered recently. */
   bool IsStoreReachable() const;
 
@@ -59,9 +63,13 @@
   job_service& Jobs() { return mJobs; }
   const fleet_scheduler& Scheduler() const { return mScheduler; }
 
-  /** See fleet_scheduler::ObserveCancellation. */
+  /**
+   * See fleet_scheduler::ObserveCancellation. The runs that the job may have of an
+   * ended term of this VM are stopped, too, if need be, whatever is returned.
+   */
   bool ObserveCancellation(const std::string& aJob, uint64_t aRevision)
   {
+    mGuard.Observe(aJob, aRevision);
     return mScheduler.ObserveCancellation(aJob, aRevision);
   }
 
@@ -84,6 +92,10 @@
   /** Applies a possibly old list of the scheduler's key and the intake's. */
   void ObserveSchedulerKeys(const stored_range& aRange);
   void EndTerm();
+  /** Tells the scheduler, if it is another VM, of a stored cancellation. */
+  void AskScheduler(const std::string& aJob,
+                    uint64_t aRevision,
+                    const std::function<void(bool)>& aDone);
   /** Relieves the scheduler if aRange says that it can't do its work. */
   void ObserveImpairment(const stored_range& aRange);
   /** Returns whether this VM may relieve the scheduler that it knows. */
@@ -98,6 +110,7 @@
   policy_watch::listener mPolicyListener;
   policy_watch mPolicy;
   fleet_scheduler mScheduler;
+  cancellation_guard mGuard;
   scheduler_election mElection;
   standby mStandby;
   job_service mJobs;
--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -279,7 +279,10 @@
             finish(job_answer::kNotFound, 0, "the job has been removed");
           } else {
             finish(job_answer::kAccepted, aOutcome->mRevision, "stored");
-            NotifyScheduler({ aId, aOutcome->mRevision, mPorts.mLoop.Now() });
+            const cancel_notice notice{ aId, aOutcome->mRevision, mPorts.mLoop.Now() };
+            mPorts.mGuard.Observe(aId, aOutcome->mRevision);
+            NotifyFormerScheduler(notice);
+            NotifyScheduler(notice);
           }
         });
     });
@@ -361,6 +364,21 @@
     });
 }
 
+void job_service::NotifyFormerScheduler(const cancel_notice& aNotice)
+{
+  const auto& former = mPorts.mElection.Former();
+  const bool isRecent =
+    mPorts.mLoop.Now() - mPorts.mElection.FormerEndedAt() < mPorts.mLongestLease;
+  if (former.mFence == 0 || !isRecent ||
+      former.mAddress == mPorts.mElection.Current().mAddress) {
+    return;
+  }
+  mPorts.mPeers.NotifyOfCancellation(former.mAddress,
+                                     aNotice.mJob,
+                                     aNotice.mRevision,
+                                     [](const result<std::optional<std::string>>&) {});
+}
+
 void job_service::ReportNotice(const cancel_notice& aNotice, const char* aAnswer)
 {
   if (aNotice.mAttempts == 1) {
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -3,6 +3,7 @@
 #include "base/EventLog.h"
 #include "base/EventLoop.h"
 #include "base/Metrics.h"
+#include "entry/CancellationGuard.h"
 #include "entry/PeerQuery.h"
 #include "jobs/JobState.h"
 #include "scheduler/Election.h"
@@ -55,6 +56,7 @@
     metrics& mMetrics;
     const scheduler_election& mElection;
     fleet_scheduler& mScheduler;
+    cancellation_guard& mGuard;
     /** Returns whether the store has answered within the last mStoreAnswerTimeout. */
     std::function<bool()> mStoreIsReachable;
     /** Returns whether the scheduler takes further jobs. */
@@ -62,6 +64,8 @@
     /** Returns whether this VM drains. */
     std::function<bool()> mIsDraining;
     duration mStoreAnswerTimeout{ 0 };
+    /** How long after the end of a term its runs may go on without a successor. */
+    duration mLongestLease{ 0 };
   };
 
   /** All references in aPorts must outlive the service and its calls. */
@@ -149,6 +153,11 @@
    * inbox, in a few attempts until the scheduler has applied it.
    */
   void NotifyScheduler(cancel_notice aNotice);
+  /**
+   * Tells the former scheduler, too, since it may reach workers that its successor
+   * doesn't, or there may be none yet.
+   */
+  void NotifyFormerScheduler(const cancel_notice& aNotice);
   /** Logs the end of a notice that took more than one attempt. */
   void ReportNotice(const cancel_notice& aNotice, const char* aAnswer);
   void StateFromStore(const std::string& aId, const respond& aRespond);
--- a/src/entry/PeerApi.cpp
+++ b/src/entry/PeerApi.cpp
@@ -83,6 +83,8 @@
   const auto& scheduler = mNode.Scheduler();
   if (target.compare(0, kSummaryPath.size(), kSummaryPath) == 0) {
     reply = SummaryFor(target.substr(kSummaryPath.size()));
+  } else if (target.compare(0, kCancelledPath.size(), kCancelledPath) == 0) {
+    reply = ApplyCancellation(target.substr(kCancelledPath.size()));
   } else if (!scheduler.Active()) {
     reply.mStatus = kNotScheduler;
   } else if (target.compare(0, kStatePath.size(), kStatePath) == 0) {
@@ -93,8 +95,6 @@
     const auto count = scheduler.PendingOf(target.substr(kPendingPath.size()));
     reply.mStatus = count ? kOk : kNotScheduler;
     reply.mBody = count ? std::to_string(*count) : "";
-  } else if (target.compare(0, kCancelledPath.size(), kCancelledPath) == 0) {
-    reply = ApplyCancellation(target.substr(kCancelledPath.size()));
   } else {
     reply.mStatus = kNotFound;
   }
@@ -124,12 +124,15 @@
   const auto revision = slash == std::string::npos
                           ? std::nullopt
                           : ParsePositive(aArguments.substr(slash + 1));
+  const bool isScheduler = mNode.Scheduler().Active();
   if (!revision) {
-    reply.mStatus = kBadRequest;
+    reply.mStatus = isScheduler ? kBadRequest : kNotScheduler;
     return reply;
   }
   const auto job = aArguments.substr(0, slash);
-  reply.mStatus = mNode.ObserveCancellation(job, *revision) ? kOk : kNotFound;
+  const bool isApplied = mNode.ObserveCancellation(job, *revision);
+  const auto refusal = isScheduler ? kNotFound : kNotScheduler;
+  reply.mStatus = isApplied ? kOk : refusal;
   return reply;
 }
 
--- a/src/scheduler/Election.cpp
+++ b/src/scheduler/Election.cpp
@@ -150,6 +150,7 @@
     return;
   }
   LogMissingScheduler();
+  NoteFormer();
   mImpairedLease = FindImpairedLease(*aRead);
   mCurrent = scheduler_term();
   if (mResigned) {
@@ -211,12 +212,21 @@
                .Add("last_seen_ms", (mLoop.Now() - mKeySeenAt).count()));
 }
 
+void scheduler_election::NoteFormer()
+{
+  if (mLastKnown.mVm != mSelf.mVm && mLastKnown.mFence != mFormer.mFence) {
+    mFormer = mLastKnown;
+    mFormerEndedAt = mLoop.Now();
+  }
+}
+
 void scheduler_election::Follow(const stored_item& aItem, uint64_t aRevision)
 {
   const auto term = DecodeTerm(aItem);
   mKeySeenAt = mLoop.Now();
   const bool isNewTerm = term && term->mFence != mCurrent.mFence;
   if (isNewTerm) {
+    NoteFormer();
     mCurrent = *term;
     mLastKnown = *term;
     mLog.Write(log_event("scheduler_seen")
@@ -348,6 +358,7 @@
   if (mLoop.Now() - aLeaseRequestedAt >= mTimes.mRefusedStepDelay) {
     SendRenewal(); // Refused steps have used up a part of the lease.
   }
+  NoteFormer();
   const auto predecessor = std::exchange(mLastKnown, mCurrent);
   mCallbacks.mOnElected(mCurrent, predecessor);
 }
--- a/src/scheduler/Election.h
+++ b/src/scheduler/Election.h
@@ -142,6 +142,13 @@
   /** Returns the time until which requests may be sent under this VM's term. */
   time_point RequestDeadline() const;
 
+  /** Returns the last term of another VM that is known to have ended; mFence 0: none.
+   */
+  const scheduler_term& Former() const { return mFormer; }
+
+  /** Returns when this VM learned of the end of the term that Former returns. */
+  time_point FormerEndedAt() const { return mFormerEndedAt; }
+
   /** Returns the latest known term; its mFence is 0 if there is none. */
   const scheduler_term& Current() const { return mCurrent; }
 
@@ -162,6 +169,8 @@
   /** Repeats a step of an election that failed, or begins with the read of the key. */
   void RepeatStep(const error& aError, time_point aBegunAt, task aStep);
   void BeginTerm(uint64_t aRevision, uint64_t aFence, time_point aLeaseRequestedAt);
+  /** Notes that the last known term, if it is another VM's, has ended. */
+  void NoteFormer();
   /** Logs that the key of the scheduler known so far is missing. */
   void LogMissingScheduler();
   /** Logs once that the lease has run out while this VM sends requests on. */
@@ -188,6 +197,8 @@
   callbacks mCallbacks;
   scheduler_term mCurrent;
   scheduler_term mLastKnown; ///< Like mCurrent, but kept after the end of the term.
+  scheduler_term mFormer;    ///< See Former.
+  time_point mFormerEndedAt{ 0 };
   bool mIsHolder = false;
   bool mIsImpaired = false; ///< See SetImpaired.
   bool mIsRenewing = false; ///< Whether the lease of this VM's term is renewed.
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -207,6 +207,7 @@
   if (!found->second->mState.Cancel()) {
     return;
   }
+  found->second->mCancelRevision = aRevision;
   mPorts.mLog.Write(log_event("job_cancelled")
                       .Add("job", aId)
                       .Add("revision", static_cast<int64_t>(aRevision))
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -16,6 +16,7 @@
 #include "scheduler/InboxReader.h"
 #include "scheduler/RecordWriter.h"
 #include "scheduler/TermHealth.h"
+#include "scheduler/TermRuns.h"
 #include "scheduler/TermSummary.h"
 
 #include <map>
@@ -97,6 +98,12 @@
    */
   std::optional<term_summary> LastTermSummary(uint64_t aFence) const;
 
+  /**
+   * Returns the runs that may exist on the workers, but for those that have refused the
+   * fencing token of the term; none without a term. Looks at all runs.
+   */
+  term_runs RunsOfTerm() const;
+
   bool Active() const { return mActive; }
 
   /** Returns what this VM can't do of the work of its term. */
@@ -274,6 +281,8 @@
   /** Stops the runs of a task, or of its whole gang, that is done without them. */
   void StopNewerRuns(const job_entry& aJob, const task_ref& aTask);
   static bool IsCancelled(const job_entry* aJob);
+  /** Ends the term, as aWorker has received a newer fencing token. */
+  void OnFencedBy(worker_entry& aWorker);
   /** Logs the end of a run, and measures it if its job was cancelled. */
   void ReportRunEnd(const worker_entry& aWorker,
                     const run_event& aEvent,
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -501,7 +501,7 @@
   const auto now = mPorts.mLoop.Now();
   auto& worker = FindOrAddWorker(aWorker);
   if (aAnswer == run_request_status::kFenced) {
-    OnFenced("worker " + aWorker + " has received a newer fencing token");
+    OnFencedBy(worker);
     return;
   }
   const auto job = mJobs.find(aTask.mJob);
--- a/src/scheduler/FleetSchedulerState.h
+++ b/src/scheduler/FleetSchedulerState.h
@@ -16,6 +16,7 @@
   job_state mState;
   size_t mMemory;        ///< Upper bound in bytes, without its open tasks.
   bool mHasTasks = true; ///< False once the tasks of an ended job have been dropped.
+  uint64_t mCancelRevision = 0; ///< Of its cancellation; 0: none in this term.
   /** The outcome as it is durable in the store. */
   job_outcome mDurableOutcome = job_outcome::kOpen;
   /** Whether tasks may be waiting; the next planning round checks. */
@@ -64,6 +65,7 @@
   listed_worker mListed;
   entry_observation mObservation;
   bool mIsListed = false;
+  bool mHasRefusedToken = false; ///< It has received a newer fencing token.
   time_point mListedAt{ 0 }; ///< Since when it has been listed, or at a new address.
   worker_runs mRuns;
   worker_health mHealth;
--- a/src/scheduler/FleetSchedulerStops.cpp
+++ b/src/scheduler/FleetSchedulerStops.cpp
@@ -67,7 +67,7 @@
         return;
       }
       if (aAnswer == run_request_status::kFenced) {
-        OnFenced("worker " + id + " has received a newer fencing token");
+        OnFencedBy(*found->second);
         return;
       }
       LogStopAnswer(*found->second, aTask, aRun, aAnswer);
@@ -249,6 +249,32 @@
       .Add("stopped", aIsStopped ? 1 : 0));
 }
 
+void fleet_scheduler::OnFencedBy(worker_entry& aWorker)
+{
+  aWorker.mHasRefusedToken = true;
+  OnFenced("worker " + aWorker.mListed.mId + " has received a newer fencing token");
+}
+
+term_runs fleet_scheduler::RunsOfTerm() const
+{
+  term_runs runs;
+  runs.mFence = mActive ? mTerm.mFence : 0;
+  for (const auto& [id, worker] : mWorkers) {
+    if (worker->mHasRefusedToken || worker->mListed.mAddress.empty()) {
+      continue;
+    }
+    for (const auto& [task, run] : worker->mRuns.Runs()) {
+      const auto job = mJobs.find(task.mJob);
+      const auto revision = job == mJobs.end() ? 0 : job->second->mCancelRevision;
+      runs.mRuns.push_back({ { worker->mListed.mId, worker->mListed.mAddress },
+                             task,
+                             run.mRun,
+                             run.mStopAnswered ? 0 : revision });
+    }
+  }
+  return runs;
+}
+
 size_t fleet_scheduler::CountOverdueRuns() const
 {
   const auto now = mPorts.mLoop.Now();
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -226,7 +226,7 @@
 void fleet_scheduler::OnHoldFailed(worker_entry& aWorker, run_request_status aAnswer)
 {
   if (aAnswer == run_request_status::kFenced) {
-    OnFenced("worker " + aWorker.mListed.mId + " has received a newer fencing token");
+    OnFencedBy(aWorker);
     return;
   }
   ++aWorker.mFailedHolds;
--- /dev/null
+++ b/tests/CancellationCutTest.cpp
@@ -0,0 +1,250 @@
+#include "support/FakeInstallation.h"
+#include "support/LogLines.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <iostream>
+
+using namespace anvildoor;
+
+namespace {
+
+const std::string kJob = "00000000000000c1";
+/** From the acknowledgement of a cancellation to the end of the job's last run. */
+constexpr duration kCancelBound{ 3'400 };
+/** From the acknowledgement of a cancellation to the job's last start. */
+constexpr duration kStartBound{ 3'000 };
+constexpr size_t kVms = 5;
+constexpr size_t kWorkers = 12;
+constexpr size_t kWorkersPerRack = 4;
+/** The workers of the first rack stand in the data centre that is cut off. */
+const std::string kCutRack = "r0";
+
+/** How the scheduler that started the runs ceases to schedule. */
+enum class term_end
+{
+  kDrained,    ///< As on SIGTERM.
+  kHandedOver, ///< A successor has asked for the summary of the term.
+  kExpired,    ///< The lease has ended at the store.
+};
+
+/** Which VM acknowledges; both stand in the data centre that is cut off. */
+enum class acknowledger
+{
+  kStarter,
+  kNeighbour,
+};
+
+struct cut_row
+{
+  term_end mEnd = term_end::kDrained;
+  acknowledger mBy = acknowledger::kStarter;
+  /** From the end of the term to the acknowledgement; negative: before. */
+  duration mAckAfterEnd{ 0 };
+  duration mCutAfterAck{ 0 };
+  duration mCutFor{ 0 };
+  duration mLeaseMax{ 10'000 };
+  duration mListDelay{ 0 }; ///< Of the store, which slows the successor's takeover.
+  bool mIsLocal = true;     ///< Whether all workers of the job are cut off, too.
+  bool mIsGang = false;
+};
+
+struct cut_outcome
+{
+  duration mLongest{ 0 }; ///< From the acknowledgement to the last end.
+  duration mLongestAfterCut{ 0 };
+  duration mLastStart{ -100'000 }; ///< Since the acknowledgement.
+  size_t mRuns = 0;                ///< Started before the acknowledgement.
+  size_t mWorkers = 0;
+};
+
+class cancelled_in_cut
+{
+public:
+  explicit cancelled_in_cut(const cut_row& aRow)
+    : mRow(aRow)
+    , mSite(kVms, kWorkers, kWorkersPerRack, MakeBounds(aRow.mLeaseMax))
+  {
+  }
+
+  cut_outcome Play()
+  {
+    constexpr duration kWatched{ 20'000 };
+    constexpr uint32_t kTasks = 6;
+    mSite.mLoop.RunFor(duration(2'000));
+    mStarter = mSite.SchedulerVm();
+    mNeighbour = mStarter == "vm3" ? "vm4" : "vm3";
+    mSite.mBehaviourByPayload["60"] = { duration(60'000), false };
+    auto job = fake_installation::MakeJob(kJob, kTasks, mRow.mIsGang);
+    job.mSpec.mPayload = "60";
+    auto& step = job.mSpec.mSteps.front();
+    step.mPerTask.mAccelerators = mRow.mIsLocal ? 4 : 8;
+    step.mRequiredLabel = mRow.mIsLocal ? kCutRack : "";
+    REQUIRE(mSite.Submit(mNeighbour, job) == job_answer::kAccepted);
+    mSite.mLoop.RunFor(duration(3'000));
+    mSite.mFaults.mListDelay = mRow.mListDelay;
+    REQUIRE(mSite.CountStarts(kJob) == kTasks);
+    if (mRow.mAckAfterEnd < duration::zero()) {
+      Acknowledge();
+      mSite.mLoop.RunFor(-mRow.mAckAfterEnd);
+      EndTerm();
+    } else {
+      EndTerm();
+      mSite.mLoop.RunFor(mRow.mAckAfterEnd);
+      Acknowledge();
+    }
+    mSite.mLoop.RunFor(std::max(
+      duration::zero(), mAcknowledgedAt + mRow.mCutAfterAck - mSite.mLoop.Now()));
+    BeginCut();
+    mSite.mLoop.RunFor(mRow.mCutFor);
+    const auto cutEnd = mSite.mLoop.Now();
+    mSite.mFaults.mBlockedLinks.clear();
+    mSite.mLoop.RunFor(kWatched);
+    return Judge(cutEnd);
+  }
+
+  const fake_installation& Site() const { return mSite; }
+
+private:
+  static scheduler_bounds MakeBounds(duration aLeaseMax)
+  {
+    scheduler_bounds bounds;
+    bounds.mRuns.mLeaseMax = aLeaseMax;
+    return bounds;
+  }
+
+  void Acknowledge()
+  {
+    const auto& vm = mRow.mBy == acknowledger::kStarter ? mStarter : mNeighbour;
+    REQUIRE(mSite.Cancel(vm, kJob) == job_answer::kAccepted);
+    mAcknowledgedAt = mSite.mLoop.Now();
+  }
+
+  void EndTerm()
+  {
+    constexpr duration kExitDelay{ 5'000 };
+    auto& node = mSite.Node(mStarter);
+    switch (mRow.mEnd) {
+      case term_end::kDrained:
+        node.StartDraining();
+        mSite.mLoop.RunAfter(kExitDelay, [this] { mSite.Kill(mStarter); });
+        break;
+      case term_end::kHandedOver:
+        node.SummaryForSuccessor(node.Election().Current().mFence + 1);
+        break;
+      case term_end::kExpired:
+        mSite.mStore.EndLease(node.Election().Current().mLease,
+                              [](const result<uint64_t>&) {});
+        mSite.mLoop.RunUntil([&] { return !node.Election().IsHolder(); },
+                             duration(1'000));
+        break;
+    }
+    REQUIRE(!node.Election().IsHolder());
+  }
+
+  bool IsCut(const std::string& aName) const
+  {
+    return aName == mStarter || aName == mNeighbour ||
+           (aName.front() == 'w' && std::stoul(aName.substr(1)) < kWorkersPerRack);
+  }
+
+  void BeginCut()
+  {
+    std::vector<std::string> names;
+    for (size_t number = 0; number < kVms; ++number) {
+      names.push_back("vm" + std::to_string(number));
+    }
+    for (size_t number = 0; number < kWorkers; ++number) {
+      names.push_back("w" + std::to_string(number));
+    }
+    for (size_t number = 0; number < kVms; ++number) {
+      const auto& vm = names[number];
+      for (const auto& other : names) {
+        if (IsCut(vm) != IsCut(other)) {
+          mSite.mFaults.mBlockedLinks.insert({ vm, other });
+        }
+      }
+      if (IsCut(vm)) {
+        mSite.mFaults.mBlockedLinks.insert({ vm, "store" });
+      }
+    }
+  }
+
+  cut_outcome Judge(time_point aCutEnd) const
+  {
+    cut_outcome outcome;
+    std::set<std::string> workers;
+    for (const auto& trace : mSite.mTraces) {
+      const auto ended = trace.mEnded.value_or(mSite.mLoop.Now());
+      outcome.mLongest = std::max(outcome.mLongest, ended - mAcknowledgedAt);
+      outcome.mLongestAfterCut =
+        std::max(outcome.mLongestAfterCut, ended - std::max(mAcknowledgedAt, aCutEnd));
+      outcome.mLastStart =
+        std::max(outcome.mLastStart, trace.mStartedAt - mAcknowledgedAt);
+      outcome.mRuns += ended > mAcknowledgedAt ? 1 : 0;
+      workers.insert(trace.mWorker);
+    }
+    outcome.mWorkers = workers.size();
+    return outcome;
+  }
+
+  cut_row mRow;
+  fake_installation mSite;
+  std::string mStarter;
+  std::string mNeighbour;
+  time_point mAcknowledgedAt{ 0 };
+};
+
+} // namespace
+
+// Guards against runs that go on to the end of a cut although VMs beside them know.
+TEST_CASE("a cancelled job's runs end in time in the data centre of a former scheduler",
+          "[cancel-cut]")
+{
+  cut_row row;
+  row.mEnd = GENERATE(term_end::kDrained, term_end::kHandedOver, term_end::kExpired);
+  row.mBy = GENERATE(acknowledger::kStarter, acknowledger::kNeighbour);
+  row.mAckAfterEnd = duration(GENERATE(-20, 0, 20, 150));
+  row.mCutAfterAck = duration(GENERATE(0, 5, 60, 300));
+  std::tie(row.mCutFor, row.mLeaseMax) = GENERATE(table<duration, duration>(
+    { { duration(5'300), duration(6'000) }, { duration(6'500), duration(10'000) } }));
+  row.mListDelay = duration(GENERATE(0, 120));
+  row.mIsLocal = GENERATE(true, false);
+  row.mIsGang = GENERATE(false, true);
+  cancelled_in_cut site(row);
+  const auto outcome = site.Play();
+  const auto end = static_cast<int>(row.mEnd);
+  const auto by = static_cast<int>(row.mBy);
+  const auto longest = (row.mIsLocal ? outcome.mLongest : outcome.mLongestAfterCut);
+  CAPTURE(end,
+          by,
+          row.mAckAfterEnd.count(),
+          row.mCutAfterAck.count(),
+          row.mCutFor.count(),
+          row.mLeaseMax.count(),
+          row.mListDelay.count(),
+          row.mIsLocal,
+          row.mIsGang,
+          longest.count(),
+          outcome.mLastStart.count());
+  if (std::getenv("CUT_STATS") != nullptr) {
+    std::cerr << "cancel_cut end " << end << " by " << by << " ack "
+              << row.mAckAfterEnd.count() << " cut " << row.mCutAfterAck.count()
+              << " for " << row.mCutFor.count() << " lease " << row.mLeaseMax.count()
+              << " list " << row.mListDelay.count() << " local " << row.mIsLocal
+              << " gang " << row.mIsGang << " runs " << outcome.mRuns << " workers "
+              << outcome.mWorkers << " longest " << longest.count() << " last_start "
+              << outcome.mLastStart.count() << (longest > kCancelBound ? " LATE" : "")
+              << "\n";
+  }
+  if (std::getenv("CUT_TRACE") != nullptr && longest > kCancelBound) {
+    for (const auto& line : site.Site().mLog.mLines) {
+      std::cerr << line << "\n";
+    }
+  }
+  CHECK(longest <= kCancelBound);
+  CHECK(outcome.mLastStart <= kStartBound);
+  CHECK(outcome.mRuns > 0);
+  CHECK(outcome.mWorkers >= (row.mIsLocal ? 3 : 6));
+}
