--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -3,6 +3,7 @@
 #include "base/EventLog.h"
 #include "base/EventLoop.h"
 #include "base/Metrics.h"
+#include "entry/CancellationGuard.h"
 #include "entry/PeerQuery.h"
 #include "jobs/JobState.h"
 #include "scheduler/Election.h"
@@ -55,11 +56,16 @@
     metrics& mMetrics;
     const scheduler_election& mElection;
     fleet_scheduler& mScheduler;
+    cancellation_guard& mGuard;
     /** Returns whether the store has answered within the last mStoreAnswerTimeout. */
     std::function<bool()> mStoreIsReachable;
     /** Returns whether the scheduler takes further jobs. */
     std::function<bool()> mIsIntakeOpen;
+    /** Returns whether this VM drains. */
+    std::function<bool()> mIsDraining;
     duration mStoreAnswerTimeout{ 0 };
+    /** How long after the end of a term its runs may go on without a successor. */
+    duration mLongestLease{ 0 };
   };
 
   /** All references in aPorts must outlive the service and its calls. */
@@ -98,6 +104,14 @@
     bool mMaybeStored = false; ///< A write failed with an unknown effect.
     bool mInFlight = false;
   };
+  /** Tells the scheduler of a stored cancellation. */
+  struct cancel_notice
+  {
+    std::string mJob;
+    uint64_t mRevision = 0;
+    time_point mStoredAt{ 0 };
+    int mAttempts = 0; ///< Made so far.
+  };
   struct pending_count
   {
     size_t mCount = 0;
@@ -136,9 +150,16 @@
                     const respond& aRespond);
   /**
    * Tells the scheduler of a stored cancellation, so that it need not wait for its
-   * inbox, in at most aAttempts attempts until the scheduler has applied it.
+   * inbox, in a few attempts until the scheduler has applied it.
+   */
+  void NotifyScheduler(cancel_notice aNotice);
+  /**
+   * Tells the former scheduler, too, since it may reach workers that its successor
+   * doesn't, or there may be none yet.
    */
-  void NotifyScheduler(const std::string& aId, uint64_t aRevision, int aAttempts);
+  void NotifyFormerScheduler(const cancel_notice& aNotice);
+  /** Logs the end of a notice that took more than one attempt. */
+  void ReportNotice(const cancel_notice& aNotice, const char* aAnswer);
   void StateFromStore(const std::string& aId, const respond& aRespond);
   void PendingFromCache(const std::string& aQueue, const respond& aRespond);
 
--- a/src/scheduler/Election.cpp
+++ b/src/scheduler/Election.cpp
@@ -164,6 +164,7 @@
   }
   LogMissingScheduler();
   mVacantSince = mVacantSince.value_or(mLoop.Now());
+  NoteFormer();
   mImpairedLease = FindImpairedLease(*aRead);
   mCurrent = scheduler_term();
   if (mResigned) {
@@ -227,6 +228,14 @@
                .Add("last_seen_ms", (mLoop.Now() - mKeySeenAt).count()));
 }
 
+void scheduler_election::NoteFormer()
+{
+  if (mLastKnown.mVm != mSelf.mVm && mLastKnown.mFence != mFormer.mFence) {
+    mFormer = mLastKnown;
+    mFormerEndedAt = mLoop.Now();
+  }
+}
+
 void scheduler_election::Follow(const stored_item& aItem, uint64_t aRevision)
 {
   const auto term = DecodeTerm(aItem);
@@ -234,6 +243,7 @@
   mVacantSince.reset();
   const bool isNewTerm = term && term->mFence != mCurrent.mFence;
   if (isNewTerm) {
+    NoteFormer();
     mCurrent = *term;
     mLastKnown = *term;
     mFollowedSince = mLoop.Now();
@@ -405,6 +415,7 @@
   if (mLoop.Now() - aLeaseRequestedAt >= mTimes.mRefusedStepDelay) {
     SendRenewal(); // Refused steps have used up a part of the lease.
   }
+  NoteFormer();
   const auto predecessor = std::exchange(mLastKnown, mCurrent);
   mCallbacks.mOnElected(mCurrent, predecessor);
 }
