The test of stops after a term loses them for the whole of that term

It let stops pass again before the former term had ended, and expected four new ones of the next term. Since stops without an answer are repeated after 0.4 s, that term's repeats came through first, and the runs ended. Now all stops of the former term are lost, so that the next term must send them; the bound and the number of stops are as before.

--- a/tests/ElectionTest.cpp
+++ b/tests/ElectionTest.cpp
@@ -307,21 +307,23 @@
   REQUIRE(site.Submit("vm0", gang) == job_answer::kAccepted);
   site.mLoop.RunFor(duration(3'000));
   REQUIRE(site.mTraces.size() == 4);
-  bool areStopsLost = true;
+  const auto term = site.Node("vm0").Election().Current();
+  const auto isNewTerm = [&] {
+    return site.Node("vm0").Election().Current().mFence > term.mFence;
+  };
+  // All stops of the former term are lost.
   site.mFaults.mFateOfOrder = [&](const std::string&, const std::string& aOrder) {
     order_fate fate;
-    fate.mIsLost = areStopsLost && aOrder == "stop";
+    fate.mIsLost = !isNewTerm() && aOrder == "stop";
     return fate;
   };
   REQUIRE(site.Cancel("vm0", kGang) == job_answer::kAccepted);
   site.mLoop.RunFor(duration(100));
   REQUIRE(CountEvents(site, "run_stop") == 4);
-  const auto term = site.Node("vm0").Election().Current();
   site.mStore.EndLease(term.mLease, [](const result<uint64_t>&) {});
-  areStopsLost = false;
   constexpr duration kRenewPeriod = election_times().mRenewPeriod;
   CHECK(site.mLoop.RunUntil([&] { return CountEvents(site, "run_stop") == 8; },
                             kRenewPeriod + duration(50)));
-  CHECK(site.Node("vm0").Election().Current().mFence > term.mFence);
+  CHECK(isNewTerm());
   CHECK(site.ReachesState("vm0", kGang, "cancelled", duration(1'000)));
 }
