A former scheduler repeats a stop without an answer on a new connection

A scheduler does so since its stops may be lost on kept connections that are dead; the stops after a term did not, so that each could take up to 0.9 s and 0.5 s for every dead connection. The added expectation failed for the three rows whose stops are repeated, and passes now.

--- a/src/entry/CancellationGuard.cpp
+++ b/src/entry/CancellationGuard.cpp
@@ -164,6 +164,7 @@
   request.mTask = stop.mTask;
   request.mRun = stop.mRun;
   request.mFence = mFence;
+  request.mOnNewConnection = stop.mAttempts > 1;
   const worker_key key{ aWorker.mAddress.mId, aWorker.mAddress.mAddress };
   mWorkers.Stop(
     request, [this, generation = mGeneration, key](const run_request_status& aAnswer) {
--- a/tests/CancellationGuardTest.cpp
+++ b/tests/CancellationGuardTest.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace anvildoor;
 
@@ -126,6 +127,11 @@
   CHECK(std::all_of(stops.begin(), stops.end(), [](const auto& aStop) {
     return aStop.mFence == kFence && aStop.mRun == 1;
   }));
+  std::set<task_ref> sent;
+  CHECK(std::all_of(stops.begin(), stops.end(), [&](const auto& aStop) {
+    const bool isRepeated = !sent.insert(aStop.mTask).second;
+    return aStop.mOnNewConnection == isRepeated;
+  }));
   CHECK(
     site.mLog.CountLines("answer=" + (each.mIsGivenUp ? "given_up" : answer) + " ") ==
     (each.mAnswer == run_request_status::kAccepted ? 3 : 2));
