VMs that got the desired state meanwhile no longer delay an election

A VM without the desired state tries 0.4 s later than the others. It decided that once, at the end of its election delay: where all VMs start at once and the first read of the desired state is refused, all of them waited 0.4 s although they had it 150 ms later. The wait for the former term's lease had mostly hidden that. The VM now checks again every 30 ms while it delays its attempt.

Found by a test on virtual time, not seen on real processes: with reads of the desired state refused for 50 and 100 ms after the start of three VMs, no VM was elected within 0.26 and 0.31 s before; now within these bounds (250 ms: passed before, too).

--- a/src/scheduler/Election.cpp
+++ b/src/scheduler/Election.cpp
@@ -28,6 +28,9 @@
  */
 constexpr double kDelayPerHalvingMs = 90.0;
 
+/** Period at which a VM that delays its attempt checks whether it still has to. */
+constexpr duration kExtraDelayCheckPeriod{ 30 };
+
 /** Returns the nonce in the value of the scheduler's key; empty if it has none. */
 std::string DecodeNonce(const stored_item& aItem)
 {
@@ -174,21 +177,29 @@
   const auto delay = std::max(mElectionDelay, mYieldsUntil - mLoop.Now());
   mLoop.RunAfter(delay, [this, generation] {
     if (generation == mGeneration) {
-      RequestLeaseAfterExtraDelay();
+      RequestLeaseAfterExtraDelay(mLoop.Now());
     }
   });
 }
 
-void scheduler_election::RequestLeaseAfterExtraDelay()
+void scheduler_election::RequestLeaseAfterExtraDelay(time_point aSince)
 {
   const auto delay =
     mCallbacks.mExtraDelay ? mCallbacks.mExtraDelay(mLastKnown) : duration::zero();
+  const auto remaining = aSince + delay - mLoop.Now();
   const auto generation = mGeneration;
-  mLoop.RunAfter(delay, [this, generation] {
-    if (generation == mGeneration && !mResigned) {
-      EndImpairedLease(mLoop.Now());
-    }
-  });
+  if (remaining > duration::zero()) {
+    mLoop.RunAfter(std::min(remaining, kExtraDelayCheckPeriod),
+                   [this, generation, aSince] {
+                     if (generation == mGeneration) {
+                       RequestLeaseAfterExtraDelay(aSince);
+                     }
+                   });
+    return;
+  }
+  if (!mResigned) {
+    EndImpairedLease(mLoop.Now());
+  }
 }
 
 void scheduler_election::EndImpairedLease(time_point aBegunAt)
--- a/src/scheduler/Election.h
+++ b/src/scheduler/Election.h
@@ -88,7 +88,8 @@
     std::function<void(const stored_range&)> mOnKeysRead;
     /**
      * Returns for how much longer than its election delay this VM waits, once this is
-     * over, before it tries to succeed aPredecessor; may be empty.
+     * over, before it tries to succeed aPredecessor; may be empty. Asked again while
+     * the VM waits.
      */
     std::function<duration(const scheduler_term& aPredecessor)> mExtraDelay;
     /** Reports whether a call to the store succeeded, for the readiness check. */
@@ -167,7 +168,11 @@
    */
   void EndAbandonedLease(uint64_t aLease, time_point aBegunAt);
   void Watch(uint64_t aRevision);
-  void RequestLeaseAfterExtraDelay();
+  /**
+   * Goes on with the election once callbacks::mExtraDelay has passed since aSince, or
+   * it returns less than has passed by then.
+   */
+  void RequestLeaseAfterExtraDelay(time_point aSince);
   /**
    * Ends the lease of a former term that was impaired, so that its VM, whose renewals
    * fail then, sends no requests longer than after a lease that has expired.
--- a/tests/ElectionTest.cpp
+++ b/tests/ElectionTest.cpp
@@ -325,3 +325,27 @@
   CHECK(site.Node("vm0").Election().Current().mFence > term.mFence);
   CHECK(site.ReachesState("vm0", kGang, "cancelled", duration(1'000)));
 }
+
+// Guards against elections that wait for VMs which have become fit meanwhile.
+TEST_CASE("VMs that started without the desired state are elected once they have it",
+          "[election]")
+{
+  const auto refusedFor = GENERATE(50, 100, 250);
+  CAPTURE(refusedFor);
+  fake_installation site(kVms.size(), 4);
+  site.mLoop.RunFor(duration(3'000));
+  for (const auto& vm : kVms) {
+    site.Kill(vm);
+  }
+  site.mLoop.RunFor(duration(300));
+  store_fault fault{ store_fate::kRefused, "", { store_call::kList }, "policy" };
+  fault.mUntil = site.mLoop.Now() + duration(refusedFor);
+  site.mFaults.mStoreFaults.push_back(fault);
+  for (const auto& vm : kVms) {
+    site.Restart(vm);
+  }
+  constexpr duration kReadRetry{ 150 };
+  constexpr duration kOtherSteps{ 60 };
+  CHECK(site.mLoop.RunUntil([&] { return !site.SchedulerVm().empty(); },
+                            duration(refusedFor) + kReadRetry + kOtherSteps));
+}
