--- a/tests/platform/entry_site.py
+++ b/tests/platform/entry_site.py
@@ -33,13 +33,13 @@
     return ports
 
 
-def call(port, method, path, body=None, key="key", host="jobs.example"):
+def call(port, method, path, body=None, key="key", host="jobs.example", timeout=5):
     data = body.encode() if isinstance(body, str) else body and json.dumps(body).encode()
     request = urllib.request.Request(f"http://127.0.0.1:{port}{path}", data, method=method)
     request.add_header("Host", host)
     request.add_header("X-Api-Key", key)
     try:
-        with urllib.request.urlopen(request, timeout=5) as answer:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
             return answer.status, json.loads(answer.read() or "{}")
     except urllib.error.HTTPError as refused:
         return refused.code, {}
@@ -60,18 +60,24 @@
 class Vm:
     """An entry process."""
 
-    def __init__(self, build, folder, name, ports, store, settings=""):
+    def __init__(self, build, folder, name, ports, store, settings="", data_centre="z",
+                 environment=None):
+        self.build, self.environment = build, environment
         self.name, self.jobs, self.ready = name, ports[0], ports[1]
         self.file = os.path.join(folder, f"{name}.ini")
         with open(self.file, "w", encoding="utf-8") as text:
-            text.write(f"[vm]\nname = {name}\ndata_centre = z\n[listen]\n"
+            text.write(f"[vm]\nname = {name}\ndata_centre = {data_centre}\n[listen]\n"
                        f"jobs = 127.0.0.1:{ports[0]}\nreadiness = 127.0.0.1:{ports[1]}\n"
                        f"peers = 127.0.0.1:{ports[2]}\nmetrics = 127.0.0.1:{ports[3]}\n"
                        f"[store]\naddress = 127.0.0.1:{store}\n{settings}")
         self.metrics = ports[3]
         self.log = open(os.path.join(folder, f"{name}.log"), "w", encoding="utf-8")
-        self.process = subprocess.Popen([f"{build}/anvildoor-entry", "--config", self.file],
-                                        stdout=self.log)
+        self.start()
+
+    def start(self):
+        self.process = subprocess.Popen(
+            [f"{self.build}/anvildoor-entry", "--config", self.file], stdout=self.log,
+            env={**os.environ, **(self.environment or {})})
 
     def is_ready(self):
         return call(self.ready, "GET", "/ready")[0] == 200
--- a/tests/platform/platform-standin.cpp
+++ b/tests/platform/platform-standin.cpp
@@ -3,9 +3,10 @@
  * on loopback, in one process. Runs until SIGTERM and does not read standard input. At
  * the store's address, GET /traces lists every run so far, POST /put writes a key as
  * the operator does, POST /busy has the store answer 503 for a time, and POST /leave
- * ends a worker, whose port is closed then. The store may have several ports;
- * POST /store-fault adds a fault of one (DecodeStoreFault). WorkerFaults.h has the
- * faults of workers, DeadConnections.h the one of connections.
+ * ends a worker, whose port is closed then. With DATA_CENTRES, the workers stand in as
+ * many in turn, and those of number N are service poolN. The store may have several
+ * ports; POST /store-fault adds a fault of one (DecodeStoreFault). WorkerFaults.h has
+ * the faults of workers, DeadConnections.h the one of connections.
  */
 #include "DeadConnections.h"
 #include "StoreFaults.h"
@@ -370,17 +371,17 @@
 int main(int aArgumentCount, char** aArguments)
 {
   if (aArgumentCount < 4) {
-    std::fprintf(
-      stderr,
-      "usage: platform-standin WORKERS_PER_RACK[,LEASE_MS] STORE_PORT[,STORE_PORT...] "
-      "WORKER_PORT...\n");
+    std::fprintf(stderr,
+                 "usage: platform-standin WORKERS_PER_RACK[,LEASE_MS[,DATA_CENTRES]] "
+                 "STORE_PORT[,STORE_PORT...] WORKER_PORT...\n");
     return 2;
   }
-  const std::string layout = aArguments[1];
-  const auto workersPerRack = std::max(1, std::atoi(layout.c_str()));
-  const auto comma = layout.find(',');
-  const duration leaseMax(
-    comma == std::string::npos ? 6'000 : std::atoi(layout.c_str() + comma + 1));
+  int workersPerRack = 0;
+  int leaseMaxMs = 6'000;
+  int dataCentres = 0;
+  std::sscanf(aArguments[1], "%d,%d,%d", &workersPerRack, &leaseMaxMs, &dataCentres);
+  workersPerRack = std::max(1, workersPerRack);
+  const duration leaseMax(leaseMaxMs);
   std::signal(SIGPIPE, SIG_IGN);
   boost::asio::io_context context(1);
   asio_loop loop(context);
@@ -468,6 +469,10 @@
   for (int number = kFirstWorker; number < aArgumentCount; ++number) {
     const auto id = "i-" + std::to_string(number);
     const auto rack = "r" + std::to_string((number - kFirstWorker) / workersPerRack);
+    const auto dataCentre = dataCentres > 0
+                              ? std::to_string((number - kFirstWorker) * dataCentres /
+                                               (aArgumentCount - kFirstWorker))
+                              : "";
     beginWorker(id);
     servers[id] = std::make_unique<single_thread_server>(
       context,
@@ -487,9 +492,9 @@
     }
     faults.List(
       id,
-      { { "service", "pool" },
+      { { "service", "pool" + dataCentre },
         { "address", address(number) },
-        { "zone", "z" },
+        { "zone", "z" + dataCentre },
         { "state", "ready" },
         { "capacity", { { "cpu", 32'000 }, { "mem_mb", 65'536 }, { "gpu", 8 } } },
         { "labels", { "a", rack } } });
--- a/tests/platform/soak_cancellations.py
+++ b/tests/platform/soak_cancellations.py
@@ -108,14 +108,10 @@
     """An entry VM that starts again on the same settings."""
 
     def __init__(self, build, folder, name, ports, store):
-        self.build, self.is_disturbed, self.is_removed = build, False, False
+        self.is_disturbed, self.is_removed = False, False
         self.is_scheduler, self.in_rotation = False, False
         super().__init__(build, folder, name, ports, store)
 
-    def start_again(self):
-        self.process = subprocess.Popen(
-            [f"{self.build}/anvildoor-entry", "--config", self.file], stdout=self.log)
-
     def is_alive(self):
         return self.process.poll() is None
 
@@ -340,7 +336,7 @@
 
     def start_again(self, vm, is_planned=False):
         begin = now()
-        vm.start_again()
+        vm.start()
         self.disrupt(f"start {vm.name}", begin, is_planned=is_planned)
 
     def replace(self, vm, picker):
