A VM that is elected again keeps its runs in mind until it has taken over

What callers would see: runs of a cancelled job that go on to the end of a cut of their data centre, although the scheduler stands there, has placed them and has acknowledged the cancellation.

Cause: a VM whose term ends keeps the places of its runs, but forgot them once it was elected again, and once that term ended without having taken over. A VM whose lease expires, which wins the next election and is cut off from the store before it has read the jobs, could stop nothing.

Change: the places are kept until a later term of this VM has taken over. Stops carry the token of its last term by then.

--- a/src/entry/CancellationGuard.cpp
+++ b/src/entry/CancellationGuard.cpp
@@ -51,6 +51,9 @@
 
 void cancellation_guard::Begin(const term_runs& aRuns)
 {
+  if (!aRuns.mIsComplete) {
+    return;
+  }
   End();
   mFence = aRuns.mFence;
   std::map<std::string, uint64_t> cancelled;
--- a/src/entry/CancellationGuard.h
+++ b/src/entry/CancellationGuard.h
@@ -18,9 +18,10 @@
 /**
  * Stops the runs of cancelled jobs that this VM placed in a term which has ended, if
  * its successor can't be reached: that one may not reach their workers either, while
- * this VM does. The stops carry the fencing token of the ended term, which no other VM
- * uses: a worker that the successor has reached refuses them, and gets no further ones.
- * Not thread-safe.
+ * this VM does. So may the runs of an ended term go on if a later one of this VM can't
+ * take over. The stops carry the fencing token of this VM's last term, which no other
+ * VM uses: a worker that the successor has reached refuses them, and gets no further
+ * ones. Not thread-safe.
  */
 class cancellation_guard
 {
@@ -45,12 +46,15 @@
                      scheduler_query aAskScheduler);
 
   /**
-   * Takes over the runs of a term that ends now, and forgets those of earlier ones.
-   * Stops that its scheduler has sent without an answer are repeated.
+   * Takes over the runs of a term that ends now, and forgets those of earlier ones if
+   * it is complete. Stops that its scheduler has sent without an answer are repeated.
    */
   void Begin(const term_runs& aRuns);
 
-  /** Sends no further stops, as this VM is the scheduler again. */
+  /** Sends stops under the token of a new term of this VM from now on. */
+  void Renew(uint64_t aFence) { mFence = aFence; }
+
+  /** Sends no further stops, as a term of this VM has taken over the runs. */
   void End();
 
   /**
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -86,7 +86,7 @@
       aOptions.mElectionDelay,
       aOptions.mElection,
       { [this](const scheduler_term& aTerm, const scheduler_term& aPredecessor) {
-         mGuard.End();
+         mGuard.Renew(aTerm.mFence);
          mScheduler.Begin(aTerm, aPredecessor);
        },
         [this](const std::string&) { EndTerm(); },
@@ -210,7 +210,13 @@
 {
   const auto& term = mElection.Current();
   if (term.mFence == 0 || mElection.IsHolder()) {
-    mPorts.mLoop.RunAfter(duration::zero(), [aDone] { aDone(false); });
+    mPorts.mLoop.RunAfter(duration::zero(), [this, aDone] {
+      if (mScheduler.HasTakenOver()) {
+        mGuard.End();
+      } else {
+        aDone(false);
+      }
+    });
     return;
   }
   mPorts.mPeers.NotifyOfCancellation(
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -106,6 +106,9 @@
 
   bool Active() const { return mActive; }
 
+  /** Returns whether the term has taken over the jobs and workers. */
+  bool HasTakenOver() const { return mActive && mLoaded; }
+
   /** Returns what this VM can't do of the work of its term. */
   impairment Impairment() const { return mHealth.Current(); }
 
--- a/src/scheduler/FleetSchedulerStops.cpp
+++ b/src/scheduler/FleetSchedulerStops.cpp
@@ -348,6 +348,7 @@
 {
   term_runs runs;
   runs.mFence = mActive ? mTerm.mFence : 0;
+  runs.mIsComplete = mActive && mLoaded;
   for (const auto& [id, worker] : mWorkers) {
     if (worker->mHasRefusedToken || worker->mListed.mAddress.empty()) {
       continue;
--- a/src/scheduler/TermRuns.h
+++ b/src/scheduler/TermRuns.h
@@ -26,6 +26,7 @@
 {
   uint64_t mFence = 0; ///< Fencing token of the term; 0: there was no term.
   std::vector<placed_run> mRuns;
+  bool mIsComplete = true; ///< Whether the term has taken over from its predecessor.
 
   auto operator<=>(const term_runs&) const = default;
 };
--- a/tests/CancellationCutTest.cpp
+++ b/tests/CancellationCutTest.cpp
@@ -27,6 +27,7 @@
   kDrained,    ///< As on SIGTERM.
   kHandedOver, ///< A successor has asked for the summary of the term.
   kExpired,    ///< The lease has ended at the store.
+  kRegained,   ///< The same, and the VM has been elected again.
 };
 
 /** Which VM acknowledges; both stand in the data centre that is cut off. */
@@ -139,6 +140,22 @@
         mSite.mLoop.RunUntil([&] { return !node.Election().IsHolder(); },
                              duration(1'000));
         break;
+      case term_end::kRegained: {
+        const auto former = node.Election().Current();
+        for (size_t number = 0; number < kVms; ++number) {
+          mSite.mFaults.mStoreBusyFor.insert("vm" + std::to_string(number));
+        }
+        mSite.mFaults.mStoreBusyFor.erase(mStarter);
+        mSite.mStore.EndLease(former.mLease, [](const result<uint64_t>&) {});
+        REQUIRE(mSite.mLoop.RunUntil(
+          [&] {
+            return node.Election().IsHolder() &&
+                   node.Election().Current().mFence > former.mFence;
+          },
+          duration(1'000)));
+        mSite.mFaults.mStoreBusyFor.clear();
+        return;
+      }
     }
     REQUIRE(!node.Election().IsHolder());
   }
@@ -248,3 +265,32 @@
   CHECK(outcome.mRuns > 0);
   CHECK(outcome.mWorkers >= (row.mIsLocal ? 3 : 6));
 }
+
+// Guards against a VM that forgets its runs when it is elected again.
+TEST_CASE(
+  "a cancelled job's runs end in time in the data centre of a scheduler that has "
+  "not taken over from itself",
+  "[cancel-cut]")
+{
+  cut_row row;
+  row.mEnd = term_end::kRegained;
+  row.mBy = GENERATE(acknowledger::kStarter, acknowledger::kNeighbour);
+  row.mAckAfterEnd = duration(GENERATE(0, 20));
+  row.mCutAfterAck = duration(GENERATE(5, 30));
+  row.mCutFor = duration(6'500);
+  row.mListDelay = duration(GENERATE(0, 120));
+  row.mIsGang = GENERATE(false, true);
+  cancelled_in_cut site(row);
+  const auto outcome = site.Play();
+  const auto by = static_cast<int>(row.mBy);
+  CAPTURE(by,
+          row.mAckAfterEnd.count(),
+          row.mCutAfterAck.count(),
+          row.mListDelay.count(),
+          row.mIsGang,
+          outcome.mLongest.count(),
+          outcome.mLastStart.count());
+  CHECK(outcome.mLongest <= kCancelBound);
+  CHECK(outcome.mLastStart <= kStartBound);
+  CHECK(outcome.mRuns > 0);
+}
--- a/tests/CancellationGuardTest.cpp
+++ b/tests/CancellationGuardTest.cpp
@@ -173,6 +173,21 @@
   CHECK(site.mWorkers.mStops.size() == each.mStops);
 }
 
+// Guards against runs that are forgotten with a term that never knew them.
+TEST_CASE("a term that has not taken over leaves the runs of the one before it",
+          "[cancellation-guard]")
+{
+  const bool isComplete = GENERATE(false, true);
+  guard_fixture site;
+  site.mGuard.Begin({ kFence, { MakeRun(0, "w1", false) } });
+  site.mGuard.Renew(kFence + 2);
+  site.mGuard.Begin({ kFence + 2, {}, isComplete });
+  site.mGuard.Observe(kJob, kRevision);
+  site.mLoop.RunFor(kLifetime * 2);
+  REQUIRE(site.mWorkers.mStops.size() == (isComplete ? 0 : 1));
+  CHECK((isComplete || site.mWorkers.mStops.front().mFence == kFence + 2));
+}
+
 TEST_CASE("a cancellation of many runs is sent to a bounded number of workers at once",
           "[cancellation-guard]")
 {
