A VM that stores a cancellation tells the last few former schedulers

What callers would see: runs of a cancelled job that go on to the end of a cut of their data centre, although the VM that placed them stands there and drains.

Cause: only the last former scheduler was told. If that one had not reached the workers before its term ended, as two VMs drained within its takeover, only the one before it could stop the runs, and it did not learn of the cancellation.

Reproduced on virtual time: the new test's 12 rows were late, 6566 to 6756 ms after the acknowledgement; 451 ms now in each.

--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -3,6 +3,7 @@
 #include "scheduler/StoreKeys.h"
 
 #include <algorithm>
+#include <set>
 
 namespace anvildoor {
 
@@ -281,7 +282,7 @@
             finish(job_answer::kAccepted, aOutcome->mRevision, "stored");
             const cancel_notice notice{ aId, aOutcome->mRevision, mPorts.mLoop.Now() };
             mPorts.mGuard.Observe(aId, aOutcome->mRevision);
-            NotifyFormerScheduler(notice);
+            NotifyFormerSchedulers(notice);
             NotifyScheduler(notice);
           }
         });
@@ -364,19 +365,19 @@
     });
 }
 
-void job_service::NotifyFormerScheduler(const cancel_notice& aNotice)
+void job_service::NotifyFormerSchedulers(const cancel_notice& aNotice)
 {
-  const auto& former = mPorts.mElection.Former();
-  const bool isRecent =
-    mPorts.mLoop.Now() - mPorts.mElection.FormerEndedAt() < mPorts.mLongestLease;
-  if (former.mFence == 0 || !isRecent ||
-      former.mAddress == mPorts.mElection.Current().mAddress) {
-    return;
+  std::set<std::string> notified{ mPorts.mElection.Current().mAddress };
+  for (const auto& former : mPorts.mElection.Formers()) {
+    const bool isRecent = mPorts.mLoop.Now() - former.mEndedAt < mPorts.mLongestLease;
+    if (isRecent && notified.insert(former.mTerm.mAddress).second) {
+      mPorts.mPeers.NotifyOfCancellation(
+        former.mTerm.mAddress,
+        aNotice.mJob,
+        aNotice.mRevision,
+        [](const result<std::optional<std::string>>&) {});
+    }
   }
-  mPorts.mPeers.NotifyOfCancellation(former.mAddress,
-                                     aNotice.mJob,
-                                     aNotice.mRevision,
-                                     [](const result<std::optional<std::string>>&) {});
 }
 
 void job_service::ReportNotice(const cancel_notice& aNotice, const char* aAnswer)
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -154,10 +154,10 @@
    */
   void NotifyScheduler(cancel_notice aNotice);
   /**
-   * Tells the former scheduler, too, since it may reach workers that its successor
+   * Tells former schedulers, too, since they may reach workers that a successor
    * doesn't, or there may be none yet.
    */
-  void NotifyFormerScheduler(const cancel_notice& aNotice);
+  void NotifyFormerSchedulers(const cancel_notice& aNotice);
   /** Logs the end of a notice that took more than one attempt. */
   void ReportNotice(const cancel_notice& aNotice, const char* aAnswer);
   void StateFromStore(const std::string& aId, const respond& aRespond);
--- a/src/scheduler/Election.cpp
+++ b/src/scheduler/Election.cpp
@@ -27,6 +27,8 @@
  * VM always tries first.
  */
 constexpr double kDelayPerHalvingMs = 90.0;
+/** Limit on the ended terms of other VMs that are remembered. */
+constexpr size_t kMaxFormerTerms = 4;
 
 /** Returns the nonce in the value of the scheduler's key; empty if it has none. */
 std::string DecodeNonce(const stored_item& aItem)
@@ -230,9 +232,13 @@
 
 void scheduler_election::NoteFormer()
 {
-  if (mLastKnown.mVm != mSelf.mVm && mLastKnown.mFence != mFormer.mFence) {
-    mFormer = mLastKnown;
-    mFormerEndedAt = mLoop.Now();
+  const auto noted = mFormers.empty() ? 0 : mFormers.front().mTerm.mFence;
+  if (mLastKnown.mVm == mSelf.mVm || mLastKnown.mFence == noted) {
+    return;
+  }
+  mFormers.push_front({ mLastKnown, mLoop.Now() });
+  if (mFormers.size() > kMaxFormerTerms) {
+    mFormers.pop_back();
   }
 }
 
--- a/src/scheduler/Election.h
+++ b/src/scheduler/Election.h
@@ -4,6 +4,7 @@
 #include "base/EventLoop.h"
 #include "store/TransactionStore.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -147,12 +148,15 @@
   /** Returns the time until which requests may be sent under this VM's term. */
   time_point RequestDeadline() const;
 
-  /** Returns the last term of another VM that is known to have ended; mFence 0: none.
-   */
-  const scheduler_term& Former() const { return mFormer; }
+  /** A term of another VM, and when this VM learned of its end. */
+  struct former_term
+  {
+    scheduler_term mTerm;
+    time_point mEndedAt{ 0 };
+  };
 
-  /** Returns when this VM learned of the end of the term that Former returns. */
-  time_point FormerEndedAt() const { return mFormerEndedAt; }
+  /** Returns the last few terms of other VMs that are known to have ended. */
+  const std::deque<former_term>& Formers() const { return mFormers; }
 
   /** Returns the latest known term; its mFence is 0 if there is none. */
   const scheduler_term& Current() const { return mCurrent; }
@@ -215,8 +219,7 @@
   callbacks mCallbacks;
   scheduler_term mCurrent;
   scheduler_term mLastKnown; ///< Like mCurrent, but kept after the end of the term.
-  scheduler_term mFormer;    ///< See Former.
-  time_point mFormerEndedAt{ 0 };
+  std::deque<former_term> mFormers; ///< The last one first.
   bool mIsHolder = false;
   bool mIsImpaired = false; ///< See SetImpaired.
   bool mIsRenewing = false; ///< Whether the lease of this VM's term is renewed.
--- a/tests/CancellationCutTest.cpp
+++ b/tests/CancellationCutTest.cpp
@@ -49,6 +49,8 @@
   duration mListDelay{ 0 }; ///< Of the store, which slows the successor's takeover.
   bool mIsLocal = true;     ///< Whether all workers of the job are cut off, too.
   bool mIsGang = false;
+  /** Of a second scheduler outside the cut, which drains, too; negative: none. */
+  duration mSecondTerm{ -1 };
 };
 
 struct cut_outcome
@@ -130,6 +132,14 @@
       case term_end::kDrained:
         node.StartDraining();
         mSite.mLoop.RunAfter(kExitDelay, [this] { mSite.Kill(mStarter); });
+        if (mRow.mSecondTerm >= duration::zero()) {
+          REQUIRE(mSite.mLoop.RunUntil([&] { return !mSite.SchedulerVm().empty(); },
+                                       duration(2'000)));
+          const auto second = mSite.SchedulerVm();
+          REQUIRE(second != mNeighbour);
+          mSite.mLoop.RunFor(mRow.mSecondTerm);
+          mSite.Node(second).StartDraining();
+        }
         break;
       case term_end::kHandedOver:
         node.SummaryForSuccessor(node.Election().Current().mFence + 1);
@@ -294,3 +304,35 @@
   CHECK(outcome.mLastStart <= kStartBound);
   CHECK(outcome.mRuns > 0);
 }
+
+// Guards against former schedulers that aren't told since another one came after them.
+TEST_CASE("a cancelled job's runs end in time in the data centre of a scheduler whose "
+          "successor has soon ceased to be it",
+          "[cancel-cut]")
+{
+  cut_row row;
+  row.mBy = acknowledger::kNeighbour;
+  row.mCutAfterAck = duration(5);
+  row.mCutFor = duration(6'500);
+  row.mIsGang = GENERATE(false, true);
+  std::tie(row.mListDelay, row.mSecondTerm, row.mAckAfterEnd) =
+    GENERATE(table<duration, duration, duration>({
+      { duration(60), duration(40), duration(110) },
+      { duration(60), duration(40), duration(150) },
+      { duration(60), duration(60), duration(100) },
+      { duration(120), duration(80), duration(190) },
+      { duration(120), duration(100), duration(180) },
+      { duration(120), duration(120), duration(170) },
+    }));
+  cancelled_in_cut site(row);
+  const auto outcome = site.Play();
+  CAPTURE(row.mListDelay.count(),
+          row.mSecondTerm.count(),
+          row.mAckAfterEnd.count(),
+          row.mIsGang,
+          outcome.mLongest.count(),
+          outcome.mLastStart.count());
+  CHECK(outcome.mLongest <= kCancelBound);
+  CHECK(outcome.mLastStart <= kStartBound);
+  CHECK(outcome.mRuns > 0);
+}
