--- a/src/scheduler/Election.cpp
+++ b/src/scheduler/Election.cpp
@@ -27,6 +27,8 @@
  * VM always tries first.
  */
 constexpr double kDelayPerHalvingMs = 90.0;
+/** Limit on the ended terms of other VMs that are remembered. */
+constexpr size_t kMaxFormerTerms = 4;
 
 /** Period at which a VM that delays its attempt checks whether it still has to. */
 constexpr duration kExtraDelayCheckPeriod{ 30 };
@@ -241,9 +243,13 @@
 
 void scheduler_election::NoteFormer()
 {
-  if (mLastKnown.mVm != mSelf.mVm && mLastKnown.mFence != mFormer.mFence) {
-    mFormer = mLastKnown;
-    mFormerEndedAt = mLoop.Now();
+  const auto noted = mFormers.empty() ? 0 : mFormers.front().mTerm.mFence;
+  if (mLastKnown.mVm == mSelf.mVm || mLastKnown.mFence == noted) {
+    return;
+  }
+  mFormers.push_front({ mLastKnown, mLoop.Now() });
+  if (mFormers.size() > kMaxFormerTerms) {
+    mFormers.pop_back();
   }
 }
 
--- a/tests/CancellationCutTest.cpp
+++ b/tests/CancellationCutTest.cpp
@@ -27,6 +27,7 @@
   kDrained,    ///< As on SIGTERM.
   kHandedOver, ///< A successor has asked for the summary of the term.
   kExpired,    ///< The lease has ended at the store.
+  kRegained,   ///< The same, and the VM has been elected again.
 };
 
 /** Which VM acknowledges; both stand in the data centre that is cut off. */
@@ -48,6 +49,8 @@
   duration mListDelay{ 0 }; ///< Of the store, which slows the successor's takeover.
   bool mIsLocal = true;     ///< Whether all workers of the job are cut off, too.
   bool mIsGang = false;
+  /** Of a second scheduler outside the cut, which drains, too; negative: none. */
+  duration mSecondTerm{ -1 };
 };
 
 struct cut_outcome
@@ -129,6 +132,14 @@
       case term_end::kDrained:
         node.StartDraining();
         mSite.mLoop.RunAfter(kExitDelay, [this] { mSite.Kill(mStarter); });
+        if (mRow.mSecondTerm >= duration::zero()) {
+          REQUIRE(mSite.mLoop.RunUntil([&] { return !mSite.SchedulerVm().empty(); },
+                                       duration(2'000)));
+          const auto second = mSite.SchedulerVm();
+          REQUIRE(second != mNeighbour);
+          mSite.mLoop.RunFor(mRow.mSecondTerm);
+          mSite.Node(second).StartDraining();
+        }
         break;
       case term_end::kHandedOver:
         node.SummaryForSuccessor(node.Election().Current().mFence + 1);
@@ -139,6 +150,22 @@
         mSite.mLoop.RunUntil([&] { return !node.Election().IsHolder(); },
                              duration(1'000));
         break;
+      case term_end::kRegained: {
+        const auto former = node.Election().Current();
+        for (size_t number = 0; number < kVms; ++number) {
+          mSite.mFaults.mStoreBusyFor.insert("vm" + std::to_string(number));
+        }
+        mSite.mFaults.mStoreBusyFor.erase(mStarter);
+        mSite.mStore.EndLease(former.mLease, [](const result<uint64_t>&) {});
+        REQUIRE(mSite.mLoop.RunUntil(
+          [&] {
+            return node.Election().IsHolder() &&
+                   node.Election().Current().mFence > former.mFence;
+          },
+          duration(1'000)));
+        mSite.mFaults.mStoreBusyFor.clear();
+        return;
+      }
     }
     REQUIRE(!node.Election().IsHolder());
   }
@@ -248,3 +275,64 @@
   CHECK(outcome.mRuns > 0);
   CHECK(outcome.mWorkers >= (row.mIsLocal ? 3 : 6));
 }
+
+// Guards against a VM that forgets its runs when it is elected again.
+TEST_CASE(
+  "a cancelled job's runs end in time in the data centre of a scheduler that has "
+  "not taken over from itself",
+  "[cancel-cut]")
+{
+  cut_row row;
+  row.mEnd = term_end::kRegained;
+  row.mBy = GENERATE(acknowledger::kStarter, acknowledger::kNeighbour);
+  row.mAckAfterEnd = duration(GENERATE(0, 20));
+  row.mCutAfterAck = duration(GENERATE(5, 30));
+  row.mCutFor = duration(6'500);
+  row.mListDelay = duration(GENERATE(0, 120));
+  row.mIsGang = GENERATE(false, true);
+  cancelled_in_cut site(row);
+  const auto outcome = site.Play();
+  const auto by = static_cast<int>(row.mBy);
+  CAPTURE(by,
+          row.mAckAfterEnd.count(),
+          row.mCutAfterAck.count(),
+          row.mListDelay.count(),
+          row.mIsGang,
+          outcome.mLongest.count(),
+          outcome.mLastStart.count());
+  CHECK(outcome.mLongest <= kCancelBound);
+  CHECK(outcome.mLastStart <= kStartBound);
+  CHECK(outcome.mRuns > 0);
+}
+
+// Guards against former schedulers that aren't told since another one came after them.
+TEST_CASE("a cancelled job's runs end in time in the data centre of a scheduler whose "
+          "successor has soon ceased to be it",
+          "[cancel-cut]")
+{
+  cut_row row;
+  row.mBy = acknowledger::kNeighbour;
+  row.mCutAfterAck = duration(5);
+  row.mCutFor = duration(6'500);
+  row.mIsGang = GENERATE(false, true);
+  std::tie(row.mListDelay, row.mSecondTerm, row.mAckAfterEnd) =
+    GENERATE(table<duration, duration, duration>({
+      { duration(60), duration(40), duration(110) },
+      { duration(60), duration(40), duration(150) },
+      { duration(60), duration(60), duration(100) },
+      { duration(120), duration(80), duration(190) },
+      { duration(120), duration(100), duration(180) },
+      { duration(120), duration(120), duration(170) },
+    }));
+  cancelled_in_cut site(row);
+  const auto outcome = site.Play();
+  CAPTURE(row.mListDelay.count(),
+          row.mSecondTerm.count(),
+          row.mAckAfterEnd.count(),
+          row.mIsGang,
+          outcome.mLongest.count(),
+          outcome.mLastStart.count());
+  CHECK(outcome.mLongest <= kCancelBound);
+  CHECK(outcome.mLastStart <= kStartBound);
+  CHECK(outcome.mRuns > 0);
+}
