Known red: a cancellation in a data centre that is cut off from all schedulers at once

The former scheduler drains outside the data centre, a VM inside acknowledges before the next one has taken over, and the cut begins 5 or 60 ms later.

--- a/tests/CancellationCutTest.cpp
+++ b/tests/CancellationCutTest.cpp
@@ -49,6 +49,7 @@
   duration mListDelay{ 0 }; ///< Of the store, which slows the successor's takeover.
   bool mIsLocal = true;     ///< Whether all workers of the job are cut off, too.
   bool mIsGang = false;
+  bool mStarterIsCut = true;
   /** Of a second scheduler outside the cut, which drains, too; negative: none. */
   duration mSecondTerm{ -1 };
 };
@@ -172,7 +173,7 @@
 
   bool IsCut(const std::string& aName) const
   {
-    return aName == mStarter || aName == mNeighbour ||
+    return (mRow.mStarterIsCut && aName == mStarter) || aName == mNeighbour ||
            (aName.front() == 'w' && std::stoul(aName.substr(1)) < kWorkersPerRack);
   }
 
@@ -336,3 +337,31 @@
   CHECK(outcome.mLastStart <= kStartBound);
   CHECK(outcome.mRuns > 0);
 }
+
+// Guards against cancellations that wait for one scheduler, which a cut then parts from
+// the workers, if the former one stands on its side.
+TEST_CASE("a cancelled job's runs end in time in a data centre without the former "
+          "scheduler",
+          "[cancel-cut][known-red]")
+{
+  cut_row row;
+  row.mBy = acknowledger::kNeighbour;
+  row.mStarterIsCut = false;
+  row.mCutFor = duration(6'500);
+  std::tie(row.mListDelay, row.mAckAfterEnd, row.mCutAfterAck) =
+    GENERATE(table<duration, duration, duration>({
+      { duration(0), duration(5), duration(5) },
+      { duration(60), duration(70), duration(60) },
+      { duration(120), duration(240), duration(5) },
+      { duration(120), duration(190), duration(60) },
+    }));
+  cancelled_in_cut site(row);
+  const auto outcome = site.Play();
+  CAPTURE(row.mListDelay.count(),
+          row.mAckAfterEnd.count(),
+          row.mCutAfterAck.count(),
+          outcome.mLongest.count());
+  CHECK(outcome.mLongest <= kCancelBound);
+  CHECK(outcome.mLastStart <= kStartBound);
+  CHECK(outcome.mRuns > 0);
+}
