--- a/src/entry/CancellationGuard.h
+++ b/src/entry/CancellationGuard.h
@@ -29,7 +29,8 @@
   /**
    * Passes on whether the present scheduler answers that it has applied the stored
    * cancellation of aJob; its stops have reached the workers then, if it answered the
-   * same before. Never calls aDone before it returns.
+   * same before. Never calls aDone before it returns, and not at all if this VM's own
+   * term has taken over, which ends the guard.
    */
   using scheduler_query = std::function<
     void(const std::string& aJob, uint64_t aRevision, std::function<void(bool)> aDone)>;
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -2,8 +2,6 @@
 
 #include "scheduler/StoreKeys.h"
 
-#include <cmath>
-
 namespace anvildoor {
 
 namespace {
@@ -29,14 +27,6 @@
  */
 constexpr duration kUnfitElectionDelay{ 400 };
 
-/** Returns for how long a worker's runs may go on after the last hold of its lease. */
-duration LongestLease(const run_bounds& aBounds)
-{
-  const auto drift =
-    aBounds.mClockDrift * static_cast<double>(aBounds.mLeaseMax.count());
-  return aBounds.mLeaseMax + duration(std::llround(drift)) + aBounds.mLeaseExpiryMargin;
-}
-
 } // namespace
 
 entry_node::entry_node(const entry_ports& aPorts, const entry_options& aOptions)
@@ -74,7 +64,7 @@
            aPorts.mWorkers,
            aPorts.mLog,
            aPorts.mMetrics,
-           LongestLease(aOptions.mScheduler.mRuns),
+           LongestLease(aOptions.mScheduler.mRuns, aOptions.mScheduler.mRuns.mLeaseMax),
            [this](const std::string& aJob, uint64_t aRevision, auto aDone) {
              AskScheduler(aJob, aRevision, aDone);
            })
@@ -105,19 +95,20 @@
                aPorts.mDirectory,
                aPorts.mLog,
                [this] { return MayRelieve(); } })
-  , mJobs({ aPorts.mLoop,
-            aPorts.mStore,
-            aPorts.mPeers,
-            aPorts.mLog,
-            aPorts.mMetrics,
-            mElection,
-            mScheduler,
-            mGuard,
-            [this] { return IsStoreReachable(); },
-            [this] { return !mIsIntakeClosed; },
-            [this] { return mDraining; },
-            kStoreAnswerTimeout,
-            LongestLease(aOptions.mScheduler.mRuns) })
+  , mJobs(
+      { aPorts.mLoop,
+        aPorts.mStore,
+        aPorts.mPeers,
+        aPorts.mLog,
+        aPorts.mMetrics,
+        mElection,
+        mScheduler,
+        mGuard,
+        [this] { return IsStoreReachable(); },
+        [this] { return !mIsIntakeClosed; },
+        [this] { return mDraining; },
+        kStoreAnswerTimeout,
+        LongestLease(aOptions.mScheduler.mRuns, aOptions.mScheduler.mRuns.mLeaseMax) })
 {
   mScheduler.SetRequestDeadline([this] { return mElection.RequestDeadline(); });
 }
@@ -212,7 +203,7 @@
   if (term.mFence == 0 || mElection.IsHolder()) {
     mPorts.mLoop.RunAfter(duration::zero(), [this, aDone] {
       if (mScheduler.HasTakenOver()) {
-        mGuard.End();
+        mGuard.End(); // The new term stops what it has to.
       } else {
         aDone(false);
       }
--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -14,6 +14,13 @@
   return kNames[static_cast<size_t>(aAnswer)];
 }
 
+duration LongestLease(const run_bounds& aBounds, duration aSpan)
+{
+  const auto longestMs =
+    static_cast<double>(aSpan.count()) / (1.0 - aBounds.mClockDrift);
+  return duration(static_cast<int64_t>(longestMs)) + aBounds.mLeaseExpiryMargin;
+}
+
 bool HasDeregistered(const entry_observation& aObservation,
                      duration aHeartbeatPeriod,
                      time_point aNow)
@@ -86,11 +93,7 @@
 
 void worker_runs::ExtendLeaseExpiry(time_point aNow, duration aSpan)
 {
-  const auto longestMs =
-    static_cast<double>(aSpan.count()) / (1.0 - mBounds.mClockDrift);
-  const auto until =
-    aNow + duration(static_cast<int64_t>(longestMs)) + mBounds.mLeaseExpiryMargin;
-  mLeaseExpiresAt = std::max(mLeaseExpiresAt, until);
+  mLeaseExpiresAt = std::max(mLeaseExpiresAt, aNow + LongestLease(mBounds, aSpan));
 }
 
 void worker_runs::RecordLeaseRequest(time_point aNow)
--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -19,6 +19,12 @@
   auto operator<=>(const run_bounds&) const = default;
 };
 
+/**
+ * Returns for how long, at most, a worker's runs go on after a request that extended
+ * its lease by aSpan was sent. Thread-safe.
+ */
+duration LongestLease(const run_bounds& aBounds, duration aSpan);
+
 enum class run_phase
 {
   kRequested, ///< The start was sent or is about to be; not yet confirmed.
--- a/tests/platform/check_end_of_day.py
+++ b/tests/platform/check_end_of_day.py
@@ -349,8 +349,10 @@
             regained[worker] = first("worker_regained", self.cut_until - 0.05,
                                      self.killed_at, worker=worker)
         seen = [at - self.cut_until for at in regained.values() if at]
+        acknowledged = {job.id: job.acknowledged for job in self.jobs if job.acknowledged}
         stopped = [row["ended"] / 1000 - regained[row["worker"]] for row in rows
                    if regained.get(row["worker"]) and row["end"] == "stopped" and
+                   acknowledged.get(row["task"][:16], read_at) < regained[row["worker"]] and
                    regained[row["worker"]] < row["ended"] / 1000 < self.killed_at]
         boot = first("start", self.killed_at)
         won = first("scheduler_won", self.killed_at)
