Whether an outcome came from the worker is told in one place; tests of cuts share their checks

IsAnswer of the stops and the condition on holds were the same test. Three tests of cuts ended with the same play and checks.

--- a/src/runs/RunPort.h
+++ b/src/runs/RunPort.h
@@ -77,6 +77,9 @@
 
 const char* ToString(run_request_status aAnswer);
 
+/** Returns whether a request's outcome came from the worker. Thread-safe. */
+bool IsAnswer(run_request_status aStatus);
+
 /** A run that a worker reports as running. */
 struct running_run
 {
--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -14,6 +14,12 @@
   return kNames[static_cast<size_t>(aAnswer)];
 }
 
+bool IsAnswer(run_request_status aStatus)
+{
+  return aStatus != run_request_status::kNoAnswer &&
+         aStatus != run_request_status::kNotSent;
+}
+
 duration LongestLease(const run_bounds& aBounds, duration aSpan)
 {
   const auto longestMs =
--- a/src/scheduler/FleetSchedulerStops.cpp
+++ b/src/scheduler/FleetSchedulerStops.cpp
@@ -32,13 +32,6 @@
 
 constexpr const char* kUnansweredReason = "its stop was not answered";
 
-/** Returns whether a call's outcome came from the worker. */
-bool IsAnswer(run_request_status aStatus)
-{
-  return aStatus != run_request_status::kNoAnswer &&
-         aStatus != run_request_status::kNotSent;
-}
-
 } // namespace
 
 log_event RunEvent(const char* aName,
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -173,8 +173,7 @@
     request, UnlessTermEnded([this, id, now, request](const hold_reply& aReply) {
       auto& worker = FindOrAddWorker(id);
       worker.mHoldInFlight = false;
-      if (aReply.mAnswer != run_request_status::kNoAnswer &&
-          aReply.mAnswer != run_request_status::kNotSent) {
+      if (IsAnswer(aReply.mAnswer)) {
         worker.mAnsweredAt = mPorts.mLoop.Now();
       }
       if (aReply.mAnswer == run_request_status::kAccepted) {
--- a/tests/CancellationCutTest.cpp
+++ b/tests/CancellationCutTest.cpp
@@ -221,6 +221,24 @@
   time_point mAcknowledgedAt{ 0 };
 };
 
+/** Plays a row in which all workers of the job are cut off, and checks the bounds. */
+void CheckEndsInTime(const cut_row& aRow)
+{
+  const auto by = static_cast<int>(aRow.mBy);
+  const auto outcome = cancelled_in_cut(aRow).Play();
+  CAPTURE(by,
+          aRow.mAckAfterEnd.count(),
+          aRow.mCutAfterAck.count(),
+          aRow.mListDelay.count(),
+          aRow.mSecondTerm.count(),
+          aRow.mIsGang,
+          outcome.mLongest.count(),
+          outcome.mLastStart.count());
+  CHECK(outcome.mLongest <= kCancelBound);
+  CHECK(outcome.mLastStart <= kStartBound);
+  CHECK(outcome.mRuns > 0);
+}
+
 } // namespace
 
 // Guards against runs that go on to the end of a cut although VMs beside them know.
@@ -273,19 +291,7 @@
   row.mCutFor = duration(6'500);
   row.mListDelay = duration(GENERATE(0, 120));
   row.mIsGang = GENERATE(false, true);
-  cancelled_in_cut site(row);
-  const auto outcome = site.Play();
-  const auto by = static_cast<int>(row.mBy);
-  CAPTURE(by,
-          row.mAckAfterEnd.count(),
-          row.mCutAfterAck.count(),
-          row.mListDelay.count(),
-          row.mIsGang,
-          outcome.mLongest.count(),
-          outcome.mLastStart.count());
-  CHECK(outcome.mLongest <= kCancelBound);
-  CHECK(outcome.mLastStart <= kStartBound);
-  CHECK(outcome.mRuns > 0);
+  CheckEndsInTime(row);
 }
 
 // Guards against former schedulers that aren't told since another one came after them.
@@ -307,17 +313,7 @@
       { duration(120), duration(100), duration(180) },
       { duration(120), duration(120), duration(170) },
     }));
-  cancelled_in_cut site(row);
-  const auto outcome = site.Play();
-  CAPTURE(row.mListDelay.count(),
-          row.mSecondTerm.count(),
-          row.mAckAfterEnd.count(),
-          row.mIsGang,
-          outcome.mLongest.count(),
-          outcome.mLastStart.count());
-  CHECK(outcome.mLongest <= kCancelBound);
-  CHECK(outcome.mLastStart <= kStartBound);
-  CHECK(outcome.mRuns > 0);
+  CheckEndsInTime(row);
 }
 
 // Guards against cancellations that wait for one scheduler, which a cut then parts from
@@ -337,13 +333,5 @@
       { duration(120), duration(240), duration(5) },
       { duration(120), duration(190), duration(60) },
     }));
-  cancelled_in_cut site(row);
-  const auto outcome = site.Play();
-  CAPTURE(row.mListDelay.count(),
-          row.mAckAfterEnd.count(),
-          row.mCutAfterAck.count(),
-          outcome.mLongest.count());
-  CHECK(outcome.mLongest <= kCancelBound);
-  CHECK(outcome.mLastStart <= kStartBound);
-  CHECK(outcome.mRuns > 0);
+  CheckEndsInTime(row);
 }
