Logs: which jobs have nothing running, and what each of them waits for

The log told of tasks that the planner can't place, of the oldest group only, and nothing of tasks that count as placed and wait for a lease, an unrecorded run or a refused record. Change: jobs_idle, once a second while a job has been idle for 1 s or more, with the count by cause and the job that has been idle longest; takeover unlisted_runs= lease_wait_ms=.

--- a/src/jobs/JobState.cpp
+++ b/src/jobs/JobState.cpp
@@ -250,6 +250,24 @@
   return placed;
 }
 
+std::optional<task_ref> job_state::FindPlaced(
+  const std::function<bool(const task_ref&)>& aMatches) const
+{
+  task_ref task{ mJob.mId };
+  for (const auto& [occurrence, steps] : mBegun) {
+    task.mOccurrence = occurrence;
+    for (task.mStep = 0; task.mStep < steps.size(); ++task.mStep) {
+      for (const auto& [index, progress] : steps[task.mStep].mOpen) {
+        task.mIndex = index;
+        if (!progress.mWorker.empty() && aMatches(task)) {
+          return task;
+        }
+      }
+    }
+  }
+  return std::nullopt;
+}
+
 std::vector<task_ref> job_state::PlacedTasksOf(uint32_t aOccurrence,
                                                uint32_t aStep) const
 {
--- a/src/jobs/JobState.h
+++ b/src/jobs/JobState.h
@@ -166,6 +166,10 @@
   /** Returns every task whose latest run may exist on a worker. */
   std::vector<task_ref> PlacedTasks() const;
 
+  /** Returns the first placed task for which aMatches returns true, if there is one. */
+  std::optional<task_ref> FindPlaced(
+    const std::function<bool(const task_ref&)>& aMatches) const;
+
   /** Returns the placed tasks of one step in one occurrence. */
   std::vector<task_ref> PlacedTasksOf(uint32_t aOccurrence, uint32_t aStep) const;
 
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -53,6 +53,7 @@
               [this](const std::string& aReason) { OnFenced(aReason); },
               [this](const std::string& aKey) { OnRecordRefused(aKey); } })
   , mInboxMonitor(aPorts.mLog, aPorts.mMetrics)
+  , mIdleJobs(aPorts.mLog, aPorts.mMetrics)
   , mInbox(aPorts.mLoop,
            aPorts.mStore,
            aPorts.mLog,
@@ -119,6 +120,7 @@
   mWriter.End();
   mInbox.End();
   mInboxMonitor.End();
+  mIdleJobs.End();
   mJobs.clear();
   mUnmatchedCancels.clear();
   mIsIntakeClosed = false;
@@ -459,6 +461,7 @@
     CheckWorker(*worker, now);
   }
   mInboxMonitor.Check(now);
+  ObserveIdleJobs();
   std::erase_if(mUnmatchedCancels, [now](const auto& aCancel) {
     return now - aCancel.second.mReadAt > kMaxUnmatchedAge;
   });
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -12,6 +12,7 @@
 #include "runs/WorkerDirectory.h"
 #include "runs/WorkerHealth.h"
 #include "runs/WorkerRuns.h"
+#include "scheduler/IdleJobs.h"
 #include "scheduler/InboxMonitor.h"
 #include "scheduler/InboxReader.h"
 #include "scheduler/RecordWriter.h"
@@ -361,6 +362,19 @@
                             const task_ref& aTask,
                             time_point aNow) const;
 
+  // Jobs that have nothing running (FleetSchedulerIdle.cpp).
+  /** Tells the monitor, at most once in kIdlePeriod, which jobs are idle. */
+  void ObserveIdleJobs();
+  /** Returns a task whose turn has come if nothing of the job runs. */
+  std::optional<idle_task> FindIdleTask(const job_entry& aJob, time_point aNow) const;
+  /** Describes a placed task that does not run as far as is known; else nothing. */
+  std::optional<idle_task> DescribePlaced(const job_state& aState,
+                                          const task_ref& aTask,
+                                          time_point aNow) const;
+  /** Describes a task of the job that waits to be placed, if there is one. */
+  std::optional<idle_task> DescribeWaiting(const job_entry& aJob,
+                                           time_point aNow) const;
+
   // Planning and starting (FleetSchedulerPlanning.cpp).
   void SchedulePlan();
   void Plan();
@@ -408,6 +422,8 @@
   std::shared_ptr<const fleet_policy> mPolicy;
   record_writer mWriter;
   inbox_monitor mInboxMonitor;
+  idle_job_monitor mIdleJobs;
+  time_point mIdleObservedAt{ 0 };
   inbox_reader mInbox;
   scheduler_term mTerm;
   scheduler_term mPredecessor;
--- a/src/scheduler/FleetSchedulerTakeover.cpp
+++ b/src/scheduler/FleetSchedulerTakeover.cpp
@@ -364,8 +364,15 @@
                                   const takeover_cancels& aCancels) const
 {
   size_t stoppedRuns = 0;
+  int64_t unlistedRuns = 0;
+  duration leaseWait(0);
   for (const auto& [id, worker] : mWorkers) {
     stoppedRuns += worker->mStops.size();
+    if (!worker->mIsListed && !worker->mRuns.Runs().empty()) {
+      unlistedRuns += static_cast<int64_t>(worker->mRuns.Runs().size());
+      leaseWait =
+        std::max(leaseWait, worker->mRuns.LeaseExpiresAt() - mPorts.mLoop.Now());
+    }
   }
   mPorts.mLog.Write(
     log_event("takeover")
@@ -376,6 +383,8 @@
       .Add("cancelled_jobs", aCancels.mJobs)
       .Add("oldest_cancel_revision", static_cast<int64_t>(aCancels.mOldestRevision))
       .Add("stopped_runs", static_cast<int64_t>(stoppedRuns))
+      .Add("unlisted_runs", unlistedRuns)
+      .Add("lease_wait_ms", leaseWait.count())
       .Add("ms", (mPorts.mLoop.Now() - mTermBegunAt).count()));
 }
 
