Logs: when a VM knew that a cancellation is stored

job_cancel is written when the call is answered, which is now after the runs have been stopped, so that it no longer tells whether a takeover came between. The line cancel_stored does, with the scheduler known then; the test of the hypotheses on a gang compares that moment, as it did before.

--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -353,6 +353,12 @@
                                  const finish_cancel& aFinish)
 {
   const auto now = mPorts.mLoop.Now();
+  const auto& term = mPorts.mElection.Current();
+  mPorts.mLog.Write(log_event("cancel_stored")
+                      .Add("job", aId)
+                      .Add("revision", static_cast<int64_t>(aRevision))
+                      .Add("scheduler", term.mVm)
+                      .Add("fence", static_cast<int64_t>(term.mFence)));
   auto pending = std::make_shared<settlement>();
   pending->mJob = aId;
   pending->mRevision = aRevision;
--- a/tests/GangLogTest.cpp
+++ b/tests/GangLogTest.cpp
@@ -209,8 +209,7 @@
   if (PositionOf(aSite, "job_cancelled") < broken) {
     facts += "read ";
   }
-  if (PositionOf(aSite, "job_cancel", "answer=acknowledged") < takeover &&
-      takeover < broken) {
+  if (PositionOf(aSite, "cancel_stored") < takeover && takeover < broken) {
     facts += "taken_over ";
   }
   if (!FindLine(aSite, "run_stop", "reason=cancelled").empty()) {
