A cancellation in a cut is not acknowledged on a confirmation from before the cut

What callers saw: a run goes on for up to 4.65 s after the acknowledgement, if the scheduler outside has applied the cancellation, its stop is lost as the cut begins, and the VM inside answers at its limit of 2 s. Cause: the confirmation had no time, and a VM that is cut off goes on to believe in the scheduler it knew. Settled also looked at one stop of a task only, and not at workers whose runs had been given up. Change: a confirmation counts for 0.7 s. If the scheduler can't be asked, the job's record tells whether it has applied the cancellation, so that callers aren't refused for as long as VMs don't reach each other. All runs of the job on the workers that may have some count, and a worker that hasn't answered this term yet may have some.

--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -29,6 +29,14 @@
 constexpr duration kNotificationRetryDelay{ 250 };
 /** How long after it was stored a cancellation is answered at the latest. */
 constexpr duration kMaxSettlementTime{ 2'000 };
+/** A confirmation that is older doesn't tell that the scheduler can still be reached.
+ */
+constexpr duration kMaxConfirmationAge{ 700 };
+/**
+ * How long before the answer the job's record is read, which tells what the scheduler
+ * has done if it can't be asked.
+ */
+constexpr duration kRecordCheckTime{ 300 };
 /** Period at which a scheduler in this process is asked whether it has settled one. */
 constexpr duration kLocalSettlementPeriod{ 10 };
 /** The same, if there is no scheduler, or another VM that hasn't applied it. */
@@ -372,9 +380,10 @@
   mPorts.mGuard.Observe(aId, aRevision);
   NotifyFormerSchedulers(notice);
   NotifyScheduler(notice);
-  const auto wait = std::min(aDeadline - now, kMaxSettlementTime);
-  mPorts.mLoop.RunAfter(std::max(duration::zero(), wait),
-                        [this, pending] { FinishUnsettled(pending); });
+  const auto wait = std::clamp(aDeadline - now, duration::zero(), kMaxSettlementTime);
+  mPorts.mLoop.RunAfter(std::max(duration::zero(), wait - kRecordCheckTime),
+                        [this, pending] { CheckRecord(pending); });
+  mPorts.mLoop.RunAfter(wait, [this, pending] { FinishUnsettled(pending); });
   AwaitSettlement(pending);
 }
 
@@ -416,7 +425,7 @@
     return;
   }
   if (aProgress != cancel_progress::kNotApplied) {
-    aSettlement->mAppliedFence = aFence;
+    NoteApplied(aSettlement, aFence);
   }
   // A successor may have placed runs that the scheduler which was asked can't know.
   const bool isOfPresentTerm = aFence == mPorts.mElection.Current().mFence;
@@ -432,14 +441,39 @@
     { job_answer::kAccepted, aSettlement->mRevision, "settled", settledAfter });
 }
 
+void job_service::CheckRecord(const pending_settlement& aSettlement)
+{
+  if (aSettlement->mIsAnswered) {
+    return;
+  }
+  mPorts.mStore.Get(
+    store_keys::kProgress + aSettlement->mJob,
+    [this, aSettlement](const result<std::optional<stored_item>>& aItem) {
+      const auto outcome =
+        aItem && *aItem ? DecodeOutcome((*aItem)->mValue) : std::nullopt;
+      if (outcome && *outcome != job_outcome::kOpen) {
+        NoteApplied(aSettlement, mPorts.mElection.Current().mFence);
+      }
+    });
+}
+
+void job_service::NoteApplied(const pending_settlement& aSettlement,
+                              uint64_t aFence) const
+{
+  aSettlement->mAppliedFence = aFence;
+  aSettlement->mAppliedAt = mPorts.mLoop.Now();
+}
+
 void job_service::FinishUnsettled(const pending_settlement& aSettlement)
 {
   if (std::exchange(aSettlement->mIsAnswered, true)) {
     return;
   }
-  // A worker may be cut off for long; the scheduler goes on telling it to stop.
+  // A worker may be cut off for long; the scheduler goes on telling it to stop. One
+  // that has been cut off from here since may not reach the workers beside this VM.
   const bool isApplied =
-    aSettlement->mAppliedFence != 0 &&
+    aSettlement->mAppliedAt &&
+    mPorts.mLoop.Now() - *aSettlement->mAppliedAt <= kMaxConfirmationAge &&
     aSettlement->mAppliedFence == mPorts.mElection.Current().mFence;
   aSettlement->mFinish({ isApplied ? job_answer::kAccepted : job_answer::kUnconfirmed,
                          aSettlement->mRevision,
@@ -455,7 +489,7 @@
   }
   ++aNotice.mAttempts;
   if (mPorts.mScheduler.ObserveCancellation(aNotice.mJob, aNotice.mRevision)) {
-    aNotice.mSettlement->mAppliedFence = mPorts.mElection.Current().mFence;
+    NoteApplied(aNotice.mSettlement, mPorts.mElection.Current().mFence);
     ReportNotice(aNotice, "confirmed");
     return;
   }
@@ -477,7 +511,7 @@
       if (!aAnswer || !*aAnswer) {
         retry();
       } else {
-        aNotice.mSettlement->mAppliedFence = fence;
+        NoteApplied(aNotice.mSettlement, fence);
         ReportNotice(aNotice, "confirmed");
       }
     });
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -115,6 +115,7 @@
     uint64_t mRevision = 0;
     time_point mStoredAt{ 0 };
     uint64_t mAppliedFence = 0; ///< Of the last term that has applied it; 0: none.
+    std::optional<time_point> mAppliedAt; ///< When that was last confirmed.
     bool mIsAnswered = false;
     finish_cancel mFinish;
   };
@@ -169,6 +170,9 @@
                   uint64_t aFence,
                   cancel_progress aProgress,
                   duration aRetryDelay);
+  /** Reads whether a scheduler has recorded that the job has ended. */
+  void CheckRecord(const pending_settlement& aSettlement);
+  void NoteApplied(const pending_settlement& aSettlement, uint64_t aFence) const;
   /** Answers with what is known by the deadline. */
   void FinishUnsettled(const pending_settlement& aSettlement);
   /**
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -147,7 +147,10 @@
    */
   bool ObserveCancellation(const std::string& aJob, uint64_t aRevision);
 
-  /** Returns how far the cancellation of a job has got. Looks at its placed tasks. */
+  /**
+   * Returns how far the cancellation of a job has got. Looks at its placed tasks
+   * and at what was given up of them.
+   */
   cancel_progress ProgressOfCancellation(const std::string& aJob) const;
 
   /**
@@ -321,6 +324,9 @@
   /** Stops the runs of a task, or of its whole gang, that is done without them. */
   void StopNewerRuns(const job_entry& aJob, const task_ref& aTask);
   static bool IsCancelled(const job_entry* aJob);
+  /** Returns whether aWorker has been told to stop all runs of a job that it may have.
+   */
+  bool HasStoppedRunsOf(const std::string& aJob, const worker_entry& aWorker) const;
   /** Ends the term, as aWorker has received a newer fencing token. */
   void OnFencedBy(worker_entry& aWorker);
   /** Logs the end of a run, and measures it if its job was cancelled. */
--- a/src/scheduler/FleetSchedulerStops.cpp
+++ b/src/scheduler/FleetSchedulerStops.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <set>
 
 namespace anvildoor {
 
@@ -344,32 +345,57 @@
       found->second->mState.Outcome() == job_outcome::kOpen) {
     return cancel_progress::kNotApplied;
   }
-  const auto& state = found->second->mState;
-  if (found->second->mHasTasks) {
-    for (const auto& task : state.PlacedTasks()) {
-      const auto* run = FindPlacedRun(state, task);
-      if (run == nullptr || !run->mStopAnswered) {
-        return cancel_progress::kApplied;
-      }
+  const auto& job = *found->second;
+  std::set<std::string> workers;
+  if (job.mHasTasks) {
+    for (const auto& task : job.mState.PlacedTasks()) {
+      workers.insert(job.mState.Task(task).mWorker);
     }
   }
+  for (const auto& place : job.mState.FormerPlaces()) {
+    workers.insert(place.mWorker);
+  }
   task_ref first;
   first.mJob = aJob;
   for (auto at = mUnrecordedRuns.lower_bound(first);
        at != mUnrecordedRuns.end() && at->first.mJob == aJob;
        ++at) {
-    const auto worker = mWorkers.find(at->second);
-    if (worker == mWorkers.end()) {
-      continue;
+    workers.insert(at->second);
+  }
+  const bool isSettled =
+    std::all_of(workers.begin(), workers.end(), [&](const std::string& aWorker) {
+      const auto worker = mWorkers.find(aWorker);
+      return worker == mWorkers.end() || HasStoppedRunsOf(aJob, *worker->second);
+    });
+  return isSettled ? cancel_progress::kSettled : cancel_progress::kApplied;
+}
+
+bool fleet_scheduler::HasStoppedRunsOf(const std::string& aJob,
+                                       const worker_entry& aWorker) const
+{
+  const auto& runs = aWorker.mRuns;
+  if (!runs.HasAcceptedToken()) {
+    // It may run what no record shows; it tells by its first answer.
+    return mPorts.mLoop.Now() > runs.LeaseExpiresAt();
+  }
+  task_ref first;
+  first.mJob = aJob;
+  for (auto at = runs.Runs().lower_bound(first);
+       at != runs.Runs().end() && at->first.mJob == aJob;
+       ++at) {
+    if (!at->second.mStopAnswered) {
+      return false;
     }
-    const auto& stops = worker->second->mStops;
-    const auto stop = stops.lower_bound({ at->first, 0 });
-    if (stop == stops.end() || stop->first.first != at->first ||
-        !stop->second.mIsAnswered) {
-      return cancel_progress::kApplied;
+  }
+  for (auto at = aWorker.mStops.lower_bound({ first, 0 });
+       at != aWorker.mStops.end() && at->first.first.mJob == aJob;
+       ++at) {
+    const auto& [task, run] = at->first;
+    if (RegisteredRun(runs, task) != run && !at->second.mIsAnswered) {
+      return false;
     }
   }
-  return cancel_progress::kSettled;
+  return true;
 }
 
 term_runs fleet_scheduler::RunsOfTerm() const
--- a/tests/CancellationCutTest.cpp
+++ b/tests/CancellationCutTest.cpp
@@ -51,6 +51,8 @@
   bool mStarterIsCut = true;
   /** Whether the times count from the storing, which is before the acknowledgement. */
   bool mIsSinceStored = true;
+  /** Whether the times count from an acknowledgement that may come in the cut. */
+  bool mAnswersLate = false;
   /** Of a second scheduler outside the cut, which drains, too; negative: none. */
   duration mSecondTerm{ -1 };
 };
@@ -106,6 +108,10 @@
     const auto cutEnd = mSite.mLoop.Now();
     mSite.mFaults.mBlockedLinks.clear();
     mSite.mLoop.RunFor(kWatched);
+    if (mRow.mAnswersLate) {
+      REQUIRE(mAnsweredAt);
+      mAcknowledgedAt = *mAnsweredAt;
+    }
     return Judge(cutEnd);
   }
 
@@ -120,11 +126,33 @@
   void Acknowledge()
   {
     const auto& vm = mRow.mBy == acknowledger::kStarter ? mStarter : mNeighbour;
+    if (mRow.mAnswersLate) {
+      mSite.mFaults.mLosesFirstStops = true;
+      CancelRepeatedly(vm);
+      REQUIRE(mSite.mLoop.RunUntil(
+        [&] { return mSite.mCancelStoredAt.count(kJob) != 0; }, duration(1'000)));
+      mAcknowledgedAt = mSite.mLoop.Now(); // The cut counts from now.
+      return;
+    }
     REQUIRE((mRow.mIsSinceStored ? mSite.StoreCancellation(vm, kJob)
                                  : mSite.Cancel(vm, kJob)) == job_answer::kAccepted);
     mAcknowledgedAt = mSite.mLoop.Now();
   }
 
+  /** Cancels the job again after each answer that doesn't acknowledge it. */
+  void CancelRepeatedly(const std::string& aVm)
+  {
+    const auto deadline = mSite.mLoop.Now() + fake_installation::kCallersPatience;
+    mSite.Node(aVm).Jobs().Cancel(
+      kJob, "gyms", deadline, [this, aVm](const job_reply& aReply) {
+        if (aReply.mAnswer == job_answer::kAccepted) {
+          mAnsweredAt = mSite.mLoop.Now();
+        } else {
+          mSite.mLoop.RunAfter(duration(100), [this, aVm] { CancelRepeatedly(aVm); });
+        }
+      });
+  }
+
   void EndTerm()
   {
     constexpr duration kExitDelay{ 5'000 };
@@ -222,6 +250,7 @@
   std::string mStarter;
   std::string mNeighbour;
   time_point mAcknowledgedAt{ 0 };
+  std::optional<time_point> mAnsweredAt; ///< See cut_row::mAnswersLate.
 };
 
 /** Plays a row in which all workers of the job are cut off, and checks the bounds. */
@@ -339,3 +368,27 @@
     }));
   CheckEndsInTime(row);
 }
+
+// Guards against acknowledgements on a confirmation from before the cut.
+TEST_CASE("a cancelled job's runs end in time after an acknowledgement in a cut",
+          "[cancel-cut]")
+{
+  cut_row row;
+  row.mAnswersLate = true;
+  row.mBy = acknowledger::kNeighbour;
+  row.mStarterIsCut = false;
+  row.mCutFor = duration(6'500);
+  row.mIsGang = GENERATE(false, true);
+  row.mListDelay = duration(GENERATE(0, 60, 120));
+  row.mAckAfterEnd = duration(GENERATE(5, 70, 190, 240, 1'000));
+  row.mCutAfterAck = duration(GENERATE(0, 1, 2, 3, 5, 20, 60));
+  const auto by = row.mAckAfterEnd.count();
+  const auto outcome = cancelled_in_cut(row).Play();
+  CAPTURE(by,
+          row.mIsGang,
+          row.mListDelay.count(),
+          row.mCutAfterAck.count(),
+          outcome.mLongest.count());
+  CHECK(outcome.mLongest <= kCancelBound);
+  CHECK(outcome.mLastStart <= kStartBound);
+}
