The load of workers that take no tasks leaves the room on the others alone

What callers saw: LOST, a job that has nothing running while there is room; others of its kind move later. Cause: the allowance of a priority compared the load of all workers with the capacity of those that accept tasks. Runs of workers that are gone count until their leases lapse, so that they filled free workers. Ruled out: rack patience, as single tasks wait too; the lease of the waiting job, which has not begun. Change: the load is that of the workers whose capacity counts. Measured: 14 of 24 workers are lost in full use, 10 are free, leases of 10 s: a job of priority 1 had not started 3 s after it was accepted; it starts. Priorities 0 and 2 started before, too.

--- a/src/planner/CapacityHeadroom.cpp
+++ b/src/planner/CapacityHeadroom.cpp
@@ -57,7 +57,11 @@
       continue;
     }
     auto& load = loads[worker.mPool];
-    load.mCapacity += worker.mAcceptsTasks ? 1.0 : 0.0;
+    if (!worker.mAcceptsTasks) {
+      // Its load takes nothing of the capacity that is left.
+      continue;
+    }
+    load.mCapacity += 1.0;
     for (const auto& [priority, share] : worker.mLoadByPriority) {
       load.mByPriority[priority].mRunning += share;
     }
--- a/tests/IdleJobTest.cpp
+++ b/tests/IdleJobTest.cpp
@@ -591,3 +591,30 @@
   CHECK(all.mJobs >= count * kMinJobs / 2);
   CHECK(all.mSamples > 0);
 }
+
+// Guards against free workers that are left idle, as the load of lost ones fills them.
+TEST_CASE("a job starts on free workers while leases of lost ones last", "[idle]")
+{
+  constexpr uint32_t kLost = 14;
+  scheduler_bounds bounds;
+  bounds.mRuns.mLeaseMax = duration(10'000);
+  fake_installation site(kVms, kWorkers, kWorkersPerRack, bounds);
+  site.mLoop.RunFor(duration(3'000));
+  site.mBehaviourByPayload["60"] = { duration(60'000), false };
+  auto lost = fake_installation::MakeJob(JobName(0), kLost);
+  lost.mSpec.mPayload = "60";
+  lost.mSpec.mSteps.front().mPerTask = kWorkerCapacity;
+  REQUIRE(site.Submit("vm1", lost) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(1'000));
+  REQUIRE(site.mTraces.size() == kLost);
+  for (uint32_t number = 0; number < kLost; ++number) {
+    site.CrashWorker(site.mTraces[number].mWorker, false);
+  }
+  site.mLoop.RunFor(duration(1'500));
+  const auto priority = GENERATE(0, 1, 2);
+  CAPTURE(priority);
+  const auto job = fake_installation::MakeJob(JobName(1), 1, false, priority);
+  REQUIRE(site.Submit("vm1", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(kMaxIdle);
+  CHECK(site.CountStarts(JobName(1)) == 1);
+}
