A job whose record was refused is placed again within the wait that calm allows

What callers saw: a job has nothing running for up to 10 s after the store takes its record again; LOST from 7 s on. Cause: the job was held back for 10 s from the refusal, even if the store took its record meanwhile. Change: 4 s, so that refused jobs still don't disturb the others at each round. Measured: a job of 24 tasks, single or a gang, whose record is refused for 0.5 s: 0 starts 7 s after the store takes it again; 24 starts. That a refused job holds up no other one is still tested.

--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -17,8 +17,11 @@
 constexpr duration kMaxUnmatchedAge{ 150'000 };
 /** Outcomes are kept for this multiple of mMinStatusRetention. */
 constexpr int kRetentionFactor = 2;
-/** A job whose record was refused before it could start is not placed for so long. */
-constexpr duration kRefusedStartDelay{ 10'000 };
+/**
+ * A job whose record was refused before it could start is not placed for so long. A job
+ * may be idle for up to 7 s after the store has taken its record again.
+ */
+constexpr duration kRefusedStartDelay{ 4'000 };
 /**
  * A term runs out if the store has taken no write of it for so long. Longer than a term
  * outlasts an outage of the store, with the retries after it, so that one which is
--- a/tests/IdleJobTest.cpp
+++ b/tests/IdleJobTest.cpp
@@ -618,3 +618,18 @@
   site.mLoop.RunFor(kMaxIdle);
   CHECK(site.CountStarts(JobName(1)) == 1);
 }
+
+// Guards against jobs that are held back in calm as their record was refused before.
+TEST_CASE("a job starts soon once the store takes its record", "[idle]")
+{
+  fake_installation site(3, 4);
+  site.mLoop.RunFor(duration(3'000));
+  site.mStore.SetMaxValueBytes(400);
+  auto job = fake_installation::MakeJob(JobName(0), 24, GENERATE(false, true));
+  REQUIRE(site.Submit("vm1", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(500));
+  REQUIRE(site.mLog.CountLines("event=starts_taken_back") == 1);
+  site.mStore.SetMaxValueBytes(1'048'576);
+  site.mLoop.RunFor(kSettling + kMaxIdle);
+  CHECK(site.CountStarts(JobName(0)) == 24);
+}
