Soak: all clauses of UNASKED are judged, and how long accepted jobs are idle

What callers saw: three starts or runs that nobody asked for, on real processes, without a record of the clause (docs/incidents/2026-12-unasked-three-cases.md). The soak looked at late starts and late ends only, so that it could tell nothing of U1 to U3.

Cause: the stand-in recorded neither the spec nor the checkpoint of a start, dropped the checkpoint that a start carried, and its workers never made one.

Ruled out: nothing for the three cases themselves, of which no line is known.

Change: the stand-in's workers make checkpoints that name task, run and the work done, hand them out in their lists, resume after the one that a start carries, and record each start's spec and checkpoint and what they handed out. The soak's jobs have a spec each, steps that checkpoint, and some are handed in again at another VM once they are accepted; workers begin new lives beside the other disruptions, so that what they ran is resumed. unasked_judge.py compares starts with what callers sent and workers handed out. Bounds and excuses of late starts and ends are as before; their code has moved there. check_unasked_judge.py has traces that break each clause, and near ones that are allowed. idle_judge.py tells the longest time in calm, from 4 s after the last disruption, for which an accepted job had nothing running beside at least half of the workers free (for gangs, two free workers a member at least), and fails over 3 s; the soak also counts the lines event=jobs_idle by their cause.

--- a/src/standin/RunWorker.cpp
+++ b/src/standin/RunWorker.cpp
@@ -1,5 +1,7 @@
 #include "standin/RunWorker.h"
 
+#include "platform/Wire.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -70,6 +72,8 @@
   trace.mWorker = mId;
   trace.mTask = aRequest.mTask;
   trace.mRun = aRequest.mRun;
+  trace.mPayload = aRequest.mPayload;
+  trace.mCheckpoint = aRequest.mCheckpoint;
   trace.mStartedAt = mLoop.Now();
   mTraces.push_back(trace);
   mRuns[{ aRequest.mTask, aRequest.mRun }] = run;
@@ -153,6 +157,29 @@
   return static_cast<int64_t>(elapsedMs * mClockRate) + 1;
 }
 
+std::string run_worker::HandOutCheckpoint(const task_ref& aTask,
+                                          uint32_t aRun,
+                                          const active_run& aActive,
+                                          bool aIsStopped)
+{
+  const auto interval = aActive.mBehaviour.mCheckpointInterval;
+  if (interval <= duration::zero() || !aActive.mIsWorking) {
+    return "";
+  }
+  const auto worked = mLoop.Now() - aActive.mWorkingSince;
+  const auto saved = aIsStopped ? worked : worked - worked % interval;
+  if (saved <= duration::zero()) {
+    return "";
+  }
+  auto checkpoint = wire::FormatTaskName(aTask) + "/" + std::to_string(aRun) + "/" +
+                    std::to_string((aActive.mBehaviour.mSaved + saved).count());
+  auto& handedOut = mTraces[aActive.mTraceIndex].mHandedOut;
+  if (handedOut.empty() || handedOut.back().second != checkpoint) {
+    handedOut.emplace_back(mLoop.Now(), checkpoint);
+  }
+  return checkpoint;
+}
+
 hold_reply run_worker::Reply()
 {
   hold_reply reply;
@@ -167,7 +194,7 @@
     reply.mRunning.push_back(
       { key.first,
         key.second,
-        "",
+        HandOutCheckpoint(key.first, key.second, run),
         std::min(kFullPercent, kFullPercent * elapsedMs / durationMs) });
   }
   reply.mEnded.assign(mUnacknowledgedEnds.begin(), mUnacknowledgedEnds.end());
@@ -228,7 +255,11 @@
   mTraces[run.mTraceIndex].mEnd = aEnd;
   auto& refusedUpTo = mRefusedUpTo[aTask];
   refusedUpTo = std::max(refusedUpTo, aRun);
-  mUnacknowledgedEnds.push_back({ mNextEndNumber++, aTask, aRun, aEnd, "" });
+  const auto checkpoint =
+    aEnd == run_end::kDone
+      ? ""
+      : HandOutCheckpoint(aTask, aRun, run, aEnd == run_end::kStopped);
+  mUnacknowledgedEnds.push_back({ mNextEndNumber++, aTask, aRun, aEnd, checkpoint });
   mUnacknowledgedTraces.push_back(run.mTraceIndex);
   AnswerPendingHolds();
   mGangs.Leave(aTask, aRun, aEnd);
--- a/src/standin/RunWorker.h
+++ b/src/standin/RunWorker.h
@@ -18,6 +18,8 @@
   /** Runs until it is stopped; reports 100 % after mDuration. */
   bool mRunsUntilStopped = false;
   uint32_t mGangSize = 0; ///< Number of tasks of its gang; 0: it belongs to none.
+  duration mCheckpointInterval{ 0 }; ///< Of work; 0: it makes no checkpoints.
+  duration mSaved{ 0 };              ///< Work of earlier runs, which it resumes after.
 
   auto operator<=>(const run_behaviour&) const = default;
 };
@@ -29,6 +31,10 @@
   task_ref mTask;
   uint32_t mRun = 0;
   time_point mStartedAt{ 0 };
+  std::string mPayload;    ///< That it was started with, as mCheckpoint.
+  std::string mCheckpoint; ///< Empty: from scratch.
+  /** The checkpoints that a list showed, each with the time when it first did. */
+  std::vector<std::pair<time_point, std::string>> mHandedOut;
   std::optional<time_point> mEnded;
   run_end mEnd = run_end::kLost;
   std::optional<time_point> mListed; ///< When a list first showed the end.
@@ -92,6 +98,14 @@
   hold_reply Reply();
   /** Forgets the ends up to aNumber. */
   void Acknowledge(uint64_t aNumber);
+  /**
+   * Returns the newest checkpoint of a run, which names the run and the work that it
+   * stands for, and records that it was handed out. Empty if there is none.
+   */
+  std::string HandOutCheckpoint(const task_ref& aTask,
+                                uint32_t aRun,
+                                const active_run& aActive,
+                                bool aIsStopped = false);
   /** Returns a run that is there; null if there is none. */
   active_run* FindRun(const task_ref& aTask, uint32_t aRun);
   void BeginWork(const task_ref& aTask, uint32_t aRun);
--- a/tests/platform/platform-standin.cpp
+++ b/tests/platform/platform-standin.cpp
@@ -265,10 +265,17 @@
   {
     json rows = json::array();
     for (const auto& trace : mTraces) {
+      json handedOut = json::array();
+      for (const auto& [at, checkpoint] : trace.mHandedOut) {
+        handedOut.push_back({ at.count(), checkpoint });
+      }
       rows.push_back(
         { { "task", wire::FormatTaskName(trace.mTask) },
           { "run", trace.mRun },
           { "worker", trace.mWorker },
+          { "spec", trace.mPayload },
+          { "checkpoint", trace.mCheckpoint },
+          { "handed_out", handedOut },
           { "began", trace.mStartedAt.count() },
           { "ended", trace.mEnded ? trace.mEnded->count() : 0 },
           { "end", trace.mEnded ? ToString(trace.mEnd) : "" },
@@ -330,6 +337,32 @@
                      { "finished", finished } });
 }
 
+/**
+ * Returns what the payload tells: the run time in ms, any words, and STEP:MS for each
+ * step that makes a checkpoint each MS of its work. A checkpoint ends with the work in
+ * ms that it stands for.
+ */
+run_behaviour DecodeBehaviour(const start_run_request& aRequest)
+{
+  run_behaviour behaviour;
+  const auto& checkpoint = aRequest.mCheckpoint;
+  if (const auto slash = checkpoint.rfind('/'); slash != std::string::npos) {
+    behaviour.mSaved = duration(std::atol(checkpoint.c_str() + slash + 1));
+  }
+  const auto& payload = aRequest.mPayload;
+  behaviour.mDuration =
+    std::max(duration(1), duration(std::atol(payload.c_str())) - behaviour.mSaved);
+  std::istringstream words(payload);
+  for (std::string word; words >> word;) {
+    const auto colon = word.find(':');
+    if (colon != std::string::npos &&
+        word.substr(0, colon) == std::to_string(aRequest.mTask.mStep)) {
+      behaviour.mCheckpointInterval = duration(std::atol(word.c_str() + colon + 1));
+    }
+  }
+  return behaviour;
+}
+
 void ServeWorker(run_worker& aWorker,
                  const server_request& aRequest,
                  const single_thread_server::respond& aRespond)
@@ -341,6 +374,7 @@
     request.mTask = *task;
     request.mRun = body.at("run").get<uint32_t>();
     request.mPayload = body.at("spec").get<std::string>();
+    request.mCheckpoint = body.value("checkpoint", "");
     request.mWorkerDeadlineMs = body.at("deadline_ms").get<int64_t>();
     request.mFence = body.value("fencing_token", uint64_t(0));
     aRespond(EncodeRunRequestReply(aWorker, aWorker.Start(request)));
@@ -404,11 +438,8 @@
       aWorker,
       ++lastStartedAtMs,
       leaseMax,
-      // A task's payload is its run time in ms.
       [&store](const start_run_request& aRequest) {
-        run_behaviour behaviour;
-        behaviour.mDuration =
-          duration(std::max(1L, std::atol(aRequest.mPayload.c_str())));
+        auto behaviour = DecodeBehaviour(aRequest);
         behaviour.mGangSize = GangSizeOf(store, aRequest.mTask);
         return behaviour;
       },
--- a/tests/platform/soak_cancellations.py
+++ b/tests/platform/soak_cancellations.py
@@ -8,7 +8,9 @@
 the store fail, and workers leave. Fails if a run goes on, or a run starts, too long after
 its job's cancellation was answered; such a time counts only in stretches without
 disruption. The end of a run counts also beside a SIGTERM, if that ended its starter. Fails also
-if an end in calm waits too long until a hold acknowledges it, beside a SIGTERM or not.
+if a run starts that no caller asked for, or with another spec or checkpoint; if an end in calm
+waits too long until a hold acknowledges it, beside a SIGTERM or not; and if an accepted job
+has nothing running for too long in calm beside free workers.
 """
 
 import argparse
@@ -29,12 +31,12 @@
 import time
 
 import entry_site
+import unasked_judge
 from entry_site import Vm, call, wait_until
+from idle_judge import CALM_S, Idle
 from soak_removals import CONTACT_S, SCHEDULER_KEY, Removals, now
+from unasked_judge import END_BOUND_S
 
-# From the answer of a cancellation to the last start, and to the end of the last run.
-START_BOUND_S = 3.0
-END_BOUND_S = 3.4
 # A longer time is noted beside the logs.
 NOTED_S = 1.0
 CALLERS = 16
@@ -82,7 +84,13 @@
                           gang=plan.random() < 0.5)]
         else:
             steps = [dict(task, count=plan.randrange(1, 6), gpu=1)]
-        self.body = {"spec": str(run_ms), "steps": steps}
+        # Each job has a spec of its own, which also tells the stand-in its checkpoints.
+        words = [str(run_ms), self.id]
+        for number, step in enumerate(steps):
+            if plan.random() < 0.6:
+                step["checkpointing"] = True
+                words.append(f"{number}:{plan.randrange(50, 700)}")
+        self.body = {"spec": " ".join(words), "steps": steps}
         self.is_cancelled = plan.random() < 0.75
         self.cancel_after_s = 0.0 if plan.random() < 0.1 else \
             plan.choice((0.05, plan.uniform(0.1, 2), plan.uniform(1, 9), plan.uniform(1, 9)))
@@ -91,6 +99,8 @@
         self.gives_up = plan.random() < 0.3
         self.submits_again = plan.random() < 0.2
         self.cancels_twice = plan.random() < 0.2
+        self.repeats_after_s = plan.uniform(0, 3) if plan.random() < 0.2 else None
+        self.is_cancel_sent = False
         self.vm = None  # The VM that got the first submission.
         self.submitted = []  # (sent, status, answered); status 0: no answer.
         self.cancelled = []  # (sent, status, answered, VM).
@@ -148,7 +158,9 @@
         self.slowest = (0.0, None, None)  # The time, job and row of the longest in calm.
         self.slowest_note = (0.0, None, None)  # The same for the note of an end.
         self.trouble = random.Random(self.seed * 7919 + 1)
+        self.restarts = random.Random(self.seed * 5381 + 1)
         self.jobs, self.actions, self.lock = [], [], threading.Lock()
+        self.repeated = 0  # Hand-ins that were accepted once more.
         self.order = 0  # Of actions that are due at the same time.
         self.disruptions = []  # [begin, end, what, whether it is a planned SIGTERM]
         self.removed = []  # (when it got the SIGTERM, name)
@@ -172,12 +184,13 @@
             heapq.heappush(self.actions, (at, self.order, what, job))
 
     def next_action(self, vm):
-        """Takes an action that is due; cancellations go to a VM other than the first."""
+        """Takes an action that is due; cancellations and repeats go to a VM other than the
+        first."""
         with self.lock:
             due = [each for each in self.actions if each[0] <= now()]
             for each in sorted(due):
                 late = now() - each[0] > 2
-                if each[2] == "cancel" and each[3].vm is vm and not late:
+                if each[2] in ("cancel", "repeat") and each[3].vm is vm and not late:
                     continue
                 self.actions.remove(each)
                 heapq.heapify(self.actions)
@@ -209,6 +222,9 @@
                 time.sleep(0.01)
                 continue
             _, _, what, job = action
+            if what == "repeat" and job.is_cancel_sent:
+                continue
+            job.is_cancel_sent = job.is_cancel_sent or what == "cancel"
             timeout = PATIENT_TIMEOUT_S if job.is_patient else TIMEOUT_S
             if what == "submit" and job.gives_up:
                 timeout = GIVE_UP_S
@@ -225,7 +241,12 @@
                 self.after_cancel(job, status)
             else:
                 job.submitted.append((sent, status, now()))
-                if status == 0 and job.gives_up:
+                if status == 200 and job.repeats_after_s is not None:
+                    self.schedule(now() + job.repeats_after_s, "repeat", job)
+                    job.repeats_after_s = None
+                if what == "repeat":
+                    self.repeated += status == 200
+                elif status == 0 and job.gives_up:
                     self.schedule(now(), "cancel", job)
                 elif status != 200 and not job.cancelled and job.cancel_after_s > 1:
                     self.schedule(now() + 0.2, "submit", job)
@@ -408,6 +429,17 @@
         how(vm, picker)
         vm.is_disturbed = False
 
+    def restart_workers(self):
+        """Has workers begin a new life, so that what they ran is resumed elsewhere."""
+        time.sleep(self.restarts.uniform(0.5, 1.5))  # Some tasks have checkpoints by then.
+        saved = {row["worker"] for row in call(self.store, "GET", "/traces")[1]
+                 if row["handed_out"] and not row["end"]}
+        for worker in self.restarts.sample(sorted(saved), min(len(saved),
+                                                              self.restarts.choice((4, 6, 8)))):
+            begin = now()
+            call(self.store, "POST", "/worker-fault", {"worker": worker, "kind": "restart"})
+            self.disrupt(f"restart of worker {worker}", begin)
+
     def make_trouble(self, until):
         while now() < until:
             if self.removals and self.trouble.random() < 0.8:
@@ -418,6 +450,7 @@
             for _ in range(self.trouble.choice((1, 1, 2, 3, 4))):
                 started.append(self.start_disruption())
                 time.sleep(self.trouble.choice((0.05, 0.6, 1.6)))
+            self.restart_workers()
             for each in started:
                 if each:
                     each.join()
@@ -469,25 +502,17 @@
                 counts["lost, yet started"] += 1
             for row in runs.get(job.id, ()):
                 counts["runs"] += 1
-                began = row["began"] / 1000
-                ended = row["ended"] / 1000 if row["end"] else read_at
                 if kind == "2xx":
-                    raw = max(raw, ended - answered)
-                if not row["end"] and read_at - max(answered, calm[-1][0]) > END_BOUND_S:
-                    violations.append((job, row, f"no end after {kind}", ended - answered))
-                for begin, end in calm:
-                    since = max(answered, begin)
-                    if since >= end or ended <= since:
-                        continue
-                    counts["judged"] += 1
-                    if kind == "2xx":
-                        self.note_slow(min(ended, end) - since, job, row)
-                        longest = max(longest, min(ended, end) - since)
-                    if since + START_BOUND_S < began < end:
-                        violations.append((job, row, f"late start after {kind}", began - since))
-                    elif began < end and min(ended, end) - since > END_BOUND_S:
-                        violations.append((job, row, f"late end after {kind}",
-                                           min(ended, end) - since))
+                    raw = max(raw, (row["ended"] / 1000 if row["end"] else read_at) - answered)
+                went_on, broken = unasked_judge.judge_times(row, answered, calm, read_at)
+                counts["judged"] += len(went_on)
+                for seconds in went_on if kind == "2xx" else ():
+                    self.note_slow(seconds, job, row)
+                    longest = max(longest, seconds)
+                violations += [(job, row, f"{what} after {kind}", seconds)
+                               for what, seconds in broken]
+        violations += self.judge_starts(rows, counts)
+        violations += self.judge_idle(rows, read_at, counts)
         late, after_removal = self.judge_removals(runs, read_at, counts)
         calm_or_planned = self.calm(read_at, True)
         if self.removals:  # All VMs were ready when the soak began.
@@ -512,6 +537,49 @@
                       disruptions=len(self.disruptions))
         return violations + late, counts
 
+    def judge_starts(self, rows, counts):
+        """Returns violations by starts that no caller sent so."""
+        jobs = {job.id: job for job in self.jobs}
+        steps = [self.step_of(row, jobs) for row in rows]
+        resumed = [(row, step) for row, step in zip(rows, steps) if row["checkpoint"]]
+        counts.update(repeated=self.repeated,
+                      checkpoints=sum(len(row["handed_out"]) for row in rows),
+                      resumed=len(resumed),
+                      resumed_in_gangs=sum("gang" in step for _, step in resumed))
+        # A job that nobody sent has no callers to report on; the row tells all.
+        return [(jobs.get(row["task"].split(".")[0]) or Job(self.seed, 0), row, what, 0)
+                for row, what in unasked_judge.judge_starts(
+                    rows, {job.id: [job.body] for job in self.jobs if job.submitted})]
+
+    @staticmethod
+    def step_of(row, jobs):
+        task = unasked_judge.parse_task(row["task"])
+        bodies = {task[0]: [jobs[task[0]].body]} if task and task[0] in jobs else {}
+        return bodies and unasked_judge.step_of(task, bodies) or {}
+
+    def judge_idle(self, rows, read_at, counts):
+        """Returns violations by jobs that had nothing running."""
+        calm = [(max(begin + CALM_S - CONTACT_S, self.began), end)
+                for begin, end in self.calm(read_at)]
+        workers = self.removals.workers if self.removals else self.workers
+        idle = Idle(self.jobs, rows, [each for each in calm if each[0] < each[1]],
+                    workers, read_at)
+        counts["longest_idle"] = round(idle.longest, 2)
+        counts["jobs_idle"] = self.idle_causes()
+        return [(job, None, f"idle from {begin:.3f}", seconds)
+                for seconds, job, begin in idle.late]
+
+    def idle_causes(self):
+        """Returns the number of log lines on idle jobs by the cause of the longest."""
+        causes = {}
+        for vm in self.vms:
+            with open(os.path.join(self.folder, f"{vm.name}.log"), encoding="utf-8") as log:
+                for line in log:
+                    cause = "event=jobs_idle " in line and re.search(r"\bcause=(\S+)", line)
+                    if cause:
+                        causes[cause.group(1)] = causes.get(cause.group(1), 0) + 1
+        return causes
+
     def judge_notes(self, rows, calm, calm_or_planned, read_at, counts):
         """Returns violations by ends that waited too long for their acknowledgement."""
         waits = entry_site.Waits(rows, calm, read_at)
@@ -576,14 +644,18 @@
     def report(self, violation, title="VIOLATION"):
         job, row, kind, seconds = violation
         acknowledged = job.acknowledgement()
-        origin = acknowledged[2] if acknowledged else row["ended"] / 1000
+        submitted = [each[2] for each in job.submitted]
+        origin = acknowledged[2] if acknowledged else \
+            row["ended"] / 1000 if row and row["end"] else (submitted or [now()])[0]
         unix_origin = origin + time.time() - now()
         print(f"{title} {kind} {seconds:.2f} s: job {job.id} ({job.kind}); times in s after "
-              f"the {'answer' if acknowledged else 'end'}")
+              f"the {'answer' if acknowledged else 'end, or the first hand-in'}")
         if row:
             ended = f"{row['ended'] / 1000 - origin:.2f}" if row["end"] else "none"
             print(f"  task {row['task']} run {row['run']} worker {row['worker']} began "
                   f"{row['began'] / 1000 - origin:.2f} ended {ended} as {row['end'] or '-'}")
+            print(f"  spec '{row['spec']}' checkpoint '{row['checkpoint']}'; sent spec "
+                  f"'{job.body['spec']}'")
             for what in ("listed", "noted", "forgotten"):
                 if row[what]:
                     print(f"  {what} {row[what] / 1000 - origin:.2f}")
