Tests: callers of the checks tell how long they wait; the scan of idle jobs cancels with a deadline

Callers of check_end_of_day.py leave after 1.5 s, and the VM took 3 s for granted, so that an answer at its limit of 2 s reached nobody and was judged by nobody. Found by the review.

--- a/tests/IdleJobTest.cpp
+++ b/tests/IdleJobTest.cpp
@@ -181,8 +181,11 @@
       return;
     }
     mSite.mLoop.RunAfter(duration(Below(4'000)), [this, aJob] {
-      mSite.Node(DrawVm()).Jobs().Cancel(
-        aJob.mId, aJob.mWorkspace, [](const job_reply&) {});
+      mSite.Node(DrawVm()).Jobs().Cancel(aJob.mId,
+                                         aJob.mWorkspace,
+                                         mSite.mLoop.Now() +
+                                           fake_installation::kCallersPatience,
+                                         [](const job_reply&) {});
     });
   }
 
--- a/tests/platform/entry_site.py
+++ b/tests/platform/entry_site.py
@@ -38,6 +38,7 @@
     request = urllib.request.Request(f"http://127.0.0.1:{port}{path}", data, method=method)
     request.add_header("Host", host)
     request.add_header("X-Api-Key", key)
+    request.add_header("X-Timeout-Ms", str(int(timeout * 1000)))
     try:
         with urllib.request.urlopen(request, timeout=timeout) as answer:
             return answer.status, json.loads(answer.read() or "{}")
