A term counts as sound only once the store says so

The callback of the write that a term is impaired cleared the flag if it was sound again by then, though the store still said that it is impaired, so that a standby may end its lease at any time. Found by the review, from reading; no run or test has shown it.

--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -443,11 +443,12 @@
   if (judged != impairment::kNone) {
     mOnImpaired(true);
   }
-  mWriter.Write(store_keys::kImpairedTerm, record_writer::urgency::kImmediate, [this] {
-    if (mHealth.Current() == impairment::kNone) {
-      mOnImpaired(false);
-    }
-  });
+  mWriter.Write(
+    store_keys::kImpairedTerm, record_writer::urgency::kImmediate, [this, judged] {
+      if (judged == impairment::kNone && mHealth.Current() == impairment::kNone) {
+        mOnImpaired(false);
+      }
+    });
 }
 
 worker_reach fleet_scheduler::ReachOfWorkers() const
