--- a/tests/LeaseWaitTest.cpp
+++ b/tests/LeaseWaitTest.cpp
@@ -157,6 +157,23 @@
   CHECK(waited <= kBound);
 }
 
+// Guards against leases that are extended by holds of a worker that is gone.
+TEST_CASE("tasks of a worker that has crashed soon start elsewhere", "[installation]")
+{
+  const auto isListed = GENERATE(false, true);
+  const auto phase = GENERATE(range(0, 2'000, 50));
+  fake_installation site(kVms, kWorkers);
+  const auto worker = RunLongTask(site, false, phase);
+  site.mFaults.mUnreachableWorkers.insert(worker); // Its address refuses connections.
+  site.CrashWorker(worker, false);
+  if (isListed) {
+    site.ListWorker(worker);
+  }
+  const auto waited = TimeUntilRestart(site);
+  CAPTURE(isListed, phase, waited.count());
+  CHECK(waited <= kBound);
+}
+
 // Guards against a wait that is shorter than a lease from a former scheduler.
 TEST_CASE("a worker that only the former scheduler reaches never runs a task twice",
           "[installation]")
