A hold that a worker refuses doesn't extend the lease that is assumed of it

What callers saw: LOST, a job with nothing running. The scheduler waited for the lease of a worker that had crashed for up to 8.2 s, without any takeover, where 7 s are allowed. Cause: holds went on to extend the lease for 2 s after the last answer, also those that failed at once. Ruled out: the directory; an entry that expires is no proof that the worker has left. Change: after a hold that failed, holds extend the lease again only once one was answered.

--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -29,8 +29,8 @@
  */
 constexpr duration kUndurableHoldPeriod{ 400 };
 /**
- * The lease of a worker that has not answered for this long is no longer extended, so
- * that it can expire.
+ * The lease of a worker that has not answered for this long, or whose last hold failed,
+ * is no longer extended, so that it can expire.
  */
 constexpr duration kUnresponsiveAfter{ 2'000 };
 /** Ends that wait longer than this for their acknowledgement are logged. */
@@ -163,7 +163,8 @@
   request.mWorker = { aWorker.mListed.mId, aWorker.mListed.mAddress };
   request.mFence = mTerm.mFence;
   request.mAcknowledged = runs.Acknowledged();
-  const bool hasAnsweredRecently = now - runs.LastAnswer() < kUnresponsiveAfter;
+  const bool hasAnsweredRecently =
+    !aWorker.mIsUnresponsive && now - runs.LastAnswer() < kUnresponsiveAfter;
   const auto termLeaseEnd = TermLeaseEnd();
   if (hasAnsweredRecently) {
     request.mWorkerDeadlineMs = runs.LeaseDeadlineMs(now, termLeaseEnd);
@@ -171,7 +172,7 @@
   if (request.mWorkerDeadlineMs) {
     runs.RecordLeaseRequest(now, termLeaseEnd);
   }
-  if (hasAnsweredRecently && runs.ClockAt(now) != 0 && !aWorker.mIsUnresponsive) {
+  if (hasAnsweredRecently && runs.ClockAt(now) != 0) {
     request.mWait = now < termLeaseEnd ? kHoldWait : kGraceHoldWait;
   }
   runs.RecordAckSent(request.mAcknowledged);
