The load of lost workers doesn't end the patience of gangs that need one rack

What callers saw: LOST, a gang that waits for one rack while the fleet has room for it. Cause: the load of all workers was compared with the capacity of those that take tasks, as in the headroom before: workers that are lost, silent or draining in full use made the fleet look busy until their leases lapsed. Change: only workers that take tasks count. Measured: tests/RackPatienceTest.cpp, 5 of 8 workers lost in full use: no right to span racks after 2 s before, now it has it.

--- a/src/planner/RackPatience.cpp
+++ b/src/planner/RackPatience.cpp
@@ -19,8 +19,11 @@
 {
   std::map<std::string, std::pair<double, double>> useAndCapacity;
   for (const auto& worker : aInput.mWorkers) {
+    if (!worker.mAcceptsTasks) {
+      continue;
+    }
     auto& [use, capacity] = useAndCapacity[worker.mPool];
-    capacity += worker.mAcceptsTasks ? 1.0 : 0.0;
+    capacity += 1.0;
     for (const auto& [priority, share] : worker.mLoadByPriority) {
       use += share;
     }
--- a/tests/RackPatienceTest.cpp
+++ b/tests/RackPatienceTest.cpp
@@ -91,3 +91,21 @@
   patience.SetRights(input, kStart + duration(2'500));
   CHECK_FALSE(input.mGroups.front().mMayClearRack);
 }
+
+// Guards against gangs that wait beside free workers while others are lost in full use.
+TEST_CASE("the load of workers that take no tasks doesn't end a gang's patience",
+          "[placement]")
+{
+  const bool acceptsTasks = GENERATE(true, false);
+  CAPTURE(acceptsTasks);
+  rack_patience patience;
+  placement_plan waiting;
+  waiting.mWaiting = { 0 };
+  auto input = WaitingGang(5, 3, true); // Three workers are free, in two racks.
+  for (auto& worker : input.mWorkers) {
+    worker.mAcceptsTasks = worker.mLoadByPriority.empty() || acceptsTasks;
+  }
+  patience.Observe(input, waiting, kStart);
+  patience.SetRights(input, kStart + duration(2'000));
+  CHECK(input.mGroups.front().mMaySpanRacks != acceptsTasks);
+}
