Tests: a cancellation that was stored is answered, and a repeat of the call is told that it was acknowledged

Many tests go on from the storing, which is before the acknowledgement, so that endless refusals would have passed. Found by the review. All rows of CancellationTest.cpp now need an answer within 2.05 s of the storing and a 2xx to one of 4 repeats at the end.

--- a/tests/CancellationTest.cpp
+++ b/tests/CancellationTest.cpp
@@ -177,6 +177,17 @@
     owedFrom = std::max(owedFrom, begunAt + aDisturbance.mDisruption + kContactTime);
   }
   site.mLoop.RunFor(kRunDuration + kContactTime);
+  constexpr duration kAnswerBound{ 2'050 };
+  REQUIRE(site.mCancelAnsweredAt.count(kJob) != 0);
+  CHECK(site.mCancelAnsweredAt.at(kJob) - site.mCancelStoredAt.at(kJob) <=
+        kAnswerBound);
+  // A caller that repeats the call is told in the end; reads may be refused.
+  constexpr int kMaxRepeats = 4;
+  int repeats = 0;
+  while (repeats < kMaxRepeats && site.Cancel(front, kJob) != job_answer::kAccepted) {
+    ++repeats;
+  }
+  CHECK(repeats < kMaxRepeats);
 
   cancelled_runs runs;
   runs.mLastEnd = begunAt - owedFrom;
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -861,10 +861,13 @@
 {
   const auto answer = std::make_shared<std::optional<job_answer>>();
   const auto formerlyStored = mStoredCancels[aId];
-  mVms.at(aVm)->Node().Jobs().Cancel(
-    aId, "gyms", mLoop.Now() + kCallersPatience, [answer](const job_reply& aReply) {
-      *answer = aReply.mAnswer;
-    });
+  mVms.at(aVm)->Node().Jobs().Cancel(aId,
+                                     "gyms",
+                                     mLoop.Now() + kCallersPatience,
+                                     [this, aId, answer](const job_reply& aReply) {
+                                       *answer = aReply.mAnswer;
+                                       mCancelAnsweredAt[aId] = mLoop.Now();
+                                     });
   constexpr duration kAnswerTimeout{ 5'000 };
   const auto isStored = [&] { return mStoredCancels[aId] != formerlyStored; };
   mLoop.RunUntil([&] { return answer->has_value() || isStored(); }, kAnswerTimeout);
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -202,6 +202,8 @@
   /** When a VM first learned that the cancellation of a job is stored, by job. */
   std::map<std::string, time_point> mCancelStoredAt;
   std::map<std::string, size_t> mStoredCancels; ///< Writes of cancellations, by job.
+  /** When the last call of StoreCancellation for a job was answered. */
+  std::map<std::string, time_point> mCancelAnsweredAt;
   gang_registry mGangs{ mLoop };
   std::map<std::string, std::unique_ptr<run_worker>> mWorkers;
   /** Behaviour of runs by the payload of their job. */
