Logs: which life of a worker a term believes in, and what shows another

worker_listed and lease_lapsed tell born; worker_new_life is logged when a hold, or the clock in the answer to a start or stop, is from another life of a worker than the last hold. The clock is decoded with those answers for that. No decision depends on it yet.

--- a/src/entry/CancellationGuard.cpp
+++ b/src/entry/CancellationGuard.cpp
@@ -179,11 +179,11 @@
   request.mOnNewConnection = true; // The kept ones may have died with the links.
   const worker_key key{ aWorker.mAddress.mId, aWorker.mAddress.mAddress };
   mWorkers.Stop(
-    request, [this, generation = mGeneration, key](const run_request_status& aAnswer) {
+    request, [this, generation = mGeneration, key](const run_answer& aAnswer) {
       if (generation == mGeneration) {
         const bool othersWait = mInFlight == kMaxInFlight;
         --mInFlight;
-        OnAnswer(key, aAnswer);
+        OnAnswer(key, aAnswer.mStatus);
         if (othersWait) {
           SendNext();
         }
--- a/src/runs/RunPort.h
+++ b/src/runs/RunPort.h
@@ -80,6 +80,15 @@
 /** Returns whether a request's outcome came from the worker. Thread-safe. */
 bool IsAnswer(run_request_status aStatus);
 
+/** Outcome of a start or stop, with what tells which life of the worker has answered. */
+struct run_answer
+{
+  run_request_status mStatus = run_request_status::kNoAnswer;
+  int64_t mClockMs = 0; ///< The worker's clock; 0: unknown.
+
+  auto operator<=>(const run_answer&) const = default;
+};
+
 /** A run that a worker reports as running. */
 struct running_run
 {
@@ -130,11 +139,11 @@
 
   virtual ~run_port() = default;
 
-  void Start(const start_run_request& aRequest, done<run_request_status> aDone)
+  void Start(const start_run_request& aRequest, done<run_answer> aDone)
   {
     OnStart(aRequest, std::move(aDone));
   }
-  void Stop(const stop_run_request& aRequest, done<run_request_status> aDone)
+  void Stop(const stop_run_request& aRequest, done<run_answer> aDone)
   {
     OnStop(aRequest, std::move(aDone));
   }
@@ -153,10 +162,8 @@
   }
 
 protected:
-  virtual void OnStart(const start_run_request& aRequest,
-                       done<run_request_status> aDone) = 0;
-  virtual void OnStop(const stop_run_request& aRequest,
-                      done<run_request_status> aDone) = 0;
+  virtual void OnStart(const start_run_request& aRequest, done<run_answer> aDone) = 0;
+  virtual void OnStop(const stop_run_request& aRequest, done<run_answer> aDone) = 0;
   virtual void OnHold(const hold_request& aRequest, done<hold_reply> aDone) = 0;
   virtual void OnProbe(const worker_address& aWorker,
                        uint64_t aFence,
--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -83,6 +83,16 @@
   return mClockMs + static_cast<int64_t>(elapsedMs * (1.0 - mBounds.mClockDrift));
 }
 
+bool worker_runs::IsOfOtherLife(int64_t aClockMs, time_point aSentAt) const
+{
+  constexpr int64_t kRoundingMs = 2;
+  // An answer may be older than the last reply to a hold.
+  const auto earliest = aSentAt < mClockReadAt
+                          ? mClockMs - (mClockReadAt - aSentAt).count()
+                          : ClockAt(aSentAt);
+  return aClockMs != 0 && mClockMs != 0 && aClockMs + kRoundingMs < earliest;
+}
+
 std::optional<int64_t> worker_runs::LeaseDeadlineMs(time_point aNow,
                                                     time_point aTermLeaseEnd) const
 {
--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -138,6 +138,13 @@
     time_point aNow,
     time_point aTermLeaseEnd = time_point::max()) const;
 
+  /**
+   * Returns whether a request sent at aSentAt, whose answer tells aClockMs, was answered
+   * by another life of the worker than the last hold: the clock of each begins anew.
+   * False if one of the clocks is unknown (0).
+   */
+  bool IsOfOtherLife(int64_t aClockMs, time_point aSentAt) const;
+
   /** Returns the deadline, on the worker's clock, of a start sent at aNow. */
   int64_t StartDeadlineMs(time_point aNow) const;
 
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -264,6 +264,15 @@
   /** Logs once a term how long its first answer of a worker took. */
   void LogFirstAnswer(const worker_entry& aWorker);
   void OnHoldFailed(worker_entry& aWorker, run_request_status aAnswer);
+  /** Logs that a worker has started again under its id, as aSource shows. */
+  void LogNewLife(const worker_entry& aWorker,
+                  const char* aSource,
+                  int64_t aStartedAtMs) const;
+  /** Handles the clock in an answer to a start or stop that was sent at aSentAt. */
+  void ObserveClock(worker_entry& aWorker,
+                    const char* aSource,
+                    const run_answer& aAnswer,
+                    time_point aSentAt);
   void ApplyRunEvents(worker_entry& aWorker, const std::vector<run_event>& aEvents);
   void ApplyRunEnd(worker_entry& aWorker, const run_event& aEvent);
   /** Measures the ends that a hold has acknowledged; logs them if they waited long. */
@@ -425,7 +434,7 @@
   void OnStartAnswer(const std::string& aWorker,
                      const task_ref& aTask,
                      uint32_t aRun,
-                     run_request_status aAnswer,
+                     const run_answer& aAnswer,
                      time_point aSentAt);
 
   bool MaySendRequests() const;
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -487,7 +487,7 @@
   const auto id = worker.mListed.mId;
   mPorts.mWorkers.Start(
     request,
-    UnlessTermEnded([this, id, aTask, aRun, now](const run_request_status& aAnswer) {
+    UnlessTermEnded([this, id, aTask, aRun, now](const run_answer& aAnswer) {
       OnStartAnswer(id, aTask, aRun, aAnswer, now);
     }));
 }
@@ -495,29 +495,31 @@
 void fleet_scheduler::OnStartAnswer(const std::string& aWorker,
                                     const task_ref& aTask,
                                     uint32_t aRun,
-                                    run_request_status aAnswer,
+                                    const run_answer& aAnswer,
                                     time_point aSentAt)
 {
+  const auto status = aAnswer.mStatus;
   const auto now = mPorts.mLoop.Now();
   auto& worker = FindOrAddWorker(aWorker);
-  if (aAnswer == run_request_status::kFenced) {
+  if (status == run_request_status::kFenced) {
     OnFencedBy(worker);
     return;
   }
+  ObserveClock(worker, "start", aAnswer, aSentAt);
   const auto job = mJobs.find(aTask.mJob);
-  if (aAnswer == run_request_status::kAccepted && job != mJobs.end()) {
+  if (status == run_request_status::kAccepted && job != mJobs.end()) {
     job->second->mState.MarkStarted();
   }
-  if (aAnswer != run_request_status::kAccepted) {
+  if (status != run_request_status::kAccepted) {
     mPorts.mLog.Write(RunEvent("run_start_failed", aWorker, aTask, aRun)
-                        .Add("answer", ToString(aAnswer))
+                        .Add("answer", ToString(status))
                         .Add("ms", (now - aSentAt).count()));
     worker.mHealth.OnStartFailed(now);
   }
   NoteSilence(worker);
-  const auto events = worker.mRuns.OnStartAnswer(aTask, aRun, aAnswer, now);
+  const auto events = worker.mRuns.OnStartAnswer(aTask, aRun, status, now);
   ApplyRunEvents(worker, events);
-  if (aAnswer != run_request_status::kAccepted && !worker.mHoldInFlight) {
+  if (status != run_request_status::kAccepted && !worker.mHoldInFlight) {
     ScheduleHold(worker, duration::zero());
   }
 }
--- a/src/scheduler/FleetSchedulerStops.cpp
+++ b/src/scheduler/FleetSchedulerStops.cpp
@@ -74,19 +74,21 @@
   const auto sentAt = mPorts.mLoop.Now();
   mPorts.mWorkers.Stop(
     request,
-    UnlessTermEnded([this, id, aTask, aRun, sentAt](const run_request_status& aAnswer) {
+    UnlessTermEnded([this, id, aTask, aRun, sentAt](const run_answer& aAnswer) {
       const auto found = mWorkers.find(id);
       if (found == mWorkers.end()) {
         return;
       }
-      if (aAnswer == run_request_status::kFenced) {
+      const auto status = aAnswer.mStatus;
+      if (status == run_request_status::kFenced) {
         OnFencedBy(*found->second);
         return;
       }
       auto& worker = *found->second;
-      LogStopAnswer(worker, aTask, aRun, aAnswer);
-      worker.mRuns.OnStopAnswer(aTask, aRun, aAnswer, mPorts.mLoop.Now());
-      if (IsAnswer(aAnswer)) {
+      ObserveClock(worker, "stop", aAnswer, sentAt);
+      LogStopAnswer(worker, aTask, aRun, status);
+      worker.mRuns.OnStopAnswer(aTask, aRun, status, mPorts.mLoop.Now());
+      if (IsAnswer(status)) {
         OnStopAnswered(worker, aTask, aRun, sentAt);
       }
     }));
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -91,6 +91,7 @@
       mPorts.mLog.Write(log_event(beganDraining ? "worker_draining" : "worker_listed")
                           .Add("worker", listed.mId)
                           .Add("address", listed.mAddress)
+                          .Add("born", listed.mStartedAtMs)
                           .Add("remaining_ms", listed.mMinTimeToShutdown.count()));
     }
     if (beganDraining && listed.mMinTimeToShutdown > duration::zero()) {
@@ -213,6 +214,11 @@
   aWorker.mIsUnresponsive = false;
   aWorker.mFailedHolds = 0;
   aWorker.mDroppedRuns = 0;
+  const auto formerlyStartedAtMs = aWorker.mRuns.WorkerStartedAtMs();
+  if (formerlyStartedAtMs != 0 && aReply.mStartedAtMs != 0 &&
+      aReply.mStartedAtMs != formerlyStartedAtMs) {
+    LogNewLife(aWorker, "hold", aReply.mStartedAtMs);
+  }
   // A worker answers after the hold's wait at the latest, so the hold has not reached
   // it before.
   const auto notedAt = std::max(aSentAt, now - aRequest.mWait);
@@ -238,6 +244,35 @@
   }
 }
 
+void fleet_scheduler::LogNewLife(const worker_entry& aWorker,
+                                 const char* aSource,
+                                 int64_t aStartedAtMs) const
+{
+  const auto& runs = aWorker.mRuns;
+  const auto now = mPorts.mLoop.Now();
+  mPorts.mLog.Write(
+    log_event("worker_new_life")
+      .Add("worker", aWorker.mListed.mId)
+      .Add("source", aSource)
+      .Add("former_born", runs.WorkerStartedAtMs())
+      .Add("born", aStartedAtMs)
+      .Add("runs", static_cast<int64_t>(runs.Runs().size()))
+      .Add("silent_ms", (now - runs.LastAnswer()).count())
+      .Add("acknowledged", static_cast<int64_t>(runs.Acknowledged()))
+      .Add("lease_left_ms", (runs.LeaseExpiresAt() - now).count()));
+}
+
+void fleet_scheduler::ObserveClock(worker_entry& aWorker,
+                                   const char* aSource,
+                                   const run_answer& aAnswer,
+                                   time_point aSentAt)
+{
+  constexpr int64_t kUnknown = 0;
+  if (aWorker.mRuns.IsOfOtherLife(aAnswer.mClockMs, aSentAt)) {
+    LogNewLife(aWorker, aSource, kUnknown);
+  }
+}
+
 void fleet_scheduler::LogFirstAnswer(const worker_entry& aWorker)
 {
   if (std::exchange(mHasWorkerAnswered, true)) {
@@ -466,6 +501,7 @@
     mPorts.mLog.Write(
       log_event("lease_lapsed")
         .Add("worker", aWorker.mListed.mId)
+        .Add("born", aWorker.mRuns.WorkerStartedAtMs())
         .Add("silent_ms", (aNow - aWorker.mRuns.LastAnswer()).count())
         .Add("runs", static_cast<int64_t>(aWorker.mRuns.Runs().size())));
     DropRuns(aWorker, run_end::kLeaseExpired);
--- a/tests/CancellationGuardTest.cpp
+++ b/tests/CancellationGuardTest.cpp
@@ -33,10 +33,10 @@
   std::function<run_request_status(const stop_run_request&, size_t)> mAnswer;
 
 protected:
-  void OnStart(const start_run_request&, done<run_request_status>) override {}
+  void OnStart(const start_run_request&, done<run_answer>) override {}
   void OnHold(const hold_request&, done<hold_reply>) override {}
   void OnProbe(const worker_address&, uint64_t, done<bool>) override {}
-  void OnStop(const stop_run_request& aRequest, done<run_request_status> aDone) override
+  void OnStop(const stop_run_request& aRequest, done<run_answer> aDone) override
   {
     mStops.push_back(aRequest);
     mMostInFlight = std::max(mMostInFlight, ++mInFlight);
@@ -44,7 +44,7 @@
       mAnswer ? mAnswer(aRequest, mStops.size()) : run_request_status::kAccepted;
     mLoop.RunAfter(mLatency, [this, answer, done = std::move(aDone)] {
       --mInFlight;
-      done(answer);
+      done({ answer });
     });
   }
 
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -398,7 +398,7 @@
   }
 
   void OnStart(const start_run_request& aRequest,
-               run_port::done<run_request_status> aDone) override
+               run_port::done<run_answer> aDone) override
   {
     const auto fate = FateOf(aRequest.mWorker, "start");
     const auto start = [aRequest, fate](run_worker& aWorker) {
@@ -407,15 +407,16 @@
         fate.mOnCarriedOut(status);
       }
     };
-    if (ApplyFate(fate, aRequest.mWorker, start, aDone, kCallTimeout)) {
+    const auto answer = [aDone](run_request_status aStatus) { aDone({ aStatus }); };
+    if (ApplyFate(fate, aRequest.mWorker, start, answer, kCallTimeout)) {
       return;
     }
     if (mSite.mFaults.mUnreachableWorkers.count(aRequest.mWorker.mId) != 0) {
-      RunLater([done = std::move(aDone)] { done(run_request_status::kNotSent); });
+      RunLater([answer] { answer(run_request_status::kNotSent); });
       return;
     }
     if (mSite.mFaults.mUnhealthyWorkers.count(aRequest.mWorker.mId) != 0) {
-      RunLater([done = std::move(aDone)] { done(run_request_status::kUnhealthy); });
+      RunLater([answer] { answer(run_request_status::kUnhealthy); });
       return;
     }
     auto* worker = FindReachableWorker(aRequest.mWorker);
@@ -430,20 +431,19 @@
       });
     }
     if (worker == nullptr || isDelayed) {
-      RunLater([done = std::move(aDone)] { done(run_request_status::kNoAnswer); },
-               kCallTimeout);
+      RunLater([answer] { answer(run_request_status::kNoAnswer); }, kCallTimeout);
       return;
     }
-    const auto answer = worker->Start(aRequest);
-    RunLater([answer, done = std::move(aDone)] { done(answer); },
-             kCallLatency + fate.mAnswerDelay);
+    const run_answer accepted{ worker->Start(aRequest), worker->ClockMs() };
+    RunLater([accepted, aDone] { aDone(accepted); }, kCallLatency + fate.mAnswerDelay);
   }
   void OnStop(const stop_run_request& aRequest,
-              run_port::done<run_request_status> aDone) override
+              run_port::done<run_answer> aDone) override
   {
     const auto stop = [aRequest](run_worker& aWorker) { aWorker.Stop(aRequest); };
+    const auto answer = [aDone](run_request_status aStatus) { aDone({ aStatus }); };
     const auto fate = FateOf(aRequest.mWorker, "stop");
-    if (ApplyFate(fate, aRequest.mWorker, stop, aDone, kCallTimeout)) {
+    if (ApplyFate(fate, aRequest.mWorker, stop, answer, kCallTimeout)) {
       return;
     }
     auto* worker = FindReachableWorker(aRequest.mWorker);
@@ -453,13 +453,11 @@
       !aRequest.mOnNewConnection && TakesDeadConnection(aRequest.mWorker, kCallTimeout);
     if (worker == nullptr || (isFirst && mSite.mFaults.mLosesFirstStops) ||
         isOnDeadConnection) {
-      RunLater([done = std::move(aDone)] { done(run_request_status::kNoAnswer); },
-               kCallTimeout);
+      RunLater([answer] { answer(run_request_status::kNoAnswer); }, kCallTimeout);
       return;
     }
-    const auto answer = worker->Stop(aRequest);
-    RunLater([answer, done = std::move(aDone)] { done(answer); },
-             kCallLatency + fate.mAnswerDelay);
+    const run_answer accepted{ worker->Stop(aRequest), worker->ClockMs() };
+    RunLater([accepted, aDone] { aDone(accepted); }, kCallLatency + fate.mAnswerDelay);
   }
   void OnHold(const hold_request& aRequest, run_port::done<hold_reply> aDone) override
   {
@@ -557,6 +555,7 @@
           worker.mLabels = { "a", worker.mRack };
           worker.mCapacity = { 32'000, 65'536, 8 };
           worker.mHeartbeat = item.mRevision;
+          worker.mStartedAtMs = text.at("born").get<int64_t>();
           worker.mDraining = text.at("draining").get<bool>();
           worker.mMinTimeToShutdown = duration(text.at("remaining").get<int64_t>());
           workers.push_back(worker);
@@ -733,6 +732,7 @@
     },
     mGangs,
     mTraces);
+  mStartedAtMsByWorker[aId] = mLastWorkerStartedAtMs;
   mWorkers[aId]->SetClockRate(mFaults.mSlowClockWorkers.count(aId) != 0 ? 0.98 : 1.0);
   ListWorker(aId);
 }
@@ -744,6 +744,7 @@
   const auto rack = "r" + std::to_string(std::stoul(aId.substr(1)) / mWorkersPerRack);
   mStore.Put(kWorkersKey + aId,
              nlohmann::json{ { "rack", rack },
+                             { "born", mStartedAtMsByWorker[aId] },
                              { "draining", aDraining },
                              { "remaining", aMinTimeToShutdown.count() } }
                .dump());
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -217,6 +217,8 @@
   size_t mWorkersPerRack;
   scheduler_bounds mBounds;
   int64_t mLastWorkerStartedAtMs = 1'000;
+  /** Start time of the last life of each worker, which its entry tells. */
+  std::map<std::string, int64_t> mStartedAtMsByWorker;
   std::map<std::string, std::unique_ptr<fake_vm>> mVms;
   std::vector<std::unique_ptr<fake_vm>> mStoppedVms;
   std::set<std::string> mFrozenVms;
