A start meant for a worker's former life doesn't outlast what the scheduler reckons

Cause: a start's deadline is on the clock of the life that it is meant for. The id is the same, so the worker's next life takes the start; its clock begins anew, so the deadline is cut to the longest lease (6 or 10 s), while the scheduler reckoned 1.78 s. After a cut it took the lease for lapsed while the run went on. Until the hold in flight failed (1.9 s) nothing told of the new life.

Change: three signs tell of a new life: another born in the worker's entry, a clock in the answer to a start or stop that is behind the one expected, another born in the reply to a hold. From the first on the worker is reckoned to have the longest lease as of then, gets no start, and is asked by a hold at once instead of after the one in flight; the same for starts that are answered later. The hold that gives a worker its first lease isn't delayed, so that it is used 1 s sooner.

Ruled out: longer leases reckoned for each start without a sign of a new life.

--- a/src/entry/CancellationGuard.cpp
+++ b/src/entry/CancellationGuard.cpp
@@ -178,17 +178,17 @@
   request.mFence = mFence;
   request.mOnNewConnection = true; // The kept ones may have died with the links.
   const worker_key key{ aWorker.mAddress.mId, aWorker.mAddress.mAddress };
-  mWorkers.Stop(
-    request, [this, generation = mGeneration, key](const run_answer& aAnswer) {
-      if (generation == mGeneration) {
-        const bool othersWait = mInFlight == kMaxInFlight;
-        --mInFlight;
-        OnAnswer(key, aAnswer.mStatus);
-        if (othersWait) {
-          SendNext();
-        }
-      }
-    });
+  mWorkers.Stop(request,
+                [this, generation = mGeneration, key](const run_answer& aAnswer) {
+                  if (generation == mGeneration) {
+                    const bool othersWait = mInFlight == kMaxInFlight;
+                    --mInFlight;
+                    OnAnswer(key, aAnswer.mStatus);
+                    if (othersWait) {
+                      SendNext();
+                    }
+                  }
+                });
 }
 
 void cancellation_guard::OnAnswer(const worker_key& aKey, run_request_status aAnswer)
--- a/src/runs/RunPort.h
+++ b/src/runs/RunPort.h
@@ -80,7 +80,8 @@
 /** Returns whether a request's outcome came from the worker. Thread-safe. */
 bool IsAnswer(run_request_status aStatus);
 
-/** Outcome of a start or stop, with what tells which life of the worker has answered. */
+/** Outcome of a start or stop, with what tells which life of the worker has answered.
+ */
 struct run_answer
 {
   run_request_status mStatus = run_request_status::kNoAnswer;
--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -161,6 +161,7 @@
   if (found != mRuns.end() && found->second.mRun == aRun) {
     found->second.mWorkerDeadlineMs =
       std::max(found->second.mWorkerDeadlineMs, aWorkerDeadlineMs);
+    found->second.mMeantForLifeMs = mWorkerStartedAtMs;
   }
 }
 
@@ -173,6 +174,11 @@
   if (found == mRuns.end() || found->second.mRun != aRun) {
     return {};
   }
+  const bool wasSent =
+    found->second.mWorkerDeadlineMs != 0 && aAnswer != run_request_status::kNotSent;
+  if (wasSent && found->second.mMeantForLifeMs != mWorkerStartedAtMs) {
+    ExtendLeaseExpiry(aNow, mBounds.mLeaseMax);
+  }
   switch (aAnswer) {
     case run_request_status::kAccepted:
       if (found->second.mPhase == run_phase::kRequested) {
@@ -234,7 +240,9 @@
   if (aReply.mStartedAtMs != 0 && mWorkerStartedAtMs != 0 &&
       aReply.mStartedAtMs != mWorkerStartedAtMs) {
     events = DropFormerLife(aReply, aSentAt);
+    ExtendLeaseExpiry(aNow, mBounds.mLeaseMax);
   }
+  mIsLifeUnknown = false;
   if (aReply.mStartedAtMs != 0) {
     mWorkerStartedAtMs = aReply.mStartedAtMs;
   }
@@ -311,6 +319,14 @@
   return events;
 }
 
+void worker_runs::SuspectNewLife(time_point aNow)
+{
+  mIsLifeUnknown = true;
+  mHasLease = false;
+  mClockMs = 0;
+  ExtendLeaseExpiry(aNow, mBounds.mLeaseMax);
+}
+
 std::vector<run_event> worker_runs::DropAll(run_end aEnd)
 {
   std::vector<run_event> events;
--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -41,6 +41,8 @@
   time_point mConfirmedAt{ 0 };  ///< When the worker confirmed the run.
   /** Deadline of the start request on the worker's clock; 0: not sent in this term. */
   int64_t mWorkerDeadlineMs = 0;
+  /** Start time of the worker's life whose clock that is; 0: unknown. */
+  int64_t mMeantForLifeMs = 0;
   bool mStopping = false;
   bool mStopAnswered = false;
   time_point mStopAnsweredAt{ 0 };
@@ -106,7 +108,10 @@
 /**
  * Tracks the runs that may exist on one worker, and its lease, from the requests sent
  * to it and its answers. A run is removed only once its end was reported, it can no
- * longer exist, or it can never have started. Reads no clock; not thread-safe.
+ * longer exist, or it can never have started. A worker may start again under its id;
+ * what is known of one life of it, such as its clock, holds for no other, but requests
+ * that were meant for one may be carried out by the next. Reads no clock; not
+ * thread-safe.
  */
 class worker_runs
 {
@@ -139,9 +144,9 @@
     time_point aTermLeaseEnd = time_point::max()) const;
 
   /**
-   * Returns whether a request sent at aSentAt, whose answer tells aClockMs, was answered
-   * by another life of the worker than the last hold: the clock of each begins anew.
-   * False if one of the clocks is unknown (0).
+   * Returns whether a request sent at aSentAt, whose answer tells aClockMs, was
+   * answered by another life of the worker than the last hold: the clock of each begins
+   * anew. False if one of the clocks is unknown (0).
    */
   bool IsOfOtherLife(int64_t aClockMs, time_point aSentAt) const;
 
@@ -195,6 +200,16 @@
   /** Returns whether the worker has answered after a hold extended its lease. */
   bool HasLease() const { return mHasLease; }
 
+  /**
+   * Records that the worker seems to have started again. Its clock is unknown and it
+   * has no lease from then on, until a reply to a hold shows which life it is in. What
+   * was sent with the clock of its former life may have given it the longest lease.
+   */
+  void SuspectNewLife(time_point aNow);
+
+  /** Returns whether SuspectNewLife was called since the last reply to a hold. */
+  bool IsLifeUnknown() const { return mIsLifeUnknown; }
+
   /** Handles the answer to a start request. Returns the resulting run ends. */
   std::vector<run_event> OnStartAnswer(const task_ref& aTask,
                                        uint32_t aRun,
@@ -251,6 +266,7 @@
   bool mHasAcceptedToken = false;
   bool mHasLease = false;
   bool mLeaseRequested = false;
+  bool mIsLifeUnknown = false;
   time_point mLastAnswer{ 0 };
   int64_t mClockMs = 0;
   time_point mClockReadAt{ 0 };
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -268,6 +268,13 @@
   void LogNewLife(const worker_entry& aWorker,
                   const char* aSource,
                   int64_t aStartedAtMs) const;
+  /**
+   * Asks a worker at once which life it is in, as aSource shows that it has started
+   * again. aStartedAtMs: when, in Unix time; 0: unknown.
+   */
+  void OnNewLifeSuspected(worker_entry& aWorker,
+                          const char* aSource,
+                          int64_t aStartedAtMs);
   /** Handles the clock in an answer to a start or stop that was sent at aSentAt. */
   void ObserveClock(worker_entry& aWorker,
                     const char* aSource,
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -468,7 +468,7 @@
                              run->second.mRun == aRun && !run->second.mStopping &&
                              !task.mDone && job.mState.Outcome() == job_outcome::kOpen;
   if (!isStillWanted || !MaySendRequests() || worker.mListed.mDraining ||
-      !worker.mIsListed) {
+      !worker.mIsListed || worker.mRuns.IsLifeUnknown()) {
     NoteSilence(worker);
     const auto events =
       worker.mRuns.OnStartAnswer(aTask, aRun, run_request_status::kNotSent, now);
@@ -486,8 +486,7 @@
   worker.mRuns.RecordStartRequest(aTask, aRun, request.mWorkerDeadlineMs, now);
   const auto id = worker.mListed.mId;
   mPorts.mWorkers.Start(
-    request,
-    UnlessTermEnded([this, id, aTask, aRun, now](const run_answer& aAnswer) {
+    request, UnlessTermEnded([this, id, aTask, aRun, now](const run_answer& aAnswer) {
       OnStartAnswer(id, aTask, aRun, aAnswer, now);
     }));
 }
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -87,6 +87,12 @@
     auto& worker = FindOrAddWorker(listed.mId);
     const bool isNew = !worker.mIsListed || worker.mListed.mAddress != listed.mAddress;
     const bool beganDraining = listed.mDraining && !worker.mListed.mDraining;
+    // An entry may be older than the last answer, but doesn't change back.
+    const bool isOfNewLife = worker.mListed.mStartedAtMs != 0 &&
+                             listed.mStartedAtMs != 0 &&
+                             listed.mStartedAtMs != worker.mListed.mStartedAtMs &&
+                             listed.mStartedAtMs != worker.mRuns.WorkerStartedAtMs() &&
+                             worker.mRuns.HasAcceptedToken();
     if (isNew || beganDraining) {
       mPorts.mLog.Write(log_event(beganDraining ? "worker_draining" : "worker_listed")
                           .Add("worker", listed.mId)
@@ -109,7 +115,9 @@
     if (beganDraining) {
       CheckProgress(worker, now);
     }
-    if (isNew && !worker.mHoldInFlight) {
+    if (isOfNewLife) {
+      OnNewLifeSuspected(worker, "list", listed.mStartedAtMs);
+    } else if (isNew && !worker.mHoldInFlight) {
       ScheduleHold(worker, duration::zero());
     }
   }
@@ -173,15 +181,22 @@
   if (request.mWorkerDeadlineMs) {
     runs.RecordLeaseRequest(now, termLeaseEnd);
   }
-  if (hasAnsweredRecently && runs.ClockAt(now) != 0) {
+  // A worker gets no task before it has answered a hold that gives it a lease.
+  const bool isFirstLease = request.mWorkerDeadlineMs && !runs.HasLease();
+  if (hasAnsweredRecently && runs.ClockAt(now) != 0 && !isFirstLease) {
     request.mWait = now < termLeaseEnd ? kHoldWait : kGraceHoldWait;
   }
   runs.RecordAckSent(request.mAcknowledged);
   aWorker.mHoldInFlight = true;
+  const auto number = ++aWorker.mHoldNumber;
   const auto id = aWorker.mListed.mId;
   mPorts.mWorkers.Hold(
-    request, UnlessTermEnded([this, id, now, request](const hold_reply& aReply) {
+    request,
+    UnlessTermEnded([this, id, now, request, number](const hold_reply& aReply) {
       auto& worker = FindOrAddWorker(id);
+      if (number != worker.mHoldNumber) {
+        return;
+      }
       worker.mHoldInFlight = false;
       if (IsAnswer(aReply.mAnswer)) {
         worker.mAnsweredAt = mPorts.mLoop.Now();
@@ -250,16 +265,15 @@
 {
   const auto& runs = aWorker.mRuns;
   const auto now = mPorts.mLoop.Now();
-  mPorts.mLog.Write(
-    log_event("worker_new_life")
-      .Add("worker", aWorker.mListed.mId)
-      .Add("source", aSource)
-      .Add("former_born", runs.WorkerStartedAtMs())
-      .Add("born", aStartedAtMs)
-      .Add("runs", static_cast<int64_t>(runs.Runs().size()))
-      .Add("silent_ms", (now - runs.LastAnswer()).count())
-      .Add("acknowledged", static_cast<int64_t>(runs.Acknowledged()))
-      .Add("lease_left_ms", (runs.LeaseExpiresAt() - now).count()));
+  mPorts.mLog.Write(log_event("worker_new_life")
+                      .Add("worker", aWorker.mListed.mId)
+                      .Add("source", aSource)
+                      .Add("former_born", runs.WorkerStartedAtMs())
+                      .Add("born", aStartedAtMs)
+                      .Add("runs", static_cast<int64_t>(runs.Runs().size()))
+                      .Add("silent_ms", (now - runs.LastAnswer()).count())
+                      .Add("acknowledged", static_cast<int64_t>(runs.Acknowledged()))
+                      .Add("lease_left_ms", (runs.LeaseExpiresAt() - now).count()));
 }
 
 void fleet_scheduler::ObserveClock(worker_entry& aWorker,
@@ -268,8 +282,26 @@
                                    time_point aSentAt)
 {
   constexpr int64_t kUnknown = 0;
-  if (aWorker.mRuns.IsOfOtherLife(aAnswer.mClockMs, aSentAt)) {
-    LogNewLife(aWorker, aSource, kUnknown);
+  const auto& runs = aWorker.mRuns;
+  if (runs.IsLifeUnknown() || runs.IsOfOtherLife(aAnswer.mClockMs, aSentAt)) {
+    OnNewLifeSuspected(aWorker, aSource, kUnknown);
+  }
+}
+
+void fleet_scheduler::OnNewLifeSuspected(worker_entry& aWorker,
+                                         const char* aSource,
+                                         int64_t aStartedAtMs)
+{
+  const bool isFirstSign = !aWorker.mRuns.IsLifeUnknown();
+  if (isFirstSign) {
+    LogNewLife(aWorker, aSource, aStartedAtMs);
+  }
+  aWorker.mRuns.SuspectNewLife(mPorts.mLoop.Now());
+  if (isFirstSign) {
+    // The hold in flight waits for the former life, which answers it no more.
+    ++aWorker.mHoldNumber;
+    aWorker.mHoldInFlight = false;
+    ScheduleHold(aWorker, duration::zero());
   }
 }
 
--- /dev/null
+++ b/tests/RebornWorkerTest.cpp
@@ -0,0 +1,110 @@
+#include "support/FakeInstallation.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace anvildoor;
+
+namespace {
+
+const std::string kJob = "00000000000000a1";
+const std::string kEarlierJob = "00000000000000b2";
+constexpr size_t kVms = 3;
+
+/** Cuts a worker off from all VMs, or ends the cut. */
+void CutOff(fake_installation& aSite, const std::string& aWorker, bool aIsCut)
+{
+  for (size_t vm = 0; vm < kVms; ++vm) {
+    const std::pair link("vm" + std::to_string(vm), aWorker);
+    if (aIsCut) {
+      aSite.mFaults.mBlockedLinks.insert(link);
+    } else {
+      aSite.mFaults.mBlockedLinks.erase(link);
+    }
+  }
+}
+
+/** Makes all VMs read no further list of workers, so that only calls tell of them. */
+void LoseLists(fake_installation& aSite)
+{
+  for (size_t vm = 0; vm < kVms; ++vm) {
+    aSite.mFaults.mBlockedLinks.insert({ "vm" + std::to_string(vm), "directory" });
+  }
+}
+
+scheduler_bounds BoundsWithLease(duration aLeaseMax)
+{
+  scheduler_bounds bounds;
+  bounds.mRuns.mLeaseMax = aLeaseMax;
+  return bounds;
+}
+
+accepted_job MakeJobOf(const std::string& aId,
+                       uint32_t aTasks,
+                       const std::string& aPayload)
+{
+  auto job = fake_installation::MakeJob(aId, aTasks);
+  job.mSpec.mPayload = aPayload;
+  return job;
+}
+
+} // namespace
+
+// Guards against a lease that a start meant for a former life gives the new one.
+TEST_CASE("a run on a worker cut off after its restart ends before its task restarts",
+          "[reborn]")
+{
+  const auto leaseMax = GENERATE(duration(6'000), duration(10'000));
+  const auto phase = GENERATE(range(0, 1'000, 200));
+  const auto startedAfter = GENERATE(range(20, 900, 290));
+  const auto isClockSlow = GENERATE(false, true);
+  const auto isListed = GENERATE(false, true);
+  fake_installation site(kVms, 2, 4, BoundsWithLease(leaseMax));
+  site.mBehaviourByPayload["long"] = { duration(120'000), false };
+  if (isClockSlow) {
+    site.mFaults.mSlowClockWorkers = { "w0", "w1" };
+  }
+  site.ListWorker("w1", true); // Takes no task at first.
+  site.mLoop.RunFor(duration(3'000 + phase));
+  if (!isListed) {
+    LoseLists(site);
+  }
+  site.CrashWorker("w0", true);
+  site.mLoop.RunFor(duration(startedAfter));
+  REQUIRE(site.Submit("vm0", MakeJobOf(kJob, 1, "long")) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(150));
+  CutOff(site, "w0", true);
+  site.mFaults.mBlockedLinks.erase({ "vm0", "directory" });
+  site.mFaults.mBlockedLinks.erase({ "vm1", "directory" });
+  site.mFaults.mBlockedLinks.erase({ "vm2", "directory" });
+  site.ListWorker("w1", false);
+  const auto restarts = [&] { return site.CountStarts(kJob) == 2; };
+  const bool hasRestarted = site.mLoop.RunUntil(restarts, duration(25'000));
+  CAPTURE(leaseMax.count(), phase, startedAfter, isClockSlow, isListed);
+  CHECK(hasRestarted);
+  CHECK(site.MaxConcurrentRuns() == 1);
+}
+
+// Guards against an end of a new life that is acknowledged by a former life's number.
+TEST_CASE("a run that ends on a worker's new life is not repeated after earlier ends",
+          "[reborn]")
+{
+  const auto startedAfter = GENERATE(range(20, 1'000, 140));
+  const auto runTime = GENERATE(duration(100), duration(400), duration(900));
+  const auto isListed = GENERATE(false, true);
+  CAPTURE(startedAfter, runTime.count(), isListed);
+  fake_installation site(kVms, 1);
+  site.mBehaviourByPayload["short"] = { runTime, false };
+  REQUIRE(site.Submit("vm0", MakeJobOf(kEarlierJob, 6, "short")) ==
+          job_answer::kAccepted);
+  REQUIRE(site.ReachesState("vm0", kEarlierJob, "done", duration(5'000)));
+  site.mLoop.RunFor(duration(1'500));
+  if (!isListed) {
+    LoseLists(site);
+  }
+  site.CrashWorker("w0", true);
+  site.mLoop.RunFor(duration(startedAfter));
+  REQUIRE(site.Submit("vm0", MakeJobOf(kJob, 1, "short")) == job_answer::kAccepted);
+  CHECK(site.ReachesState("vm0", kJob, "done", duration(9'000)));
+  CHECK(site.CountStarts(kJob) == 1);
+}
--- a/tests/WorkerRunsTest.cpp
+++ b/tests/WorkerRunsTest.cpp
@@ -235,6 +235,91 @@
   }
 }
 
+TEST_CASE("a clock behind the one that is expected is of another life", "[runs]")
+{
+  struct row
+  {
+    int64_t mClockMs;
+    int64_t mSentAfterMs; // From the last reply to a hold, whose clock was 90'000.
+    bool mIsOfOtherLife;
+  };
+  const auto each = GENERATE(row{ 91'000, 1'000, false },
+                             row{ 90'979, 1'000, false }, // 2 % slow.
+                             row{ 90'970, 1'000, true },
+                             row{ 300, 1'000, true },
+                             row{ 89'800, -200, false }, // Overtaken by the reply.
+                             row{ 300, -200, true },
+                             row{ 0, 1'000, false }); // Unknown.
+  CAPTURE(each.mClockMs, each.mSentAfterMs);
+  worker_runs runs{ run_bounds() };
+  CHECK_FALSE(runs.IsOfOtherLife(each.mClockMs, kStart));
+  runs.OnHoldReply(ReplyAt(90'000), kStart, kStart);
+  const auto sentAt = kStart + duration(each.mSentAfterMs);
+  CHECK(runs.IsOfOtherLife(each.mClockMs, sentAt) == each.mIsOfOtherLife);
+}
+
+// Guards against a lease that a start meant for a former life gives the new one.
+TEST_CASE("what a former life was sent may have given the new one the longest lease",
+          "[runs]")
+{
+  enum class sign
+  {
+    kNone,
+    kHold,          // Its reply shows the new life.
+    kOther,         // Another sign is noticed.
+    kAnswerAfterIt, // The start is answered after a hold has shown the new life.
+  };
+  struct row
+  {
+    sign mSign;
+    run_request_status mAnswer; // Of kAnswerAfterIt.
+    int64_t mLeaseAfterMs;      // From the sign to the end of the lease, at least, ms.
+  };
+  const auto each =
+    GENERATE(row{ sign::kHold, {}, 6'122 },
+             row{ sign::kOther, {}, 6'122 },
+             row{ sign::kAnswerAfterIt, run_request_status::kAccepted, 6'122 },
+             row{ sign::kAnswerAfterIt, run_request_status::kNoAnswer, 6'122 },
+             row{ sign::kAnswerAfterIt, run_request_status::kNotSent, -1 },
+             row{ sign::kNone, {}, -1 });
+  CAPTURE(static_cast<int>(each.mSign), ToString(each.mAnswer));
+  worker_runs runs{ run_bounds() };
+  runs.OnHoldReply(ReplyAt(90'000), kStart, kStart);
+  runs.RegisterStart(kTask, 1, kNeed, kStart);
+  runs.RecordStartRequest(kTask, 1, 91'500, kStart);
+  const auto at = kStart + duration(7'000);
+  const auto replyAt = each.mSign == sign::kHold ? at : kStart + duration(10);
+  if (each.mSign == sign::kHold || each.mSign == sign::kAnswerAfterIt) {
+    runs.OnHoldReply(ReplyAt(60, 8), replyAt - duration(2), replyAt);
+  }
+  if (each.mSign == sign::kOther) {
+    runs.SuspectNewLife(at);
+  } else if (each.mSign == sign::kAnswerAfterIt) {
+    runs.OnStartAnswer(kTask, 1, each.mAnswer, at);
+  }
+  const auto lease = runs.LeaseExpiresAt() - at;
+  CAPTURE(lease.count());
+  CHECK((lease >= duration(6'122)) == (each.mLeaseAfterMs >= 6'122));
+}
+
+TEST_CASE(
+  "a worker of which a new life is suspected gets no lease until it has answered",
+  "[runs]")
+{
+  const auto lifeMs = GENERATE(7, 8);
+  worker_runs runs{ run_bounds() };
+  runs.RecordLeaseRequest(kStart);
+  runs.OnHoldReply(ReplyAt(90'000), kStart, kStart);
+  runs.SuspectNewLife(kStart);
+  CHECK(runs.IsLifeUnknown());
+  CHECK_FALSE(runs.HasLease());
+  CHECK_FALSE(runs.LeaseDeadlineMs(kStart));
+  runs.OnHoldReply(ReplyAt(90'010, lifeMs), kStart, kStart + duration(10));
+  CHECK_FALSE(runs.IsLifeUnknown());
+  CHECK(runs.HasLease() == (lifeMs == 7));
+  CHECK(runs.LeaseDeadlineMs(kStart + duration(10)) == 96'010);
+}
+
 TEST_CASE("ends are acknowledged in order once they are durable", "[runs]")
 {
   worker_runs runs{ run_bounds() };
