A stop that a worker's former life answered rules out no start on its next life

Cause: worker_runs remembered that a stop was answered, not by which life. Start without an answer, stop answered by the former life, then a list of the new one: the run was ruled out, its task was placed again, and the start could still be carried out by the new life, which knows nothing of the stop (TWICE). Read in the code; the users' record has no such case.

Change: a new life makes the answers to earlier stops void; an answer counts only if its stop was sent to the life that is there, and while no new life is suspected. Until then stops are repeated.

--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -363,6 +363,7 @@
       // start.
       run.mStopping = true;
       run.mStopSentAt = time_point(0);
+      run.mStopAnswered = false;
     }
     ++at;
   }
--- a/src/scheduler/FleetSchedulerStops.cpp
+++ b/src/scheduler/FleetSchedulerStops.cpp
@@ -72,9 +72,10 @@
   request.mOnNewConnection = isUnanswered;
   const auto id = aWorker.mListed.mId;
   const auto sentAt = mPorts.mLoop.Now();
+  const auto life = aWorker.mRuns.WorkerStartedAtMs();
   mPorts.mWorkers.Stop(
     request,
-    UnlessTermEnded([this, id, aTask, aRun, sentAt](const run_answer& aAnswer) {
+    UnlessTermEnded([this, id, aTask, aRun, sentAt, life](const run_answer& aAnswer) {
       const auto found = mWorkers.find(id);
       if (found == mWorkers.end()) {
         return;
@@ -87,6 +88,12 @@
       auto& worker = *found->second;
       ObserveClock(worker, "stop", aAnswer, sentAt);
       LogStopAnswer(worker, aTask, aRun, status);
+      const auto& runs = worker.mRuns;
+      const bool isOfThisLife =
+        !runs.IsLifeUnknown() && (life == 0 || life == runs.WorkerStartedAtMs());
+      if (!isOfThisLife) {
+        return; // It is repeated, as it says nothing of what another life may start.
+      }
       worker.mRuns.OnStopAnswer(aTask, aRun, status, mPorts.mLoop.Now());
       if (IsAnswer(status)) {
         OnStopAnswered(worker, aTask, aRun, sentAt);
--- a/tests/RebornWorkerTest.cpp
+++ b/tests/RebornWorkerTest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <utility>
 
 using namespace anvildoor;
 
--- a/tests/WorkerRunsTest.cpp
+++ b/tests/WorkerRunsTest.cpp
@@ -320,6 +320,31 @@
   CHECK(runs.LeaseDeadlineMs(kStart + duration(10)) == 96'010);
 }
 
+// Guards against a start that is ruled out by a stop which another life has answered.
+TEST_CASE("a stop that a former life answered rules out no start on the new one",
+          "[runs]")
+{
+  const auto isAnsweredByNewLife = GENERATE(false, true);
+  CAPTURE(isAnsweredByNewLife);
+  worker_runs runs{ run_bounds() };
+  runs.OnHoldReply(ReplyAt(90'000), kStart, kStart);
+  runs.RegisterStart(kTask, 1, kNeed, kStart);
+  runs.RecordStartRequest(kTask, 1, 91'500, kStart);
+  runs.OnStartAnswer(kTask, 1, run_request_status::kNoAnswer, kStart + duration(900));
+  runs.MarkStopping(kTask, 1, kStart + duration(900));
+  runs.OnStopAnswer(kTask, 1, run_request_status::kAccepted, kStart + duration(910));
+  const auto restartedAt = kStart + duration(1'000);
+  CHECK(runs.OnHoldReply(ReplyAt(60, 8), restartedAt, restartedAt).empty());
+  if (isAnsweredByNewLife) {
+    const auto stoppedAt = restartedAt + duration(5);
+    runs.OnStopAnswer(kTask, 1, run_request_status::kAccepted, stoppedAt);
+  }
+  const auto heldAt = restartedAt + duration(10);
+  const auto events = runs.OnHoldReply(ReplyAt(70, 8), heldAt, heldAt);
+  CHECK(runs.Runs().empty() == isAnsweredByNewLife);
+  CHECK(events.size() == (isAnsweredByNewLife ? 1 : 0));
+}
+
 TEST_CASE("ends are acknowledged in order once they are durable", "[runs]")
 {
   worker_runs runs{ run_bounds() };
