A hold acknowledges nothing while a start may have reached another life of its worker

Cause: ends are numbered from 1 in each life. A hold with the number of a former life that reached the next one made it forget ends that nobody had read: a task that was done ran again after its end was noted (TWICE), a failed run was never counted. The new life can only have ends if a start has reached it.

Change: the number is sent only while no start is unanswered and no new life is suspected; it is sent as soon as the start is answered. A start whose answer is lost delays it by up to 2.5 s (reckoned).

--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -338,6 +338,16 @@
   return events;
 }
 
+uint64_t worker_runs::SendableAcknowledgement() const
+{
+  const bool hasUnansweredStart =
+    std::any_of(mRuns.begin(), mRuns.end(), [](const auto& aRun) {
+      return aRun.second.mPhase == run_phase::kRequested &&
+             aRun.second.mWorkerDeadlineMs != 0;
+    });
+  return mIsLifeUnknown || hasUnansweredStart ? 0 : mAcknowledged;
+}
+
 std::vector<run_event> worker_runs::DropFormerLife(const hold_reply& aReply,
                                                    time_point aSentAt)
 {
--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -242,10 +242,16 @@
 
   /** Returns the highest number up to which all ends are durable. */
   uint64_t Acknowledged() const { return mAcknowledged; }
+
+  /**
+   * Returns the number that a hold may acknowledge: 0 while a start may have reached
+   * another life of the worker, which would forget ends that it has not listed yet.
+   */
+  uint64_t SendableAcknowledgement() const;
   int64_t WorkerStartedAtMs() const { return mWorkerStartedAtMs; }
 
-  /** Returns whether durable ends remain that no hold has acknowledged yet. */
-  bool HasUnsentAcknowledgement() const { return mAcknowledged > mAckSent; }
+  /** Returns whether a hold may acknowledge ends that none has acknowledged yet. */
+  bool HasUnsentAcknowledgement() const { return SendableAcknowledgement() > mAckSent; }
   void RecordAckSent(uint64_t aNumber) { mAckSent = std::max(mAckSent, aNumber); }
 
 private:
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -518,7 +518,8 @@
   NoteSilence(worker);
   const auto events = worker.mRuns.OnStartAnswer(aTask, aRun, status, now);
   ApplyRunEvents(worker, events);
-  if (status != run_request_status::kAccepted && !worker.mHoldInFlight) {
+  if (status != run_request_status::kAccepted ||
+      worker.mRuns.HasUnsentAcknowledgement()) {
     ScheduleHold(worker, duration::zero());
   }
 }
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -171,7 +171,7 @@
   hold_request request;
   request.mWorker = { aWorker.mListed.mId, aWorker.mListed.mAddress };
   request.mFence = mTerm.mFence;
-  request.mAcknowledged = runs.Acknowledged();
+  request.mAcknowledged = runs.SendableAcknowledgement();
   const bool hasAnsweredRecently =
     !aWorker.mIsUnresponsive && now - runs.LastAnswer() < kUnresponsiveAfter;
   const auto termLeaseEnd = TermLeaseEnd();
--- a/tests/RebornWorkerTest.cpp
+++ b/tests/RebornWorkerTest.cpp
@@ -109,3 +109,28 @@
   CHECK(site.ReachesState("vm0", kJob, "done", duration(9'000)));
   CHECK(site.CountStarts(kJob) == 1);
 }
+
+// Guards against ends that a new life forgets, unread, for a former life's number.
+TEST_CASE("a run on a new life whose start had no answer is not repeated after its end",
+          "[reborn]")
+{
+  const auto phase = GENERATE(range(0, 1'000, 50));
+  const auto runTime = GENERATE(duration(5), duration(60));
+  CAPTURE(phase, runTime.count());
+  fake_installation site(kVms, 1);
+  site.mBehaviourByPayload["short"] = { runTime, false };
+  REQUIRE(site.Submit("vm0", MakeJobOf(kEarlierJob, 6, "short")) ==
+          job_answer::kAccepted);
+  REQUIRE(site.ReachesState("vm0", kEarlierJob, "done", duration(5'000)));
+  site.mLoop.RunFor(duration(1'500 + phase));
+  LoseLists(site);
+  site.mFaults.mFateOfOrder = [](const std::string&, const std::string& aOrder) {
+    order_fate fate;
+    fate.mIsAnswered = aOrder != "start";
+    return fate;
+  };
+  site.CrashWorker("w0", true);
+  REQUIRE(site.Submit("vm0", MakeJobOf(kJob, 1, "short")) == job_answer::kAccepted);
+  CHECK(site.ReachesState("vm0", kJob, "done", duration(9'000)));
+  CHECK(site.CountStarts(kJob) == 1);
+}
--- a/tests/WorkerRunsTest.cpp
+++ b/tests/WorkerRunsTest.cpp
@@ -345,6 +345,54 @@
   CHECK(events.size() == (isAnsweredByNewLife ? 1 : 0));
 }
 
+// Guards against ends that a new life forgets, unread, for a former life's number.
+TEST_CASE("nothing is acknowledged while another life may have unread ends", "[runs]")
+{
+  enum class start
+  {
+    kNone,
+    kNotSent,
+    kUnanswered,
+    kAccepted,
+    kListed, ///< By a hold, as running.
+  };
+  struct row
+  {
+    start mStart;
+    bool mIsNewLifeSuspected;
+    uint64_t mAcknowledged;
+  };
+  const auto each = GENERATE(row{ start::kNone, false, 3 },
+                             row{ start::kNotSent, false, 3 },
+                             row{ start::kUnanswered, false, 0 },
+                             row{ start::kAccepted, false, 3 },
+                             row{ start::kListed, false, 3 },
+                             row{ start::kNone, true, 0 },
+                             row{ start::kAccepted, true, 0 });
+  CAPTURE(static_cast<int>(each.mStart), each.mIsNewLifeSuspected);
+  worker_runs runs{ run_bounds() };
+  auto other = kTask;
+  other.mIndex = 1;
+  auto reply = ReplyAt(90'000);
+  reply.mEnded.push_back({ 3, other, 1, run_end::kDone, "" });
+  runs.OnHoldReply(reply, kStart, kStart);
+  runs.MarkDurable(7, 3);
+  runs.RegisterStart(kTask, 1, kNeed, kStart);
+  if (each.mStart != start::kNone && each.mStart != start::kNotSent) {
+    runs.RecordStartRequest(kTask, 1, 91'500, kStart);
+  }
+  if (each.mStart == start::kAccepted) {
+    runs.OnStartAnswer(kTask, 1, run_request_status::kAccepted, kStart + duration(5));
+  } else if (each.mStart == start::kListed) {
+    runs.OnHoldReply(Running(90'010, 1), kStart + duration(5), kStart + duration(10));
+  }
+  if (each.mIsNewLifeSuspected) {
+    runs.SuspectNewLife(kStart + duration(20));
+  }
+  CHECK(runs.SendableAcknowledgement() == each.mAcknowledged);
+  CHECK(runs.HasUnsentAcknowledgement() == (each.mAcknowledged != 0));
+}
+
 TEST_CASE("ends are acknowledged in order once they are durable", "[runs]")
 {
   worker_runs runs{ run_bounds() };
