A missing entry soon after its worker started again is no planned leave

Cause: seq begins anew with each life, so the first entry of a new life counted as a recent heartbeat. Were the entry of a worker that started again removed for the silence of its former life, its runs would be given up at once while they go on (TWICE). No run shows that the store does so; read in the code.

Change: for three heartbeat periods and a margin after a list first showed another born, a missing entry counts as expired, and the leases decide.

--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -34,12 +34,15 @@
   constexpr int kExpiryPeriods = 3;
   // Covers inaccuracies of the directory's clock and of the worker's period.
   const auto margin = aHeartbeatPeriod / 2;
-  return aObservation.mHeartbeatSince != time_point(0) &&
-         aNow - aObservation.mHeartbeatSince <
-           kExpiryPeriods * aHeartbeatPeriod - margin;
+  const auto expiry = kExpiryPeriods * aHeartbeatPeriod;
+  const bool isNewLife = aObservation.mNewLifeSince != time_point(0) &&
+                         aNow - aObservation.mNewLifeSince < expiry + margin;
+  return !isNewLife && aObservation.mHeartbeatSince != time_point(0) &&
+         aNow - aObservation.mHeartbeatSince < expiry - margin;
 }
 
 void ObserveEntry(entry_observation& aObservation,
+                  int64_t aStartedAtMs,
                   uint64_t aHeartbeat,
                   bool aWasListed,
                   time_point aRequestedAt)
@@ -50,6 +53,10 @@
   } else if (aHeartbeat != aObservation.mHeartbeat) {
     aObservation.mHeartbeatSince = aObservation.mSeenAt;
   }
+  if (aObservation.mStartedAtMs != 0 && aObservation.mStartedAtMs != aStartedAtMs) {
+    aObservation.mNewLifeSince = aRequestedAt;
+  }
+  aObservation.mStartedAtMs = aStartedAtMs;
   aObservation.mHeartbeat = aHeartbeat;
   aObservation.mSeenAt = aRequestedAt;
 }
--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -61,16 +61,22 @@
    * list that still showed an earlier one was requested. 0: unknown.
    */
   time_point mHeartbeatSince{ 0 };
-  time_point mSeenAt{ 0 }; ///< When the last list with the entry was requested.
+  time_point mSeenAt{ 0 };  ///< When the last list with the entry was requested.
+  int64_t mStartedAtMs = 0; ///< Start time of the worker's life that wrote the entry.
+  /** When a list first showed that life in place of another; 0: it has shown no other.
+   */
+  time_point mNewLifeSince{ 0 };
 
   auto operator<=>(const entry_observation&) const = default;
 };
 
 /**
  * Updates aObservation with the entry of a list that was requested at aRequestedAt.
- * aWasListed: whether the previous list contained the entry. Pure.
+ * aStartedAtMs: start time of the life that wrote it, 0: unknown. aWasListed: whether
+ * the previous list contained the entry. Pure.
  */
 void ObserveEntry(entry_observation& aObservation,
+                  int64_t aStartedAtMs,
                   uint64_t aHeartbeat,
                   bool aWasListed,
                   time_point aRequestedAt);
@@ -79,7 +85,9 @@
  * Returns whether a worker whose entry is missing from the list received at aNow has
  * removed the entry itself, so that nothing runs on it any more. The directory removes
  * an entry after three heartbeat periods without an update, so one that may be older
- * can belong to a worker that runs on without reaching the directory. Pure.
+ * can belong to a worker that runs on without reaching the directory. So can one of a
+ * worker that has started again less than these periods ago, as the directory may
+ * have missed the updates of its former life. Pure.
  */
 bool HasDeregistered(const entry_observation& aObservation,
                      duration aHeartbeatPeriod,
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -105,8 +105,11 @@
     } else if (!listed.mDraining) {
       worker.mEarliestShutdown.reset();
     }
-    ObserveEntry(
-      worker.mObservation, listed.mHeartbeat, worker.mIsListed, aRequestedAt);
+    ObserveEntry(worker.mObservation,
+                 listed.mStartedAtMs,
+                 listed.mHeartbeat,
+                 worker.mIsListed,
+                 aRequestedAt);
     worker.mListed = listed;
     worker.mIsListed = true;
     if (isNew) {
--- a/tests/WorkerRunsTest.cpp
+++ b/tests/WorkerRunsTest.cpp
@@ -506,11 +506,41 @@
   entry_observation observation;
   bool wasListed = false;
   for (const auto& [requestedAt, heartbeat] : lists) {
-    ObserveEntry(observation, heartbeat, wasListed, time_point(requestedAt));
+    ObserveEntry(observation, 7, heartbeat, wasListed, time_point(requestedAt));
     wasListed = true;
   }
   CHECK(observation.mHeartbeatSince == time_point(heartbeatSinceMs));
   // An entry that was away for a time counts as read for the first time.
-  ObserveEntry(observation, 7, false, time_point(9'000));
+  ObserveEntry(observation, 7, 7, false, time_point(9'000));
   CHECK(observation.mHeartbeatSince == time_point(0));
 }
+
+// Guards against runs that are given up while they go on, as an entry went with a life.
+TEST_CASE("a worker that has just started again has not left when its entry is missing",
+          "[runs]")
+{
+  struct row
+  {
+    int64_t mStartedAtMs;   // That the later lists show; first it was 7, 0: unknown.
+    int64_t mNewHeartbeats; // Number of lists with a new heartbeat, each 700 ms.
+    bool mHasDeregistered;
+  };
+  const auto each = GENERATE(row{ 7, 1, true },
+                             row{ 7, 9, true },
+                             row{ 0, 1, false },
+                             row{ 8, 1, false },
+                             row{ 8, 5, false },
+                             row{ 8, 7, false },
+                             row{ 8, 9, true });
+  CAPTURE(each.mStartedAtMs, each.mNewHeartbeats);
+  constexpr duration kListPeriod{ 700 };
+  entry_observation observation;
+  ObserveEntry(observation, 7, 100, true, kStart);
+  auto at = kStart;
+  for (int64_t list = 1; list <= each.mNewHeartbeats; ++list) {
+    at += kListPeriod;
+    ObserveEntry(observation, each.mStartedAtMs, static_cast<uint64_t>(list), true, at);
+  }
+  CHECK(HasDeregistered(observation, duration(1'500), at + kListPeriod) ==
+        each.mHasDeregistered);
+}
