Starts without an answer are stopped on the next life of their worker

What callers saw: TWICE, two runs of a task at once, where orders are carried out late and their worker starts again in the meantime.

Cause: a start without an answer is ruled out once the clock of the worker has passed its deadline, and the task is placed elsewhere. The clock of the next life begins anew, so that it takes the same start when it arrives seconds later.

Change: starts without an answer are kept for 12 s, as long as a request may be late; when the worker shows another life, they are stopped there, so that it refuses them.

Not covered: a start that reaches the new life before anything tells of that. The protocol has no means against it; the run is stopped once it is listed.

--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -206,9 +206,14 @@
         return { MakeEndEvent(aTask, aRun, run_end::kNotStarted) };
       }
       return {};
+    case run_request_status::kNoAnswer:
+      std::erase_if(mUnansweredStarts, [&](const auto& aStart) {
+        return aNow - aStart.second > mBounds.mLongestDelay;
+      });
+      mUnansweredStarts[{ aTask, aRun }] = aNow;
+      return {};
     case run_request_status::kOutdatedRun:
     case run_request_status::kWrongInstance:
-    case run_request_status::kNoAnswer:
       // A later hold reply or the deadline of the request decides these cases.
       return {};
   }
@@ -247,6 +252,8 @@
   if (aReply.mStartedAtMs != 0 && mWorkerStartedAtMs != 0 &&
       aReply.mStartedAtMs != mWorkerStartedAtMs) {
     events = DropFormerLife(aReply, aSentAt);
+    const auto lateStarts = TakeLateStarts(aNow);
+    events.insert(events.end(), lateStarts.begin(), lateStarts.end());
     ExtendLeaseExpiry(aNow, mBounds.mLeaseMax);
   }
   mIsLifeUnknown = false;
@@ -388,6 +395,24 @@
   return events;
 }
 
+std::vector<run_event> worker_runs::TakeLateStarts(time_point aNow)
+{
+  std::vector<run_event> events;
+  for (const auto& [start, givenUpAt] : mUnansweredStarts) {
+    const auto& [task, number] = start;
+    const auto run = mRuns.find(task);
+    const bool isRegistered = run != mRuns.end() && run->second.mRun == number;
+    if (!isRegistered && aNow - givenUpAt <= mBounds.mLongestDelay) {
+      run_event event;
+      event.mKind = run_event::kind::kMayStart;
+      event.mTask = task;
+      event.mRun = number;
+      events.push_back(event);
+    }
+  }
+  return events;
+}
+
 void worker_runs::ForgetLeaseAndEnds()
 {
   mHasLease = false;
--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -15,6 +15,8 @@
   duration mLeaseExpiryMargin{ 250 }; ///< Covers call latency and rounding.
   duration mHeartbeatPeriod{ 1'500 }; ///< Period at which workers write their entry.
   duration mStartDeadline{ 1'500 };   ///< Workers refuse a start that arrives later.
+  /** How much later than it was sent a request may be carried out, at most. */
+  duration mLongestDelay{ 12'000 };
 
   auto operator<=>(const run_bounds&) const = default;
 };
@@ -100,7 +102,12 @@
   {
     kEnded,      ///< See mEnd; mNumber must be acknowledged unless 0.
     kUnexpected, ///< The worker reports a run that is not registered.
-    kCheckpoint  ///< The run has a newer checkpoint.
+    /**
+     * A start that the worker's former life was ruled to refuse may still reach the new
+     * one, which knows neither the stop nor the clock that ruled it out.
+     */
+    kMayStart,
+    kCheckpoint ///< The run has a newer checkpoint.
   };
 
   kind mKind = kind::kEnded;
@@ -271,12 +278,16 @@
    */
   std::vector<run_event> DropFormerLife(const hold_reply& aReply, time_point aSentAt);
   void ForgetLeaseAndEnds();
+  /** Returns the unanswered starts that may still reach the worker's new life. */
+  std::vector<run_event> TakeLateStarts(time_point aNow);
 
   run_bounds mBounds;
   std::map<task_ref, run_info> mRuns;
   /** Records that the lease may last until aSpan after aNow on the worker's clock. */
   void ExtendLeaseExpiry(time_point aNow, duration aSpan);
 
+  /** When starts without an answer were given up on, by task and run. */
+  std::map<std::pair<task_ref, uint32_t>, time_point> mUnansweredStarts;
   bool mHasAcceptedToken = false;
   bool mHasLease = false;
   bool mLeaseRequested = false;
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -410,6 +410,12 @@
       case run_event::kind::kUnexpected:
         HandleUnexpectedRun(aWorker, event);
         break;
+      case run_event::kind::kMayStart:
+        StopRun(aWorker,
+                event.mTask,
+                event.mRun,
+                "its start may still reach the worker's new life");
+        break;
       case run_event::kind::kCheckpoint: {
         const auto found = mJobs.find(event.mTask.mJob);
         if (found != mJobs.end() && found->second->mState.HasTask(event.mTask)) {
--- a/tests/RebornWorkerTest.cpp
+++ b/tests/RebornWorkerTest.cpp
@@ -134,3 +134,38 @@
   CHECK(site.ReachesState("vm0", kJob, "done", duration(9'000)));
   CHECK(site.CountStarts(kJob) == 1);
 }
+
+// Guards against a start that its worker's new life carries out after it was given up.
+TEST_CASE("a late start that finds its worker's new life known runs beside no other",
+          "[reborn]")
+{
+  const auto isListed = GENERATE(false, true);
+  const auto restartsAfter = GENERATE(range(1'300, 2'800, 100));
+  const auto lateBy = GENERATE(range(0, 4'000, 400));
+  // Until then a list, or the end of the hold in flight, tells of the new life.
+  const auto knownAfter = restartsAfter + (isListed ? 800 : 2'300);
+  CAPTURE(isListed, restartsAfter, lateBy);
+  fake_installation site(kVms, 2);
+  site.mBehaviourByPayload["long"] = { duration(120'000), false };
+  site.ListWorker("w1", true); // Takes no task at first.
+  site.mLoop.RunFor(duration(3'000));
+  bool isFirst = true;
+  site.mFaults.mFateOfOrder = [&](const std::string& aWorker,
+                                  const std::string& aOrder) {
+    order_fate fate;
+    if (aWorker == "w0" && aOrder == "start" && std::exchange(isFirst, false)) {
+      fate.mDelay = duration(knownAfter + lateBy);
+    }
+    return fate;
+  };
+  REQUIRE(site.Submit("vm0", MakeJobOf(kJob, 1, "long")) == job_answer::kAccepted);
+  site.ListWorker("w1", false);
+  site.mLoop.RunFor(duration(restartsAfter));
+  if (!isListed) {
+    LoseLists(site);
+  }
+  site.CrashWorker("w0", true);
+  site.mLoop.RunFor(duration(12'000));
+  CHECK(site.CountStarts(kJob) >= 1);
+  CHECK(site.MaxConcurrentRuns() == 1);
+}
--- a/tests/WorkerRunsTest.cpp
+++ b/tests/WorkerRunsTest.cpp
@@ -393,6 +393,39 @@
   CHECK(runs.HasUnsentAcknowledgement() == (each.mAcknowledged != 0));
 }
 
+// Guards against a start that its worker's new life carries out after it was given up.
+TEST_CASE("a start without an answer may still reach its worker's new life", "[runs]")
+{
+  struct row
+  {
+    run_request_status mAnswer;
+    int64_t mRestartedAfterMs; // From the start to the first list of the new life.
+    bool mMayStart;
+  };
+  const auto each = GENERATE(row{ run_request_status::kNoAnswer, 3'000, true },
+                             row{ run_request_status::kNoAnswer, 12'000, true },
+                             row{ run_request_status::kNoAnswer, 14'000, false },
+                             row{ run_request_status::kLate, 3'000, false },
+                             row{ run_request_status::kAccepted, 3'000, false });
+  CAPTURE(ToString(each.mAnswer), each.mRestartedAfterMs);
+  worker_runs runs{ run_bounds() };
+  runs.OnHoldReply(ReplyAt(90'000), kStart, kStart);
+  runs.RegisterStart(kTask, 1, kNeed, kStart);
+  runs.RecordStartRequest(kTask, 1, 91'500, kStart);
+  runs.OnStartAnswer(kTask, 1, each.mAnswer, kStart + duration(900));
+  const auto ruledOutAt = kStart + duration(2'000);
+  runs.OnHoldReply(ReplyAt(92'000), ruledOutAt, ruledOutAt);
+  CHECK(runs.Runs().empty());
+  const auto restartedAt = kStart + duration(each.mRestartedAfterMs);
+  const auto events = runs.OnHoldReply(ReplyAt(60, 8), restartedAt, restartedAt);
+  REQUIRE(events.size() == (each.mMayStart ? 1 : 0));
+  if (each.mMayStart) {
+    CHECK(events.front().mKind == run_event::kind::kMayStart);
+    CHECK(events.front().mTask == kTask);
+    CHECK(events.front().mRun == 1);
+  }
+}
+
 TEST_CASE("ends are acknowledged in order once they are durable", "[runs]")
 {
   worker_runs runs{ run_bounds() };
