--- a/tests/GangLogTest.cpp
+++ b/tests/GangLogTest.cpp
@@ -392,3 +392,28 @@
   CHECK(Field(line, "listed") == "1");
   CHECK(Field(line, "silent_ms").empty() == (end == "done"));
 }
+
+TEST_CASE("each end tells how many failed runs are counted, and the limit",
+          "[cancellation-log]")
+{
+  const auto members = GENERATE(1U, kMembers);
+  CAPTURE(members);
+  fake_installation site(3, kMembers);
+  // One member ends well before the others, which are stopped.
+  site.mFaults.mSlowdownFactors = { { "w0", 20 }, { "w2", 20 } };
+  BeginGang(site, { duration(2'000), true }, members);
+  site.mLoop.RunFor(duration(130'000));
+  REQUIRE(site.StateAt(OtherVm(site), kJob) == "failed");
+  for (const std::string run : { "1", "2", "3" }) {
+    size_t failed = 0;
+    for (const auto& line : site.mLog.mLines) {
+      if (line.starts_with("event=run_ended ") && Field(line, "run") == run) {
+        CAPTURE(line);
+        failed += Field(line, "end") == "failed" ? 1 : 0;
+        CHECK(Field(line, "failed_runs") == run);
+        CHECK(Field(line, "max_attempts") == "3");
+      }
+    }
+    CHECK(failed == 1);
+  }
+}
