A gang's run counts once as failed, however many of its members end failed

Callers saw: a gang's job was shown as failed with attempts left, after several members of one run had ended failed together (LOST).

Cause: job_state::End added to the failed runs at the end of each member. Ruled out: ends of former runs, ends listed twice and ends other than failed count nothing (200 random histories, and the table's rows without a repeated member).

Change: a step keeps the run that was counted last.

The record of 1024 gangs of 2, all counted, stays below half of the store's limit and grows by less than 24 bytes a gang.

"a gang is logged as broken once for each of its runs" expected one line for members that fail at once, since the job failed in its first run of three; it now expects all three runs.

--- a/src/jobs/JobState.cpp
+++ b/src/jobs/JobState.cpp
@@ -7,6 +7,7 @@
 #include <cassert>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace anvildoor {
 
@@ -382,22 +383,42 @@
   SaveCheckpoint(aTask, aRun, aCheckpoint);
   effect.mGangBroken = isGang && !task.mDone;
   if (aEnd == run_end::kFailed && !task.mDone) {
-    auto firstMember = aTask;
-    firstMember.mIndex = 0;
-    auto& countedTask = isGang ? MutableTask(firstMember) : task;
-    ++countedTask.mFailedRuns;
-    const bool hasAttemptLimit = !StepOf(aTask).mLongRunning;
-    if (hasAttemptLimit && countedTask.mFailedRuns >= mJob.mMaxAttempts &&
-        mOutcome == job_outcome::kOpen) {
-      mOutcome = job_outcome::kFailed;
-      effect.mJobFinished = true;
-    }
+    const auto formerOutcome = mOutcome;
+    CountFailedRun(aTask, aRun);
+    effect.mJobFinished = mOutcome != formerOutcome;
   }
   CloseTask(aTask);
   CloseOccurrence(aTask.mOccurrence);
   return effect;
 }
 
+void job_state::CountFailedRun(const task_ref& aTask, uint32_t aRun)
+{
+  auto countedTask = aTask;
+  if (StepOf(aTask).mGang) {
+    countedTask.mIndex = 0;
+    auto& step = MutableStep(aTask.mOccurrence, aTask.mStep);
+    if (std::exchange(step.mCountedRun, aRun) == aRun) {
+      return;
+    }
+  }
+  const auto failedRuns = ++MutableTask(countedTask).mFailedRuns;
+  const bool hasAttemptLimit = !StepOf(aTask).mLongRunning;
+  if (hasAttemptLimit && failedRuns >= mJob.mMaxAttempts &&
+      mOutcome == job_outcome::kOpen) {
+    mOutcome = job_outcome::kFailed;
+  }
+}
+
+bool job_state::MayCountAgain(const step_progress& aStep)
+{
+  return aStep.mCountedRun != 0 &&
+         std::any_of(aStep.mOpen.begin(), aStep.mOpen.end(), [&](const auto& aEntry) {
+           const auto& task = aEntry.second;
+           return !task.mWorker.empty() && task.mRun == aStep.mCountedRun;
+         });
+}
+
 void job_state::DropTasks()
 {
   assert(mOutcome != job_outcome::kOpen && PlacedTasks().empty());
@@ -422,6 +443,7 @@
   json workers = json::array();
   json rows = json::array();
   json doneRanges = json::array();
+  json countedRuns = json::array();
   std::map<std::string, size_t> workerNumbers;
   const bool isOpen = mOutcome == job_outcome::kOpen;
   const bool hasRowPerDoneTask = TaskCount() <= kMaxDoneTaskRows;
@@ -462,6 +484,9 @@
         }
         rows.push_back(std::move(row));
       }
+      if (isOpen && MayCountAgain(steps[step])) {
+        countedRuns.push_back({ occurrence, step, steps[step].mCountedRun });
+      }
       for (const auto& done :
            isOpen ? RangesOf(steps[step].mDone) : std::vector<range>()) {
         appendDone(occurrence, step, done);
@@ -481,6 +506,9 @@
       }
     }
   }
+  if (!countedRuns.empty()) {
+    text["counted_runs"] = std::move(countedRuns);
+  }
   if (mEndedAtMs != 0) {
     text["ended"] = mEndedAtMs;
   }
@@ -586,6 +614,13 @@
       }
     }
   }
+  for (const auto& row : text.value("counted_runs", json::array())) {
+    const auto [occurrence, step, run] = row.get<std::array<uint32_t, 3>>();
+    requireTask({ mJob.mId, occurrence, step, 0 });
+    if (mBegun.count(occurrence) != 0) {
+      MutableStep(occurrence, step).mCountedRun = run;
+    }
+  }
   std::vector<uint32_t> begun;
   for (const auto& [occurrence, steps] : mBegun) {
     begun.push_back(occurrence);
--- a/src/jobs/JobState.h
+++ b/src/jobs/JobState.h
@@ -238,6 +238,7 @@
     std::map<uint32_t, task_progress> mOpen; ///< By index; see OpenTaskCount.
     std::vector<bool> mDone;                 ///< By index; empty while none is done.
     uint32_t mDoneCount = 0;
+    uint32_t mCountedRun = 0; ///< The latest run counted as failed; only of a gang.
   };
   using occurrence_progress = std::vector<step_progress>; // By step.
 
@@ -246,6 +247,8 @@
   step_progress& MutableStep(uint32_t aOccurrence, uint32_t aStep);
   /** Returns the entry of an open task, which is added if there is none. */
   task_progress& MutableTask(const task_ref& aTask);
+  /** Returns whether another member of a counted run may still end as failed. */
+  static bool MayCountAgain(const step_progress& aStep);
   void MarkDone(const task_ref& aTask);
   /** Forgets the entry of a task that is done and not placed. */
   void CloseTask(const task_ref& aTask);
@@ -256,6 +259,8 @@
   bool IsStepDone(uint32_t aOccurrence, uint32_t aStep) const;
   uint64_t TaskCount() const;
   bool AllDone() const { return mDoneTasks == TaskCount(); }
+  /** Counts a failed run of a task that isn't done; that of a gang only once. */
+  void CountFailedRun(const task_ref& aTask, uint32_t aRun);
   void DecodeRows(const std::string& aText,
                   std::map<std::string, std::string>* aAddresses);
 
--- a/tests/GangLogTest.cpp
+++ b/tests/GangLogTest.cpp
@@ -315,7 +315,7 @@
   const auto each = GENERATE(values<gang>({
     { "done", kMembers, false, 1, 0 },
     { "of one member", 1, true, 1, 0 },
-    { "its members fail at once", kMembers, true, 1, 1 },
+    { "its members fail at once", kMembers, true, 1, 3 },
     { "a member fails in each of its runs", kMembers, true, 20, 3 },
   }));
   CAPTURE(each.mName);
--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -320,6 +320,41 @@
   CHECK(site.CountStarts(kJob) == 3);
 }
 
+// Guards against a gang's job that fails although its runs have attempts left.
+TEST_CASE("a gang whose members fail at once gets all of its attempts",
+          "[installation]")
+{
+  // Workers that can't be held until the scheduler is killed; negative: it isn't.
+  const std::string lateMembers = GENERATE("", "w0", "w1", "w1 w2", "w0 w2");
+  const auto killedAfter = GENERATE(-1, 0, 20, 60, 200);
+  CAPTURE(lateMembers, killedAfter);
+  fake_installation site(3, 3);
+  site.mBehaviourByPayload["bad"] = { duration(1'000), true };
+  auto job = fake_installation::MakeJob(kJob, 3, true);
+  job.mSpec.mPayload = "bad";
+  job.mSpec.mSteps.front().mPerTask = { 20'000, 1'000, 1 };
+  job.mMaxAttempts = 2;
+  const std::string front = site.SchedulerVm() == "vm0" ? "vm1" : "vm0";
+  REQUIRE(site.Submit(front, job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(500));
+  REQUIRE(site.CountStarts(kJob) == 3);
+  for (const std::string worker : { "w0", "w1", "w2" }) {
+    if (lateMembers.find(worker) != std::string::npos) {
+      site.mFaults.mUnreachableWorkers.insert(worker);
+    }
+  }
+  const auto hasEnd = [&] { return site.mLog.CountLines("event=run_ended") != 0; };
+  REQUIRE(site.mLoop.RunUntil(hasEnd, duration(2'000)));
+  if (killedAfter >= 0) {
+    site.mLoop.RunFor(duration(killedAfter));
+    site.Kill(site.SchedulerVm());
+  }
+  site.mFaults.mUnreachableWorkers.clear();
+  CHECK(site.ReachesState(front, kJob, "failed", duration(20'000)));
+  CHECK(site.CountStarts(kJob) == 6);
+  CHECK(site.MaxConcurrentRuns() == 1);
+}
+
 TEST_CASE("a job of priority 0 preempts jobs of lower priority at once",
           "[installation]")
 {
--- a/tests/JobSizeTest.cpp
+++ b/tests/JobSizeTest.cpp
@@ -159,6 +159,31 @@
   CHECK(largestRecord < kMaxRecordBytes);
 }
 
+// Guards against a record that outgrows the store's limit by runs that are counted.
+TEST_CASE("the record of a job stays small with all of its gangs counted", "[jobs]")
+{
+  auto job = Job({ 2 }, job_state::kMaxOpenTasks / 2);
+  job.mSpec.mSteps.front().mGang = true;
+  job_state state(job);
+  for (uint32_t occurrence = 0; occurrence < state.OccurrenceCount(); ++occurrence) {
+    for (const auto index : state.WaitingTasks(occurrence, 0)) {
+      const task_ref task{ kJob, occurrence, 0, index };
+      state.Place(task, 1'000'000, "worker-" + std::to_string(occurrence + index));
+      state.SaveCheckpoint(
+        task, 1'000'000, std::string(job_state::kMaxCheckpointBytes, 'c'));
+    }
+  }
+  REQUIRE(state.OpenTaskCount() == job_state::kMaxOpenTasks);
+  const auto before = state.EncodeProgress().size();
+  for (uint32_t occurrence = 0; occurrence < state.OccurrenceCount(); ++occurrence) {
+    state.End({ kJob, occurrence, 0, 0 }, 1'000'000, run_end::kFailed, "");
+  }
+  const auto record = state.EncodeProgress();
+  CHECK(record.find("[1023,0,1000000]") != std::string::npos);
+  CHECK(record.size() < 524'288); // Half of the platform's limit, as above.
+  CHECK(record.size() < before + 24 * state.OccurrenceCount());
+}
+
 TEST_CASE("tasks are offered while their job has room for more open ones", "[jobs]")
 {
   job_state state(Job({ 10'000, 5 }));
--- a/tests/JobStateTest.cpp
+++ b/tests/JobStateTest.cpp
@@ -1,6 +1,9 @@
 #include "jobs/JobState.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <random>
 
 using namespace anvildoor;
 
@@ -51,6 +54,21 @@
   }
 }
 
+/** One end of a member of a gang. */
+struct member_end
+{
+  uint32_t mIndex;
+  run_end mEnd;
+};
+
+/** Stores and restores the progress, as a new term does. */
+job_state TakenOver(const job_state& aState)
+{
+  job_state read(aState.Job());
+  REQUIRE(read.DecodeProgress(aState.EncodeProgress()));
+  return read;
+}
+
 } // namespace
 
 TEST_CASE("a step waits for all tasks of the steps it depends on", "[jobs]")
@@ -236,7 +254,11 @@
                               "{\"outcome\":\"open\",\"begun\":true,\"workers\":[],"
                               "\"tasks\":[],\"former_places\":[[\"w\",\"a\"]]}",
                               "{\"outcome\":\"open\",\"begun\":true,\"workers\":[],"
-                              "\"tasks\":[[0,0,0,1,5,0,0]]}");
+                              "\"tasks\":[[0,0,0,1,5,0,0]]}",
+                              "{\"outcome\":\"open\",\"begun\":true,\"workers\":[],"
+                              "\"tasks\":[],\"counted_runs\":[[0,9,1]]}",
+                              "{\"outcome\":\"open\",\"begun\":true,\"workers\":[],"
+                              "\"tasks\":[],\"counted_runs\":[[0,0]]}");
   job_state state(Job({ Step(1) }));
   CHECK_FALSE(state.DecodeProgress(text));
 }
@@ -373,3 +395,171 @@
   REQUIRE(state.FormerPlaces().size() == kMost);
   CHECK(state.FormerPlaces().front().mWorker == "w10");
 }
+
+TEST_CASE("a gang's run counts once however many of its members end failed", "[jobs]")
+{
+  struct row
+  {
+    const char* mName;
+    std::vector<member_end> mEnds;
+    uint32_t mCounted;
+  };
+  constexpr auto kFailed = run_end::kFailed;
+  const auto each = GENERATE(values<row>({
+    { "one", { { 1, kFailed } }, 1 },
+    { "two", { { 0, kFailed }, { 1, kFailed } }, 1 },
+    { "all", { { 0, kFailed }, { 1, kFailed }, { 2, kFailed } }, 1 },
+    { "the last first", { { 2, kFailed }, { 1, kFailed }, { 0, kFailed } }, 1 },
+    { "listed again", { { 1, kFailed }, { 1, kFailed }, { 1, kFailed } }, 1 },
+    { "both listed again", { { 2, kFailed }, { 0, kFailed }, { 2, kFailed } }, 1 },
+    { "after lost", { { 0, run_end::kLost }, { 1, kFailed }, { 2, kFailed } }, 1 },
+    { "after stopped",
+      { { 1, run_end::kStopped }, { 0, kFailed }, { 2, kFailed } },
+      1 },
+    { "around broken",
+      { { 0, kFailed }, { 1, run_end::kGangBroken }, { 2, kFailed } },
+      1 },
+    { "after lapsed", { { 2, run_end::kLeaseExpired }, { 1, kFailed } }, 1 },
+    { "none", { { 0, run_end::kLost }, { 1, run_end::kGangBroken } }, 0 },
+  }));
+  // Before which end a new term reads the record; 9: none does.
+  const auto takeover = GENERATE(0U, 1U, 2U, 9U);
+  CAPTURE(each.mName, takeover);
+  job_state state(Job({ Step(3, true) }));
+  for (uint32_t run = 1; run <= 2; ++run) {
+    const bool isLast = run * each.mCounted == 2;
+    REQUIRE(state.WaitingTasks(0, 0).size() == 3);
+    PlaceAll(state, 0);
+    size_t finished = 0;
+    for (uint32_t number = 0; number < each.mEnds.size(); ++number) {
+      state = number == takeover ? TakenOver(state) : state;
+      const auto& end = each.mEnds[number];
+      const auto effect = state.End(Task(0, end.mIndex), run, end.mEnd, "");
+      finished += effect.mJobFinished ? 1 : 0;
+    }
+    CHECK(finished == (isLast ? 1 : 0));
+    CHECK(state.Outcome() == (isLast ? job_outcome::kFailed : job_outcome::kOpen));
+    if (!isLast) {
+      CHECK(state.Task(Task(0, 0)).mFailedRuns == run * each.mCounted);
+      for (uint32_t index = 0; index < 3; ++index) {
+        state.End(Task(0, index), run, run_end::kGangBroken, "");
+      }
+    }
+  }
+}
+
+TEST_CASE("the failed runs of gangs count apart by step and occurrence", "[jobs]")
+{
+  const auto isTakenOver = GENERATE(false, true);
+  CAPTURE(isTakenOver);
+  job_state state(Job({ Step(2, true), Step(3, true), Step(2) }, 2));
+  for (uint32_t occurrence = 0; occurrence < 2; ++occurrence) {
+    for (uint32_t step = 0; step < 3; ++step) {
+      for (const auto index : state.WaitingTasks(occurrence, step)) {
+        state.Place(Task(step, index, occurrence), 1, "w");
+      }
+    }
+  }
+  for (uint32_t index = 0; index < 2; ++index) {
+    for (const auto& [step, occurrence] : { std::pair(0U, 0U),
+                                            std::pair(1U, 0U),
+                                            std::pair(1U, 1U),
+                                            std::pair(2U, 0U) }) {
+      state.End(Task(step, index, occurrence), 1, run_end::kFailed, "");
+      state = isTakenOver ? TakenOver(state) : state;
+    }
+  }
+  CHECK(state.Outcome() == job_outcome::kOpen);
+  CHECK(state.Task(Task(0, 0, 0)).mFailedRuns == 1);
+  CHECK(state.Task(Task(1, 0, 0)).mFailedRuns == 1);
+  CHECK(state.Task(Task(0, 0, 1)).mFailedRuns == 0);
+  CHECK(state.Task(Task(1, 0, 1)).mFailedRuns == 1);
+  // Each task of a step that is no gang counts for itself.
+  CHECK(state.Task(Task(2, 0, 0)).mFailedRuns == 1);
+  CHECK(state.Task(Task(2, 1, 0)).mFailedRuns == 1);
+  CHECK(state.Task(Task(2, 0, 1)).mFailedRuns == 0);
+}
+
+TEST_CASE("a gang's failed runs equal its runs with a failed member in any history",
+          "[jobs]")
+{
+  const auto seed = GENERATE(range(1U, 201U));
+  CAPTURE(seed);
+  std::mt19937 random(seed);
+  const auto draw = [&random](uint32_t aBelow) {
+    return std::uniform_int_distribution<uint32_t>(0, aBelow - 1)(random);
+  };
+  const uint32_t members = 1 + draw(5);
+  auto job = Job({ Step(1), Step(members, true) });
+  job.mMaxAttempts = 1 + draw(4);
+  job_state state(job);
+  static constexpr run_end kEnds[] = { run_end::kFailed,     run_end::kFailed,
+                                       run_end::kGangBroken, run_end::kStopped,
+                                       run_end::kLost,       run_end::kFailed,
+                                       run_end::kNotStarted };
+  uint32_t failedRuns = 0;
+  for (uint32_t run = 1; run <= 20 && failedRuns < job.mMaxAttempts; ++run) {
+    REQUIRE(state.WaitingTasks(0, 1).size() == members);
+    PlaceAll(state, 1);
+    bool isCounted = false;
+    std::vector<bool> hasEnded(members);
+    // Ends of this run and of former ones, each perhaps repeated, in any order.
+    while (state.PlacedTasks().size() > 0) {
+      const auto index = draw(members);
+      const auto end = kEnds[draw(std::size(kEnds))];
+      const auto ofRun = draw(4) == 0 ? 1 + draw(run) : run;
+      const bool counts =
+        ofRun == run && !hasEnded[index] && end == run_end::kFailed && !isCounted;
+      hasEnded[index] = hasEnded[index] || ofRun == run;
+      isCounted = isCounted || counts;
+      failedRuns += counts ? 1 : 0;
+      const auto effect = state.End(Task(1, index), ofRun, end, "");
+      CHECK(effect.mJobFinished == (counts && failedRuns == job.mMaxAttempts));
+      const bool isFailed = failedRuns == job.mMaxAttempts;
+      REQUIRE(state.Outcome() ==
+              (isFailed ? job_outcome::kFailed : job_outcome::kOpen));
+      if (draw(3) == 0) {
+        state = TakenOver(state);
+      }
+      // The record of a job that ended keeps what is placed.
+      if (!isFailed) {
+        REQUIRE(state.Task(Task(1, 0)).mFailedRuns == failedRuns);
+      }
+    }
+  }
+  CHECK(state.WaitingTasks(0, 1).empty() == (failedRuns == job.mMaxAttempts));
+}
+
+TEST_CASE("a record tells of a gang's counted run only while another end may come",
+          "[jobs]")
+{
+  const auto hasKey = [](const job_state& aState) {
+    return nlohmann::json::parse(aState.EncodeProgress()).contains("counted_runs");
+  };
+  const auto job = Job({ Step(2, true), Step(2) });
+  job_state state(job);
+  PlaceAll(state, 0);
+  PlaceAll(state, 1);
+  state.End(Task(1, 0), 1, run_end::kFailed, "");
+  CHECK_FALSE(hasKey(state));
+  state.End(Task(0, 1), 1, run_end::kFailed, "");
+  CHECK(hasKey(state));
+  auto text = nlohmann::json::parse(state.EncodeProgress());
+  // Earlier versions take the rows for the whole; theirs have no such key.
+  for (const auto& row : text["tasks"]) {
+    CHECK(row.size() == 7);
+  }
+  text.erase("counted_runs");
+  job_state fromEarlier(job);
+  REQUIRE(fromEarlier.DecodeProgress(text.dump()));
+  CHECK(fromEarlier.Task(Task(0, 0)).mFailedRuns == 1);
+  fromEarlier.End(Task(0, 0), 1, run_end::kFailed, "");
+  CHECK(fromEarlier.Outcome() == job_outcome::kFailed);
+  auto cancelled = state;
+  cancelled.Cancel();
+  CHECK_FALSE(hasKey(cancelled));
+  state.End(Task(0, 0), 1, run_end::kFailed, "");
+  CHECK_FALSE(hasKey(state));
+  PlaceAll(state, 0);
+  CHECK_FALSE(hasKey(state));
+}
