A worker that was given up in an unknown life is held again once it is listed

Found by the review: a hold was scheduled for the first sign of a new life only, and for a worker listed anew only if there was no sign. A worker whose holds had been given up in between, and that came back in a third life, got neither, and no task for the rest of the term.

Test: 2 of 4 rows failed before (no start in 5 s; the rows without the middle life passed), now none.

--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -120,7 +120,8 @@
     }
     if (isOfNewLife) {
       OnNewLifeSuspected(worker, "list", listed.mStartedAtMs);
-    } else if (isNew && !worker.mHoldInFlight) {
+    }
+    if (isNew && !worker.mHoldInFlight) {
       ScheduleHold(worker, duration::zero());
     }
   }
--- a/tests/RebornWorkerTest.cpp
+++ b/tests/RebornWorkerTest.cpp
@@ -169,3 +169,27 @@
   CHECK(site.CountStarts(kJob) >= 1);
   CHECK(site.MaxConcurrentRuns() == 1);
 }
+
+// Guards against a worker that is neither held nor used after its life was unknown.
+TEST_CASE("a worker that was given up in an unknown life is used again", "[reborn]")
+{
+  const auto hasMiddleLife = GENERATE(false, true);
+  const auto awayMs = GENERATE(5'000, 15'000);
+  CAPTURE(hasMiddleLife, awayMs);
+  fake_installation site(kVms, 2);
+  site.mBehaviourByPayload["short"] = { duration(100), false };
+  site.ListWorker("w1", true); // Takes no task.
+  site.mLoop.RunFor(duration(3'000));
+  CutOff(site, "w0", true);
+  if (hasMiddleLife) {
+    site.CrashWorker("w0", true);
+    site.mLoop.RunFor(duration(2'000));
+  }
+  site.CrashWorker("w0", false);
+  site.mLoop.RunFor(duration(awayMs));
+  CutOff(site, "w0", false);
+  site.CrashWorker("w0", true);
+  site.mLoop.RunFor(duration(3'000));
+  REQUIRE(site.Submit("vm0", MakeJobOf(kJob, 1, "short")) == job_answer::kAccepted);
+  CHECK(site.ReachesState("vm0", kJob, "done", duration(5'000)));
+}
