Stops without an answer extend no lease that is reckoned of a worker

Found by the review: in an unknown life the outcome of each start or stop extended the lease that is reckoned, also of stops that nobody answered. These are repeated, so that the lease of a worker that was cut off never lapsed, and a gang with a member there did not restart.

Change: only answers count. A start that ends without an answer in an unknown life extends the lease once; none is sent until the life is known.

--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -183,7 +183,8 @@
   }
   const bool wasSent =
     found->second.mWorkerDeadlineMs != 0 && aAnswer != run_request_status::kNotSent;
-  if (wasSent && found->second.mMeantForLifeMs != mWorkerStartedAtMs) {
+  if (wasSent &&
+      (mIsLifeUnknown || found->second.mMeantForLifeMs != mWorkerStartedAtMs)) {
     ExtendLeaseExpiry(aNow, mBounds.mLeaseMax);
   }
   switch (aAnswer) {
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -287,7 +287,10 @@
 {
   constexpr int64_t kUnknown = 0;
   const auto& runs = aWorker.mRuns;
-  if (runs.IsLifeUnknown() || runs.IsOfOtherLife(aAnswer.mClockMs, aSentAt)) {
+  // Stops are repeated for as long as they have no answer, and extend no lease.
+  const bool isSign =
+    runs.IsLifeUnknown() || runs.IsOfOtherLife(aAnswer.mClockMs, aSentAt);
+  if (IsAnswer(aAnswer.mStatus) && isSign) {
     OnNewLifeSuspected(aWorker, aSource, kUnknown);
   }
 }
--- a/tests/RebornWorkerTest.cpp
+++ b/tests/RebornWorkerTest.cpp
@@ -193,3 +193,31 @@
   REQUIRE(site.Submit("vm0", MakeJobOf(kJob, 1, "short")) == job_answer::kAccepted);
   CHECK(site.ReachesState("vm0", kJob, "done", duration(5'000)));
 }
+
+// Guards against stops without an answer that extend the lease that is reckoned.
+TEST_CASE("a gang restarts although a member's worker is cut off in an unknown life",
+          "[reborn]")
+{
+  const auto isListed = GENERATE(false, true);
+  CAPTURE(isListed);
+  fake_installation site(kVms, 3);
+  site.mBehaviourByPayload["long"] = { duration(120'000), false };
+  site.ListWorker("w2", true); // Takes no task at first.
+  site.mLoop.RunFor(duration(3'000));
+  auto job = fake_installation::MakeJob(kJob, 2, true);
+  job.mSpec.mPayload = "long";
+  job.mSpec.mSteps.front().mPerTask = { 4'000, 1'000, 8 }; // A member on each worker.
+  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(3'000));
+  REQUIRE(site.CountStarts(kJob) == 2);
+  site.ListWorker("w2", false);
+  site.mLoop.RunFor(duration(1'000));
+  if (!isListed) {
+    LoseLists(site);
+  }
+  CutOff(site, "w0", true);
+  site.CrashWorker("w0", true);
+  const auto hasRestarted = [&] { return site.CountStarts(kJob) == 4; };
+  CHECK(site.mLoop.RunUntil(hasRestarted, duration(9'000)));
+  CHECK(site.MaxConcurrentRuns() == 1);
+}
