A start without an answer withholds acknowledgements until its deadline at the longest

Found by the review: such a start was resolved by a complete list only. A worker with 500 ends or more lists them incompletely until some are acknowledged, so that neither ever happened.

Change: acknowledgements are withheld until the worker's clock has passed the start's deadline, and not at all for a start that was meant for a former life, as the numbers are those of the new one.

--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -356,9 +356,11 @@
 uint64_t worker_runs::SendableAcknowledgement() const
 {
   const bool hasUnansweredStart =
-    std::any_of(mRuns.begin(), mRuns.end(), [](const auto& aRun) {
-      return aRun.second.mPhase == run_phase::kRequested &&
-             aRun.second.mWorkerDeadlineMs != 0;
+    std::any_of(mRuns.begin(), mRuns.end(), [this](const auto& aRun) {
+      const auto& run = aRun.second;
+      return run.mPhase == run_phase::kRequested &&
+             run.mMeantForLifeMs == mWorkerStartedAtMs &&
+             run.mWorkerDeadlineMs >= mClockMs;
     });
   return mIsLifeUnknown || hasUnansweredStart ? 0 : mAcknowledged;
 }
--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -260,7 +260,8 @@
 
   /**
    * Returns the number that a hold may acknowledge: 0 while a start may have reached
-   * another life of the worker, which would forget ends that it has not listed yet.
+   * another life of the worker, which would forget ends that it has not listed yet. A
+   * start without an answer counts until its deadline.
    */
   uint64_t SendableAcknowledgement() const;
   int64_t WorkerStartedAtMs() const { return mWorkerStartedAtMs; }
--- a/tests/WorkerRunsTest.cpp
+++ b/tests/WorkerRunsTest.cpp
@@ -426,6 +426,37 @@
   }
 }
 
+// Guards against a worker whose full list of ends is never acknowledged.
+TEST_CASE("a start without an answer withholds acknowledgements until its deadline",
+          "[runs]")
+{
+  struct row
+  {
+    int64_t mClockMs; // In the last reply, which is incomplete; the deadline is 91'500.
+    int64_t mLifeMs;
+    uint64_t mAcknowledged;
+  };
+  const auto each = GENERATE(row{ 91'000, 7, 0 },
+                             row{ 91'500, 7, 0 },
+                             row{ 91'501, 7, 3 },
+                             row{ 60, 8, 3 }); // The numbers of its own life.
+  CAPTURE(each.mClockMs, each.mLifeMs);
+  worker_runs runs{ run_bounds() };
+  runs.OnHoldReply(ReplyAt(90'000), kStart, kStart);
+  runs.RegisterStart(kTask, 1, kNeed, kStart);
+  runs.RecordStartRequest(kTask, 1, 91'500, kStart);
+  runs.OnStartAnswer(kTask, 1, run_request_status::kNoAnswer, kStart + duration(900));
+  auto other = kTask;
+  other.mIndex = 1;
+  auto reply = ReplyAt(each.mClockMs, each.mLifeMs);
+  reply.mComplete = false;
+  reply.mEnded.push_back({ 3, other, 1, run_end::kDone, "" });
+  const auto at = kStart + duration(1'600);
+  runs.OnHoldReply(reply, at, at);
+  runs.MarkDurable(each.mLifeMs, 3);
+  CHECK(runs.SendableAcknowledgement() == each.mAcknowledged);
+}
+
 TEST_CASE("ends are acknowledged in order once they are durable", "[runs]")
 {
   worker_runs runs{ run_bounds() };
