Starts without an answer are reckoned as late ones while their worker's life is unknown

It was reckoned with 1.5 s, or with a lease as of the first sign of the new life, and the task ran a second time.

Workers that crash and don't come back are not concerned. An answer of another instance is no sign of a new life.

Left: lists of workers that can't be read all the while; a scheduler that is killed after such a start (its successor assumes the longest lease only).

--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -121,6 +121,19 @@
   mLeaseExpiresAt = std::max(mLeaseExpiresAt, aNow + LongestLease(mBounds, aSpan));
 }
 
+time_point worker_runs::LeaseExpiresAt() const
+{
+  auto latest = mLeaseExpiresAt;
+  if (mIsLifeUnknown) {
+    for (const auto& [start, givenUpAt] : mUnansweredStarts) {
+      latest = std::max(latest,
+                        givenUpAt + mBounds.mLongestDelay +
+                          LongestLease(mBounds, mBounds.mLeaseMax));
+    }
+  }
+  return latest;
+}
+
 void worker_runs::RecordLeaseRequest(time_point aNow, time_point aTermLeaseEnd)
 {
   mLeaseRequested = true;
--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -168,8 +168,11 @@
   /** Returns the deadline, on the worker's clock, of a start sent at aNow. */
   int64_t StartDeadlineMs(time_point aNow) const;
 
-  /** Returns when all runs have certainly been killed if no further hold arrives. */
-  time_point LeaseExpiresAt() const { return mLeaseExpiresAt; }
+  /**
+   * Returns when all runs have certainly been killed if no further hold arrives. In an
+   * unknown life that includes runs of starts without an answer, which may still come.
+   */
+  time_point LeaseExpiresAt() const;
 
   /** Records that a hold with LeaseDeadlineMs of these times is sent at aNow. */
   void RecordLeaseRequest(time_point aNow,
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -290,7 +290,9 @@
   // Stops are repeated for as long as they have no answer, and extend no lease.
   const bool isSign =
     runs.IsLifeUnknown() || runs.IsOfOtherLife(aAnswer.mClockMs, aSentAt);
-  if (IsAnswer(aAnswer.mStatus) && isSign) {
+  const bool isFromThere =
+    IsAnswer(aAnswer.mStatus) && aAnswer.mStatus != run_request_status::kWrongInstance;
+  if (isFromThere && isSign) {
     OnNewLifeSuspected(aWorker, aSource, kUnknown);
   }
 }
--- a/tests/RebornWorkerTest.cpp
+++ b/tests/RebornWorkerTest.cpp
@@ -221,3 +221,40 @@
   CHECK(site.mLoop.RunUntil(hasRestarted, duration(9'000)));
   CHECK(site.MaxConcurrentRuns() == 1);
 }
+
+// Guards against a late start on a new life that outlasts what is reckoned of it.
+TEST_CASE("a late start on a life that is cut off ends before its task restarts",
+          "[reborn]")
+{
+  const auto leaseMax = GENERATE(duration(6'000), duration(10'000));
+  const auto lateBy = GENERATE(0, 1'000, 2'000, 3'000, 11'000);
+  const auto startedAfter = GENERATE(20, 300, 800);
+  const auto phase = GENERATE(0, 400, 800);
+  CAPTURE(leaseMax.count(), lateBy, startedAfter, phase);
+  fake_installation site(kVms, 2, 4, BoundsWithLease(leaseMax));
+  site.mBehaviourByPayload["long"] = { duration(120'000), false };
+  site.ListWorker("w1", true); // Takes no task at first.
+  site.mLoop.RunFor(leaseMax + duration(3'000 + phase));
+  LoseLists(site);
+  site.mFaults.mFateOfOrder = [&](const std::string& aWorker,
+                                  const std::string& aOrder) {
+    order_fate fate;
+    fate.mIsAnswered = aWorker != "w0" || aOrder != "start";
+    fate.mDelay = duration(fate.mIsAnswered ? 0 : lateBy);
+    return fate;
+  };
+  site.CrashWorker("w0", true);
+  site.mLoop.RunFor(duration(startedAfter));
+  REQUIRE(site.Submit("vm0", MakeJobOf(kJob, 1, "long")) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(150));
+  CutOff(site, "w0", true);
+  for (size_t vm = 0; vm < kVms; ++vm) {
+    site.mFaults.mBlockedLinks.erase({ "vm" + std::to_string(vm), "directory" });
+  }
+  site.ListWorker("w1", false);
+  const auto hasRestarted = [&] {
+    return !site.mTraces.empty() && site.mTraces.back().mWorker == "w1";
+  };
+  CHECK(site.mLoop.RunUntil(hasRestarted, duration(35'000)));
+  CHECK(site.MaxConcurrentRuns() == 1);
+}
