One function sums up the load of a pool

Callers see no change. Headroom and rack patience each summed up the workers that accept tasks and what runs on them. RunningLoads does so for both, in a pair of files of its own with the types that it returns.

Ruled out: a difference in the pools. Headroom left out pools without a typical worker; these are the pools without a worker that accepts tasks, which RunningLoads leaves out, too. Rack patience now adds up by priority first, so its sum may differ in the last bit.

Tests, unchanged: all of [headroom] and [placement] pass, the latter with rack patience.

--- a/src/planner/CapacityHeadroom.cpp
+++ b/src/planner/CapacityHeadroom.cpp
@@ -51,21 +51,8 @@
 /** Returns the load by pool; pools without a typical worker are left out. */
 std::map<std::string, pool_load> LoadsOf(const placement_input& aInput)
 {
-  std::map<std::string, pool_load> loads;
-  for (const auto& worker : aInput.mWorkers) {
-    if (aInput.mTypicalWorkers.count(worker.mPool) == 0) {
-      continue;
-    }
-    auto& load = loads[worker.mPool];
-    if (!worker.mAcceptsTasks) {
-      // Its load takes nothing of the capacity that is left.
-      continue;
-    }
-    load.mCapacity += 1.0;
-    for (const auto& [priority, share] : worker.mLoadByPriority) {
-      load.mByPriority[priority].mRunning += share;
-    }
-  }
+  // Only these pools have a typical worker.
+  auto loads = RunningLoads(aInput.mWorkers);
   for (const auto& group : aInput.mGroups) {
     const auto typical = aInput.mTypicalWorkers.find(group.mPool);
     if (typical != aInput.mTypicalWorkers.end() &&
@@ -87,14 +74,12 @@
   }
   double higher = std::max(UrgentLoad(aLoad), kUrgentMargin * aLoad.mMeanUrgent);
   double others = 0.0; // Running tasks of aPriority and lower priorities.
-  double running = 0.0;
   for (const auto& [priority, load] : aLoad.mByPriority) {
     const bool isHigher = priority < aPriority;
     higher += isHigher && priority > kUrgentPriority ? TotalOf(load) : 0.0;
     others += isHigher ? 0.0 : load.mRunning;
-    running += load.mRunning;
   }
-  if (running < kUnlimitedUse * aLoad.mCapacity) {
+  if (RunningLoadOf(aLoad) < kUnlimitedUse * aLoad.mCapacity) {
     return std::nullopt;
   }
   const double limit = std::max(aLoad.mCapacity - higher, kMinShare * aLoad.mCapacity);
--- a/src/planner/CapacityHeadroom.h
+++ b/src/planner/CapacityHeadroom.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "planner/PoolLoad.h"
 #include "planner/TaskPlacement.h"
 
 #include <cstdint>
@@ -9,25 +10,6 @@
 
 namespace anvildoor {
 
-/** The load that the tasks of one priority put on a pool, in units of its workers. */
-struct priority_load
-{
-  double mRunning = 0.0;
-  double mWaiting = 0.0; ///< Tasks that could start now if there were capacity.
-
-  auto operator<=>(const priority_load&) const = default;
-};
-
-/** The load on one pool of workers. */
-struct pool_load
-{
-  double mCapacity = 0.0; ///< Workers that accept tasks.
-  std::map<int64_t, priority_load> mByPriority;
-  double mMeanUrgent = 0.0; ///< Recent mean of the load of urgent tasks.
-
-  auto operator<=>(const pool_load&) const = default;
-};
-
 /**
  * Returns how much more of the pool, in workers, tasks of aPriority may take; nothing
  * if there is no limit. What tasks of higher priority use and wait for is left to them,
--- a/src/planner/RackPatience.cpp
+++ b/src/planner/RackPatience.cpp
@@ -1,5 +1,7 @@
 #include "planner/RackPatience.h"
 
+#include "planner/PoolLoad.h"
+
 #include <set>
 
 namespace anvildoor {
@@ -17,20 +19,9 @@
 /** Returns the pools of which less than kMaxUse is in use. */
 std::set<std::string> PoolsWithRoom(const placement_input& aInput)
 {
-  std::map<std::string, std::pair<double, double>> useAndCapacity;
-  for (const auto& worker : aInput.mWorkers) {
-    if (!worker.mAcceptsTasks) {
-      continue;
-    }
-    auto& [use, capacity] = useAndCapacity[worker.mPool];
-    capacity += 1.0;
-    for (const auto& [priority, share] : worker.mLoadByPriority) {
-      use += share;
-    }
-  }
   std::set<std::string> pools;
-  for (const auto& [pool, load] : useAndCapacity) {
-    if (load.first < kMaxUse * load.second) {
+  for (const auto& [pool, load] : RunningLoads(aInput.mWorkers)) {
+    if (RunningLoadOf(load) < kMaxUse * load.mCapacity) {
       pools.insert(pool);
     }
   }
