The text of a cancellation's progress is known to the peers' API alone

Callers see no change, and the bytes between VMs are the same. The progress was mapped to text in two places and back in a third. peer_query now passes cancel_progress on; PeerApi.cpp encodes and decodes it for HTTP, and the installation of the tests needs no text at all.

Ruled out: a pair of functions that all three call; two of them have no use for a text.

--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -406,12 +406,9 @@
     aSettlement->mJob,
     aSettlement->mRevision,
     [this, aSettlement, fence = term.mFence](
-      const result<std::optional<std::string>>& aAnswer) {
-      auto progress = cancel_progress::kNotApplied;
-      if (aAnswer && *aAnswer) {
-        progress = **aAnswer == peer_query::kSettled ? cancel_progress::kSettled
-                                                     : cancel_progress::kApplied;
-      }
+      const result<std::optional<cancel_progress>>& aAnswer) {
+      const auto progress = aAnswer ? aAnswer->value_or(cancel_progress::kNotApplied)
+                                    : cancel_progress::kNotApplied;
       OnProgress(aSettlement, fence, progress, kSettlementRetryDelay);
     });
 }
--- a/src/entry/PeerApi.cpp
+++ b/src/entry/PeerApi.cpp
@@ -12,6 +12,10 @@
 const std::string kSummaryPath = "/term-summary/";
 const std::string kCancelledPath = "/cancelled/";
 const std::string kSettledPath = "/cancel-settled/";
+/** Body of the answer of a scheduler that has settled a cancellation. */
+const std::string kSettledText = "settled";
+/** The same if it has only applied it; a caller takes any other text for this one. */
+const std::string kAppliedText = "applied";
 /**
  * A peer in another data centre answers within milliseconds. After this time the caller
  * falls back to the store or to a cached count.
@@ -167,8 +171,8 @@
                               answer.mStatus = kNotScheduler;
                             } else {
                               answer.mBody = aProgress == cancel_progress::kSettled
-                                               ? peer_query::kSettled
-                                               : peer_query::kApplied;
+                                               ? kSettledText
+                                               : kAppliedText;
                             }
                             aRespond(answer);
                           });
@@ -220,11 +224,19 @@
 void http_peer_query::OnAwaitCancellation(const std::string& aAddress,
                                           const std::string& aJob,
                                           uint64_t aRevision,
-                                          done<std::string> aDone)
+                                          done<cancel_progress> aDone)
 {
   auto call = MakeCall(aAddress, kSettledPath + aJob + "/" + std::to_string(aRevision));
   call.mMethod = "POST";
-  CallForText(mPool, call, "await cancellation", std::move(aDone));
+  const auto decode = [done = std::move(aDone)](
+                        const result<std::optional<std::string>>& aText) {
+    done(aText.map([](const std::optional<std::string>& aFound) {
+      return aFound ? std::optional(*aFound == kSettledText ? cancel_progress::kSettled
+                                                            : cancel_progress::kApplied)
+                    : std::nullopt;
+    }));
+  };
+  CallForText(mPool, call, "await cancellation", decode);
 }
 
 } // namespace anvildoor
--- a/src/entry/PeerApi.h
+++ b/src/entry/PeerApi.h
@@ -65,7 +65,7 @@
   void OnAwaitCancellation(const std::string& aAddress,
                            const std::string& aJob,
                            uint64_t aRevision,
-                           done<std::string> aDone) override;
+                           done<cancel_progress> aDone) override;
 
 private:
   http_pool& mPool;
--- a/src/entry/PeerQuery.h
+++ b/src/entry/PeerQuery.h
@@ -2,6 +2,7 @@
 
 #include "anvildoor/Error.h"
 #include "base/EventLoop.h"
+#include "scheduler/CancelProgress.h"
 
 #include <cstdint>
 #include <functional>
@@ -62,19 +63,17 @@
 
   /**
    * Like NotifyOfCancellation, but the VM at aAddress waits a little until it has
-   * stopped the runs of aJob. Answers with kSettled once it has, and otherwise with a
-   * text that means that it has applied the cancellation.
+   * stopped the runs of aJob. Answers with how far it has got by then; nothing means
+   * the same as cancel_progress::kNotApplied.
    */
   void AwaitCancellation(const std::string& aAddress,
                          const std::string& aJob,
                          uint64_t aRevision,
-                         done<std::string> aDone)
+                         done<cancel_progress> aDone)
   {
     OnAwaitCancellation(aAddress, aJob, aRevision, std::move(aDone));
   }
 
-  static constexpr const char* kSettled = "settled";
-  static constexpr const char* kApplied = "applied";
   /** For how long a peer waits at most until a cancellation is settled. */
   static constexpr duration kMaxSettlementWait{ 250 };
 
@@ -95,7 +94,7 @@
   virtual void OnAwaitCancellation(const std::string& aAddress,
                                    const std::string& aJob,
                                    uint64_t aRevision,
-                                   done<std::string> aDone) = 0;
+                                   done<cancel_progress> aDone) = 0;
 };
 
 } // namespace anvildoor
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -12,6 +12,7 @@
 #include "runs/WorkerDirectory.h"
 #include "runs/WorkerHealth.h"
 #include "runs/WorkerRuns.h"
+#include "scheduler/CancelProgress.h"
 #include "scheduler/IdleJobs.h"
 #include "scheduler/InboxMonitor.h"
 #include "scheduler/InboxReader.h"
@@ -46,14 +47,6 @@
     mAskForSummary;
 };
 
-/** How far a scheduler has got with a cancellation. */
-enum class cancel_progress
-{
-  kNotApplied, ///< This VM does not schedule the job, or not yet.
-  kApplied,    ///< A worker that may have a run of the job has not answered its stop.
-  kSettled,    ///< No worker has a run of the job that it wasn't told to stop.
-};
-
 struct scheduler_bounds
 {
   run_bounds mRuns;
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -580,7 +580,7 @@
   void OnAwaitCancellation(const std::string& aAddress,
                            const std::string& aJob,
                            uint64_t aRevision,
-                           peer_query::done<std::string> aDone) override;
+                           peer_query::done<cancel_progress> aDone) override;
 
   fake_installation& mSite;
   std::string mName;
@@ -655,7 +655,7 @@
 void fake_vm::OnAwaitCancellation(const std::string& aAddress,
                                   const std::string& aJob,
                                   uint64_t aRevision,
-                                  peer_query::done<std::string> aDone)
+                                  peer_query::done<cancel_progress> aDone)
 {
   if (mSite.mFaults.mLosesNotifications || IsBlocked(aAddress) ||
       !mSite.IsUp(aAddress) || mSite.IsFrozen(aAddress)) {
@@ -675,15 +675,7 @@
         });
         return;
       }
-      RunLater([aProgress, done] {
-        if (aProgress == cancel_progress::kNotApplied) {
-          done(std::optional<std::string>());
-        } else {
-          done(std::optional<std::string>(aProgress == cancel_progress::kSettled
-                                            ? peer_query::kSettled
-                                            : peer_query::kApplied));
-        }
-      });
+      RunLater([aProgress, done] { done(std::optional(aProgress)); });
     });
 }
 
