Cancellations of jobs have a class of their own

The latter are job_cancellations now, moved as they were; job_service passes Cancel on to it. The answers of both are in JobReply.

Tests, unchanged: 55 of [installation] (without the scan for idle jobs) and all 27 of [cancellation] and [headroom] pass.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -99,7 +99,7 @@
                aPorts.mDirectory,
                aPorts.mLog,
                [this] { return MayRelieve(); } })
-  , mJobs(
+  , mCancellations(
       { aPorts.mLoop,
         aPorts.mStore,
         aPorts.mPeers,
@@ -108,11 +108,19 @@
         mElection,
         mScheduler,
         mGuard,
-        [this] { return IsStoreReachable(); },
-        [this] { return !mIsIntakeClosed; },
         [this] { return mDraining; },
-        kStoreAnswerTimeout,
         LongestLease(aOptions.mScheduler.mRuns, aOptions.mScheduler.mRuns.mLeaseMax) })
+  , mJobs({ aPorts.mLoop,
+            aPorts.mStore,
+            aPorts.mPeers,
+            aPorts.mLog,
+            aPorts.mMetrics,
+            mElection,
+            mScheduler,
+            mCancellations,
+            [this] { return IsStoreReachable(); },
+            [this] { return !mIsIntakeClosed; },
+            kStoreAnswerTimeout })
 {
   mScheduler.SetRequestLimits([this] { return mElection.RequestLimits(); });
 }
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/CancellationGuard.h"
+#include "entry/JobCancellations.h"
 #include "entry/JobService.h"
 #include "entry/LoopMonitor.h"
 #include "entry/PolicyWatch.h"
@@ -123,6 +124,7 @@
   cancellation_guard mGuard;
   scheduler_election mElection;
   standby mStandby;
+  job_cancellations mCancellations;
   job_service mJobs;
   bool mDraining = false;
   time_point mStoreAnsweredAt{ 0 };
