--- a/tests/LeaseWaitTest.cpp
+++ b/tests/LeaseWaitTest.cpp
@@ -209,3 +209,25 @@
   REQUIRE(site.mTraces.front().mEnded);
   CHECK(site.MaxConcurrentRuns() == 1);
 }
+
+// Guards against a wait that takes a lease at the store for one that has run out.
+TEST_CASE("a worker that only a scheduler reached which resigned runs no task twice",
+          "[installation]")
+{
+  const auto isClockSlow = GENERATE(false, true);
+  const auto phase = GENERATE(range(0, 1'200, 50));
+  fake_installation site(kVms, kWorkers);
+  const auto worker = RunLongTask(site, isClockSlow, phase);
+  const auto former = site.SchedulerVm();
+  for (const auto& vm : Vms(site)) {
+    if (vm != former) {
+      site.mFaults.mBlockedLinks.insert({ vm, worker });
+    }
+  }
+  site.Node(former).StartDraining();
+  const auto waited = TimeUntilRestart(site);
+  CAPTURE(isClockSlow, phase, waited.count());
+  CHECK(site.mTraces.size() == 2);
+  REQUIRE(site.mTraces.front().mEnded);
+  CHECK(site.MaxConcurrentRuns() == 1);
+}
