Stand-in: a worker's new life numbers its entries anew and tells its own born; crashes and cuts

Seen: the entries of all workers shared one rising seq, which a restart continued, and entries told no born, so that the program could not see a restart there; born of the lists was a count from 1, not Unix milliseconds. Clock, numbers of ends, token and the cut of deadlines were as on the platform.

Change: seq per life, born in entries, and none for a worker that is gone. New: `crash` (dark for a time, then back under the id), effect `cut` (as lost, and earlier calls get no answer either), and payloads with fails:N.

--- a/src/standin/RunWorker.h
+++ b/src/standin/RunWorker.h
@@ -84,6 +84,7 @@
   /** Sets how fast the clock runs; 1: exactly. Only before the first request. */
   void SetClockRate(double aRate) { mClockRate = aRate; }
   const std::string& Id() const { return mId; }
+  int64_t StartedAtMs() const { return mStartedAtMs; }
 
 private:
   struct active_run
--- a/tests/platform/WorkerFaults.cpp
+++ b/tests/platform/WorkerFaults.cpp
@@ -15,7 +15,7 @@
   static const std::map<std::string, call_effect> sEffects = {
     { "late", call_effect::kLate },       { "unanswered", call_effect::kUnanswered },
     { "lost", call_effect::kLost },       { "busy", call_effect::kBusy },
-    { "limited", call_effect::kLimited },
+    { "limited", call_effect::kLimited }, { "cut", call_effect::kCut },
   };
   return sEffects.at(aName);
 }
@@ -48,11 +48,28 @@
 
 void worker_faults::WriteEntry(const std::string& aWorker)
 {
+  const auto startedAtMs = mPorts.mStartedAtMs(aWorker);
+  if (startedAtMs == 0) {
+    return;
+  }
   auto& entry = mEntries.at(aWorker);
-  entry["seq"] = ++mSequence;
+  entry["seq"] = ++mSequences[aWorker];
+  entry["born"] = startedAtMs;
   mPorts.mStore.Put(wire::kWorkersPrefix + aWorker, entry.dump());
 }
 
+call_effect worker_faults::EffectOn(const std::string& aWorker,
+                                    const std::string& aTarget) const
+{
+  if (mCrashed.count(aWorker) != 0) {
+    return call_effect::kLost;
+  }
+  const auto found = mOrderFaults.find({ aWorker, aTarget });
+  const bool isInForce =
+    found != mOrderFaults.end() && mPorts.mLoop.Now() < found->second.mUntil;
+  return isInForce ? found->second.mEffect : call_effect::kNormal;
+}
+
 void worker_faults::Serve(const std::string& aWorker,
                           const server_request& aRequest,
                           const single_thread_server::respond& aRespond)
@@ -60,20 +77,25 @@
   constexpr unsigned kServiceUnavailable = 503;
   constexpr unsigned kTooMany = 429;
   const auto ignoreAnswer = [](const server_reply&) {};
-  const auto found = mOrderFaults.find({ aWorker, aRequest.mTarget });
-  const bool isInForce =
-    found != mOrderFaults.end() && mPorts.mLoop.Now() < found->second.mUntil;
-  switch (isInForce ? found->second.mEffect : call_effect::kNormal) {
+  const auto& target = aRequest.mTarget;
+  const auto answerUnlessCut =
+    [this, aWorker, target, aRespond](const server_reply& aReply) {
+      if (EffectOn(aWorker, target) != call_effect::kCut) {
+        aRespond(aReply);
+      }
+    };
+  switch (EffectOn(aWorker, target)) {
     case call_effect::kNormal:
-      mPorts.mServe(aWorker, aRequest, aRespond);
+      mPorts.mServe(aWorker, aRequest, answerUnlessCut);
       break;
     case call_effect::kLate:
-      CarryOutLate(aWorker, aRequest, found->second.mMaxDelay);
+      CarryOutLate(aWorker, aRequest, mOrderFaults.at({ aWorker, target }).mMaxDelay);
       break;
     case call_effect::kUnanswered:
       mPorts.mServe(aWorker, aRequest, ignoreAnswer);
       break;
     case call_effect::kLost:
+    case call_effect::kCut:
       break;
     case call_effect::kBusy:
       aRespond(Refusal(kServiceUnavailable));
@@ -142,8 +164,9 @@
                               [this, worker, entry] { List(worker, entry); });
       });
   } else if (kind == "restart") {
-    mPorts.mRestart(worker);
-    WriteEntry(worker);
+    Restart(worker);
+  } else if (kind == "crash") {
+    Crash(worker, span("for_ms"));
   } else if (kind == "drain") {
     Drain(worker, span("remaining_ms"), span("entry_ms"), span("stays_ms"));
   } else {
@@ -165,6 +188,28 @@
   }
 }
 
+void worker_faults::Restart(const std::string& aWorker)
+{
+  mCrashed.erase(aWorker);
+  if (mEntries.count(aWorker) != 0) {
+    mPorts.mRestart(aWorker);
+    mSequences.erase(aWorker);
+    WriteEntry(aWorker);
+  }
+}
+
+void worker_faults::Crash(const std::string& aWorker, duration aFor)
+{
+  if (mCrashed.insert(aWorker).second) {
+    mPorts.mCrash(aWorker);
+    mPorts.mLoop.RunAfter(aFor, [this, aWorker] {
+      if (mCrashed.count(aWorker) != 0) {
+        Restart(aWorker);
+      }
+    });
+  }
+}
+
 void worker_faults::Drain(const std::string& aWorker,
                           duration aRemaining,
                           duration aEntryFor,
--- a/tests/platform/platform-standin.cpp
+++ b/tests/platform/platform-standin.cpp
@@ -19,6 +19,7 @@
 #include "standin/MemoryTransactionStore.h"
 #include "standin/RunWorker.h"
 
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -338,9 +339,9 @@
 }
 
 /**
- * Returns what the payload tells: the run time in ms, any words, and STEP:MS for each
- * step that makes a checkpoint each MS of its work. A checkpoint ends with the work in
- * ms that it stands for.
+ * Returns what the payload tells: the run time in ms, any words, fails:N if the runs up
+ * to number N fail, and STEP:MS for each step that makes a checkpoint each MS of its
+ * work. A checkpoint ends with the work in ms that it stands for.
  */
 run_behaviour DecodeBehaviour(const start_run_request& aRequest)
 {
@@ -358,11 +359,19 @@
     if (colon != std::string::npos &&
         word.substr(0, colon) == std::to_string(aRequest.mTask.mStep)) {
       behaviour.mCheckpointInterval = duration(std::atol(word.c_str() + colon + 1));
+    } else if (colon != std::string::npos && word.substr(0, colon) == "fails") {
+      behaviour.mFails = aRequest.mRun <= std::stoul(word.substr(colon + 1));
     }
   }
   return behaviour;
 }
 
+int64_t UnixMs()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 void ServeWorker(run_worker& aWorker,
                  const server_request& aRequest,
                  const single_thread_server::respond& aRespond)
@@ -433,10 +442,12 @@
   int64_t lastStartedAtMs = 0;
   const auto beginWorker = [&](const std::string& aWorker) {
     workers.erase(aWorker);
+    // No two lives share one.
+    lastStartedAtMs = std::max(lastStartedAtMs + 1, UnixMs());
     workers[aWorker] = std::make_unique<run_worker>(
       loop,
       aWorker,
-      ++lastStartedAtMs,
+      lastStartedAtMs,
       leaseMax,
       [&store](const start_run_request& aRequest) {
         auto behaviour = DecodeBehaviour(aRequest);
@@ -446,20 +457,26 @@
       gangs,
       traces);
   };
-  worker_faults faults({ loop,
-                         store,
-                         [&workers](const std::string& aWorker,
-                                    const server_request& aRequest,
-                                    const single_thread_server::respond& aRespond) {
-                           const auto worker = workers.find(aWorker);
-                           if (worker == workers.end()) {
-                             aRespond(JsonReply(503, json::object()));
-                           } else {
-                             ServeWorker(*worker->second, aRequest, aRespond);
-                           }
-                         },
-                         beginWorker,
-                         endWorker });
+  worker_faults faults(
+    { loop,
+      store,
+      [&workers](const std::string& aWorker,
+                 const server_request& aRequest,
+                 const single_thread_server::respond& aRespond) {
+        const auto worker = workers.find(aWorker);
+        if (worker == workers.end()) {
+          aRespond(JsonReply(503, json::object()));
+        } else {
+          ServeWorker(*worker->second, aRequest, aRespond);
+        }
+      },
+      beginWorker,
+      [&workers](const std::string& aWorker) { workers.erase(aWorker); },
+      endWorker,
+      [&workers](const std::string& aWorker) {
+        const auto worker = workers.find(aWorker);
+        return worker == workers.end() ? int64_t(0) : worker->second->StartedAtMs();
+      } });
   store_request_handler storeHandler(
     loop, store, traces, [&](const std::string& aWorker) {
       faults.Forget(aWorker);
