--- a/src/standin/RunWorker.cpp
+++ b/src/standin/RunWorker.cpp
@@ -282,6 +282,9 @@
     if (!*alive || ClockMs() <= mLeaseDeadlineMs) {
       return;
     }
+    for (const auto trace : mUnacknowledgedTraces) {
+      mTraces[trace].mLapsed = mTraces[trace].mLapsed.value_or(mLoop.Now());
+    }
     while (!mRuns.empty()) {
       const auto& [task, run] = mRuns.begin()->first;
       FinishRun(task, run, run_end::kLeaseExpired);
--- a/src/standin/RunWorker.h
+++ b/src/standin/RunWorker.h
@@ -39,6 +39,8 @@
   run_end mEnd = run_end::kLost;
   std::optional<time_point> mListed; ///< When a list first showed the end.
   std::optional<time_point> mNoted;  ///< When a hold that acknowledged the end came.
+  /** When the worker's lease lapsed with the end not acknowledged. */
+  std::optional<time_point> mLapsed;
   /** When the worker ended with the end not acknowledged. */
   std::optional<time_point> mForgotten;
 
--- a/tests/platform/platform-standin.cpp
+++ b/tests/platform/platform-standin.cpp
@@ -282,6 +282,7 @@
           { "end", trace.mEnded ? ToString(trace.mEnd) : "" },
           { "listed", trace.mListed ? trace.mListed->count() : 0 },
           { "noted", trace.mNoted ? trace.mNoted->count() : 0 },
+          { "lapsed", trace.mLapsed ? trace.mLapsed->count() : 0 },
           { "forgotten", trace.mForgotten ? trace.mForgotten->count() : 0 } });
     }
     aRespond(JsonReply(200, rows));
