--- a/src/standin/RunWorker.h
+++ b/src/standin/RunWorker.h
@@ -39,6 +39,8 @@
   run_end mEnd = run_end::kLost;
   std::optional<time_point> mListed; ///< When a list first showed the end.
   std::optional<time_point> mNoted;  ///< When a hold that acknowledged the end came.
+  /** When the worker's lease lapsed with the end not acknowledged. */
+  std::optional<time_point> mLapsed;
   /** When the worker ended with the end not acknowledged. */
   std::optional<time_point> mForgotten;
 
@@ -84,6 +86,7 @@
   /** Sets how fast the clock runs; 1: exactly. Only before the first request. */
   void SetClockRate(double aRate) { mClockRate = aRate; }
   const std::string& Id() const { return mId; }
+  int64_t StartedAtMs() const { return mStartedAtMs; }
 
 private:
   struct active_run
