--- a/tests/JobSizeTest.cpp
+++ b/tests/JobSizeTest.cpp
@@ -181,7 +181,7 @@
   const auto record = state.EncodeProgress();
   CHECK(record.find("[1023,0,1000000]") != std::string::npos);
   CHECK(record.size() < 524'288); // Half of the platform's limit, as above.
-  CHECK(record.size() < before + 24 * state.OccurrenceCount());
+  CHECK(record.size() < before + size_t{ 24 } * state.OccurrenceCount());
 }
 
 TEST_CASE("tasks are offered while their job has room for more open ones", "[jobs]")
--- a/tests/JobStateTest.cpp
+++ b/tests/JobStateTest.cpp
@@ -504,7 +504,7 @@
     bool isCounted = false;
     std::vector<bool> hasEnded(members);
     // Ends of this run and of former ones, each perhaps repeated, in any order.
-    while (state.PlacedTasks().size() > 0) {
+    while (!state.PlacedTasks().empty()) {
       const auto index = draw(members);
       const auto end = kEnds[draw(std::size(kEnds))];
       const auto ofRun = draw(4) == 0 ? 1 + draw(run) : run;
