Known red: an end as failed of a run that was given up counts no attempt

Seen: a worker out of reach, its run ends failed unseen and its lease lapses; it comes back and lists the end, which is acknowledged and counted nowhere. With max_attempts 2 a third run begins after both ends were noted (BUDGET), in 2 of 2 rows (a task, a gang of 2). Found beside the count of gangs' runs and not caused by it. Not mended here: the record must tell which runs were given up.

Ran: the new test fails 2 of 2 rows; the other tests with tag [installation] pass but for known-red.

--- a/tests/InstallationTest.cpp
+++ b/tests/InstallationTest.cpp
@@ -1292,3 +1292,30 @@
   CHECK(site.StateAt(site.SchedulerVm(), "1000") == "done");
   CHECK(site.mTraces.size() == starts);
 }
+
+// Guards against starts beyond max_attempts after a worker was out of reach.
+TEST_CASE("an end as failed of a run that was given up counts as an attempt",
+          "[installation][known-red]")
+{
+  const auto members = GENERATE(1U, 2U);
+  CAPTURE(members);
+  fake_installation site(2, 4);
+  site.mBehaviourByPayload["bad"] = { duration(4'000), true };
+  auto job = fake_installation::MakeJob(kJob, members, members > 1);
+  job.mSpec.mPayload = "bad";
+  job.mSpec.mSteps.front().mPerTask = { 20'000, 1'000, 1 };
+  job.mMaxAttempts = 2;
+  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(1'000));
+  const auto first = site.CountStarts(kJob);
+  REQUIRE(first == members);
+  for (const auto& trace : site.mTraces) {
+    site.mFaults.mUnreachableWorkers.insert(trace.mWorker);
+  }
+  // They fail unseen, and their leases lapse.
+  const auto isPlacedAgain = [&] { return site.CountStarts(kJob) == 2 * first; };
+  REQUIRE(site.mLoop.RunUntil(isPlacedAgain, duration(25'000)));
+  site.mFaults.mUnreachableWorkers.clear();
+  CHECK(site.ReachesState("vm0", kJob, "failed", duration(15'000)));
+  CHECK(site.CountStarts(kJob) == 2 * first);
+}
