--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -186,6 +186,11 @@
   /** Returns the largest number of concurrent runs of one task. */
   size_t MaxConcurrentRuns() const;
   size_t CountStarts(const std::string& aJob) const;
+  /** Returns the start time of the last life of a worker. */
+  int64_t StartedAtMsOf(const std::string& aWorker) const
+  {
+    return mStartedAtMsByWorker.at(aWorker);
+  }
 
   void PutPolicy(uint64_t aVersion);
 
@@ -206,6 +211,11 @@
   std::map<std::string, time_point> mCancelAnsweredAt;
   gang_registry mGangs{ mLoop };
   std::map<std::string, std::unique_ptr<run_worker>> mWorkers;
+  /** When a VM first had an answer or an entry of a worker's life, by its start time.
+   */
+  std::map<int64_t, time_point> mLifeKnownAt;
+  /** When the leases of a worker's lives ran out, as far as later calls showed it. */
+  std::map<std::string, std::vector<time_point>> mLapses;
   /** Behaviour of runs by the payload of their job. */
   std::map<std::string, run_behaviour> mBehaviourByPayload;
 
@@ -213,12 +223,23 @@
   friend class fake_vm;
 
   void AddWorker(const std::string& aId);
+  /** Records the lease that a call with aFence gives a worker, and lapses before it. */
+  void NoteLease(const run_worker& aWorker,
+                 uint64_t aFence,
+                 std::optional<int64_t> aDeadlineMs);
+
+  struct lease
+  {
+    uint64_t mFence = 0;
+    int64_t mUntilMs = 0; ///< On the worker's clock.
+  };
 
   size_t mWorkersPerRack;
   scheduler_bounds mBounds;
   int64_t mLastWorkerStartedAtMs = 1'000;
   /** Start time of the last life of each worker, which its entry tells. */
   std::map<std::string, int64_t> mStartedAtMsByWorker;
+  std::map<int64_t, lease> mLeases; ///< By the start time of the life.
   std::map<std::string, std::unique_ptr<fake_vm>> mVms;
   std::vector<std::unique_ptr<fake_vm>> mStoppedVms;
   std::set<std::string> mFrozenVms;
