An acknowledgement is sent until a hold that carries it is answered, and not after

A hold that was sent to a worker's former life is carried out seconds later by the next one, which forgets ends up to the former life's number though nobody has read them.

Cause: each hold carried the highest number for the rest of the term, though the worker had long forgotten those ends.

Change: the number is sent until a hold that carries it is answered by that life; all others carry 0. Left: a hold that carries a fresh number and meets the next life.

Test: checked by the new case; without the change it doesn't build.

--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -375,7 +375,8 @@
              run.mMeantForLifeMs == mWorkerStartedAtMs &&
              run.mWorkerDeadlineMs >= mClockMs;
     });
-  return mIsLifeUnknown || hasUnansweredStart ? 0 : mAcknowledged;
+  const bool isNeeded = mAcknowledged > mAckAnswered;
+  return !isNeeded || mIsLifeUnknown || hasUnansweredStart ? 0 : mAcknowledged;
 }
 
 std::vector<run_event> worker_runs::DropFormerLife(const hold_reply& aReply,
@@ -437,6 +438,7 @@
   mUnacknowledgedEnds.clear();
   mAcknowledged = 0;
   mAckSent = 0;
+  mAckAnswered = 0;
 }
 
 void worker_runs::MarkDurable(int64_t aWorkerStartedAtMs, uint64_t aNumber)
--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -262,7 +262,9 @@
   uint64_t Acknowledged() const { return mAcknowledged; }
 
   /**
-   * Returns the number that a hold may acknowledge: 0 while a start may have reached
+   * Returns the number that a hold is to acknowledge: 0 if one that acknowledged it has
+   * been answered, as a hold that is carried out late may meet another life. Also 0
+   * while a start may have reached
    * another life of the worker, which would forget ends that it has not listed yet. A
    * start without an answer counts until its deadline.
    */
@@ -272,6 +274,11 @@
   /** Returns whether a hold may acknowledge ends that none has acknowledged yet. */
   bool HasUnsentAcknowledgement() const { return SendableAcknowledgement() > mAckSent; }
   void RecordAckSent(uint64_t aNumber) { mAckSent = std::max(mAckSent, aNumber); }
+  /** Records that a hold which acknowledged aNumber was answered by this life. */
+  void RecordAckAnswered(uint64_t aNumber)
+  {
+    mAckAnswered = std::max(mAckAnswered, aNumber);
+  }
 
 private:
   run_event MakeEndEvent(const task_ref& aTask, uint32_t aRun, run_end aEnd) const;
@@ -306,6 +313,7 @@
   std::map<uint64_t, bool> mUnacknowledgedEnds;
   uint64_t mAcknowledged = 0;
   uint64_t mAckSent = 0;
+  uint64_t mAckAnswered = 0;
 };
 
 } // namespace anvildoor
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -234,9 +234,12 @@
   aWorker.mFailedHolds = 0;
   aWorker.mDroppedRuns = 0;
   const auto formerlyStartedAtMs = aWorker.mRuns.WorkerStartedAtMs();
-  if (formerlyStartedAtMs != 0 && aReply.mStartedAtMs != 0 &&
-      aReply.mStartedAtMs != formerlyStartedAtMs) {
+  const bool isNewLife = formerlyStartedAtMs != 0 && aReply.mStartedAtMs != 0 &&
+                         aReply.mStartedAtMs != formerlyStartedAtMs;
+  if (isNewLife) {
     LogNewLife(aWorker, "hold", aReply.mStartedAtMs);
+  } else {
+    aWorker.mRuns.RecordAckAnswered(aRequest.mAcknowledged);
   }
   // A worker answers after the hold's wait at the latest, so the hold has not reached
   // it before.
--- a/tests/WorkerRunsTest.cpp
+++ b/tests/WorkerRunsTest.cpp
@@ -457,6 +457,31 @@
   CHECK(runs.SendableAcknowledgement() == each.mAcknowledged);
 }
 
+// Guards against ends of a new life that a late hold of its former life acknowledges.
+TEST_CASE("an acknowledgement is sent until a hold that carries it is answered",
+          "[runs]")
+{
+  const auto isAnswered = GENERATE(false, true);
+  CAPTURE(isAnswered);
+  worker_runs runs{ run_bounds() };
+  auto reply = ReplyAt(90'000);
+  reply.mEnded.push_back({ 3, kTask, 1, run_end::kDone, "" });
+  runs.OnHoldReply(reply, kStart, kStart);
+  runs.MarkDurable(7, 3);
+  CHECK(runs.SendableAcknowledgement() == 3);
+  runs.RecordAckSent(3);
+  if (isAnswered) {
+    runs.RecordAckAnswered(3);
+  }
+  CHECK(runs.SendableAcknowledgement() == (isAnswered ? 0 : 3));
+  CHECK_FALSE(runs.HasUnsentAcknowledgement());
+  reply.mEnded.front().mNumber = 4;
+  runs.OnHoldReply(reply, kStart + duration(10), kStart + duration(10));
+  runs.MarkDurable(7, 4);
+  CHECK(runs.SendableAcknowledgement() == 4);
+  CHECK(runs.HasUnsentAcknowledgement());
+}
+
 TEST_CASE("ends are acknowledged in order once they are durable", "[runs]")
 {
   worker_runs runs{ run_bounds() };
