--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -103,8 +103,8 @@
     kEnded,      ///< See mEnd; mNumber must be acknowledged unless 0.
     kUnexpected, ///< The worker reports a run that is not registered.
     /**
-     * A start that the worker's former life was ruled to refuse may still reach the new
-     * one, which knows neither the stop nor the clock that ruled it out.
+     * A start without an answer that was ruled out in a former life may still reach the
+     * new one, which knows neither the stop nor the clock that ruled it out.
      */
     kMayStart,
     kCheckpoint ///< The run has a newer checkpoint.
@@ -262,11 +262,11 @@
   uint64_t Acknowledged() const { return mAcknowledged; }
 
   /**
-   * Returns the number that a hold is to acknowledge: 0 if one that acknowledged it has
-   * been answered, as a hold that is carried out late may meet another life. Also 0
-   * while a start may have reached
-   * another life of the worker, which would forget ends that it has not listed yet. A
-   * start without an answer counts until its deadline.
+   * Returns the number that a hold is to acknowledge, or 0. Another life of the worker
+   * that a hold meets, late or at once, forgets ends up to the number that nobody has
+   * read. So it is 0 once a hold that carried it has been answered, and while a start
+   * may have reached such a life, which until then has no ends. A start without an
+   * answer counts until its deadline.
    */
   uint64_t SendableAcknowledgement() const;
   int64_t WorkerStartedAtMs() const { return mWorkerStartedAtMs; }
