One piece of code where lives and failed runs were looked at twice

No behaviour changed. worker_runs::IsOfNewLife serves the scheduler, which compared born again; job_state::CountedFailedRuns serves the log line, which knew on which member a gang counts; the fake installation answers starts and stops by one function.

Ran on it: 83,334 checks in 229 unit test cases ([runs], [reborn], [reborn-scan], [jobs], [stop], [installation], [cancellation], [gang] and others, without the known red), format, lint of the changed files: all pass.

--- a/src/jobs/JobState.cpp
+++ b/src/jobs/JobState.cpp
@@ -392,17 +392,22 @@
   return effect;
 }
 
+task_ref job_state::CountedTask(const task_ref& aTask) const
+{
+  auto counted = aTask;
+  counted.mIndex = StepOf(aTask).mGang ? 0 : aTask.mIndex;
+  return counted;
+}
+
 void job_state::CountFailedRun(const task_ref& aTask, uint32_t aRun)
 {
-  auto countedTask = aTask;
   if (StepOf(aTask).mGang) {
-    countedTask.mIndex = 0;
     auto& step = MutableStep(aTask.mOccurrence, aTask.mStep);
     if (std::exchange(step.mCountedRun, aRun) == aRun) {
       return;
     }
   }
-  const auto failedRuns = ++MutableTask(countedTask).mFailedRuns;
+  const auto failedRuns = ++MutableTask(CountedTask(aTask)).mFailedRuns;
   const bool hasAttemptLimit = !StepOf(aTask).mLongRunning;
   if (hasAttemptLimit && failedRuns >= mJob.mMaxAttempts &&
       mOutcome == job_outcome::kOpen) {
--- a/src/jobs/JobState.h
+++ b/src/jobs/JobState.h
@@ -160,6 +160,12 @@
   const task_progress& Task(const task_ref& aTask) const;
   const step_spec& StepOf(const task_ref& aTask) const;
 
+  /** Returns how many failed runs are counted of a task, or of its whole gang. */
+  uint32_t CountedFailedRuns(const task_ref& aTask) const
+  {
+    return Task(CountedTask(aTask)).mFailedRuns;
+  }
+
   /** Returns whether aTask refers to a task of this job. */
   bool HasTask(const task_ref& aTask) const;
 
@@ -259,6 +265,8 @@
   bool IsStepDone(uint32_t aOccurrence, uint32_t aStep) const;
   uint64_t TaskCount() const;
   bool AllDone() const { return mDoneTasks == TaskCount(); }
+  /** Returns the task on which failed runs are counted: of a gang its first member. */
+  task_ref CountedTask(const task_ref& aTask) const;
   /** Counts a failed run of a task that isn't done; that of a gang only once. */
   void CountFailedRun(const task_ref& aTask, uint32_t aRun);
   void DecodeRows(const std::string& aText,
--- a/src/runs/WorkerRuns.cpp
+++ b/src/runs/WorkerRuns.cpp
@@ -121,6 +121,12 @@
   mLeaseExpiresAt = std::max(mLeaseExpiresAt, aNow + LongestLease(mBounds, aSpan));
 }
 
+bool worker_runs::IsOfNewLife(const hold_reply& aReply) const
+{
+  return aReply.mStartedAtMs != 0 && mWorkerStartedAtMs != 0 &&
+         aReply.mStartedAtMs != mWorkerStartedAtMs;
+}
+
 time_point worker_runs::LeaseExpiresAt() const
 {
   auto latest = mLeaseExpiresAt;
@@ -263,8 +269,7 @@
                                                 time_point aNow)
 {
   std::vector<run_event> events;
-  if (aReply.mStartedAtMs != 0 && mWorkerStartedAtMs != 0 &&
-      aReply.mStartedAtMs != mWorkerStartedAtMs) {
+  if (IsOfNewLife(aReply)) {
     events = DropFormerLife(aReply, aSentAt);
     const auto lateStarts = TakeLateStarts(aNow);
     events.insert(events.end(), lateStarts.begin(), lateStarts.end());
--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -165,6 +165,9 @@
    */
   bool IsOfOtherLife(int64_t aClockMs, time_point aSentAt) const;
 
+  /** Returns whether aReply is from another life of the worker than the last one. */
+  bool IsOfNewLife(const hold_reply& aReply) const;
+
   /** Returns the deadline, on the worker's clock, of a start sent at aNow. */
   int64_t StartDeadlineMs(time_point aNow) const;
 
--- a/src/scheduler/FleetSchedulerState.h
+++ b/src/scheduler/FleetSchedulerState.h
@@ -74,8 +74,8 @@
   worker_health mHealth;
   /** True while a hold call awaits its answer. */
   bool mHoldInFlight = false;
-  uint64_t mHoldNumber =
-    0; ///< Of the last hold call; the answers to others are ignored.
+  /** Number of the last hold call; the answers to former ones are ignored. */
+  uint64_t mHoldNumber = 0;
   /** Rises with each scheduled hold; timers of older generations do nothing. */
   uint64_t mHoldGeneration = 0;
   /**
--- a/src/scheduler/FleetSchedulerStops.cpp
+++ b/src/scheduler/FleetSchedulerStops.cpp
@@ -31,14 +31,6 @@
     });
 }
 
-/** Returns how many failed runs are counted of a task, or of its gang. */
-uint32_t CountedFailedRuns(const job_state& aState, const task_ref& aTask)
-{
-  auto counted = aTask;
-  counted.mIndex = aState.StepOf(aTask).mGang ? 0 : aTask.mIndex;
-  return aState.Task(counted).mFailedRuns;
-}
-
 constexpr const char* kUnansweredReason = "its stop was not answered";
 
 } // namespace
@@ -294,7 +286,7 @@
   }
   if (aEvent.mEnd != run_end::kDone && aJob != nullptr &&
       aJob->mState.HasTask(aEvent.mTask)) {
-    event.Add("failed_runs", CountedFailedRuns(aJob->mState, aEvent.mTask))
+    event.Add("failed_runs", aJob->mState.CountedFailedRuns(aEvent.mTask))
       .Add("max_attempts", aJob->mState.Job().mMaxAttempts);
   }
   if (IsCancelled(aJob)) {
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -233,10 +233,7 @@
   aWorker.mIsUnresponsive = false;
   aWorker.mFailedHolds = 0;
   aWorker.mDroppedRuns = 0;
-  const auto formerlyStartedAtMs = aWorker.mRuns.WorkerStartedAtMs();
-  const bool isNewLife = formerlyStartedAtMs != 0 && aReply.mStartedAtMs != 0 &&
-                         aReply.mStartedAtMs != formerlyStartedAtMs;
-  if (isNewLife) {
+  if (aWorker.mRuns.IsOfNewLife(aReply)) {
     LogNewLife(aWorker, "hold", aReply.mStartedAtMs);
   } else {
     aWorker.mRuns.RecordAckAnswered(aRequest.mAcknowledged);
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -414,6 +414,21 @@
     return status;
   }
 
+  /** Passes on aStatus, with the present clock of the worker, after the latency. */
+  void AnswerFrom(const run_worker& aWorker,
+                  run_request_status aStatus,
+                  const order_fate& aFate,
+                  const run_port::done<run_answer>& aDone)
+  {
+    const run_answer answer{ aStatus, aWorker.ClockMs() };
+    RunLater(
+      [this, life = aWorker.StartedAtMs(), answer, aDone] {
+        NoteKnown(life);
+        aDone(answer);
+      },
+      kCallLatency + aFate.mAnswerDelay);
+  }
+
   void OnStart(const start_run_request& aRequest,
                run_port::done<run_answer> aDone) override
   {
@@ -451,14 +466,7 @@
       RunLater([answer] { answer(run_request_status::kNoAnswer); }, kCallTimeout);
       return;
     }
-    const run_answer accepted{ StartOn(mSite, *worker, aRequest), worker->ClockMs() };
-    const auto life = mSite.StartedAtMsOf(aRequest.mWorker.mId);
-    RunLater(
-      [this, life, accepted, aDone] {
-        NoteKnown(life);
-        aDone(accepted);
-      },
-      kCallLatency + fate.mAnswerDelay);
+    AnswerFrom(*worker, StartOn(mSite, *worker, aRequest), fate, aDone);
   }
   void OnStop(const stop_run_request& aRequest,
               run_port::done<run_answer> aDone) override
@@ -482,15 +490,9 @@
       RunLater([answer] { answer(run_request_status::kNoAnswer); }, kCallTimeout);
       return;
     }
-    const run_answer accepted{ worker->Stop(aRequest), worker->ClockMs() };
+    const auto status = worker->Stop(aRequest);
     mSite.NoteLease(*worker, aRequest.mFence, std::nullopt);
-    const auto life = mSite.StartedAtMsOf(aRequest.mWorker.mId);
-    RunLater(
-      [this, life, accepted, aDone] {
-        NoteKnown(life);
-        aDone(accepted);
-      },
-      kCallLatency + fate.mAnswerDelay);
+    AnswerFrom(*worker, status, fate, aDone);
   }
   void OnHold(const hold_request& aRequest, run_port::done<hold_reply> aDone) override
   {
