--- a/tests/platform/check_reborn_workers.py
+++ b/tests/platform/check_reborn_workers.py
@@ -1,13 +1,12 @@
 """Checks with real processes that tasks run once beside workers that start again and are cut off.
 
 Usage: check_reborn_workers.py BUILD [--seeds FIRST COUNT] [--lease-ms MS] [--rounds COUNT]
-[--entry ENTRY_BUILD] [--logs FOLDER] [--sound-gangs]. Jobs are handed in all the time. Several
+[--entry ENTRY_BUILD] [--logs FOLDER]. Jobs are handed in all the time. Several
 times, a share of the workers crashes, is back under the same ids after 0.6 s, and is cut off
 from all VMs soon after, while its runs go on. Without --lease-ms, the seed chooses the longest
 lease of a worker. ENTRY_BUILD has the anvildoor-entry to be checked. --logs keeps the logs of a
-seed that breaks a rule. With --sound-gangs, no gang fails by its own fault. Fails if a task
-runs twice at once or again after an end that was noted, if a job is failed with attempts left,
-or if one isn't done at the end.
+seed that breaks a rule. Fails if a task runs twice at once or again after an end that was noted,
+if a job is failed with attempts left, or if one isn't done at the end.
 """
 
 import argparse
@@ -49,9 +48,8 @@
 class Callers:
     """Hands in jobs until it is ended."""
 
-    def __init__(self, site, seed, sound_gangs):
+    def __init__(self, site, seed):
         self.site, self.dice, self.jobs = site, random.Random(seed), {}
-        self.sound_gangs = sound_gangs
         self.is_over = threading.Event()
         self.thread = threading.Thread(target=self.run)
         self.thread.start()
@@ -65,7 +63,7 @@
         is_gang = dice.random() < 0.2
         is_long = dice.random() < LONG_SHARE
         run_ms = dice.randrange(*LONG_MS) if is_long else dice.randrange(*SHORT_MS)
-        fails = dice.random() < 0.1 and not (is_gang and self.sound_gangs)
+        fails = dice.random() < 0.1
         spec = f"{run_ms} fails:1" if fails else str(run_ms)
         step = {"count": 3 if is_gang else dice.randrange(1, 3), "cpu": 4000,
                 "estimate_ms": run_ms, "gang": is_gang}
@@ -218,7 +216,7 @@
         since = now_s()
         callers = None
         try:
-            callers = Callers(site, seed, args.sound_gangs)
+            callers = Callers(site, seed)
             notes = []
             time.sleep(5)
             for _ in range(args.rounds):
@@ -248,7 +246,6 @@
     parser.add_argument("--lease-ms", type=int, default=0)
     parser.add_argument("--rounds", type=int, default=2)
     parser.add_argument("--logs")
-    parser.add_argument("--sound-gangs", action="store_true")
     args = parser.parse_args()
     for seed in range(args.seeds[0], sum(args.seeds)):
         play(args, seed)
