Placement search, preemption search and planning input in files of their own; evacuations of data centres

Callers lacked: an operators' request to start nothing more in a data centre was read by nobody. The scheduler now follows the requests during its term (scheduler/Evacuations, by store/RangeWatch, which the watch of the desired state uses, too) and places nothing there.

--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -21,6 +21,9 @@
   duration mMinStatusRetention{ 120'000 };
   duration mWorkerHeartbeatPeriod{ 1'500 };
   duration mStopGrace{ 6'000 }; ///< Time from SIGTERM until the VM must have stopped.
+  /** How long after a request to evacuate a data centre starts there must have ceased;
+   * 0: there are no such requests. */
+  duration mEvacuationBound{ 0 };
   duration mMinStoreLease{ 1'000 }; ///< Shortest lease that the store grants.
   double mCores = 1.0;              ///< Processor share in cores; may be a fraction.
   double mLinkMbps = 1'000;         ///< Bandwidth of this VM's network link.
--- a/src/entry/PolicyWatch.h
+++ b/src/entry/PolicyWatch.h
@@ -3,7 +3,7 @@
 #include "base/EventLog.h"
 #include "base/EventLoop.h"
 #include "config/FleetPolicy.h"
-#include "store/TransactionStore.h"
+#include "store/RangeWatch.h"
 
 #include <functional>
 #include <memory>
@@ -29,28 +29,23 @@
                decoder aDecode,
                listener aListener);
 
-  void Begin() { Read(); }
+  void Begin() { mWatch.Read(); }
 
   /** Reads the key now, for example when the store is reachable again. */
-  void ReadAgain() { Read(); }
+  void ReadAgain() { mWatch.Read(); }
 
   /** Returns the version in force; null before the first read. */
   const std::shared_ptr<const fleet_policy>& Current() const { return mCurrent; }
 
 private:
-  void Read();
-  void Watch(uint64_t aRevision);
   void Apply(const stored_item& aItem);
-  void ScheduleRead();
 
-  event_loop& mLoop;
-  transaction_store& mStore;
   event_log& mLog;
   std::string mKey;
   decoder mDecode;
   listener mListener;
-  uint64_t mCallNumber = 0; ///< Counts reads and watches; earlier ones do nothing.
   std::shared_ptr<const fleet_policy> mCurrent;
+  range_watch mWatch;
 };
 
 } // namespace anvildoor
--- /dev/null
+++ b/src/planner/PreemptionSearch.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "planner/SlotSearch.h"
+
+#include <optional>
+#include <vector>
+
+namespace anvildoor {
+
+/** Units to stop, and the workers on which a group then fits. */
+struct preemption
+{
+  std::vector<size_t> mUnits; ///< Indices of the units in the input.
+  double mCost = 0.0;
+  search_scope mScope;
+
+  auto operator<=>(const preemption&) const = default;
+};
+
+/**
+ * Chooses the runs that are stopped to make room for a group that may preempt, or that
+ * may clear a rack. Keeps which units one round stops. Not thread-safe.
+ */
+class preemption_search
+{
+public:
+  /** Both references must outlive the search. */
+  preemption_search(const placement_input& aInput, const slot_search& aSlots);
+
+  /** Returns the cheapest preemption, or nothing if it would cost too much. */
+  std::optional<preemption> Cheapest(const placement_group& aGroup,
+                                     const std::vector<uint32_t>& aMissing) const;
+
+  /** Notes that a unit is stopped, so that no other group counts on its resources. */
+  void MarkStopped(size_t aUnit) { mStopped[aUnit] = true; }
+
+private:
+  bool MayPreempt(size_t aUnit, const placement_group& aGroup) const;
+  double Cost(size_t aUnit) const;
+  /**
+   * Selects units to stop on aWorkers to free aTaskSlots: adds the cheapest ones first,
+   * then removes those that are not needed.
+   */
+  std::optional<preemption> SearchOn(const placement_group& aGroup,
+                                     size_t aTaskSlots,
+                                     const std::vector<size_t>& aWorkers) const;
+
+  const placement_input& mInput;
+  const slot_search& mSlots;
+  std::vector<std::vector<size_t>> mUnitsOnWorker; ///< Preemption units by worker.
+  std::vector<bool> mStopped;
+};
+
+} // namespace anvildoor
--- /dev/null
+++ b/src/scheduler/Evacuations.cpp
@@ -0,0 +1,142 @@
+#include "scheduler/Evacuations.h"
+
+#include "scheduler/StoreKeys.h"
+
+namespace anvildoor {
+
+namespace {
+
+/**
+ * Share of the bound in which starts that were decided before are still sent, so that
+ * no gang is torn apart whose other members have been sent already.
+ */
+constexpr int kGraceDivisor = 4;
+
+} // namespace
+
+evacuations::evacuations(event_loop& aLoop,
+                         transaction_store& aStore,
+                         event_log& aLog,
+                         metrics& aMetrics,
+                         evacuation_settings aSettings,
+                         std::function<void()> aOnChange)
+  : mLoop(aLoop)
+  , mLog(aLog)
+  , mMetrics(aMetrics)
+  , mSettings(std::move(aSettings))
+  , mOnChange(std::move(aOnChange))
+  , mWatch(aLoop,
+           aStore,
+           mSettings.mKeyPrefix,
+           { [this](const stored_range& aRange) {
+              OnRead(aRange);
+              return true;
+            },
+             [this](const stored_change& aChange) {
+               if (aChange.mRemoved) {
+                 Remove(DataCentreOf(aChange.mItem.mKey));
+               } else {
+                 Insert(aChange.mItem.mKey);
+               }
+               OnChanged();
+             } })
+{
+}
+
+void evacuations::Begin()
+{
+  mBegunAt = mLoop.Now();
+  if (IsEnabled()) {
+    mWatch.Read();
+  }
+}
+
+void evacuations::End()
+{
+  mWatch.End();
+  mSince.clear();
+  mWasKnown = false;
+}
+
+bool evacuations::AreKnown() const
+{
+  if (!IsEnabled()) {
+    return true;
+  }
+  const auto answeredAt = mWatch.AnsweredAt();
+  return answeredAt >= mBegunAt && answeredAt != time_point(0) &&
+         mLoop.Now() - answeredAt <= mSettings.mBound;
+}
+
+bool evacuations::CheckKnown()
+{
+  const bool isKnown = AreKnown();
+  if (isKnown != mWasKnown && IsEnabled()) {
+    mLog.Write(log_event("evacuations_known")
+                 .Add("known", isKnown ? 1 : 0)
+                 .Add("age_ms", (mLoop.Now() - mWatch.AnsweredAt()).count()));
+  }
+  mWasKnown = isKnown;
+  return isKnown;
+}
+
+bool evacuations::Includes(const std::string& aDataCentre) const
+{
+  return mSince.count(aDataCentre) != 0;
+}
+
+bool evacuations::ForbidsStarts(const std::string& aDataCentre) const
+{
+  const auto found = mSince.find(aDataCentre);
+  return found != mSince.end() &&
+         mLoop.Now() - found->second > mSettings.mBound / kGraceDivisor;
+}
+
+void evacuations::OnRead(const stored_range& aRange)
+{
+  std::map<std::string, time_point> former = mSince;
+  for (const auto& item : aRange.mItems) {
+    Insert(item.mKey);
+    former.erase(DataCentreOf(item.mKey));
+  }
+  for (const auto& [dataCentre, since] : former) {
+    Remove(dataCentre);
+  }
+  OnChanged();
+}
+
+std::string evacuations::DataCentreOf(const std::string& aKey) const
+{
+  return store_keys::StripPrefix(aKey, mSettings.mKeyPrefix).value_or("");
+}
+
+void evacuations::Insert(const std::string& aKey)
+{
+  const auto dataCentre = DataCentreOf(aKey);
+  if (!mSince.emplace(dataCentre, mLoop.Now()).second) {
+    return;
+  }
+  mLog.Write(log_event("evacuation_begun").Add("data_centre", dataCentre));
+  mMetrics.Count("evacuations_total", "change", "begun");
+}
+
+void evacuations::Remove(const std::string& aDataCentre)
+{
+  const auto found = mSince.find(aDataCentre);
+  if (found == mSince.end()) {
+    return;
+  }
+  mLog.Write(log_event("evacuation_ended")
+               .Add("data_centre", aDataCentre)
+               .Add("lasted_ms", (mLoop.Now() - found->second).count()));
+  mMetrics.Count("evacuations_total", "change", "ended");
+  mSince.erase(found);
+}
+
+void evacuations::OnChanged()
+{
+  mMetrics.Set("evacuated_data_centres", static_cast<double>(mSince.size()));
+  mOnChange();
+}
+
+} // namespace anvildoor
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -67,6 +67,12 @@
              [this](const std::string& aKey) { HandleInboxRemoval(aKey); },
              [this] { mUnmatchedCancels.clear(); },
              [this] { ForgetRemovedJobs(); } })
+  , mEvacuations(aPorts.mLoop,
+                 aPorts.mStore,
+                 aPorts.mLog,
+                 aPorts.mMetrics,
+                 aBounds.mEvacuations,
+                 [this] { SchedulePlan(); })
 {
 }
 
@@ -113,6 +119,7 @@
   mTermBegunAt = mPorts.mLoop.Now();
   mTakeoverReadAt = mTermBegunAt;
   mInboxMonitor.Begin(mTermBegunAt);
+  mEvacuations.Begin();
   Load();
 }
 
@@ -128,6 +135,7 @@
   mHasWorkerAnswered = false;
   mWriter.End();
   mInbox.End();
+  mEvacuations.End();
   mInboxMonitor.End();
   mIdleJobs.End();
   mJobs.clear();
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -13,11 +13,13 @@
 #include "runs/WorkerHealth.h"
 #include "runs/WorkerRuns.h"
 #include "scheduler/CancelProgress.h"
+#include "scheduler/Evacuations.h"
 #include "scheduler/IdleJobs.h"
 #include "scheduler/InboxMonitor.h"
 #include "scheduler/InboxReader.h"
 #include "scheduler/RecordWriter.h"
 #include "scheduler/RequestLimits.h"
+#include "scheduler/SchedulerPorts.h"
 #include "scheduler/TermHealth.h"
 #include "scheduler/TermRuns.h"
 #include "scheduler/TermSummary.h"
@@ -28,41 +30,6 @@
 
 namespace anvildoor {
 
-/** Receives an encoded term_summary, nothing, or why it could not be had. */
-using summary_callback = std::function<void(const result<std::optional<std::string>>&)>;
-
-/** The scheduler's interfaces to its environment. All must outlive it. */
-struct scheduler_ports
-{
-  event_loop& mLoop;
-  transaction_store& mStore;
-  run_port& mWorkers;
-  worker_directory& mDirectory;
-  event_log& mLog;
-  metrics& mMetrics;
-  std::function<int64_t()> mUnixMs; ///< Returns the Unix time in ms.
-  /** Asks the VM at an address for the encoded summary of a term before aFence. */
-  std::function<
-    void(const std::string& aAddress, uint64_t aFence, summary_callback aDone)>
-    mAskForSummary;
-};
-
-struct scheduler_bounds
-{
-  run_bounds mRuns;
-  /**
-   * How long after its lease at the store a former scheduler may still send requests.
-   * Leases that it requests by holds then end as if requested at the end of its own.
-   */
-  duration mRequestGracePastTerm{ 4'000 };
-  /** Minimum time for which outcomes are shown. */
-  duration mMinStatusRetention{ 120'000 };
-  /** Bound on the memory for jobs, over which no further ones are taken. */
-  size_t mMaxJobBytes = 48'000'000;
-
-  auto operator<=>(const scheduler_bounds&) const = default;
-};
-
 /**
  * Schedules the whole installation during one VM's term: reads accepted jobs from the
  * store, places their tasks on workers, starts and monitors the runs, and records their
@@ -408,24 +375,10 @@
   // Planning and starting (FleetSchedulerPlanning.cpp).
   void SchedulePlan();
   void Plan();
-  static task_resources FreeResources(const worker_entry& aWorker);
-  static bool AcceptsStarts(const worker_entry& aWorker, time_point aNow);
-  placement_input BuildInput(std::vector<std::string>& aWorkerIds);
-  void AddGroups(job_entry& aJob, std::vector<placement_group>& aGroups);
-  /** Returns how many tasks of a long-running step are not in service. */
-  int64_t CountMissingTasks(const job_state& aState, const task_ref& aFirstTask) const;
-  /**
-   * Adds the runs that may be preempted. The resources of those that end before a stop
-   * would end them count as being released.
-   */
-  void AddPreemptibleUnits(const std::vector<std::string>& aWorkerIds,
-                           placement_input& aInput) const;
   /** Logs and counts, at most once in kCapacityLogPeriod, what waits and why. */
   void ReportWaiting(const placement_input& aInput, const placement_plan& aPlan);
   void LogPlacements(const job_entry& aJob,
                      const std::vector<std::pair<task_ref, uint32_t>>& aRuns) const;
-  std::map<std::string, int64_t> DemandByWorkspace() const;
-  bool IsWithinGuarantee(const accepted_job& aJob) const;
   void ExecutePlan(const placement_input& aInput,
                    const placement_plan& aPlan,
                    const std::vector<std::string>& aWorkerIds);
@@ -437,6 +390,22 @@
                      const run_answer& aAnswer,
                      time_point aSentAt);
 
+  // The input of a planning round (FleetSchedulerInput.cpp).
+  static task_resources FreeResources(const worker_entry& aWorker);
+  bool AcceptsStarts(const worker_entry& aWorker, time_point aNow) const;
+  placement_input BuildInput(std::vector<std::string>& aWorkerIds);
+  void AddGroups(job_entry& aJob, std::vector<placement_group>& aGroups);
+  /** Returns how many tasks of a long-running step are not in service. */
+  int64_t CountMissingTasks(const job_state& aState, const task_ref& aFirstTask) const;
+  /**
+   * Adds the runs that may be preempted. The resources of those that end before a stop
+   * would end them count as being released.
+   */
+  void AddPreemptibleUnits(const std::vector<std::string>& aWorkerIds,
+                           placement_input& aInput) const;
+  std::map<std::string, int64_t> DemandByWorkspace() const;
+  bool IsWithinGuarantee(const accepted_job& aJob) const;
+
   bool MaySendRequests() const;
   /** Returns until when the term's lease lasts for certain, if it has a limit. */
   time_point TermLeaseEnd() const;
@@ -457,6 +426,7 @@
   idle_job_monitor mIdleJobs;
   time_point mIdleObservedAt{ 0 };
   inbox_reader mInbox;
+  evacuations mEvacuations;
   scheduler_term mTerm;
   scheduler_term mPredecessor;
   std::optional<term_summary> mLastSummary; ///< The newest known; see LastTermSummary.
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -17,29 +17,12 @@
  * of the processor time.
  */
 constexpr int kPausePerPlan = 3;
-/** A worker whose last answer is older than this gets no new tasks. */
-constexpr duration kMaxAnswerAge{ 2'800 };
-/** A gang may span racks after it has waited for this multiple of its estimate. */
-constexpr double kSpanRacksAfterEstimates = 3.0;
-/** Work that a stopped checkpointing task loses; a restore takes 0.1 s. */
-constexpr double kResumeLossSeconds = 0.2;
-/** Limit on the waiting steps of one job, over its occurrences, in a round. */
-constexpr size_t kMaxGroupsPerJob = 128;
 /** Shortest time between two reports of waiting tasks. */
 constexpr duration kCapacityLogPeriod{ 2'000 };
 /** Reason logged for a preempted run. */
 constexpr const char* kPreemptedReason = "preempted by a job of higher priority";
 /** Reason logged for a run that makes room for a gang. */
 constexpr const char* kRackClearedReason = "a gang needs one rack";
-constexpr double kMsPerSecond = 1'000.0;
-
-/** Returns whether a run is expected to end by itself before a stop would end it. */
-bool EndsBeforeStop(const run_info& aRun, time_point aNow)
-{
-  constexpr duration kTypicalStopTime{ 200 };
-  const auto left = aRun.mProgress.TimeLeft(aNow);
-  return left && *left <= kTypicalStopTime;
-}
 
 } // namespace
 
@@ -58,7 +41,7 @@
 
 void fleet_scheduler::Plan()
 {
-  if (!MaySendRequests()) {
+  if (!MaySendRequests() || !mEvacuations.CheckKnown()) {
     return;
   }
   const auto began = mPorts.mLoop.Now();
@@ -122,242 +105,6 @@
                       .Add("reason", ToString(ExplainWaiting(aInput, aPlan, oldest))));
 }
 
-std::map<std::string, int64_t> fleet_scheduler::DemandByWorkspace() const
-{
-  std::map<std::string, int64_t> demand;
-  for (const auto& [id, job] : mJobs) {
-    const auto& acceptedJob = job->mState.Job();
-    if (acceptedJob.mPriority != 0 || job->mState.Outcome() != job_outcome::kOpen) {
-      continue;
-    }
-    for (const auto& step : acceptedJob.mSpec.mSteps) {
-      demand[acceptedJob.mWorkspace] += step.mCount * step.mPerTask.mAccelerators;
-    }
-  }
-  return demand;
-}
-
-bool fleet_scheduler::IsWithinGuarantee(const accepted_job& aJob) const
-{
-  const auto& workspaces = mPolicy->mWorkspaces;
-  const auto found =
-    std::find_if(workspaces.begin(), workspaces.end(), [&](const auto& aWorkspace) {
-      return aWorkspace.mName == aJob.mWorkspace;
-    });
-  const auto demand = mPriorityZeroDemand.find(aJob.mWorkspace);
-  return found != workspaces.end() && aJob.mPriority == 0 &&
-         demand != mPriorityZeroDemand.end() &&
-         demand->second <= found->mGuaranteedAccelerators;
-}
-
-task_resources fleet_scheduler::FreeResources(const worker_entry& aWorker)
-{
-  auto free = aWorker.mListed.mCapacity;
-  Add(free, aWorker.mRuns.UsedResources(), -1);
-  return free;
-}
-
-bool fleet_scheduler::AcceptsStarts(const worker_entry& aWorker, time_point aNow)
-{
-  return aWorker.mIsListed && !aWorker.mListed.mDraining && aWorker.mRuns.HasLease() &&
-         !aWorker.mIsUnresponsive &&
-         aNow - aWorker.mRuns.LastAnswer() < kMaxAnswerAge &&
-         aWorker.mHealth.AcceptsRuns(aNow, aWorker.mRuns.Runs().size());
-}
-
-placement_input fleet_scheduler::BuildInput(std::vector<std::string>& aWorkerIds)
-{
-  const auto now = mPorts.mLoop.Now();
-  placement_input input;
-  mPriorityZeroDemand = DemandByWorkspace();
-  for (auto& [id, job] : mJobs) {
-    if (job->mState.Outcome() == job_outcome::kOpen && job->mMayHaveWaitingTasks &&
-        job->mMayStartFrom <= now) {
-      AddGroups(*job, input.mGroups);
-    }
-  }
-  if (input.mGroups.empty()) {
-    return input;
-  }
-  std::stable_sort(input.mGroups.begin(),
-                   input.mGroups.end(),
-                   [this](const placement_group& aLeft, const placement_group& aRight) {
-                     const auto key = [this](const placement_group& aGroup) {
-                       const auto& job = mJobs.at(aGroup.mJob)->mState.Job();
-                       return std::make_tuple(aGroup.mForecast ==
-                                                completion_forecast::kTooLate,
-                                              aGroup.mPriority,
-                                              !aGroup.mGuaranteed,
-                                              aGroup.mForecast,
-                                              job.mAcceptedAtMs);
-                     };
-                     return key(aLeft) < key(aRight);
-                   });
-  for (const auto& [id, worker] : mWorkers) {
-    const auto& listed = worker->mListed;
-    placement_worker candidate;
-    candidate.mId = id;
-    candidate.mPool = listed.mPool;
-    candidate.mRack = listed.mRack;
-    candidate.mLabels = listed.mLabels;
-    candidate.mFree = FreeResources(*worker);
-    for (const auto& [task, run] : worker->mRuns.Runs()) {
-      candidate.mLoadByPriority[run.mPriority] +=
-        DominantShare(run.mResources, listed.mCapacity);
-      if (run.mStopping) {
-        Add(candidate.mReleasedByStops, run.mResources);
-      }
-    }
-    candidate.mTotal = listed.mCapacity;
-    candidate.mAcceptsTasks = AcceptsStarts(*worker, now);
-    candidate.mScorePenalty = worker->mHealth.PlacementPenalty();
-    aWorkerIds.push_back(id);
-    input.mWorkers.push_back(std::move(candidate));
-  }
-  mHeadroom.SetAllowances(input, now);
-  mRackPatience.SetRights(input, now);
-  return input;
-}
-
-void fleet_scheduler::AddGroups(job_entry& aJob, std::vector<placement_group>& aGroups)
-{
-  const auto& acceptedJob = aJob.mState.Job();
-  const auto now = mPorts.mLoop.Now();
-  const auto unixMs = mPorts.mUnixMs();
-  const auto* queue = mPolicy->QueueNamed(acceptedJob.mQueue);
-  aJob.mMayHaveWaitingTasks = false;
-  size_t groupsLeft = kMaxGroupsPerJob;
-  for (auto occurrence = aJob.mState.FirstUnfinishedOccurrence();
-       occurrence < aJob.mState.OccurrenceCount();
-       ++occurrence) {
-    if (aJob.mState.DueMs(occurrence) > unixMs) {
-      aJob.mMayHaveWaitingTasks = true;
-      break;
-    }
-    if (groupsLeft == 0) {
-      break;
-    }
-    for (uint32_t step = 0; step < acceptedJob.mSpec.mSteps.size() && groupsLeft > 0;
-         ++step) {
-      const auto waiting = aJob.mState.WaitingTasks(occurrence, step);
-      if (waiting.empty()) {
-        continue;
-      }
-      aJob.mMayHaveWaitingTasks = true;
-      placement_group group;
-      group.mJob = acceptedJob.mId;
-      group.mOccurrence = occurrence;
-      group.mStep = step;
-      group.mSpec = acceptedJob.mSpec.mSteps[step];
-      group.mPool = queue != nullptr ? queue->mPool : acceptedJob.mPool;
-      group.mPriority = acceptedJob.mPriority;
-      group.mForecast = ForecastCompletion(aJob.mState, occurrence, unixMs, mDurations);
-      group.mGuaranteed = IsWithinGuarantee(acceptedJob);
-      group.mMayPreempt =
-        acceptedJob.mPriority == 0 &&
-        (group.mGuaranteed || group.mForecast == completion_forecast::kOnTime);
-      const auto spanRacksDelay = duration(static_cast<int64_t>(
-        kSpanRacksAfterEstimates * static_cast<double>(group.mSpec.mEstimate.count())));
-      group.mMaySpanRacks = now - aJob.mFirstSeenAt > spanRacksDelay;
-      const auto reserved = mReserved.find({ acceptedJob.mId, occurrence, step, 0 });
-      if (reserved != mReserved.end()) {
-        group.mReserved = reserved->second;
-      }
-      bool hasNoUnrecordedRuns = true;
-      for (const auto index : waiting) {
-        const task_ref task{ acceptedJob.mId, occurrence, step, index };
-        const auto avoided = aJob.mAvoidedWorkers.find(task);
-        if (avoided != aJob.mAvoidedWorkers.end()) {
-          group.mAvoidedByIndex[index] = avoided->second;
-        }
-        hasNoUnrecordedRuns = hasNoUnrecordedRuns && mUnrecordedRuns.count(task) == 0;
-        group.mIndices.push_back(index);
-      }
-      if (group.mSpec.mMaxPerWorker != 0) {
-        for (const auto& task : aJob.mState.PlacedTasksOf(occurrence, step)) {
-          ++group.mPlacedByWorker[aJob.mState.Task(task).mWorker];
-        }
-      }
-      if (hasNoUnrecordedRuns) {
-        aGroups.push_back(std::move(group));
-        --groupsLeft;
-      }
-    }
-  }
-}
-
-int64_t fleet_scheduler::CountMissingTasks(const job_state& aState,
-                                           const task_ref& aFirstTask) const
-{
-  constexpr int64_t kInServicePercent = 100;
-  int64_t inService = 0;
-  for (const auto& task :
-       aState.PlacedTasksOf(aFirstTask.mOccurrence, aFirstTask.mStep)) {
-    const auto* run = FindPlacedRun(aState, task);
-    const bool isInService = run != nullptr && !run->mStopping &&
-                             !mWorkers.at(aState.Task(task).mWorker)->mIsUnresponsive &&
-                             run->mProgress.Percent() >= kInServicePercent;
-    inService += isInService ? 1 : 0;
-  }
-  return int64_t(aState.StepOf(aFirstTask).mCount) - inService;
-}
-
-void fleet_scheduler::AddPreemptibleUnits(const std::vector<std::string>& aWorkerIds,
-                                          placement_input& aInput) const
-{
-  const auto now = mPorts.mLoop.Now();
-  auto& units = aInput.mPreemptionUnits;
-  std::map<task_ref, size_t> gangs;
-  std::map<task_ref, int64_t> stopsLeft; // By the first task of the step.
-  for (size_t number = 0; number < aWorkerIds.size(); ++number) {
-    for (const auto& [task, run] : mWorkers.at(aWorkerIds[number])->mRuns.Runs()) {
-      const auto found = mJobs.find(task.mJob);
-      if (run.mStopping || found == mJobs.end() ||
-          !found->second->mState.HasTask(task)) {
-        continue;
-      }
-      const auto& state = found->second->mState;
-      const auto& step = state.StepOf(task);
-      if (!step.mGang && EndsBeforeStop(run, now)) {
-        Add(aInput.mWorkers[number].mReleasedByStops, run.mResources);
-        continue;
-      }
-      auto first = task;
-      first.mIndex = 0;
-      if (step.mLongRunning && step.mMaxUnavailable > 0) {
-        const auto [left, isNew] = stopsLeft.emplace(first, 0);
-        if (isNew) {
-          left->second =
-            int64_t(step.mMaxUnavailable) - CountMissingTasks(state, first);
-        }
-        if (left->second < (step.mGang ? int64_t(step.mCount) : 1)) {
-          continue;
-        }
-        left->second -= step.mGang ? 0 : 1;
-      }
-      auto unit = gangs.find(first);
-      if (!step.mGang || unit == gangs.end()) {
-        preemption_unit added;
-        added.mTask = task;
-        added.mPriority = state.Job().mPriority;
-        added.mGuaranteed = IsWithinGuarantee(state.Job());
-        added.mMayMove = !step.mGang && !step.mLongRunning;
-        if (step.mGang) {
-          gangs[first] = units.size();
-        }
-        units.push_back(added);
-      }
-      auto& target = step.mGang ? units[gangs.at(first)] : units.back();
-      target.mResourcesByWorker.emplace_back(number, run.mResources);
-      const double seconds =
-        static_cast<double>((now - run.mRegisteredAt).count()) / kMsPerSecond;
-      target.mLostCoreSeconds +=
-        (step.mCheckpointing ? std::min(seconds, kResumeLossSeconds) : seconds) *
-        CoresOf(run.mResources);
-    }
-  }
-}
-
 void fleet_scheduler::ExecutePlan(const placement_input& aInput,
                                   const placement_plan& aPlan,
                                   const std::vector<std::string>& aWorkerIds)
@@ -468,7 +215,8 @@
                              run->second.mRun == aRun && !run->second.mStopping &&
                              !task.mDone && job.mState.Outcome() == job_outcome::kOpen;
   if (!isStillWanted || !MaySendRequests() || worker.mListed.mDraining ||
-      !worker.mIsListed || worker.mRuns.IsLifeUnknown()) {
+      !worker.mIsListed || worker.mRuns.IsLifeUnknown() ||
+      mEvacuations.ForbidsStarts(worker.mListed.mDataCentre)) {
     NoteSilence(worker);
     const auto events =
       worker.mRuns.OnStartAnswer(aTask, aRun, run_request_status::kNotSent, now);
--- a/src/store/TransactionStore.h
+++ b/src/store/TransactionStore.h
@@ -135,21 +135,6 @@
     OnList(aPrefix, aMayBeStale, std::move(aDone));
   }
 
-  /**
-   * Reads a key together with the revision of the store, from which a watch can start.
-   * The revision of the item itself may be older than the store's history.
-   */
-  void GetForWatch(const std::string& aKey, done<stored_range> aDone)
-  {
-    OnList(aKey, false, [aKey, done = std::move(aDone)](result<stored_range> aRange) {
-      if (aRange) {
-        std::erase_if(aRange->mItems,
-                      [&](const stored_item& aItem) { return aItem.mKey != aKey; });
-      }
-      done(std::move(aRange));
-    });
-  }
-
   /** Returns the changes after aRevision, or none once aWait (<= 30 s) has passed. */
   void Watch(const std::string& aPrefix,
              uint64_t aRevision,
