A model of the workers' pace, and placement that uses it; tests of evacuations

Cause: nobody knew how fast a worker is, and a gang ends with its slowest member. Runs of the same step are compared with each other (planner/WorkerPace). A group that would be late on slow workers gets the quickest that hold it, preempts for them within the usual ratio, and else takes slow ones; other work takes the slowest first.

--- a/src/planner/CompletionForecast.cpp
+++ b/src/planner/CompletionForecast.cpp
@@ -1,6 +1,7 @@
 #include "planner/CompletionForecast.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace anvildoor {
 
@@ -68,4 +69,16 @@
                                        : completion_forecast::kTooLate;
 }
 
+double RequiredPace(const job_state& aJob,
+                    uint32_t aOccurrence,
+                    int64_t aUnixMs,
+                    const duration_model& aModel)
+{
+  const auto timeLeft = DeadlinesOf(aJob, aOccurrence, aModel).mOnTimeUntilMs - aUnixMs;
+  const auto remaining = CriticalPathDuration(aJob, aOccurrence, true, aModel);
+  return timeLeft > 0
+           ? static_cast<double>(remaining.count()) / static_cast<double>(timeLeft)
+           : std::numeric_limits<double>::infinity();
+}
+
 } // namespace anvildoor
--- a/src/planner/CompletionForecast.h
+++ b/src/planner/CompletionForecast.h
@@ -46,4 +46,13 @@
                                        int64_t aUnixMs,
                                        const duration_model& aModel);
 
+/**
+ * Returns the pace, relative to a usual worker, at which the rest of an occurrence is
+ * completed just in time if it starts at aUnixMs; infinite if it is late already. Pure.
+ */
+double RequiredPace(const job_state& aJob,
+                    uint32_t aOccurrence,
+                    int64_t aUnixMs,
+                    const duration_model& aModel);
+
 } // namespace anvildoor
--- a/src/planner/PreemptionSearch.cpp
+++ b/src/planner/PreemptionSearch.cpp
@@ -73,7 +73,9 @@
 
 std::optional<preemption> preemption_search::Cheapest(
   const placement_group& aGroup,
-  const std::vector<uint32_t>& aMissing) const
+  const std::vector<uint32_t>& aMissing,
+  pace_class aMinPace,
+  bool aHasAlternative) const
 {
   std::optional<preemption> best;
   const bool requiresOneRack = aGroup.mSpec.mGang && aGroup.mSpec.mSameRack &&
@@ -81,7 +83,7 @@
   if (requiresOneRack) {
     const auto& racks = mSlots.Racks();
     for (size_t rack = 0; rack < racks.size(); ++rack) {
-      auto found = SearchOn(aGroup, aMissing.size(), racks[rack]);
+      auto found = SearchOn(aGroup, aMissing.size(), racks[rack], aMinPace);
       if (found && (!best || found->mCost < best->mCost)) {
         best = std::move(found);
         best->mScope.mOnlyRack = rack;
@@ -90,11 +92,14 @@
   } else {
     std::vector<size_t> all(mInput.mWorkers.size());
     std::iota(all.begin(), all.end(), size_t(0));
-    best = SearchOn(aGroup, aMissing.size(), all);
+    best = SearchOn(aGroup, aMissing.size(), all, aMinPace);
   }
-  // Guaranteed groups preempt at any cost, others only within the ratio.
+  if (best) {
+    best->mScope.mMinPace = aMinPace;
+  }
+  const bool isBounded = !aGroup.mMayPreempt || !aGroup.mGuaranteed || aHasAlternative;
   const auto maxRatio = aGroup.mMayPreempt ? kMaxLostWorkRatio : kMaxMovedWorkRatio;
-  if (best && !(aGroup.mMayPreempt && aGroup.mGuaranteed) &&
+  if (best && isBounded &&
       best->mCost > maxRatio * ExpectedCoreSeconds(aGroup, aMissing.size())) {
     return std::nullopt;
   }
@@ -104,12 +109,14 @@
 std::optional<preemption> preemption_search::SearchOn(
   const placement_group& aGroup,
   size_t aTaskSlots,
-  const std::vector<size_t>& aWorkers) const
+  const std::vector<size_t>& aWorkers,
+  pace_class aMinPace) const
 {
   std::map<size_t, task_resources> left;
   int64_t freeSlots = 0;
   for (const auto worker : aWorkers) {
-    if (IsEligible(mInput.mWorkers[worker], aGroup)) {
+    if (IsEligible(mInput.mWorkers[worker], aGroup) &&
+        mInput.mWorkers[worker].mPace >= aMinPace) {
       left[worker] = mSlots.FreeAfterStops(worker);
       freeSlots += mSlots.CountSlots(aGroup, left[worker], worker);
     }
--- a/src/planner/PreemptionSearch.h
+++ b/src/planner/PreemptionSearch.h
@@ -27,9 +27,15 @@
   /** Both references must outlive the search. */
   preemption_search(const placement_input& aInput, const slot_search& aSlots);
 
-  /** Returns the cheapest preemption, or nothing if it would cost too much. */
+  /**
+   * Returns the cheapest preemption on workers of aMinPace or quicker ones, or nothing
+   * if it would cost too much. A guaranteed group may preempt at any cost, unless it
+   * has another choice (aHasAlternative).
+   */
   std::optional<preemption> Cheapest(const placement_group& aGroup,
-                                     const std::vector<uint32_t>& aMissing) const;
+                                     const std::vector<uint32_t>& aMissing,
+                                     pace_class aMinPace,
+                                     bool aHasAlternative) const;
 
   /** Notes that a unit is stopped, so that no other group counts on its resources. */
   void MarkStopped(size_t aUnit) { mStopped[aUnit] = true; }
@@ -43,7 +49,8 @@
    */
   std::optional<preemption> SearchOn(const placement_group& aGroup,
                                      size_t aTaskSlots,
-                                     const std::vector<size_t>& aWorkers) const;
+                                     const std::vector<size_t>& aWorkers,
+                                     pace_class aMinPace) const;
 
   const placement_input& mInput;
   const slot_search& mSlots;
--- a/src/planner/SlotSearch.cpp
+++ b/src/planner/SlotSearch.cpp
@@ -21,6 +21,7 @@
   for (size_t number = 0; number < aInput.mWorkers.size(); ++number) {
     const auto& worker = aInput.mWorkers[number];
     mFree.push_back(worker.mFree);
+    mPaces.insert(worker.mPace);
     auto freeAfterStops = worker.mFree;
     Add(freeAfterStops, worker.mReleasedByStops);
     mFreeAfterStops.push_back(freeAfterStops);
@@ -132,28 +133,49 @@
 
 task_slots slot_search::FindSlots(size_t aGroup,
                                   const std::vector<uint32_t>& aIndices,
-                                  slot_supply aSupply) const
+                                  slot_supply aSupply,
+                                  pace_class aMinPace) const
 {
   const auto& group = mInput.mGroups[aGroup];
+  const bool needsPace = group.mMinPace != pace_class::kSlow;
+  if (!needsPace || !group.mSpec.mGang) {
+    return FindSlotsAtPace(aGroup, aIndices, aSupply, aMinPace);
+  }
+  task_slots found;
+  for (auto pace = mPaces.rbegin(); pace != mPaces.rend() && found.empty(); ++pace) {
+    if (*pace >= aMinPace) {
+      found = FindSlotsAtPace(aGroup, aIndices, aSupply, *pace);
+    }
+  }
+  return found;
+}
+
+task_slots slot_search::FindSlotsAtPace(size_t aGroup,
+                                        const std::vector<uint32_t>& aIndices,
+                                        slot_supply aSupply,
+                                        pace_class aMinPace) const
+{
+  const auto& group = mInput.mGroups[aGroup];
+  const search_scope anyRack{ std::nullopt, aMinPace };
   if (group.mSpec.mGang && group.mSpec.mSameRack) {
-    auto found = FindSlotsInOneRack(aGroup, aIndices, aSupply);
+    auto found = FindSlotsInOneRack(aGroup, aIndices, aSupply, aMinPace);
     const bool maySpanRacks =
       found.empty() && (group.mMaySpanRacks || !FitsInEmptyRack(group));
-    return maySpanRacks ? FindSlotsOn(aGroup, aIndices, aSupply, search_scope())
-                        : found;
+    return maySpanRacks ? FindSlotsOn(aGroup, aIndices, aSupply, anyRack) : found;
   }
-  return FindSlotsOn(aGroup, aIndices, aSupply, search_scope());
+  return FindSlotsOn(aGroup, aIndices, aSupply, anyRack);
 }
 
 task_slots slot_search::FindSlotsInOneRack(size_t aGroup,
                                            const std::vector<uint32_t>& aIndices,
-                                           slot_supply aSupply) const
+                                           slot_supply aSupply,
+                                           pace_class aMinPace) const
 {
   const auto& group = mInput.mGroups[aGroup];
   task_slots best;
   double bestScore = 0.0;
   for (size_t rack = 0; rack < mRacks.size(); ++rack) {
-    auto found = FindSlotsOn(aGroup, aIndices, aSupply, search_scope{ rack });
+    auto found = FindSlotsOn(aGroup, aIndices, aSupply, { rack, aMinPace });
     if (found.empty()) {
       continue;
     }
@@ -178,9 +200,17 @@
 {
   const auto& group = mInput.mGroups[aGroup];
   const auto& free = aSupply == slot_supply::kFree ? mFree : mFreeAfterStops;
+  // Single tasks that need some pace are each the better off the quicker their worker.
+  // All others use the slowest workers in the scope, and leave the quick ones.
+  const bool prefersQuick = group.mMinPace != pace_class::kSlow && !group.mSpec.mGang;
+  const auto rankOf = [&](const placement_worker& aWorker) {
+    const auto rank = static_cast<int>(aWorker.mPace);
+    return prefersQuick ? -rank : rank;
+  };
   std::vector<candidate> candidates;
   const auto consider = [&](size_t aWorker) {
-    if (!IsEligible(mInput.mWorkers[aWorker], group)) {
+    if (!IsEligible(mInput.mWorkers[aWorker], group) ||
+        mInput.mWorkers[aWorker].mPace < aScope.mMinPace) {
       return;
     }
     const auto capacity = CountSlots(group, free[aWorker], aWorker);
@@ -192,7 +222,8 @@
     const auto& data = group.mSpec.mDataRack;
     score -= !data.empty() && workerInfo.mRack == data ? kDataRackBonusCores : 0.0;
     score -= IsReservedFor(aGroup, aWorker) ? kReservationBonusCores : 0.0;
-    candidates.push_back({ score, mFreeInRack[mRackOf[aWorker]], aWorker, capacity });
+    candidates.push_back(
+      { rankOf(workerInfo), score, mFreeInRack[mRackOf[aWorker]], aWorker, capacity });
   };
   if (aScope.mOnlyRack) {
     std::for_each(
--- a/src/planner/SlotSearch.h
+++ b/src/planner/SlotSearch.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -17,6 +18,7 @@
 struct search_scope
 {
   std::optional<size_t> mOnlyRack;
+  pace_class mMinPace = pace_class::kSlow;
 
   auto operator<=>(const search_scope&) const = default;
 };
@@ -40,12 +42,13 @@
   explicit slot_search(const placement_input& aInput);
 
   /**
-   * Finds slots for tasks of a group; of a gang for all of aIndices or none, and in one
-   * rack if it requires that.
+   * Finds slots for tasks of a group on workers of aMinPace or quicker ones; of a gang
+   * for all of aIndices or none, and in one rack if it requires that.
    */
   task_slots FindSlots(size_t aGroup,
                        const std::vector<uint32_t>& aIndices,
-                       slot_supply aSupply) const;
+                       slot_supply aSupply,
+                       pace_class aMinPace) const;
 
   /** The same on the workers in aScope, whether or not the gang requires one rack. */
   task_slots FindSlotsOn(size_t aGroup,
@@ -84,6 +87,7 @@
 private:
   struct candidate
   {
+    int mPaceRank = 0; ///< Lower ranks are used first.
     double mScore = 0.0;
     double mFreeInRack = 0.0; ///< In cores; fuller racks are preferred.
     size_t mWorker = 0;
@@ -91,9 +95,15 @@
   };
 
   void ApplyReservations();
+  /** The same for one pace: a gang's slowest member decides when it ends. */
+  task_slots FindSlotsAtPace(size_t aGroup,
+                             const std::vector<uint32_t>& aIndices,
+                             slot_supply aSupply,
+                             pace_class aMinPace) const;
   task_slots FindSlotsInOneRack(size_t aGroup,
                                 const std::vector<uint32_t>& aIndices,
-                                slot_supply aSupply) const;
+                                slot_supply aSupply,
+                                pace_class aMinPace) const;
   std::vector<candidate> Candidates(size_t aGroup,
                                     slot_supply aSupply,
                                     const search_scope& aScope) const;
@@ -107,6 +117,7 @@
   std::vector<task_resources> mFreeAfterStops;
   std::vector<std::vector<size_t>> mRacks;
   std::vector<size_t> mRackOf;     ///< By worker.
+  std::set<pace_class> mPaces;     ///< Of all workers.
   std::vector<double> mFreeInRack; ///< Free cores by rack.
   std::map<size_t, std::string> mRackNames;
   /** Reserved workers by group; one entry per task. */
--- a/src/planner/TaskPlacement.cpp
+++ b/src/planner/TaskPlacement.cpp
@@ -15,7 +15,7 @@
  * other group with an equal key fits in the same round.
  */
 using fit_key =
-  std::tuple<task_resources, std::string, std::string, bool, bool, size_t>;
+  std::tuple<task_resources, std::string, std::string, bool, bool, size_t, pace_class>;
 
 /** One placement round on a copy of the workers' free resources. */
 class placement_round
@@ -42,33 +42,64 @@
   {
     const auto& group = mInput.mGroups[aNumber];
     mSlots.ReleaseReservations(aNumber);
+    const auto allowed = AllowedIndices(group);
+    const auto found = FindFree(aNumber, allowed, group.mMinPace);
+    Start(aNumber, found);
+    if (found.size() == group.mIndices.size()) {
+      return;
+    }
+    const auto left = Unplaced(group.mIndices, found);
+    const auto slower = group.mMinPace == pace_class::kSlow
+                          ? task_slots()
+                          : FindFree(aNumber, Unplaced(allowed, found));
+    const bool waitsForPace = !slower.empty() && group.mMayPreempt &&
+                              ReserveOrPreempt(aNumber, left, group.mMinPace, true);
+    if (!waitsForPace) {
+      mPlan.mHasSlowStarts |= !slower.empty() && group.mMayPreempt;
+      Start(aNumber, slower);
+    }
+    const auto waiting = waitsForPace ? left : Unplaced(left, slower);
+    if (waiting.empty()) {
+      return;
+    }
+    mPlan.mWaiting.push_back(aNumber);
+    if (!waitsForPace && (group.mMayPreempt || group.mMayClearRack)) {
+      ReserveOrPreempt(aNumber, waiting, pace_class::kSlow, false);
+    }
+  }
+
+  /** Finds free slots for tasks of a group, unless it is known that none are left. */
+  task_slots FindFree(size_t aNumber,
+                      const std::vector<uint32_t>& aIndices,
+                      pace_class aMinPace = pace_class::kSlow)
+  {
+    const auto& group = mInput.mGroups[aNumber];
     const fit_key fitKey{ OccupiedBy(group.mSpec),
                           group.mPool,
                           group.mSpec.mRequiredLabel,
                           group.mSpec.mGang,
                           group.mSpec.mSameRack && !group.mMaySpanRacks,
-                          group.mSpec.mGang ? group.mIndices.size() : 0 };
-    task_slots found;
-    if (mUnplaceable.count(fitKey) == 0 || mSlots.HasReservations(aNumber)) {
-      const auto allowed = AllowedIndices(group);
-      found = mSlots.FindSlots(aNumber, allowed, slot_supply::kFree);
-      if (found.empty() && !allowed.empty() && group.mAvoidedByIndex.empty() &&
-          group.mSpec.mMaxPerWorker == 0) {
-        mUnplaceable.insert(fitKey);
-      }
+                          group.mSpec.mGang ? group.mIndices.size() : 0,
+                          aMinPace };
+    if (mUnplaceable.count(fitKey) != 0 && !mSlots.HasReservations(aNumber)) {
+      return {};
     }
-    for (const auto& [index, worker] : found) {
+    auto found = mSlots.FindSlots(aNumber, aIndices, slot_supply::kFree, aMinPace);
+    if (found.empty() && !aIndices.empty() && group.mAvoidedByIndex.empty() &&
+        group.mSpec.mMaxPerWorker == 0) {
+      mUnplaceable.insert(fitKey);
+    }
+    return found;
+  }
+
+  void Start(size_t aNumber, const task_slots& aSlots)
+  {
+    const auto& group = mInput.mGroups[aNumber];
+    for (const auto& [index, worker] : aSlots) {
       mPlan.mStarts.push_back({ aNumber, index, worker });
       mSlots.Allocate(group, worker, 1);
     }
-    ReduceAllowances(group, found.size());
-    if (found.size() == group.mIndices.size()) {
-      return;
-    }
-    mPlan.mWaiting.push_back(aNumber);
-    if (group.mMayPreempt || group.mMayClearRack) {
-      ReserveOrPreempt(aNumber, Unplaced(group.mIndices, found));
-    }
+    ReduceAllowances(group, aSlots.size());
   }
 
   /** Returns the tasks of the group that its allowance covers; of a gang all or none.
@@ -128,19 +159,27 @@
     return left;
   }
 
-  /** Reserves capacity that is being released, then preempts runs for the rest. */
-  void ReserveOrPreempt(size_t aNumber, const std::vector<uint32_t>& aLeft)
+  /**
+   * Reserves capacity that is being released, then preempts runs for the rest. Returns
+   * whether some tasks have a reservation now.
+   */
+  bool ReserveOrPreempt(size_t aNumber,
+                        const std::vector<uint32_t>& aLeft,
+                        pace_class aMinPace,
+                        bool aHasAlternative)
   {
     const auto& group = mInput.mGroups[aNumber];
-    const auto reserved = mSlots.FindSlots(aNumber, aLeft, slot_supply::kAfterStops);
+    const auto reserved =
+      mSlots.FindSlots(aNumber, aLeft, slot_supply::kAfterStops, aMinPace);
     Reserve(aNumber, reserved);
     const auto missing = Unplaced(aLeft, reserved);
     if (missing.empty()) {
-      return;
+      return true;
     }
-    const auto chosen = mPreemptions.Cheapest(group, missing);
+    const auto chosen =
+      mPreemptions.Cheapest(group, missing, aMinPace, aHasAlternative);
     if (!chosen) {
-      return;
+      return !reserved.empty();
     }
     for (const auto unit : chosen->mUnits) {
       mPreemptions.MarkStopped(unit);
@@ -153,6 +192,7 @@
     Reserve(
       aNumber,
       mSlots.FindSlotsOn(aNumber, missing, slot_supply::kAfterStops, chosen->mScope));
+    return true;
   }
 
   void Reserve(size_t aNumber, const task_slots& aTaskSlots)
--- a/src/planner/TaskPlacement.h
+++ b/src/planner/TaskPlacement.h
@@ -2,6 +2,7 @@
 
 #include "jobs/JobState.h"
 #include "planner/CompletionForecast.h"
+#include "planner/WorkerPace.h"
 
 #include <map>
 #include <set>
@@ -27,6 +28,7 @@
   bool mAcceptsTasks = true; ///< Accepts new runs.
   /** Added to the score, in cores; lower scores are preferred. */
   double mScorePenalty = 0.0;
+  pace_class mPace = pace_class::kUsual;
 
   auto operator<=>(const placement_worker&) const = default;
 };
@@ -51,6 +53,11 @@
   bool mMaySpanRacks = false; ///< Waited long enough to ignore mSameRack.
   /** May have single tasks of its priority or less important ones move elsewhere. */
   bool mMayClearRack = false;
+  /**
+   * The slowest workers on which it can be on time. If that excludes some, it gets the
+   * quickest that hold it; otherwise it leaves those to others.
+   */
+  pace_class mMinPace = pace_class::kSlow;
   /** Number of placed tasks of the occurrence, by worker ID. */
   std::map<std::string, uint32_t> mPlacedByWorker;
   /** Workers on which the last round reserved capacity; one entry per task. */
@@ -116,6 +123,8 @@
   std::vector<size_t> mUnitsToStop;   ///< Indices of the units to preempt.
   std::vector<size_t> mUnitsToMove;   ///< Units to stop since a gang needs their rack.
   std::vector<size_t> mWaiting;       ///< Groups with tasks that were not placed.
+  /** Whether a group that may preempt got slower workers than it needs. */
+  bool mHasSlowStarts = false;
 
   auto operator<=>(const placement_plan&) const = default;
 };
@@ -131,8 +140,9 @@
  * rack if it requires that; single tasks are placed by best fit. If a group that may
  * preempt does not fit, the plan lists the cheapest runs that it may stop and reserves
  * their resources for the group. The next round keeps these reservations. Otherwise
- * small tasks would take the resources and be preempted again one round later. Pure and
- * deterministic. Thread-safe.
+ * small tasks would take the resources and be preempted again one round later. A group
+ * that needs workers of some pace gets slower ones only if it cannot get room on others
+ * by preemption. Pure and deterministic. Thread-safe.
  */
 placement_plan PlaceTasks(const placement_input& aInput);
 
--- a/src/scheduler/Evacuations.cpp
+++ b/src/scheduler/Evacuations.cpp
@@ -54,7 +54,7 @@
 void evacuations::End()
 {
   mWatch.End();
-  mSince.clear();
+  mEvacuated.clear();
   mWasKnown = false;
 }
 
@@ -82,24 +82,46 @@
 
 bool evacuations::Includes(const std::string& aDataCentre) const
 {
-  return mSince.count(aDataCentre) != 0;
+  return mEvacuated.count(aDataCentre) != 0;
 }
 
 bool evacuations::ForbidsStarts(const std::string& aDataCentre) const
 {
-  const auto found = mSince.find(aDataCentre);
-  return found != mSince.end() &&
-         mLoop.Now() - found->second > mSettings.mBound / kGraceDivisor;
+  const auto found = mEvacuated.find(aDataCentre);
+  return found != mEvacuated.end() &&
+         mLoop.Now() - found->second.mSince > mSettings.mBound / kGraceDivisor;
+}
+
+void evacuations::Report(const std::map<std::string, data_centre_load>& aLoads)
+{
+  size_t runs = 0;
+  for (auto& [dataCentre, evacuation] : mEvacuated) {
+    const auto found = aLoads.find(dataCentre);
+    const auto load = found == aLoads.end() ? data_centre_load() : found->second;
+    runs += load.mRuns;
+    if (evacuation.mIsReported || load.mRuns > 0) {
+      continue;
+    }
+    evacuation.mIsReported = true;
+    const bool isMatched = load.mWorkers > 0;
+    mLog.Write(log_event(isMatched ? "evacuation_emptied" : "evacuation_unmatched")
+                 .Add("data_centre", dataCentre)
+                 .Add("ms", (mLoop.Now() - evacuation.mSince).count()));
+    if (!isMatched) {
+      mMetrics.Count("evacuations_total", "change", "unmatched");
+    }
+  }
+  mMetrics.Set("evacuated_runs", static_cast<double>(runs));
 }
 
 void evacuations::OnRead(const stored_range& aRange)
 {
-  std::map<std::string, time_point> former = mSince;
+  auto former = mEvacuated;
   for (const auto& item : aRange.mItems) {
     Insert(item.mKey);
     former.erase(DataCentreOf(item.mKey));
   }
-  for (const auto& [dataCentre, since] : former) {
+  for (const auto& [dataCentre, evacuation] : former) {
     Remove(dataCentre);
   }
   OnChanged();
@@ -113,7 +135,7 @@
 void evacuations::Insert(const std::string& aKey)
 {
   const auto dataCentre = DataCentreOf(aKey);
-  if (!mSince.emplace(dataCentre, mLoop.Now()).second) {
+  if (!mEvacuated.emplace(dataCentre, evacuation{ mLoop.Now() }).second) {
     return;
   }
   mLog.Write(log_event("evacuation_begun").Add("data_centre", dataCentre));
@@ -122,20 +144,20 @@
 
 void evacuations::Remove(const std::string& aDataCentre)
 {
-  const auto found = mSince.find(aDataCentre);
-  if (found == mSince.end()) {
+  const auto found = mEvacuated.find(aDataCentre);
+  if (found == mEvacuated.end()) {
     return;
   }
   mLog.Write(log_event("evacuation_ended")
                .Add("data_centre", aDataCentre)
-               .Add("lasted_ms", (mLoop.Now() - found->second).count()));
+               .Add("lasted_ms", (mLoop.Now() - found->second.mSince).count()));
   mMetrics.Count("evacuations_total", "change", "ended");
-  mSince.erase(found);
+  mEvacuated.erase(found);
 }
 
 void evacuations::OnChanged()
 {
-  mMetrics.Set("evacuated_data_centres", static_cast<double>(mSince.size()));
+  mMetrics.Set("evacuated_data_centres", static_cast<double>(mEvacuated.size()));
   mOnChange();
 }
 
--- a/src/scheduler/Evacuations.h
+++ b/src/scheduler/Evacuations.h
@@ -25,6 +25,15 @@
   auto operator<=>(const evacuation_settings&) const = default;
 };
 
+/** What a data centre holds. */
+struct data_centre_load
+{
+  size_t mWorkers = 0; ///< That are listed.
+  size_t mRuns = 0;
+
+  auto operator<=>(const data_centre_load&) const = default;
+};
+
 /**
  * Follows which data centres are being evacuated during a scheduler's term. Until the
  * requests have been read, and again when the store has not confirmed them for longer
@@ -62,7 +71,22 @@
    */
   bool ForbidsStarts(const std::string& aDataCentre) const;
 
+  /** Returns whether a data centre is being evacuated. */
+  bool Any() const { return !mEvacuated.empty(); }
+
+  /**
+   * Logs, once each, that a data centre has no runs any more, or that a request names
+   * one that has no workers.
+   */
+  void Report(const std::map<std::string, data_centre_load>& aLoads);
+
 private:
+  struct evacuation
+  {
+    time_point mSince{ 0 }; ///< When it was first seen.
+    bool mIsReported = false;
+  };
+
   bool AreKnown() const;
   bool IsEnabled() const { return !mSettings.mKeyPrefix.empty(); }
   void OnRead(const stored_range& aRange);
@@ -77,7 +101,7 @@
   metrics& mMetrics;
   evacuation_settings mSettings;
   std::function<void()> mOnChange;
-  std::map<std::string, time_point> mSince; ///< When each evacuation was first seen.
+  std::map<std::string, evacuation> mEvacuated; ///< By data centre.
   range_watch mWatch;
   time_point mBegunAt{ 0 };
   bool mWasKnown = false; ///< As last returned by CheckKnown.
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -149,6 +149,7 @@
   mHeadroom = capacity_headroom();
   mRackPatience = rack_patience();
   mDurations = duration_model();
+  mPaces.clear();
 }
 
 void fleet_scheduler::HandleInboxRemoval(const std::string& aKey)
@@ -241,6 +242,9 @@
 {
   const auto outcome = aJob.mState.Outcome();
   const auto& job = aJob.mState.Job();
+  for (auto& [pool, paces] : mPaces) {
+    paces.ForgetJob(job.mId);
+  }
   aJob.mEndedAt = mPorts.mLoop.Now();
   aJob.mState.SetEndedAtMs(mPorts.mUnixMs());
   mPorts.mLog.Write(log_event("job_ended")
@@ -472,6 +476,20 @@
   return reach;
 }
 
+void fleet_scheduler::ReportEvacuations()
+{
+  if (!mEvacuations.Any()) {
+    return;
+  }
+  std::map<std::string, data_centre_load> loads;
+  for (const auto& [id, worker] : mWorkers) {
+    auto& load = loads[worker->mListed.mDataCentre];
+    load.mWorkers += worker->mIsListed ? 1 : 0;
+    load.mRuns += worker->mRuns.Runs().size();
+  }
+  mEvacuations.Report(loads);
+}
+
 void fleet_scheduler::Tick()
 {
   const auto now = mPorts.mLoop.Now();
@@ -480,6 +498,7 @@
   }
   mInboxMonitor.Check(now);
   ObserveIdleJobs();
+  ReportEvacuations();
   std::erase_if(mUnmatchedCancels, [now](const auto& aCancel) {
     return now - aCancel.second.mReadAt > kMaxUnmatchedAge;
   });
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -8,6 +8,7 @@
 #include "planner/DurationModel.h"
 #include "planner/RackPatience.h"
 #include "planner/TaskPlacement.h"
+#include "planner/WorkerPace.h"
 #include "runs/EndNotes.h"
 #include "runs/WorkerDirectory.h"
 #include "runs/WorkerHealth.h"
@@ -205,6 +206,7 @@
    * refusal is an answer, too.
    */
   worker_reach ReachOfWorkers() const;
+  void ReportEvacuations();
   /** Forgets a job whose records have been removed from the store. */
   void OnJobRemoved(const std::string& aId);
   void ForgetRemovedJobs();
@@ -336,6 +338,16 @@
                           const run_info& aRun,
                           time_point aNow);
   void MoveRun(worker_entry& aWorker, const task_ref& aTask, run_verdict aVerdict);
+  /** Learns from the rate of progress of a run that is comparable with others. */
+  void LearnFromRate(const worker_entry& aWorker,
+                     const job_entry& aJob,
+                     const task_ref& aTask,
+                     const run_info& aRun,
+                     double aPercentPerSecond);
+  /** Returns the pace of a worker relative to others of its pool. */
+  double PaceOf(const worker_entry& aWorker) const;
+  /** Returns the slowest workers on which an occurrence can still be on time. */
+  pace_class MinPaceOf(const placement_group& aGroup, const job_state& aState) const;
   /** Returns the run of a placed task on its worker; null if there is none. */
   const run_info* FindPlacedRun(const job_state& aState, const task_ref& aTask) const;
   /** Returns the expected remaining time of a run or of its whole gang. */
@@ -456,7 +468,8 @@
   std::map<task_ref, std::vector<std::string>> mReserved;
   capacity_headroom mHeadroom;
   rack_patience mRackPatience;
-  duration_model mDurations;       ///< Learnt from the runs of this term.
+  duration_model mDurations; ///< Learnt from the runs of this term.
+  std::map<std::string, worker_pace_model> mPaces; ///< By pool.
   duration mLastPlanDuration{ 0 }; ///< Duration of the last planning round.
   time_point mCapacityLoggedAt{ 0 };
   /** Accelerators of the open jobs of priority 0, by workspace. */
--- a/src/scheduler/FleetSchedulerInput.cpp
+++ b/src/scheduler/FleetSchedulerInput.cpp
@@ -13,6 +13,8 @@
 constexpr double kSpanRacksAfterEstimates = 3.0;
 /** Work that a stopped checkpointing task loses; a restore takes 0.1 s. */
 constexpr double kResumeLossSeconds = 0.2;
+/** Factor on the pace that a job needs, as its duration is only estimated. */
+constexpr double kPaceMargin = 1.15;
 /** Limit on the waiting steps of one job, over its occurrences, in a round. */
 constexpr size_t kMaxGroupsPerJob = 128;
 constexpr double kMsPerSecond = 1'000.0;
@@ -117,6 +119,9 @@
     candidate.mTotal = listed.mCapacity;
     candidate.mAcceptsTasks = AcceptsStarts(*worker, now);
     candidate.mScorePenalty = worker->mHealth.PlacementPenalty();
+    if (const auto paces = mPaces.find(listed.mPool); paces != mPaces.end()) {
+      candidate.mPace = paces->second.ClassOf(id);
+    }
     aWorkerIds.push_back(id);
     input.mWorkers.push_back(std::move(candidate));
   }
@@ -125,6 +130,23 @@
   return input;
 }
 
+pace_class fleet_scheduler::MinPaceOf(const placement_group& aGroup,
+                                      const job_state& aState) const
+{
+  const auto paces = mPaces.find(aGroup.mPool);
+  const bool isLimited = paces != mPaces.end() && paces->second.IsUneven() &&
+                         aGroup.mForecast == completion_forecast::kOnTime &&
+                         !aGroup.mSpec.mLongRunning;
+  if (!isLimited) {
+    return pace_class::kSlow;
+  }
+  const auto needed =
+    kPaceMargin *
+    RequiredPace(aState, aGroup.mOccurrence, mPorts.mUnixMs(), mDurations);
+  return needed > paces->second.TypicalPace(pace_class::kSlow) ? pace_class::kUsual
+                                                               : pace_class::kSlow;
+}
+
 void fleet_scheduler::AddGroups(job_entry& aJob, std::vector<placement_group>& aGroups)
 {
   const auto& acceptedJob = aJob.mState.Job();
@@ -158,6 +180,7 @@
       group.mPool = queue != nullptr ? queue->mPool : acceptedJob.mPool;
       group.mPriority = acceptedJob.mPriority;
       group.mForecast = ForecastCompletion(aJob.mState, occurrence, unixMs, mDurations);
+      group.mMinPace = MinPaceOf(group, aJob.mState);
       group.mGuaranteed = IsWithinGuarantee(acceptedJob);
       group.mMayPreempt =
         acceptedJob.mPriority == 0 &&
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -54,6 +54,7 @@
   }
   auto plan = PlaceTasks(input);
   const bool needsPreemption =
+    plan.mHasSlowStarts ||
     std::any_of(plan.mWaiting.begin(), plan.mWaiting.end(), [&](size_t aGroup) {
       return input.mGroups[aGroup].mMayPreempt || input.mGroups[aGroup].mMayClearRack;
     });
--- a/src/scheduler/FleetSchedulerProgress.cpp
+++ b/src/scheduler/FleetSchedulerProgress.cpp
@@ -94,12 +94,42 @@
     return run_verdict::kKeepRunning;
   }
   if (*rate > 0.0 && progress.Percent() >= kMinPercentForRate) {
-    const auto expectedTotal = kCompletePercent * kMsPerSecond / *rate;
-    mDurations.Learn(aJob.mState.Job().mQueue, duration(std::lround(expectedTotal)));
+    LearnFromRate(aWorker, aJob, aTask, aRun, *rate);
   }
   return run_verdict::kKeepRunning;
 }
 
+void fleet_scheduler::LearnFromRate(const worker_entry& aWorker,
+                                    const job_entry& aJob,
+                                    const task_ref& aTask,
+                                    const run_info& aRun,
+                                    double aPercentPerSecond)
+{
+  // What the run would take on a worker of the usual pace.
+  const auto expectedTotal =
+    kCompletePercent * kMsPerSecond / aPercentPerSecond * PaceOf(aWorker);
+  mDurations.Learn(aJob.mState.Job().mQueue, duration(std::lround(expectedTotal)));
+  const auto& id = aWorker.mListed.mId;
+  auto& paces = mPaces[aWorker.mListed.mPool];
+  const auto former = paces.ClassOf(id);
+  paces.Observe(
+    aTask, aJob.mState.StepOf(aTask).mGang, aRun.mRun, id, aPercentPerSecond);
+  if (const auto now = paces.ClassOf(id); now != former) {
+    mPorts.mLog.Write(
+      log_event("worker_pace")
+        .Add("worker", id)
+        .Add("class", ToString(now))
+        .Add("former", ToString(former))
+        .Add("percent", std::lround(kCompletePercent * PaceOf(aWorker))));
+  }
+}
+
+double fleet_scheduler::PaceOf(const worker_entry& aWorker) const
+{
+  const auto paces = mPaces.find(aWorker.mListed.mPool);
+  return paces == mPaces.end() ? 1.0 : paces->second.PaceOf(aWorker.mListed.mId);
+}
+
 void fleet_scheduler::MoveRun(worker_entry& aWorker,
                               const task_ref& aTask,
                               run_verdict aVerdict)
@@ -141,14 +171,19 @@
   }
   const auto expectedTotal =
     mDurations.ExpectedDuration(state.Job().mQueue, step.mEstimate);
+  const auto expectedOn = [&](const std::string& aId) {
+    const auto pace = PaceOf(*mWorkers.at(aId));
+    return duration(std::llround(static_cast<double>(expectedTotal.count()) / pace));
+  };
   const auto members = step.mGang ? state.PlacedTasksOf(aTask.mOccurrence, aTask.mStep)
                                   : std::vector<task_ref>{ aTask };
   duration longest{ 0 };
   for (const auto& member : members) {
     if (const auto* run = FindPlacedRun(state, member)) {
-      longest = std::max(longest,
-                         run->mProgress.TimeLeft(aNow).value_or(
-                           expectedTotal - (aNow - run->mRegisteredAt)));
+      longest = std::max(
+        longest,
+        run->mProgress.TimeLeft(aNow).value_or(expectedOn(state.Task(member).mWorker) -
+                                               (aNow - run->mRegisteredAt)));
     }
   }
   return longest;
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -592,6 +592,7 @@
           worker.mAddress = worker.mId;
           worker.mPool = "pool";
           worker.mRack = text.at("rack").get<std::string>();
+          worker.mDataCentre = "dc-" + worker.mRack;
           worker.mLabels = { "a", worker.mRack };
           worker.mCapacity = { 32'000, 65'536, 8 };
           worker.mHeartbeat = item.mRevision;
