Slots of a round count against a step's limit per worker

What a round has placed or reserved for a group counts now.

Measured: the test failed before (14 of 23 assertions), 183 assertions of placement pass now.

--- a/src/planner/SlotSearch.cpp
+++ b/src/planner/SlotSearch.cpp
@@ -16,6 +16,7 @@
 
 slot_search::slot_search(const placement_input& aInput)
   : mInput(aInput)
+  , mTaken(aInput.mGroups.size())
 {
   std::map<std::string, size_t> racks;
   for (size_t number = 0; number < aInput.mWorkers.size(); ++number) {
@@ -65,6 +66,9 @@
                            int64_t aTaskSlots)
 {
   const auto need = OccupiedBy(aGroup.mSpec);
+  if (aGroup.mSpec.mMaxPerWorker != 0) {
+    mTaken[IndexOf(aGroup)][aWorker] += aTaskSlots;
+  }
   Add(mFree[aWorker], need, -aTaskSlots);
   mFreeInRack[mRackOf[aWorker]] -= CoresOf(need) * static_cast<double>(aTaskSlots);
   Add(mFreeAfterStops[aWorker], need, -aTaskSlots);
@@ -96,8 +100,11 @@
     return UINT32_MAX;
   }
   const auto found = aGroup.mPlacedByWorker.find(mInput.mWorkers[aWorker].mId);
-  const uint32_t used = found == aGroup.mPlacedByWorker.end() ? 0 : found->second;
-  return used >= bound ? 0 : bound - used;
+  int64_t used = found == aGroup.mPlacedByWorker.end() ? 0 : found->second;
+  const auto& taken = mTaken[IndexOf(aGroup)];
+  const auto inRound = taken.find(aWorker);
+  used += inRound == taken.end() ? 0 : inRound->second;
+  return used >= bound ? 0 : static_cast<uint32_t>(bound - used);
 }
 
 uint32_t slot_search::CountSlots(const placement_group& aGroup,
--- a/src/planner/SlotSearch.h
+++ b/src/planner/SlotSearch.h
@@ -109,6 +109,10 @@
                                     const search_scope& aScope) const;
   bool IsReservedFor(size_t aGroup, size_t aWorker) const;
   bool IsAvoided(const placement_group& aGroup, uint32_t aIndex, size_t aWorker) const;
+  size_t IndexOf(const placement_group& aGroup) const
+  {
+    return static_cast<size_t>(&aGroup - mInput.mGroups.data());
+  }
   /** Returns how many more tasks mMaxPerWorker allows on the worker. */
   uint32_t RemainingSlots(const placement_group& aGroup, size_t aWorker) const;
 
@@ -122,6 +126,8 @@
   std::map<size_t, std::string> mRackNames;
   /** Reserved workers by group; one entry per task. */
   std::vector<std::vector<size_t>> mReservedWorkers;
+  /** By group: tasks placed or reserved in this round, by worker. */
+  std::vector<std::map<size_t, int64_t>> mTaken;
 };
 
 } // namespace anvildoor
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -120,6 +120,39 @@
   CHECK(PlaceTasks(input).mStarts.size() == (maySpanRacks ? 8 : 0));
 }
 
+TEST_CASE("a step keeps its limit per worker on workers of any pace", "[placement]")
+{
+  // Rows: tasks per worker, tasks placed before, and whether the group may preempt.
+  const auto [perWorker, placedBefore, mayPreempt] =
+    GENERATE(table<uint32_t, uint32_t, bool>({ { 1, 0, false },
+                                               { 1, 0, true },
+                                               { 2, 0, false },
+                                               { 2, 1, true },
+                                               { 3, 1, false } }));
+  CAPTURE(perWorker, placedBefore, mayPreempt);
+  auto input = Fleet(2, 2);
+  input.mWorkers[1].mPace = pace_class::kSlow;
+  input.mWorkers[3].mPace = pace_class::kQuick;
+  auto group = Group(20, 1);
+  group.mPriority = 0;
+  group.mMinPace = pace_class::kUsual;
+  group.mMayPreempt = mayPreempt;
+  group.mSpec.mMaxPerWorker = perWorker;
+  for (const auto& worker : input.mWorkers) {
+    group.mPlacedByWorker[worker.mId] = placedBefore;
+  }
+  input.mGroups.push_back(group);
+  const auto plan = PlaceTasks(input);
+  std::map<size_t, uint32_t> placed;
+  for (const auto& start : plan.mStarts) {
+    ++placed[start.mWorker];
+  }
+  for (const auto& [worker, count] : placed) {
+    CHECK(count + placedBefore <= perWorker);
+  }
+  CHECK(plan.mStarts.size() == input.mWorkers.size() * (perWorker - placedBefore));
+}
+
 TEST_CASE("placement respects the constraints of a step", "[placement]")
 {
   auto input = Fleet(3, 1);
