Bounds on the bytes and connections that clients may hold

Callers saw an entry process end, out of memory: clients sent trailers without end, or a chunk extension without end. The parser's limits count neither, and the buffer beneath had none; nothing bounded all connections together either.

A server now reads piece by piece and rejects (431) once what the parser can't consume passes the header limit. receive_budget bounds the bytes of all unfinished requests and the number of connections: the request received for longest gives way (503, Retry-After, nothing has run), or the connection idle for longest is closed. Callers' listener and the inner ones have budgets of their own, by default a quarter of the memory and half of the descriptors, and a quarter of that. The header has its time from its first byte, as the limits say; before, it had the idle time.

--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Address.h"
 
+#include <algorithm>
 #include <cmath>
 #include <cstdlib>
 #include <fstream>
@@ -108,6 +109,10 @@
     Name("vm", "data_centre", &entry_settings::mDataCentre),
     PositiveNumber("vm", "cores", &entry_settings::mCores),
     PositiveNumber("vm", "link_mbps", &entry_settings::mLinkMbps),
+    PositiveNumber("limits", "memory_mb", &entry_settings::mMemoryMb),
+    PositiveNumber("limits", "max_fds", &entry_settings::mMaxFds),
+    PositiveNumber("limits", "receive_mb", &entry_settings::mReceiveMb),
+    PositiveNumber("limits", "connections", &entry_settings::mConnections),
     Address("listen", "jobs", &entry_settings::mListenJobs),
     Address("listen", "readiness", &entry_settings::mListenReady),
     Address("listen", "peers", &entry_settings::mListenPeers),
@@ -175,8 +180,47 @@
   return 1;
 }
 
+/** Returns aSet, or else aShare of aWhole, or else aDefault; 0 stands for unknown. */
+double SetOrShare(double aSet, double aWhole, double aShare, double aDefault)
+{
+  if (aSet > 0) {
+    return aSet;
+  }
+  return aWhole > 0 ? aWhole * aShare : aDefault;
+}
+
 } // namespace
 
+receive_limits CallerReceiveLimits(const entry_settings& aSettings)
+{
+  constexpr double kBytesPerMb = 1'048'576;
+  constexpr double kMemoryShare = 0.25;
+  constexpr double kDescriptorShare = 0.5;
+  const receive_limits defaults;
+  receive_limits limits;
+  limits.mBytes = static_cast<size_t>(
+    kBytesPerMb * SetOrShare(aSettings.mReceiveMb,
+                             aSettings.mMemoryMb,
+                             kMemoryShare,
+                             static_cast<double>(defaults.mBytes) / kBytesPerMb));
+  limits.mConnections = static_cast<size_t>(
+    std::max(1.0,
+             SetOrShare(aSettings.mConnections,
+                        aSettings.mMaxFds,
+                        kDescriptorShare,
+                        static_cast<double>(defaults.mConnections))));
+  return limits;
+}
+
+receive_limits InternalReceiveLimits(const entry_settings& aSettings)
+{
+  constexpr size_t kPartOfCallers = 4;
+  auto limits = CallerReceiveLimits(aSettings);
+  limits.mBytes /= kPartOfCallers;
+  limits.mConnections = std::max<size_t>(1, limits.mConnections / kPartOfCallers);
+  return limits;
+}
+
 result<entry_settings> ParseEntrySettings(const std::string& aFile,
                                           const std::string& aText)
 {
--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -2,6 +2,7 @@
 
 #include "anvildoor/Error.h"
 #include "anvildoor/Time.h"
+#include "http/ReceiveBudget.h"
 
 #include <string>
 
@@ -27,10 +28,26 @@
   duration mMinStoreLease{ 1'000 }; ///< Shortest lease that the store grants.
   double mCores = 1.0;              ///< Processor share in cores; may be a fraction.
   double mLinkMbps = 1'000;         ///< Bandwidth of this VM's network link.
+  double mMemoryMb = 0;             ///< This VM's memory; 0: unknown.
+  double mMaxFds = 0;               ///< Descriptors that it may open; 0: unknown.
+  double mReceiveMb = 0;            ///< For callers' requests; 0: by its memory.
+  double mConnections = 0;          ///< Of callers; 0: by its descriptors.
 
   auto operator<=>(const entry_settings&) const = default;
 };
 
+/**
+ * Returns the limits on callers' requests and connections: as set, or else a quarter of
+ * the memory and half of the descriptors, or else the defaults.
+ */
+receive_limits CallerReceiveLimits(const entry_settings& aSettings);
+
+/**
+ * Returns the limits on the other listeners together: a quarter of the callers' share,
+ * so that readiness checks and other VMs are answered beside any number of callers.
+ */
+receive_limits InternalReceiveLimits(const entry_settings& aSettings);
+
 /** Parses INI text; kInvalid names section and key. Unknown keys are ignored. */
 result<entry_settings> ParseEntrySettings(const std::string& aFile,
                                           const std::string& aText);
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -24,6 +24,8 @@
 
 constexpr int kIoThreads = 2;
 constexpr uint32_t kMaxHeaderBytes = 16'384;
+/** Limit of what is read but not parsed, such as a header or trailers. */
+constexpr size_t kMaxUnparsedBytes = 2UL * kMaxHeaderBytes;
 constexpr int64_t kMsPerSecond = 1000;
 
 struct server_counts
@@ -157,7 +159,8 @@
       Reject(408, "the request was not received in time", "");
     } else if (aError == http::error::body_limit) {
       Reject(413, "the body exceeds the size limit", "body");
-    } else if (aError == http::error::header_limit) {
+    } else if (aError == http::error::header_limit ||
+               aError == http::error::buffer_overflow) {
       Reject(431, "the headers exceed the size limit", "headers");
     } else if (!aError) {
       Serve();
@@ -245,7 +248,7 @@
   const api_handler& mHandler;
   const http_limits& mLimits;
   std::shared_ptr<server_counts> mCounts;
-  beast::flat_buffer mBuffer;
+  beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
   std::optional<http::request_parser<http::string_body>> mParser;
   http::response<http::string_body> mResponse;
   unsigned mVersion = 11;
--- a/src/http/HttpUpstreams.cpp
+++ b/src/http/HttpUpstreams.cpp
@@ -21,6 +21,8 @@
 constexpr duration kConnectTimeout{ 1'000 };
 constexpr size_t kMaxIdlePerUpstream = 8;
 constexpr size_t kMaxResponseBytes = 1'048'576;
+/** Limit of what is read but not parsed, such as a header or trailers. */
+constexpr size_t kMaxUnparsedBytes = 131'072;
 
 using shared_stream = std::shared_ptr<beast::tcp_stream>;
 
@@ -178,7 +180,7 @@
   shared_stream mStream;
   http::request<http::string_body> mRequest;
   http::response_parser<http::string_body> mParser;
-  beast::flat_buffer mBuffer;
+  beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
 };
 
 } // namespace
--- a/src/http/SingleThreadServer.cpp
+++ b/src/http/SingleThreadServer.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/beast/version.hpp>
+#include <cstring>
 #include <optional>
 #include <set>
 
@@ -20,6 +21,14 @@
 constexpr duration kWriteTimeout{ 5'000 };
 /** Delay before the next accept after a failure, such as no free file descriptors. */
 constexpr duration kAcceptRetryDelay{ 50 };
+/** Room for one read of a header, and of a body. */
+constexpr size_t kHeaderReadBytes = 4'096;
+constexpr size_t kBodyReadBytes = 32'768;
+/** Sent to a client that gives way. Nothing of its request has run. */
+constexpr const char* kGivesWayResponse =
+  "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\n"
+  "Content-Type: application/json\r\nContent-Length: 59\r\n\r\n"
+  R"({"error":"too many requests at once; this one did not run"})";
 
 class single_thread_session;
 
@@ -34,10 +43,13 @@
 
 struct single_thread_server::state
 {
-  state(asio::io_context& aContext, handler aHandler)
+  state(asio::io_context& aContext,
+        handler aHandler,
+        std::shared_ptr<receive_budget> aBudget)
     : mContext(aContext)
     , mAcceptor(aContext)
     , mHandler(std::move(aHandler))
+    , mBudget(aBudget ? std::move(aBudget) : std::make_shared<receive_budget>())
   {
   }
 
@@ -46,6 +58,7 @@
   asio::io_context& mContext;
   tcp::acceptor mAcceptor;
   handler mHandler;
+  std::shared_ptr<receive_budget> mBudget;
   server_limits mLimits;
   bool mKeepAliveDisabled = false;
   size_t mActive = 0;
@@ -68,6 +81,7 @@
     , mLimits(&aState->mLimits)
     , mKeepAliveDisabled(&aState->mKeepAliveDisabled)
     , mActive(&aState->mActive)
+    , mBudget(aState->mBudget)
     , mNumber(++aState->mConnections)
     , mServerState(aState)
   {
@@ -79,7 +93,30 @@
     };
   }
 
-  void Start() { WaitForRequest(); }
+  ~single_thread_session()
+  {
+    if (mPlace) {
+      mBudget->Close(*mPlace);
+    }
+  }
+
+  single_thread_session(const single_thread_session&) = delete;
+  single_thread_session& operator=(const single_thread_session&) = delete;
+
+  void Start()
+  {
+    mPlace = mBudget->Open([weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->mGivesWay = true;
+        self->mStream.cancel();
+      }
+    });
+    if (!mPlace) {
+      GiveWay();
+      return;
+    }
+    WaitForRequest();
+  }
 
   /** Closes the connection unless a request is being read or served. */
   void CloseIfIdle()
@@ -96,44 +133,101 @@
     mParser.emplace();
     mParser->header_limit(static_cast<uint32_t>(mLimits->mHeaderBytes));
     mParser->body_limit(mLimits->mBodyBytes);
-    mStream.expires_after(mLimits->mIdleTimeout);
-    http::async_read_some(
-      mStream,
-      mBuffer,
-      *mParser,
-      [self = shared_from_this()](beast::error_code aFailed, size_t) {
-        self->mIdle = false;
-        if (aFailed) {
-          self->OnReadFailed(aFailed);
-          return;
+    mParser->eager(true);
+    mBuffer.shrink_to_fit();
+    mBudget->BecomeIdle(*mPlace);
+    if (mIdle) {
+      mStream.expires_after(mLimits->mIdleTimeout);
+      ReadSome();
+      return;
+    }
+    BeginRequest();
+    // Posted, so that a client with many requests in its buffer does not nest calls.
+    asio::post(mStream.get_executor(), [self = shared_from_this()] { self->Parse(); });
+  }
+
+  void BeginRequest()
+  {
+    mIdle = false;
+    mBudget->BeginRequest(*mPlace);
+    mStream.expires_after(mLimits->mReadTimeout);
+  }
+
+  void ReadSome()
+  {
+    const bool inBody = mParser->is_header_done();
+    const auto room = mBuffer.prepare(inBody ? kBodyReadBytes : kHeaderReadBytes);
+    if (!mIdle && !mBudget->Hold(*mPlace, HeldBytes())) {
+      GiveWay();
+      return;
+    }
+    mStream.async_read_some(
+      room, [self = shared_from_this()](beast::error_code aFailed, size_t aBytes) {
+        self->mBuffer.commit(aBytes);
+        if (self->mGivesWay) {
+          self->GiveWay();
+        } else if (aFailed) {
+          self->Close();
+        } else {
+          if (self->mIdle) {
+            self->BeginRequest();
+          }
+          self->Parse();
         }
-        self->mStream.expires_after(self->mLimits->mReadTimeout);
-        http::async_read(self->mStream,
-                         self->mBuffer,
-                         *self->mParser,
-                         [self](beast::error_code aError, size_t) {
-                           if (aError) {
-                             self->OnReadFailed(aError);
-                             return;
-                           }
-                           self->Serve();
-                         });
       });
   }
 
-  void OnReadFailed(const beast::error_code& aFailed)
+  /** Parses what has arrived; then serves the request, or waits for more of it. */
+  void Parse()
+  {
+    if (mGivesWay) {
+      GiveWay();
+      return;
+    }
+    const bool wasInBody = mParser->is_header_done();
+    beast::error_code failed;
+    mBuffer.consume(mParser->put(mBuffer.data(), failed));
+    if (failed && failed != http::error::need_more) {
+      Reject(failed);
+    } else if (mParser->is_done()) {
+      Serve();
+    } else if (mBuffer.size() > mLimits->mHeaderBytes) {
+      // The parser's own limit counts neither trailers nor a chunk's extensions.
+      Reject(http::error::header_limit);
+    } else {
+      if (!wasInBody && mParser->is_header_done()) {
+        mStream.expires_after(mLimits->mReadTimeout);
+      }
+      ReadSome();
+    }
+  }
+
+  size_t HeldBytes() const
+  {
+    return mBuffer.capacity() + mParser->get().body().capacity();
+  }
+
+  /** Refuses what has arrived of a request, if anything, and closes the connection. */
+  void GiveWay()
+  {
+    if (!mIdle || mBuffer.size() > 0 || !mPlace) {
+      beast::error_code ignored;
+      // One attempt: a client that does not read must not keep the connection open.
+      mStream.socket().non_blocking(true, ignored);
+      mStream.socket().write_some(
+        asio::buffer(kGivesWayResponse, std::strlen(kGivesWayResponse)), ignored);
+    }
+    Close();
+  }
+
+  void Reject(const beast::error_code& aFailed)
   {
     if (aFailed == http::error::body_limit) {
       Reject(413);
     } else if (aFailed == http::error::header_limit) {
       Reject(431);
-    } else if (aFailed.category() ==
-                 make_error_code(http::error::bad_method).category() &&
-               aFailed != http::error::end_of_stream &&
-               aFailed != http::error::partial_message) {
-      Reject(400);
     } else {
-      Close();
+      Reject(400);
     }
   }
 
@@ -141,6 +235,10 @@
   {
     ++*mActive;
     mKeepAlive = false;
+    mParser.emplace();
+    mBuffer.clear();
+    mBuffer.shrink_to_fit();
+    mBudget->BeginServing(*mPlace);
     server_reply reply;
     reply.mStatus = aStatus;
     reply.mBody = R"({"error":"malformed or oversized request"})";
@@ -162,6 +260,9 @@
     request.mConnection = mNumber;
     mStream.expires_never();
     ++*mActive;
+    mBuffer.shrink_to_fit();
+    mBudget->BeginServing(*mPlace);
+    mBudget->Hold(*mPlace, mBuffer.capacity());
     (*mHandler)(request,
                 [self = shared_from_this(),
                  answered = false](const server_reply& aReply) mutable {
@@ -188,6 +289,7 @@
     mResponse.keep_alive(mKeepAlive);
     mResponse.body() = aReply.mBody;
     mResponse.prepare_payload();
+    mBudget->Hold(*mPlace, mBuffer.capacity() + mResponse.body().capacity());
     mStream.expires_after(kWriteTimeout);
     http::async_write(mStream,
                       mResponse,
@@ -197,6 +299,7 @@
                           self->Close();
                           return;
                         }
+                        self->mResponse = {};
                         self->WaitForRequest();
                       });
   }
@@ -206,6 +309,9 @@
     beast::error_code ignored;
     mStream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     mStream.socket().close(ignored);
+    if (mPlace) {
+      mBudget->Close(*mPlace);
+    }
     mUnregister(shared_from_this());
   }
 
@@ -214,10 +320,13 @@
   const server_limits* mLimits;
   const bool* mKeepAliveDisabled;
   size_t* mActive;
+  std::shared_ptr<receive_budget> mBudget;
+  std::optional<receive_budget::number> mPlace; ///< In mBudget.
   uint64_t mNumber;
   std::shared_ptr<void> mServerState;
   std::function<void(const std::shared_ptr<single_thread_session>&)> mUnregister;
   bool mIdle = true;
+  bool mGivesWay = false;
   bool mKeepAlive = true;
   beast::flat_buffer mBuffer;
   std::optional<http::request_parser<http::string_body>> mParser;
@@ -252,8 +361,10 @@
     });
 }
 
-single_thread_server::single_thread_server(asio::io_context& aContext, handler aHandler)
-  : mState(std::make_shared<state>(aContext, std::move(aHandler)))
+single_thread_server::single_thread_server(asio::io_context& aContext,
+                                           handler aHandler,
+                                           std::shared_ptr<receive_budget> aBudget)
+  : mState(std::make_shared<state>(aContext, std::move(aHandler), std::move(aBudget)))
 {
 }
 
--- a/src/http/SingleThreadServer.h
+++ b/src/http/SingleThreadServer.h
@@ -3,6 +3,7 @@
 #include "anvildoor/Error.h"
 #include "base/EventLoop.h"
 #include "http/HttpPool.h"
+#include "http/ReceiveBudget.h"
 
 #include <functional>
 #include <memory>
@@ -37,9 +38,11 @@
 /** Limits on the resources that one connection may use. */
 struct server_limits
 {
+  /** Of the header, and of what follows a chunked body or stands in a chunk's line. */
   size_t mHeaderBytes = 16'384;
   size_t mBodyBytes = 262'144;
-  duration mReadTimeout{ 3'000 };  ///< From the first byte of a request to its last.
+  /** For the header, from its first byte, and again for the body. */
+  duration mReadTimeout{ 3'000 };
   duration mIdleTimeout{ 15'000 }; ///< Between requests on one connection.
 
   auto operator<=>(const server_limits&) const = default;
@@ -48,8 +51,10 @@
 /**
  * HTTP/1.1 server on the thread of an Asio context. Unlike http_server, which has two
  * threads of its own, it does not switch threads for each request. A malformed or
- * oversized request is rejected with a matching status. Not thread-safe: all calls come
- * from the context's thread.
+ * oversized request is rejected with a matching status. A request that gives way to
+ * others (see receive_budget) is refused with 503 and Retry-After, as far as its client
+ * still reads; the handler has not seen it. Not thread-safe: all calls come from the
+ * context's thread.
  */
 class single_thread_server
 {
@@ -57,8 +62,13 @@
   using respond = std::function<void(const server_reply&)>;
   using handler = std::function<void(const server_request&, respond)>;
 
-  /** aContext must outlive the server. */
-  single_thread_server(boost::asio::io_context& aContext, handler aHandler);
+  /**
+   * aContext must outlive the server. Servers may share aBudget; without one, the
+   * server has one of its own with the default limits.
+   */
+  single_thread_server(boost::asio::io_context& aContext,
+                       handler aHandler,
+                       std::shared_ptr<receive_budget> aBudget = nullptr);
   ~single_thread_server();
 
   /**
