No start in an evacuated data centre while the store takes records but answers no reads

A start was decided while the requests had been read within the bound, and was sent as soon as the store had taken its record, however long that took.

Nothing is decided after half of the bound without an answer, and nothing that was decided is sent after three quarters; the rest is for answers and starts on their way.

--- a/src/scheduler/Evacuations.cpp
+++ b/src/scheduler/Evacuations.cpp
@@ -11,6 +11,11 @@
  * no gang is torn apart whose other members have been sent already.
  */
 constexpr int kGraceDivisor = 4;
+/**
+ * Share of the bound without an answer after which nothing more is decided. What was
+ * decided is still sent for the grace. The rest is for answers and starts on their way.
+ */
+constexpr int kKnownDivisor = 2;
 
 } // namespace
 
@@ -58,19 +63,19 @@
   mWasKnown = false;
 }
 
-bool evacuations::AreKnown() const
+bool evacuations::AreKnown(duration aMaxAge) const
 {
   if (!IsEnabled()) {
     return true;
   }
   const auto answeredAt = mWatch.AnsweredAt();
   return answeredAt >= mBegunAt && answeredAt != time_point(0) &&
-         mLoop.Now() - answeredAt <= mSettings.mBound;
+         mLoop.Now() - answeredAt <= aMaxAge;
 }
 
 bool evacuations::CheckKnown()
 {
-  const bool isKnown = AreKnown();
+  const bool isKnown = AreKnown(mSettings.mBound / kKnownDivisor);
   if (isKnown != mWasKnown && IsEnabled()) {
     mLog.Write(log_event("evacuations_known")
                  .Add("known", isKnown ? 1 : 0)
@@ -87,9 +92,10 @@
 
 bool evacuations::ForbidsStarts(const std::string& aDataCentre) const
 {
+  const auto grace = mSettings.mBound / kGraceDivisor;
   const auto found = mEvacuated.find(aDataCentre);
-  return found != mEvacuated.end() &&
-         mLoop.Now() - found->second.mSince > mSettings.mBound / kGraceDivisor;
+  return !AreKnown(mSettings.mBound / kKnownDivisor + grace) ||
+         (found != mEvacuated.end() && mLoop.Now() - found->second.mSince > grace);
 }
 
 void evacuations::Report(const std::map<std::string, data_centre_load>& aLoads)
--- a/src/scheduler/Evacuations.h
+++ b/src/scheduler/Evacuations.h
@@ -36,8 +36,8 @@
 
 /**
  * Follows which data centres are being evacuated during a scheduler's term. Until the
- * requests have been read, and again when the store has not confirmed them for longer
- * than the bound, nothing may be started at all. Not thread-safe.
+ * requests have been read, and again when the store has not confirmed them for half of
+ * the bound, nothing may be started at all. Not thread-safe.
  */
 class evacuations
 {
@@ -66,8 +66,8 @@
   bool Includes(const std::string& aDataCentre) const;
 
   /**
-   * Returns whether a start in aDataCentre that was decided before its evacuation must
-   * not be sent any more.
+   * Returns whether a start in aDataCentre that was decided before its evacuation, or
+   * while the requests were known, must not be sent any more.
    */
   bool ForbidsStarts(const std::string& aDataCentre) const;
 
@@ -87,7 +87,8 @@
     bool mIsReported = false;
   };
 
-  bool AreKnown() const;
+  /** Returns whether the store has confirmed the requests within aMaxAge. */
+  bool AreKnown(duration aMaxAge) const;
   bool IsEnabled() const { return !mSettings.mKeyPrefix.empty(); }
   void OnRead(const stored_range& aRange);
   void Insert(const std::string& aKey);
--- a/tests/EvacuationTest.cpp
+++ b/tests/EvacuationTest.cpp
@@ -202,3 +202,34 @@
   site.mLoop.RunFor(duration(1'000));
   CHECK(site.mLog.CountLines("event=evacuation_ended") == 1);
 }
+
+// Guards against starts that wait for their record while nobody reads the request.
+TEST_CASE("a start is not sent after the bound although the request can't be read",
+          "[evacuation]")
+{
+  // How long the store takes no records, and when before the request a watch begins.
+  const auto refusedMs = GENERATE(3'000, 4'500, 5'200, 6'000, 7'000);
+  const auto phaseMs = GENERATE(0, 300, 600, 900, 1'200);
+  CAPTURE(refusedMs, phaseMs);
+  busy_site busy;
+  auto& site = busy.mSite;
+  site.mLoop.RunFor(duration(phaseMs));
+  const auto requestedAt = site.mLoop.Now();
+  store_fault unread;
+  unread.mFate = store_fate::kUnanswered;
+  unread.mPrefix = kPrefix;
+  unread.mUntil = requestedAt + duration(20'000);
+  store_fault unrecorded;
+  unrecorded.mCalls = { store_call::kCommit };
+  unrecorded.mUntil = requestedAt + duration(refusedMs);
+  site.mFaults.mStoreFaults = { unread, unrecorded };
+  site.mStore.Put(kPrefix + kEvacuated, "{}");
+  site.mLoop.RunFor(duration(20'000));
+  CHECK(busy.StartsInside(requestedAt + kBound) == 0);
+  // Once the requests can be read again, the other data centre goes on.
+  const auto readAt = site.mLoop.Now();
+  site.mLoop.RunFor(duration(5'000));
+  CHECK(std::any_of(site.mTraces.begin(), site.mTraces.end(), [&](const auto& aTrace) {
+    return aTrace.mStartedAt > readAt;
+  }));
+}
