Soak and seeded scan with evacuations and workers of uneven pace

The soak's stand-in has three data centres in one pool and workers that work at 0.6, 1 or 1.6 of the usual pace, drawn by the seed and changed now and then; progress, checkpoints and ends follow. The soak writes and removes op/evacuate/ZONE at random times and fails on a start between the bound after the acknowledged write and the removal. Disruptions excuse nothing, as a scheduler that can't read the requests has to start nothing. Workers of an evacuated data centre don't count as free for the judge of idle jobs. A run in which no evacuation outlasted its bound fails.

The scan has a third case with paces and evacuations, drawn from a generator of their own; the other two draw what they drew.

--- a/src/standin/RunWorker.cpp
+++ b/src/standin/RunWorker.cpp
@@ -12,6 +12,12 @@
 /** Time that a stop takes; on the platform it takes at most 400 ms. */
 constexpr duration kStopDelay{ 50 };
 
+duration TimeToWork(const run_behaviour& aBehaviour)
+{
+  const auto workMs = static_cast<double>(aBehaviour.mDuration.count());
+  return duration(std::lround(workMs / aBehaviour.mPace));
+}
+
 } // namespace
 
 run_worker::run_worker(event_loop& aLoop,
@@ -107,7 +113,7 @@
         aTask, aRun, working->mBehaviour.mFails ? run_end::kFailed : run_end::kDone);
     }
   };
-  mLoop.RunAfter(run->mBehaviour.mDuration, workEnds);
+  mLoop.RunAfter(TimeToWork(run->mBehaviour), workEnds);
 }
 
 void run_worker::JoinGang(const task_ref& aTask, uint32_t aRun, uint32_t aGangSize)
@@ -166,7 +172,9 @@
   if (interval <= duration::zero() || !aActive.mIsWorking) {
     return "";
   }
-  const auto worked = mLoop.Now() - aActive.mWorkingSince;
+  const auto elapsedMs =
+    static_cast<double>((mLoop.Now() - aActive.mWorkingSince).count());
+  const duration worked(std::lround(elapsedMs * aActive.mBehaviour.mPace));
   const auto saved = aIsStopped ? worked : worked - worked % interval;
   if (saved <= duration::zero()) {
     return "";
@@ -190,7 +198,7 @@
   for (const auto& [key, run] : mRuns) {
     const auto elapsedMs =
       run.mIsWorking ? (mLoop.Now() - run.mWorkingSince).count() : 0;
-    const auto durationMs = std::max<int64_t>(1, run.mBehaviour.mDuration.count());
+    const auto durationMs = std::max<int64_t>(1, TimeToWork(run.mBehaviour).count());
     reply.mRunning.push_back(
       { key.first,
         key.second,
--- a/src/standin/RunWorker.h
+++ b/src/standin/RunWorker.h
@@ -20,6 +20,8 @@
   uint32_t mGangSize = 0; ///< Number of tasks of its gang; 0: it belongs to none.
   duration mCheckpointInterval{ 0 }; ///< Of work; 0: it makes no checkpoints.
   duration mSaved{ 0 };              ///< Work of earlier runs, which it resumes after.
+  /** Work that its worker does in a unit of time; all spans above are of work. */
+  double mPace = 1.0;
 
   auto operator<=>(const run_behaviour&) const = default;
 };
--- a/tests/RebornWorkerScanTest.cpp
+++ b/tests/RebornWorkerScanTest.cpp
@@ -23,6 +23,16 @@
 constexpr duration kExpiry{ 4'500 };
 /** Calls that are carried out later than this have been given up by their sender. */
 constexpr duration kCallTimeout{ 900 };
+const std::string kEvacuationPrefix = "evacuate/";
+constexpr duration kEvacuationBound{ 5'000 };
+constexpr size_t kWorkersPerRack = 4;
+
+/** What a scan draws beside workers that start again. */
+struct scan_options
+{
+  bool mGangsFail = false;
+  bool mIsUneven = false; ///< Uneven paces, and evacuations.
+};
 
 struct scan_counts
 {
@@ -33,17 +43,23 @@
   size_t mLapsedRuns = 0;
   size_t mLateOnUnknownLife = 0; ///< Starts as of the known limit.
   size_t mExcused = 0;           ///< Broken cases with such a start.
+  size_t mEvacuations = 0;
 };
 
 /** Draws jobs and troubles around workers that start again under their ids. */
 class reborn_worker_mix
 {
 public:
-  reborn_worker_mix(uint32_t aSeed, bool aGangsFail)
+  reborn_worker_mix(uint32_t aSeed, const scan_options& aOptions)
     : mRandom(aSeed)
-    , mGangsFail(aGangsFail)
-    , mSite(kVms, kWorkers, 4, DrawBounds())
+    , mUnevenRandom(aSeed)
+    , mGangsFail(aOptions.mGangsFail)
+    , mIsUneven(aOptions.mIsUneven)
+    , mSite(kVms, kWorkers, kWorkersPerRack, DrawBounds())
   {
+    if (mIsUneven) {
+      DrawPaces();
+    }
     mSite.mFaults.mFateOfOrder = [this](const std::string& aWorker,
                                         const std::string& aOrder) {
       const auto found = mOrderFaults.find({ aWorker, aOrder });
@@ -77,6 +93,9 @@
     for (auto troubles = Below(8); troubles > 0; --troubles) {
       After(Below(kTroubledMs), [this, kinds] { BeginTrouble(kinds); });
     }
+    if (mIsUneven) {
+      PlanEvacuations();
+    }
     while (mSite.mLoop.Now() < mTroubledUntil) {
       mSite.mLoop.RunFor(mTroubledUntil - mSite.mLoop.Now());
     }
@@ -86,7 +105,9 @@
     mJudge->JudgeEnd();
     mJudge->JudgeRuns();
     Count();
-    return mJudge->Broken();
+    auto broken = mJudge->Broken();
+    JudgeEvacuations(broken);
+    return broken;
   }
 
   const scan_counts& Counts() const { return mCounts; }
@@ -105,6 +126,9 @@
   {
     scheduler_bounds bounds;
     bounds.mRuns.mLeaseMax = duration(Chance(50) ? 6'000 : 10'000);
+    if (mIsUneven) {
+      bounds.mEvacuations = { kEvacuationPrefix, kEvacuationBound };
+    }
     return bounds;
   }
   int Below(int aLimit)
@@ -202,6 +226,73 @@
       });
   }
 
+  // Uneven workers and evacuations
+
+  struct evacuation
+  {
+    std::string mDataCentre;
+    time_point mBegin{ 0 };
+    time_point mEnd{ 0 };
+  };
+
+  int BelowOfUneven(int aLimit)
+  {
+    return std::uniform_int_distribution<int>(0, aLimit - 1)(mUnevenRandom);
+  }
+
+  void DrawPaces()
+  {
+    static constexpr double kSlowdowns[] = { 1.0 / 0.6, 1.0, 1.0, 1.0 / 1.6 };
+    for (const auto& [id, worker] : mSite.mWorkers) {
+      mSite.mFaults.mSlowdownFactors[id] =
+        kSlowdowns[BelowOfUneven(std::size(kSlowdowns))];
+    }
+  }
+
+  /** Requests follow each other in each data centre, and may overlap between them. */
+  void PlanEvacuations()
+  {
+    for (const auto* dataCentre : { "dc-r0", "dc-r1" }) {
+      auto beginMs = BelowOfUneven(kTroubledMs);
+      for (auto count = BelowOfUneven(3); count > 0; --count) {
+        const auto forMs = 1'000 + BelowOfUneven(20'000);
+        After(beginMs, [this, dataCentre, forMs] { Evacuate(dataCentre, forMs); });
+        beginMs += forMs + 1 + BelowOfUneven(3'000);
+      }
+    }
+  }
+
+  void Evacuate(const std::string& aDataCentre, int aForMs)
+  {
+    Note("evacuate " + aDataCentre, aForMs);
+    ++mCounts.mEvacuations;
+    const auto begin = mSite.mLoop.Now();
+    mEvacuations.push_back({ aDataCentre, begin, begin + duration(aForMs) });
+    mSite.mStore.Put(kEvacuationPrefix + aDataCentre, "{}");
+    After(aForMs, [this, aDataCentre] {
+      mSite.mStore.Remove(kEvacuationPrefix + aDataCentre);
+    });
+  }
+
+  /** Adds a text for each start in a data centre that had been evacuated for long. */
+  void JudgeEvacuations(std::vector<std::string>& aBroken) const
+  {
+    for (const auto& trace : mSite.mTraces) {
+      const auto rack = std::stoul(trace.mWorker.substr(1)) / kWorkersPerRack;
+      const auto dataCentre = "dc-r" + std::to_string(rack);
+      for (const auto& each : mEvacuations) {
+        if (each.mDataCentre == dataCentre &&
+            trace.mStartedAt > each.mBegin + kEvacuationBound &&
+            trace.mStartedAt < each.mEnd &&
+            mJudge->mExcusedStarts.count({ trace.mWorker, trace.mStartedAt }) == 0) {
+          aBroken.push_back("EVAC " + trace.mTask.mJob + " on " + trace.mWorker +
+                            " start " + Since(trace.mStartedAt) + " evacuated " +
+                            Since(each.mBegin));
+        }
+      }
+    }
+  }
+
   // Troubles
 
   /** Workers crash, are back under their ids and perhaps are cut off soon after. */
@@ -412,7 +503,9 @@
   }
 
   std::mt19937 mRandom;
+  std::mt19937 mUnevenRandom; ///< Draws paces and evacuations.
   bool mGangsFail;
+  bool mIsUneven;
   fake_installation mSite;
   time_point mBegin{ 0 };
   time_point mTroubledUntil{ 0 };
@@ -421,6 +514,7 @@
   std::map<std::pair<std::string, std::string>, time_point> mBlockedUntil;
   std::map<std::string, time_point> mRelistedAt;
   std::set<std::string> mLeavingVms;
+  std::vector<evacuation> mEvacuations;
   std::optional<run_judge> mJudge; ///< Set when the play begins.
   scan_counts mCounts;
 };
@@ -432,14 +526,14 @@
   return text == nullptr ? aDefault : static_cast<uint32_t>(std::stoul(text));
 }
 
-void Scan(bool aGangsFail, uint32_t aSeeds)
+void Scan(const scan_options& aOptions, uint32_t aSeeds)
 {
   const auto first = NumberFrom("REBORN_FIRST_SEED", 1);
   const auto seeds = NumberFrom("REBORN_SEEDS", aSeeds);
   const bool isTraced = std::getenv("REBORN_TRACE") != nullptr;
   scan_counts all;
   for (auto seed = first; seed < first + seeds; ++seed) {
-    reborn_worker_mix mix(seed, aGangsFail);
+    reborn_worker_mix mix(seed, aOptions);
     const auto broken = mix.Play();
     const auto& counts = mix.Counts();
     all.mJobs += counts.mJobs;
@@ -449,6 +543,7 @@
     all.mLapsedRuns += counts.mLapsedRuns;
     all.mLateOnUnknownLife += counts.mLateOnUnknownLife;
     all.mExcused += counts.mExcused;
+    all.mEvacuations += counts.mEvacuations;
     for (const auto& text : mix.Excused()) {
       std::cout << "known limit, seed " << seed << ": " << text << "\n";
     }
@@ -466,7 +561,8 @@
             << all.mRuns << " restarts " << all.mRestarts << " failed jobs "
             << all.mFailedJobs << " lapsed runs " << all.mLapsedRuns
             << " late on unknown lives " << all.mLateOnUnknownLife
-            << " of these broken " << all.mExcused << "\n";
+            << " of these broken " << all.mExcused << " evacuations "
+            << all.mEvacuations << "\n";
   CHECK(all.mJobs > seeds);
   CHECK(all.mRestarts > seeds);
 }
@@ -477,12 +573,19 @@
 TEST_CASE("no task runs twice nor is lost around workers that start again",
           "[reborn-scan]")
 {
-  Scan(false, 100);
+  Scan({}, 100);
 }
 
 // Guards against a gang's run that is counted by its members (issue 44).
 TEST_CASE("gangs have all their attempts around workers that start again",
           "[reborn-scan]")
 {
-  Scan(true, 50);
+  Scan({ .mGangsFail = true }, 50);
+}
+
+// Guards against starts in evacuated data centres (issue 47).
+TEST_CASE("nothing starts in evacuated data centres around workers that start again",
+          "[reborn-scan]")
+{
+  Scan({ .mIsUneven = true }, 50);
 }
--- a/tests/platform/WorkerFaults.cpp
+++ b/tests/platform/WorkerFaults.cpp
@@ -163,6 +163,8 @@
         mPorts.mLoop.RunAfter(hiddenFor,
                               [this, worker, entry] { List(worker, entry); });
       });
+  } else if (kind == "pace") {
+    mPorts.mSetPace(worker, aFault.at("pace").get<double>());
   } else if (kind == "restart") {
     Restart(worker);
   } else if (kind == "crash") {
--- a/tests/platform/WorkerFaults.h
+++ b/tests/platform/WorkerFaults.h
@@ -47,6 +47,7 @@
     change_worker mRestart; ///< Replaces a worker by a new life under its id.
     change_worker mCrash;   ///< Ends a worker's life and nothing else.
     change_worker mExit;    ///< Ends a worker and removes its entry.
+    std::function<void(const std::string& aWorker, double aPace)> mSetPace;
     /** Returns when the life of a worker began, in Unix milliseconds; 0: it has ended.
      */
     std::function<int64_t(const std::string& aWorker)> mStartedAtMs;
@@ -77,6 +78,7 @@
    * - `crash`: neither heartbeats nor answers for `for_ms`, then as `restart`;
    * - `drain`: draining for `entry_ms`, then without an entry for `stays_ms`; the entry
    *   tells `remaining_ms` (0: not known);
+   * - `pace`: runs that begin from now on do the work of `pace` ms in 1 ms;
    * - `heartbeats`: all entries change every `period_ms` from now on.
    * The faults of a worker that has no entry, but those of orders, do nothing.
    */
--- a/tests/platform/platform-standin.cpp
+++ b/tests/platform/platform-standin.cpp
@@ -2,11 +2,12 @@
  * Stand-in for the users' platform in tests: serves the store and the workers over HTTP
  * on loopback, in one process. Runs until SIGTERM and does not read standard input. At
  * the store's address, GET /traces lists every run so far, POST /put writes a key as
- * the operator does, POST /busy has the store answer 503 for a time, and POST /leave
- * ends a worker, whose port is closed then. With DATA_CENTRES, the workers stand in as
- * many in turn, and those of number N are service poolN. The store may have several
- * ports; POST /store-fault adds a fault of one (DecodeStoreFault). WorkerFaults.h has
- * the faults of workers, DeadConnections.h the one of connections.
+ * the operator does, POST /remove removes one, POST /busy has the store answer 503 for
+ * a time, and POST /leave ends a worker, whose port is closed then. With DATA_CENTRES,
+ * the workers stand in as many in turn, and those of number N are service poolN; with
+ * RACK_DATA_CENTRES, the racks of the only service stand in as many in turn. The store
+ * may have several ports; POST /store-fault adds a fault of one (DecodeStoreFault).
+ * WorkerFaults.h has the faults of workers, DeadConnections.h the one of connections.
  */
 #include "DeadConnections.h"
 #include "StoreFaults.h"
@@ -160,6 +161,9 @@
       mStore.Put(body.at("key").get<std::string>(),
                  body.at("value").get<std::string>());
       aRespond(JsonReply(200, json::object()));
+    } else if (path == "/remove") {
+      mStore.Remove(json::parse(aRequest.mBody).at("key").get<std::string>());
+      aRespond(JsonReply(200, json::object()));
     } else if (path == "/busy") {
       const auto body = json::parse(aRequest.mBody);
       mBusyUntil = mLoop.Now() + duration(body.at("for_ms").get<int64_t>());
@@ -416,14 +420,20 @@
 {
   if (aArgumentCount < 4) {
     std::fprintf(stderr,
-                 "usage: platform-standin WORKERS_PER_RACK[,LEASE_MS[,DATA_CENTRES]] "
-                 "STORE_PORT[,STORE_PORT...] WORKER_PORT...\n");
+                 "usage: platform-standin WORKERS_PER_RACK[,LEASE_MS[,DATA_CENTRES"
+                 "[,RACK_DATA_CENTRES]]] STORE_PORT[,STORE_PORT...] WORKER_PORT...\n");
     return 2;
   }
   int workersPerRack = 0;
   int leaseMaxMs = 6'000;
   int dataCentres = 0;
-  std::sscanf(aArguments[1], "%d,%d,%d", &workersPerRack, &leaseMaxMs, &dataCentres);
+  int rackDataCentres = 0;
+  std::sscanf(aArguments[1],
+              "%d,%d,%d,%d",
+              &workersPerRack,
+              &leaseMaxMs,
+              &dataCentres,
+              &rackDataCentres);
   workersPerRack = std::max(1, workersPerRack);
   const duration leaseMax(leaseMaxMs);
   std::signal(SIGPIPE, SIG_IGN);
@@ -433,6 +443,7 @@
   std::vector<run_trace> traces;
   gang_registry gangs(loop);
   std::map<std::string, std::unique_ptr<run_worker>> workers;
+  std::map<std::string, double> paces;
   std::map<std::string, std::unique_ptr<single_thread_server>> servers;
   const auto endWorker = [&](const std::string& aWorker) {
     servers.at(aWorker)->DisableKeepAlive();
@@ -450,9 +461,11 @@
       aWorker,
       lastStartedAtMs,
       leaseMax,
-      [&store](const start_run_request& aRequest) {
+      [&store, &paces, aWorker](const start_run_request& aRequest) {
+        const auto pace = paces.find(aWorker);
         auto behaviour = DecodeBehaviour(aRequest);
         behaviour.mGangSize = GangSizeOf(store, aRequest.mTask);
+        behaviour.mPace = pace == paces.end() ? 1.0 : pace->second;
         return behaviour;
       },
       gangs,
@@ -474,6 +487,7 @@
       beginWorker,
       [&workers](const std::string& aWorker) { workers.erase(aWorker); },
       endWorker,
+      [&paces](const std::string& aWorker, double aPace) { paces[aWorker] = aPace; },
       [&workers](const std::string& aWorker) {
         const auto worker = workers.find(aWorker);
         return worker == workers.end() ? int64_t(0) : worker->second->StartedAtMs();
@@ -517,11 +531,14 @@
   constexpr int kFirstWorker = 3; // The first argument that is a worker's port.
   for (int number = kFirstWorker; number < aArgumentCount; ++number) {
     const auto id = "i-" + std::to_string(number);
-    const auto rack = "r" + std::to_string((number - kFirstWorker) / workersPerRack);
+    const auto rackNumber = (number - kFirstWorker) / workersPerRack;
+    const auto rack = "r" + std::to_string(rackNumber);
     const auto dataCentre = dataCentres > 0
                               ? std::to_string((number - kFirstWorker) * dataCentres /
                                                (aArgumentCount - kFirstWorker))
                               : "";
+    const auto zone =
+      rackDataCentres > 0 ? std::to_string(rackNumber % rackDataCentres) : dataCentre;
     beginWorker(id);
     servers[id] = std::make_unique<single_thread_server>(
       context,
@@ -543,7 +560,7 @@
       id,
       { { "service", "pool" + dataCentre },
         { "address", address(number) },
-        { "zone", "z" + dataCentre },
+        { "zone", "z" + zone },
         { "state", "ready" },
         { "capacity", { { "cpu", 32'000 }, { "mem_mb", 65'536 }, { "gpu", 8 } } },
         { "labels", { "a", rack } } });
--- a/tests/platform/soak_cancellations.py
+++ b/tests/platform/soak_cancellations.py
@@ -9,8 +9,9 @@
 its job's cancellation was answered; such a time counts only in stretches without
 disruption. The end of a run counts also beside a SIGTERM, if that ended its starter. Fails also
 if a run starts that no caller asked for, or with another spec or checkpoint; if an end in calm
-waits too long until a hold acknowledges it, beside a SIGTERM or not; and if an accepted job
-has nothing running for too long in calm beside free workers.
+waits too long until a hold acknowledges it, beside a SIGTERM or not; if an accepted job has
+nothing running for too long in calm beside free workers; and if a run starts in a data centre
+too long after its evacuation was requested. Workers have uneven paces.
 """
 
 import argparse
@@ -34,6 +35,7 @@
 import unasked_judge
 from entry_site import Vm, call, wait_until
 from idle_judge import CALM_S, Idle
+from soak_evacuations import BOUND_S, DATA_CENTRES, Evacuations
 from soak_removals import CONTACT_S, SCHEDULER_KEY, Removals, now
 from unasked_judge import END_BOUND_S
 
@@ -120,7 +122,8 @@
     def __init__(self, build, folder, name, ports, store):
         self.is_disturbed, self.is_removed = False, False
         self.is_scheduler, self.in_rotation = False, False
-        super().__init__(build, folder, name, ports, store)
+        super().__init__(build, folder, name, ports, store,
+                         f"[bounds]\nevacuation_ms = {int(1000 * BOUND_S)}\n")
 
     def is_alive(self):
         return self.process.poll() is None
@@ -147,13 +150,15 @@
         ports = ports_for_servers(stores + options.workers + 4 * options.vms, self.port_picker)
         self.store, self.stores = ports[0], ports[1:stores] or ports[:1]
         first = stores + options.workers
-        self.processes = [entry_site.start_standin(options.build, 6, ports[:first], stores)]
+        self.processes = [entry_site.start_standin(
+            options.build, f"6,6000,0,{DATA_CENTRES}", ports[:first], stores)]
         self.entry_build = options.entry_build
         self.vms = []
         for at in range(first, len(ports), 4):
             self.add_vm(ports[at:at + 4])
         self.workers = [f"i-{number}" for number in range(3, 3 + options.workers)]
         self.removals = options.removals and Removals(self)
+        self.evacuations = Evacuations(self)
         self.kinds = Removals.KINDS if options.removals else Job.KINDS
         self.slowest = (0.0, None, None)  # The time, job and row of the longest in calm.
         self.slowest_note = (0.0, None, None)  # The same for the note of an end.
@@ -513,6 +518,8 @@
                                for what, seconds in broken]
         violations += self.judge_starts(rows, counts)
         violations += self.judge_idle(rows, read_at, counts)
+        violations += [(self.job_of(row), row, "start in an evacuated data centre", seconds)
+                       for row, seconds in self.evacuations.judge(rows, counts)]
         late, after_removal = self.judge_removals(runs, read_at, counts)
         calm_or_planned = self.calm(read_at, True)
         if self.removals:  # All VMs were ready when the soak began.
@@ -546,11 +553,15 @@
                       checkpoints=sum(len(row["handed_out"]) for row in rows),
                       resumed=len(resumed),
                       resumed_in_gangs=sum("gang" in step for _, step in resumed))
-        # A job that nobody sent has no callers to report on; the row tells all.
-        return [(jobs.get(row["task"].split(".")[0]) or Job(self.seed, 0), row, what, 0)
+        return [(self.job_of(row), row, what, 0)
                 for row, what in unasked_judge.judge_starts(
                     rows, {job.id: [job.body] for job in self.jobs if job.submitted})]
 
+    def job_of(self, row):
+        # A job that nobody sent has no callers to report on; the row tells all.
+        return next((job for job in self.jobs if job.id == row["task"].split(".")[0]),
+                    None) or Job(self.seed, 0)
+
     @staticmethod
     def step_of(row, jobs):
         task = unasked_judge.parse_task(row["task"])
@@ -562,7 +573,8 @@
         calm = [(max(begin + CALM_S - CONTACT_S, self.began), end)
                 for begin, end in self.calm(read_at)]
         workers = self.removals.workers if self.removals else self.workers
-        idle = Idle(self.jobs, rows, [each for each in calm if each[0] < each[1]],
+        idle = Idle(self.jobs, rows + self.evacuations.busy(read_at),
+                    [each for each in calm if each[0] < each[1]],
                     workers, read_at)
         counts["longest_idle"] = round(idle.longest, 2)
         counts["jobs_idle"] = self.idle_causes()
@@ -686,6 +698,7 @@
         entry_site.put_policy(self.store)
         wait_until(lambda: all(vm.is_ready() for vm in self.vms), "all VMs are ready")
         wait_until(lambda: any(vm.schedules() for vm in self.vms), "one VM is the scheduler")
+        self.evacuations.begin()
         self.began = now()
         if self.removals:
             self.removals.begin()
@@ -694,6 +707,7 @@
         threads += [threading.Thread(target=self.run_caller, args=(number,))
                     for number in range(CALLERS)]
         threads += [threading.Thread(target=self.poll_key),
+                    threading.Thread(target=self.evacuations.run),
                     threading.Thread(target=self.submit_jobs, args=(until,))]
         for each in threads:
             each.start()
@@ -752,6 +766,8 @@
           ", ".join(f"{name} {value}" for name, value in counts.items()))
     entry_site.expect("enough cancellations are judged", counts["2xx"] >= MIN_CANCELLATIONS,
                       counts["2xx"])
+    entry_site.expect("evacuations are judged", counts["evacuations_judged"] > 0,
+                      counts["evacuations_judged"])
     return 1 if violations or entry_site.checks["failed"] else 0
 
 
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -759,8 +759,9 @@
       auto behaviour =
         found == mBehaviourByPayload.end() ? run_behaviour() : found->second;
       const auto slowdown = mFaults.mSlowdownFactors.find(aId);
-      behaviour.mDuration *=
-        slowdown == mFaults.mSlowdownFactors.end() ? 1 : slowdown->second;
+      if (slowdown != mFaults.mSlowdownFactors.end()) {
+        behaviour.mPace = 1.0 / slowdown->second;
+      }
       behaviour.mGangSize = GangSizeOf(mStore, aRequest.mTask);
       return behaviour;
     },
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -118,7 +118,7 @@
   /** Workers whose clock is slow by 2 %, from their next start on. */
   std::set<std::string> mSlowClockWorkers;
   /** Factor on the duration of runs that begin on a worker. */
-  std::map<std::string, int> mSlowdownFactors;
+  std::map<std::string, double> mSlowdownFactors;
 };
 
 class fake_vm;
