A deeply nested body doesn't end a process

A single submission inside the limits ended an entry process: its body held 131,000 arrays inside each other, and copying the parsed value used up the stack. JSON text of others is now counted through before it is parsed; past 64 levels it counts as malformed. The same for anvildoord's bodies and for answers of workers and store.

--- a/src/base/JsonReader.cpp
+++ b/src/base/JsonReader.cpp
@@ -1,5 +1,7 @@
 #include "base/JsonReader.h"
 
+#include "base/JsonText.h"
+
 #include <algorithm>
 
 namespace anvildoor {
@@ -15,7 +17,7 @@
 
 json_reader json_reader::Parse(const std::string& aText, std::string aStep)
 {
-  auto parsed = nlohmann::json::parse(aText, nullptr, false);
+  auto parsed = ParseJson(aText);
   if (parsed.is_discarded()) {
     json_reader reader(nlohmann::json::object(), std::move(aStep));
     reader.Reject("", "malformed JSON");
--- a/src/daemon/ConfigApi.cpp
+++ b/src/daemon/ConfigApi.cpp
@@ -42,7 +42,7 @@
 /** Returns the data centre in which a workspace's guarantees apply; "" means all. */
 std::string DataCentreOf(const std::string& aBody)
 {
-  const auto body = nlohmann::json::parse(aBody, nullptr, false);
+  const auto body = ParseJson(aBody);
   const bool hasDataCentre =
     body.is_object() && body.contains("data_centre") && body["data_centre"].is_string();
   return hasDataCentre ? body["data_centre"].get<std::string>() : std::string();
--- a/src/daemon/NodeApi.cpp
+++ b/src/daemon/NodeApi.cpp
@@ -1,5 +1,7 @@
 #include "daemon/NodeApi.h"
 
+#include "base/JsonText.h"
+
 #include <nlohmann/json.hpp>
 
 namespace anvildoor {
@@ -9,7 +11,7 @@
 /** Returns whether the caller states that it never sent this key before. */
 bool IsFirstCall(const api_call& aCall)
 {
-  const auto body = nlohmann::json::parse(aCall.mBody, nullptr, false);
+  const auto body = ParseJson(aCall.mBody);
   const bool isMarkedFirst = body.is_object() && body.contains("repeat") &&
                              body["repeat"].is_boolean() && !body["repeat"].get<bool>();
   return aCall.mIdempotencyKey.empty() || isMarkedFirst;
--- a/src/http/ApiSupport.cpp
+++ b/src/http/ApiSupport.cpp
@@ -123,7 +123,7 @@
 
 api_response WithUnknownOutcome(const api_response& aResponse)
 {
-  auto body = nlohmann::json::parse(aResponse.mBody, nullptr, false);
+  auto body = ParseJson(aResponse.mBody);
   if (!body.is_object() || body.value("outcome", "") != "not_run") {
     return aResponse;
   }
@@ -143,7 +143,7 @@
 api_response WithoutOutcome(const api_response& aResponse)
 {
   constexpr uint32_t kFirstError = 400;
-  auto body = nlohmann::json::parse(aResponse.mBody, nullptr, false);
+  auto body = ParseJson(aResponse.mBody);
   if (aResponse.mStatus < kFirstError || !body.is_object()) {
     return aResponse;
   }
--- a/tests/platform/check_hostile_clients.py
+++ b/tests/platform/check_hostile_clients.py
@@ -22,6 +22,9 @@
 BODY_BYTES = 262_144
 POST = b"POST /q/00000000000000ff HTTP/1.1\r\nHost: jobs.example\r\nX-Api-Key: key\r\n"
 CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+DEPTH = 131_000
+NESTED = (POST + b"Content-Length: %d\r\n\r\n" % (2 * DEPTH + 9) + b'{"spec":' +
+          b"[" * DEPTH + b"]" * DEPTH + b"}")
 PIECE_BYTES = 65_536
 JOB = {"spec": "10", "steps": [{"count": 1, "cpu": 100, "estimate_ms": 10}]}
 
@@ -46,6 +49,7 @@
     ("requests without reading their answers", "jobs", 32, b"",
      repeated(b"GET /q/00000000000000ff HTTP/1.1\r\nHost: jobs.example\r\nX-Api-Key: key\r\n\r\n"),
      64),
+    ("deeply nested bodies", "jobs", 32, b"", NESTED, 20),
     ("connections without a request", "jobs", 600, b"", b"", 0),
     ("header lines that stop", "jobs", 600, POST, b"X-H: 0\r\n", 1),
 ]
