Late ends as failed of runs that were given up count as attempts

Callers saw a third run with max_attempts 2 although two runs had ended as failed and both ends were noted before it began (BUDGET; 2 of 2 rows of the test, a task and a gang of 2).

Cause: job_state::End ignored ends as failed of runs whose place was given up.

--- a/src/jobs/JobState.cpp
+++ b/src/jobs/JobState.cpp
@@ -45,6 +45,13 @@
   return ranges;
 }
 
+/** Returns whether an end was concluded without word from the run's worker. */
+bool IsGivenUp(run_end aEnd)
+{
+  return aEnd == run_end::kLeaseExpired || aEnd == run_end::kLost ||
+         aEnd == run_end::kNotStarted;
+}
+
 } // namespace
 
 const char* ToString(run_end aEnd)
@@ -121,6 +128,7 @@
   if (open != step.mOpen.end()) {
     open->second.mDone = true;
   }
+  step.mGivenUp.erase(aTask.mIndex);
   CloseTask(aTask);
 }
 
@@ -354,13 +362,15 @@
   const bool hadThisRun = aRun != 0 && aRun <= before.mRun;
   effect.mIsLatestRun = before.mRun == aRun && !before.mWorker.empty();
   effect.mTaskDone = isDone && hadThisRun && !before.mDone;
-  if (!effect.mIsLatestRun && !effect.mTaskDone) {
+  const auto formerOutcome = mOutcome;
+  effect.mIsCounted = aEnd == run_end::kFailed && !before.mDone &&
+                      CountFailedRun(aTask, aRun, effect.mIsLatestRun);
+  effect.mJobFinished = mOutcome != formerOutcome;
+  if (!effect.mIsLatestRun && !effect.mTaskDone && !effect.mIsCounted) {
     return effect;
   }
   // The other ends may be of a run that never started.
-  mHasStarted =
-    mHasStarted || (aEnd != run_end::kNotStarted && aEnd != run_end::kLost &&
-                    aEnd != run_end::kLeaseExpired);
+  mHasStarted = mHasStarted || !IsGivenUp(aEnd);
   auto& task = MutableTask(aTask);
   if (effect.mIsLatestRun) {
     task.mWorker.clear();
@@ -381,11 +391,9 @@
     return effect;
   }
   SaveCheckpoint(aTask, aRun, aCheckpoint);
-  effect.mGangBroken = isGang && !task.mDone;
-  if (aEnd == run_end::kFailed && !task.mDone) {
-    const auto formerOutcome = mOutcome;
-    CountFailedRun(aTask, aRun);
-    effect.mJobFinished = mOutcome != formerOutcome;
+  effect.mGangBroken = effect.mIsLatestRun && isGang && !task.mDone;
+  if (IsGivenUp(aEnd) && !task.mDone) {
+    AddGivenUpRun(aTask, aRun);
   }
   CloseTask(aTask);
   CloseOccurrence(aTask.mOccurrence);
@@ -399,13 +407,41 @@
   return counted;
 }
 
-void job_state::CountFailedRun(const task_ref& aTask, uint32_t aRun)
+void job_state::AddGivenUpRun(const task_ref& aTask, uint32_t aRun)
+{
+  auto& step = MutableStep(aTask.mOccurrence, aTask.mStep);
+  if (!StepOf(aTask).mGang || step.mCountedRun != aRun) {
+    step.mGivenUp[CountedTask(aTask).mIndex].Add(aRun);
+  }
+}
+
+bool job_state::RemoveGivenUpRun(const task_ref& aTask, uint32_t aRun)
 {
+  if (FindStep(aTask.mOccurrence, aTask.mStep) == nullptr) {
+    return false;
+  }
+  auto& givenUp = MutableStep(aTask.mOccurrence, aTask.mStep).mGivenUp;
+  const auto found = givenUp.find(CountedTask(aTask).mIndex);
+  const bool isRemoved = found != givenUp.end() && found->second.Remove(aRun);
+  if (isRemoved && found->second.Ranges().empty()) {
+    givenUp.erase(found);
+  }
+  return isRemoved;
+}
+
+bool job_state::CountFailedRun(const task_ref& aTask, uint32_t aRun, bool aIsLatestRun)
+{
+  const bool wasGivenUp = RemoveGivenUpRun(aTask, aRun);
+  if (!aIsLatestRun && !wasGivenUp) {
+    return false;
+  }
   if (StepOf(aTask).mGang) {
     auto& step = MutableStep(aTask.mOccurrence, aTask.mStep);
-    if (std::exchange(step.mCountedRun, aRun) == aRun) {
-      return;
+    if (!wasGivenUp && step.mCountedRun == aRun) {
+      return false;
     }
+    // Of an earlier run, no member is placed that could count again.
+    step.mCountedRun = std::max(step.mCountedRun, aRun);
   }
   const auto failedRuns = ++MutableTask(CountedTask(aTask)).mFailedRuns;
   const bool hasAttemptLimit = !StepOf(aTask).mLongRunning;
@@ -413,6 +449,7 @@
       mOutcome == job_outcome::kOpen) {
     mOutcome = job_outcome::kFailed;
   }
+  return true;
 }
 
 bool job_state::MayCountAgain(const step_progress& aStep)
@@ -449,6 +486,7 @@
   json rows = json::array();
   json doneRanges = json::array();
   json countedRuns = json::array();
+  json givenUpRuns = json::array();
   std::map<std::string, size_t> workerNumbers;
   const bool isOpen = mOutcome == job_outcome::kOpen;
   const bool hasRowPerDoneTask = TaskCount() <= kMaxDoneTaskRows;
@@ -492,6 +530,15 @@
       if (isOpen && MayCountAgain(steps[step])) {
         countedRuns.push_back({ occurrence, step, steps[step].mCountedRun });
       }
+      for (const auto& [index, runs] : steps[step].mGivenUp) {
+        if (isOpen) {
+          json row = json::array({ occurrence, step, index });
+          for (const auto& [first, last] : runs.Ranges()) {
+            row.insert(row.end(), { first, last });
+          }
+          givenUpRuns.push_back(std::move(row));
+        }
+      }
       for (const auto& done :
            isOpen ? RangesOf(steps[step].mDone) : std::vector<range>()) {
         appendDone(occurrence, step, done);
@@ -514,6 +561,9 @@
   if (!countedRuns.empty()) {
     text["counted_runs"] = std::move(countedRuns);
   }
+  if (!givenUpRuns.empty()) {
+    text["given_up_runs"] = std::move(givenUpRuns);
+  }
   if (mEndedAtMs != 0) {
     text["ended"] = mEndedAtMs;
   }
@@ -626,6 +676,22 @@
       MutableStep(occurrence, step).mCountedRun = run;
     }
   }
+  for (const auto& row : text.value("given_up_runs", json::array())) {
+    size_t column = 0;
+    task_ref ref{ mJob.mId };
+    ref.mOccurrence = row.at(column++).get<uint32_t>();
+    ref.mStep = row.at(column++).get<uint32_t>();
+    ref.mIndex = row.at(column++).get<uint32_t>();
+    requireTask(ref);
+    if (Task(ref).mRun == 0 || Task(ref).mDone) {
+      continue;
+    }
+    auto& runs = MutableStep(ref.mOccurrence, ref.mStep).mGivenUp[ref.mIndex];
+    for (; column < row.size(); column += 2) {
+      runs.AddRange(
+        { row.at(column).get<uint32_t>(), row.at(column + 1).get<uint32_t>() });
+    }
+  }
   std::vector<uint32_t> begun;
   for (const auto& [occurrence, steps] : mBegun) {
     begun.push_back(occurrence);
--- a/src/jobs/JobState.h
+++ b/src/jobs/JobState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/GivenUpRuns.h"
 #include "jobs/JobSpec.h"
 
 #include <functional>
@@ -77,6 +78,7 @@
   bool mTaskDone = false;    ///< The task was not done before this end.
   bool mJobFinished = false; ///< This end decided the outcome of the job.
   bool mGangBroken = false;  ///< The other members of the gang must stop.
+  bool mIsCounted = false;   ///< This end made its run count as a failed one.
 
   auto operator<=>(const end_effect&) const = default;
 };
@@ -204,8 +206,9 @@
 
   /**
    * Applies the end of a run. An end as done completes the task whichever of its runs
-   * it is of; a newer run then stays placed until its own end. Other ends of older runs
-   * are ignored.
+   * it is of; a newer run then stays placed until its own end. An end as failed of a
+   * run that was given up before counts as an attempt. Other ends of older runs are
+   * ignored.
    */
   end_effect End(const task_ref& aTask,
                  uint32_t aRun,
@@ -245,6 +248,8 @@
     std::vector<bool> mDone;                 ///< By index; empty while none is done.
     uint32_t mDoneCount = 0;
     uint32_t mCountedRun = 0; ///< The latest run counted as failed; only of a gang.
+    /** By index of the counted task; only of tasks that are open. */
+    std::map<uint32_t, given_up_runs> mGivenUp;
   };
   using occurrence_progress = std::vector<step_progress>; // By step.
 
@@ -267,8 +272,15 @@
   bool AllDone() const { return mDoneTasks == TaskCount(); }
   /** Returns the task on which failed runs are counted: of a gang its first member. */
   task_ref CountedTask(const task_ref& aTask) const;
-  /** Counts a failed run of a task that isn't done; that of a gang only once. */
-  void CountFailedRun(const task_ref& aTask, uint32_t aRun);
+  /** Notes that the end of a run isn't known, unless the run is counted already. */
+  void AddGivenUpRun(const task_ref& aTask, uint32_t aRun);
+  /** Forgets a run that was given up. Returns whether it was known as such. */
+  bool RemoveGivenUpRun(const task_ref& aTask, uint32_t aRun);
+  /**
+   * Counts a failed run of a task that isn't done, unless it is counted already.
+   * Returns whether it counted.
+   */
+  bool CountFailedRun(const task_ref& aTask, uint32_t aRun, bool aIsLatestRun);
   void DecodeRows(const std::string& aText,
                   std::map<std::string, std::string>* aAddresses);
 
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -473,7 +473,7 @@
     ReportRunEnd(aWorker, aEvent, &job, effect.mIsLatestRun);
   }
   mPorts.mMetrics.Count("runs_ended_total", "end", ToString(aEvent.mEnd));
-  if (!effect.mIsLatestRun && !effect.mTaskDone) {
+  if (!effect.mIsLatestRun && !effect.mTaskDone && !effect.mIsCounted) {
     // The job knows more than this end tells it, for example from a former scheduler,
     // but that may still have to be stored.
     mWriter.WhenStored(store_keys::kProgress + aEvent.mTask.mJob,
@@ -481,7 +481,7 @@
     return;
   }
   UpdateWorkerHealth(aWorker, aEvent);
-  if (!effect.mIsLatestRun) {
+  if (!effect.mIsLatestRun && effect.mTaskDone) {
     StopNewerRuns(job, aEvent.mTask);
   }
   if (effect.mGangBroken) {
