Figures of evacuations go back to 0

Operators saw evacuated_runs stand at its last figure after the last request was taken back, and both figures on a VM whose term had ended.

Cause: nothing is reported while there is no evacuation, and the end of a term set no figure.

--- a/src/scheduler/Evacuations.cpp
+++ b/src/scheduler/Evacuations.cpp
@@ -56,6 +56,10 @@
   mWatch.End();
   mEvacuated.clear();
   mWasKnown = false;
+  if (IsEnabled()) {
+    mMetrics.Set("evacuated_data_centres", 0.0);
+    mMetrics.Set("evacuated_runs", 0.0);
+  }
 }
 
 bool evacuations::AreKnown() const
@@ -158,6 +162,9 @@
 void evacuations::OnChanged()
 {
   mMetrics.Set("evacuated_data_centres", static_cast<double>(mEvacuated.size()));
+  if (mEvacuated.empty()) {
+    mMetrics.Set("evacuated_runs", 0.0);
+  }
   mOnChange();
 }
 
--- a/tests/EvacuationTest.cpp
+++ b/tests/EvacuationTest.cpp
@@ -202,3 +202,34 @@
   site.mLoop.RunFor(duration(1'000));
   CHECK(site.mLog.CountLines("event=evacuation_ended") == 1);
 }
+
+// Guards against figures of an evacuation that stand for ever.
+TEST_CASE("the figures of evacuations go back to 0 when they or the term end",
+          "[evacuation]")
+{
+  const auto isTermEnded = GENERATE(false, true);
+  CAPTURE(isTermEnded);
+  fake_installation site(3, 2 * kWorkersPerRack, kWorkersPerRack, WithEvacuations());
+  site.mBehaviourByPayload["long"] = { duration(60'000), false };
+  site.mLoop.RunFor(duration(2'000));
+  auto job = fake_installation::MakeJob("00000000000000e3", 200);
+  job.mSpec.mPayload = "long";
+  REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(1'500));
+  const auto scheduler = site.SchedulerVm();
+  const auto isZero = [&](const std::string& aName) {
+    return site.MetricsOf(scheduler).find(aName + " 0\n") != std::string::npos;
+  };
+  site.mStore.Put(kPrefix + kEvacuated, "{}");
+  site.mLoop.RunFor(duration(1'000));
+  REQUIRE_FALSE(isZero("evacuated_runs"));
+  REQUIRE_FALSE(isZero("evacuated_data_centres"));
+  if (isTermEnded) {
+    site.mFaults.mStoreBusyFor = { scheduler };
+  } else {
+    site.mStore.Remove(kPrefix + kEvacuated);
+  }
+  site.mLoop.RunFor(duration(6'000));
+  CHECK(isZero("evacuated_runs"));
+  CHECK(isZero("evacuated_data_centres"));
+}
