The limit of tasks per worker also holds where quick workers don't hold a whole step

Cause: since a group that needs quick workers searches twice in a round, and the second search doesn't see what the first has put on a worker. Change: the rest of such a step waits for the next round. The test is red without the change (2 starts on one worker) and passes with it.

--- a/src/planner/TaskPlacement.cpp
+++ b/src/planner/TaskPlacement.cpp
@@ -49,9 +49,12 @@
       return;
     }
     const auto left = Unplaced(group.mIndices, found);
-    const auto slower = group.mMinPace == pace_class::kSlow
-                          ? task_slots()
-                          : FindFree(aNumber, Unplaced(allowed, found));
+    // A second search doesn't see what the first one put on a worker, so the rest of a
+    // step with a limit per worker waits for the next round.
+    const bool mayUseSlower = group.mMinPace != pace_class::kSlow &&
+                              (group.mSpec.mMaxPerWorker == 0 || found.empty());
+    const auto slower =
+      mayUseSlower ? FindFree(aNumber, Unplaced(allowed, found)) : task_slots();
     const bool waitsForPace = !slower.empty() && group.mMayPreempt &&
                               ReserveOrPreempt(aNumber, left, group.mMinPace, true);
     if (!waitsForPace) {
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -401,3 +401,21 @@
   CHECK(plan.mReserved[0] == reservation{ 0, 1 });
   CHECK(plan.mReserved[1] == reservation{ 1, 0 });
 }
+
+TEST_CASE("the limit per worker holds where quick workers don't hold all tasks",
+          "[placement]")
+{
+  auto input = Fleet(1, 3);
+  input.mWorkers[1].mPace = pace_class::kSlow;
+  input.mWorkers[2].mPace = pace_class::kSlow;
+  auto group = Group(3, 1);
+  group.mSpec.mMaxPerWorker = 1;
+  group.mMinPace = pace_class::kUsual;
+  input.mGroups.push_back(group);
+  const auto plan = PlaceTasks(input);
+  REQUIRE_FALSE(plan.mStarts.empty());
+  std::map<size_t, int> startsByWorker;
+  for (const auto& start : plan.mStarts) {
+    CHECK(++startsByWorker[start.mWorker] == 1);
+  }
+}
