Shortage: what waits and what is stopped is what costs its callers least

What callers lacked: where there was too little room, groups of one priority waited by arrival and victims were chosen by lost work alone, whether or not a stop made their callers late. Change: if a round leaves something waiting, the scheduler orders the groups by planner/ShortagePolicy and plans once more; where there is room for all nothing changes. Stops count what they make late; a run that ends within the time of a stop is waited for. What is out of slack goes after what has some. tasks_waiting shows awaited_runs=, the metric units_stopped_total counts stops by reason.

Tests: [placement] [forecast] [headroom] [shortage] 315 assertions, [scheduler] [gang-cancel] 4,197, all pass; the rest of the suite was not run.

--- a/src/planner/ShortagePolicy.cpp
+++ b/src/planner/ShortagePolicy.cpp
@@ -13,8 +13,6 @@
 constexpr duration kResumeLoss{ 200 };
 /** Time until the capacity of a stopped run is free and another run has started. */
 constexpr duration kStopTime{ 400 };
-/** A run with no more than this left loses more by a stop than the stop saves. */
-constexpr duration kEndsSoon{ 1'000 };
 /** Lower bound for the slack, so that work without slack is still ranked by size. */
 constexpr duration kMinSlack{ 500 };
 /** Of its slack, a group spends at most one part in this many on waiting. */
@@ -39,12 +37,20 @@
   return 0.0;
 }
 
+/** Returns whether a group is on time only if it takes less than expected. */
+bool IsOutOfSlack(const placement_group& aGroup)
+{
+  return aGroup.mForecast == completion_forecast::kOnTime &&
+         aGroup.mSlack < duration::zero();
+}
+
 auto KeyOf(const placement_group& aGroup)
 {
   return std::make_tuple(aGroup.mForecast == completion_forecast::kTooLate,
                          aGroup.mPriority,
                          !aGroup.mGuaranteed,
                          aGroup.mForecast,
+                         IsOutOfSlack(aGroup),
                          RankOf(aGroup));
 }
 
@@ -72,7 +78,7 @@
 duration PatienceFor(duration aSlack)
 {
   return std::clamp(
-    (aSlack - kStopTime) / kPatienceDivisor, duration::zero(), kEndsSoon);
+    (aSlack - kStopTime) / kPatienceDivisor, duration::zero(), kStopTime);
 }
 
 double WorkLostBy(const stop_effect& aEffect, double aCores)
--- a/src/planner/ShortagePolicy.h
+++ b/src/planner/ShortagePolicy.h
@@ -42,7 +42,7 @@
 
 /**
  * Returns how long a group with this slack waits for runs to end by themselves before
- * it stops any.
+ * it stops any: at most what a stop may take, as it gains nothing by a stop until then.
  */
 duration PatienceFor(duration aSlack);
 
--- a/src/scheduler/FleetSchedulerInput.cpp
+++ b/src/scheduler/FleetSchedulerInput.cpp
@@ -1,3 +1,4 @@
+#include "planner/ShortagePolicy.h"
 #include "scheduler/FleetScheduler.h"
 #include "scheduler/FleetSchedulerState.h"
 
@@ -11,13 +12,17 @@
 constexpr duration kMaxAnswerAge{ 2'800 };
 /** A gang may span racks after it has waited for this multiple of its estimate. */
 constexpr double kSpanRacksAfterEstimates = 3.0;
-/** Work that a stopped checkpointing task loses; a restore takes 0.1 s. */
-constexpr double kResumeLossSeconds = 0.2;
 /** Factor on the pace that a job needs, as its duration is only estimated. */
 constexpr double kPaceMargin = 1.15;
 /** Limit on the waiting steps of one job, over its occurrences, in a round. */
 constexpr size_t kMaxGroupsPerJob = 128;
-constexpr double kMsPerSecond = 1'000.0;
+
+/** What is expected of a step whose runs may be stopped. */
+struct step_times
+{
+  duration mSlack{ 0 };    ///< Of its occurrence, if it started over now.
+  duration mExpected{ 0 }; ///< Run time of a task.
+};
 
 /** Returns whether a run is expected to end by itself before a stop would end it. */
 bool EndsBeforeStop(const run_info& aRun, time_point aNow)
@@ -180,6 +185,8 @@
       group.mPool = queue != nullptr ? queue->mPool : acceptedJob.mPool;
       group.mPriority = acceptedJob.mPriority;
       group.mForecast = ForecastCompletion(aJob.mState, occurrence, unixMs, mDurations);
+      group.mSlack =
+        SlackOf(aJob.mState, occurrence, unixMs, mDurations, group.mForecast);
       group.mMinPace = MinPaceOf(group, aJob.mState);
       group.mGuaranteed = IsWithinGuarantee(acceptedJob);
       group.mMayPreempt =
@@ -207,6 +214,13 @@
           ++group.mPlacedByWorker[aJob.mState.Task(task).mWorker];
         }
       }
+      group.mCoreSeconds =
+        static_cast<double>(group.mIndices.size()) * CoresOf(group.mSpec.mPerTask) *
+        ToSeconds(
+          mDurations.ExpectedDuration(acceptedJob.mQueue, group.mSpec.mEstimate));
+      group.mPatience = group.mForecast == completion_forecast::kOnTime
+                          ? PatienceFor(group.mSlack)
+                          : duration::zero();
       if (hasNoUnrecordedRuns) {
         aGroups.push_back(std::move(group));
         --groupsLeft;
@@ -237,6 +251,7 @@
   const auto now = mPorts.mLoop.Now();
   auto& units = aInput.mPreemptionUnits;
   std::map<task_ref, size_t> gangs;
+  std::map<task_ref, step_times> times;  // By the first task of the step.
   std::map<task_ref, int64_t> stopsLeft; // By the first task of the step.
   for (size_t number = 0; number < aWorkerIds.size(); ++number) {
     for (const auto& [task, run] : mWorkers.at(aWorkerIds[number])->mRuns.Runs()) {
@@ -278,11 +293,32 @@
       }
       auto& target = step.mGang ? units[gangs.at(first)] : units.back();
       target.mResourcesByWorker.emplace_back(number, run.mResources);
-      const double seconds =
-        static_cast<double>((now - run.mRegisteredAt).count()) / kMsPerSecond;
-      target.mLostCoreSeconds +=
-        (step.mCheckpointing ? std::min(seconds, kResumeLossSeconds) : seconds) *
-        CoresOf(run.mResources);
+      const auto [known, isNewStep] = times.emplace(first, step_times());
+      if (isNewStep) {
+        known->second = {
+          SlackOf(state,
+                  task.mOccurrence,
+                  mPorts.mUnixMs(),
+                  mDurations,
+                  completion_forecast::kOnTime),
+          mDurations.ExpectedDuration(state.Job().mQueue, step.mEstimate),
+        };
+      }
+      const auto& [slack, expected] = known->second;
+      const auto elapsed = now - run.mRegisteredAt;
+      const auto cores = CoresOf(run.mResources);
+      const stop_effect effect{ .mSlackOfRestart = slack,
+                                .mElapsed = elapsed,
+                                .mCoreSeconds = ToSeconds(expected) * cores,
+                                .mKeepsWork = step.mCheckpointing };
+      target.mLostCoreSeconds += WorkLostBy(effect, cores);
+      target.mLateCoreSeconds += step.mLongRunning ? 0.0 : WorkMadeLateBy(effect);
+      // Without a report of its progress, nobody knows that it ends soon.
+      const auto left =
+        run.mProgress.TimeLeft(now).value_or(run_progress::kMaxTimeLeft);
+      const auto endsIn = step.mLongRunning ? run_progress::kMaxTimeLeft : left;
+      const bool isFirstRun = target.mResourcesByWorker.size() == 1;
+      target.mEndsIn = isFirstRun ? endsIn : std::max(target.mEndsIn, endsIn);
     }
   }
 }
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -1,4 +1,5 @@
 #include "planner/CapacityReport.h"
+#include "planner/ShortagePolicy.h"
 #include "scheduler/FleetScheduler.h"
 #include "scheduler/FleetSchedulerState.h"
 
@@ -58,9 +59,12 @@
     std::any_of(plan.mWaiting.begin(), plan.mWaiting.end(), [&](size_t aGroup) {
       return input.mGroups[aGroup].mMayPreempt || input.mGroups[aGroup].mMayClearRack;
     });
+  const bool isReordered = !plan.mWaiting.empty() && OrderForShortage(input.mGroups);
   if (needsPreemption) {
     // Candidates for preemption are collected only when a group needs them.
     AddPreemptibleUnits(workerIds, input);
+  }
+  if (needsPreemption || isReordered) {
     plan = PlaceTasks(input);
   }
   mRackPatience.Observe(input, plan, began);
@@ -94,16 +98,18 @@
     });
   const auto& group = aInput.mGroups[oldest];
   const auto rounded = [](double aWorkers) { return int64_t(std::lround(aWorkers)); };
-  mPorts.mLog.Write(log_event("tasks_waiting")
-                      .Add("groups", static_cast<int64_t>(aPlan.mWaiting.size()))
-                      .Add("waiting_workers", rounded(report.mWaiting))
-                      .Add("free_workers", rounded(report.mFree))
-                      .Add("fragmented_workers", rounded(report.mFragmented))
-                      .Add("round_ms", mLastPlanDuration.count())
-                      .Add("oldest_job", group.mJob)
-                      .Add("oldest_step", group.mStep)
-                      .Add("oldest_waited_ms", (now - waitedSince(oldest)).count())
-                      .Add("reason", ToString(ExplainWaiting(aInput, aPlan, oldest))));
+  mPorts.mLog.Write(
+    log_event("tasks_waiting")
+      .Add("groups", static_cast<int64_t>(aPlan.mWaiting.size()))
+      .Add("waiting_workers", rounded(report.mWaiting))
+      .Add("free_workers", rounded(report.mFree))
+      .Add("fragmented_workers", rounded(report.mFragmented))
+      .Add("awaited_runs", static_cast<int64_t>(aPlan.mUnitsAwaited.size()))
+      .Add("round_ms", mLastPlanDuration.count())
+      .Add("oldest_job", group.mJob)
+      .Add("oldest_step", group.mStep)
+      .Add("oldest_waited_ms", (now - waitedSince(oldest)).count())
+      .Add("reason", ToString(ExplainWaiting(aInput, aPlan, oldest))));
 }
 
 void fleet_scheduler::ExecutePlan(const placement_input& aInput,
@@ -163,9 +169,11 @@
   }
   for (const auto number : aPlan.mUnitsToStop) {
     StopUnit(aInput.mPreemptionUnits[number], kPreemptedReason);
+    mPorts.mMetrics.Count("units_stopped_total", "reason", "priority");
   }
   for (const auto number : aPlan.mUnitsToMove) {
     StopUnit(aInput.mPreemptionUnits[number], kRackClearedReason);
+    mPorts.mMetrics.Count("units_stopped_total", "reason", "rack");
   }
 }
 
