Paces of workers: exact by gang, kept over takeovers, waits bounded

Callers lacked: a successor knew no pace; work that needs none took workers by fit alone, as the rank by pace was never compared; single tasks left slow workers idle although room was being made for only one of them, for as long as others took that room.

Change: the mean rate since the last member's start, once each run; a gang is compared when all its members are measured. A group leaves slow workers unused only as far as room is being made, for 1.2 s at most.

--- a/src/planner/SlotSearch.cpp
+++ b/src/planner/SlotSearch.cpp
@@ -141,6 +141,12 @@
   if (!needsPace || !group.mSpec.mGang) {
     return FindSlotsAtPace(aGroup, aIndices, aSupply, aMinPace);
   }
+  // A gang's slowest member decides when it ends, so the quickest that hold it are
+  // tried first. The quicker ones have been tried when a lower bound is searched for
+  // now.
+  if (aSupply == slot_supply::kFree && aMinPace < group.mMinPace) {
+    return FindSlotsAtPace(aGroup, aIndices, aSupply, aMinPace);
+  }
   task_slots found;
   for (auto pace = mPaces.rbegin(); pace != mPaces.rend() && found.empty(); ++pace) {
     if (*pace >= aMinPace) {
@@ -218,12 +224,17 @@
       return;
     }
     const auto& workerInfo = mInput.mWorkers[aWorker];
-    double score = CoresOf(free[aWorker]) + workerInfo.mScorePenalty;
+    double preference = workerInfo.mScorePenalty;
     const auto& data = group.mSpec.mDataRack;
-    score -= !data.empty() && workerInfo.mRack == data ? kDataRackBonusCores : 0.0;
-    score -= IsReservedFor(aGroup, aWorker) ? kReservationBonusCores : 0.0;
-    candidates.push_back(
-      { rankOf(workerInfo), score, mFreeInRack[mRackOf[aWorker]], aWorker, capacity });
+    preference -= !data.empty() && workerInfo.mRack == data ? kDataRackBonusCores : 0.0;
+    preference -= IsReservedFor(aGroup, aWorker) ? kReservationBonusCores : 0.0;
+    // Best fit is weighed against the preference only among workers of one pace.
+    candidates.push_back({ mPaces.size() > 1 ? preference : 0.0,
+                           rankOf(workerInfo),
+                           CoresOf(free[aWorker]) + preference,
+                           mFreeInRack[mRackOf[aWorker]],
+                           aWorker,
+                           capacity });
   };
   if (aScope.mOnlyRack) {
     std::for_each(
@@ -235,8 +246,14 @@
   }
   std::sort(
     candidates.begin(), candidates.end(), [](const auto& aLeft, const auto& aRight) {
-      return std::tie(aLeft.mScore, aLeft.mFreeInRack, aLeft.mWorker) <
-             std::tie(aRight.mScore, aRight.mFreeInRack, aRight.mWorker);
+      const auto key = [](const candidate& aOne) {
+        return std::tie(aOne.mPreference,
+                        aOne.mPaceRank,
+                        aOne.mScore,
+                        aOne.mFreeInRack,
+                        aOne.mWorker);
+      };
+      return key(aLeft) < key(aRight);
     });
   return candidates;
 }
--- a/src/planner/SlotSearch.h
+++ b/src/planner/SlotSearch.h
@@ -87,7 +87,8 @@
 private:
   struct candidate
   {
-    int mPaceRank = 0; ///< Lower ranks are used first.
+    double mPreference = 0.0; ///< Data, reservations and health; outranks the pace.
+    int mPaceRank = 0;        ///< Lower ranks are used first.
     double mScore = 0.0;
     double mFreeInRack = 0.0; ///< In cores; fuller racks are preferred.
     size_t mWorker = 0;
@@ -95,7 +96,7 @@
   };
 
   void ApplyReservations();
-  /** The same for one pace: a gang's slowest member decides when it ends. */
+  /** The same for one lower bound on the pace. */
   task_slots FindSlotsAtPace(size_t aGroup,
                              const std::vector<uint32_t>& aIndices,
                              slot_supply aSupply,
--- a/src/planner/TaskPlacement.cpp
+++ b/src/planner/TaskPlacement.cpp
@@ -4,6 +4,7 @@
 #include "planner/SlotSearch.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace anvildoor {
@@ -48,24 +49,55 @@
     if (found.size() == group.mIndices.size()) {
       return;
     }
-    const auto left = Unplaced(group.mIndices, found);
-    const auto slower = group.mMinPace == pace_class::kSlow
-                          ? task_slots()
-                          : FindFree(aNumber, Unplaced(allowed, found));
-    const bool waitsForPace = !slower.empty() && group.mMayPreempt &&
-                              ReserveOrPreempt(aNumber, left, group.mMinPace, true);
-    if (!waitsForPace) {
-      mPlan.mHasSlowStarts |= !slower.empty() && group.mMayPreempt;
-      Start(aNumber, slower);
+    auto left = Unplaced(group.mIndices, found);
+    if (group.mMinPace != pace_class::kSlow) {
+      left = Unplaced(left, PlaceOnSlower(aNumber, Unplaced(allowed, found)));
     }
-    const auto waiting = waitsForPace ? left : Unplaced(left, slower);
-    if (waiting.empty()) {
+    const bool isWaitingForPace =
+      !mPlan.mWaitingForPace.empty() && mPlan.mWaitingForPace.back() == aNumber;
+    if (left.empty() && !isWaitingForPace) {
       return;
     }
     mPlan.mWaiting.push_back(aNumber);
-    if (!waitsForPace && (group.mMayPreempt || group.mMayClearRack)) {
-      ReserveOrPreempt(aNumber, waiting, pace_class::kSlow, false);
+    if (!left.empty() && (group.mMayPreempt || group.mMayClearRack)) {
+      ReserveOrPreempt(aNumber, left, pace_class::kSlow, false);
+    }
+  }
+
+  /**
+   * Places tasks for which no worker of their pace is free on slower ones, except for
+   * those for which room is being made. Returns both.
+   */
+  task_slots PlaceOnSlower(size_t aNumber, const std::vector<uint32_t>& aIndices)
+  {
+    const auto& group = mInput.mGroups[aNumber];
+    const auto slower = FindFree(aNumber, aIndices);
+    if (slower.empty() || !group.mMayPreempt || !group.mMayWaitForPace) {
+      Start(aNumber, slower);
+      return slower;
+    }
+    std::vector<uint32_t> wanted;
+    std::transform(slower.begin(),
+                   slower.end(),
+                   std::back_inserter(wanted),
+                   [](const auto& aTaskSlot) { return aTaskSlot.first; });
+    const auto reserved = ReserveOrPreempt(aNumber, wanted, group.mMinPace, true);
+    const auto unreserved = Unplaced(wanted, reserved);
+    task_slots started;
+    std::copy_if(slower.begin(),
+                 slower.end(),
+                 std::back_inserter(started),
+                 [&](const auto& aTaskSlot) {
+                   return std::find(unreserved.begin(),
+                                    unreserved.end(),
+                                    aTaskSlot.first) != unreserved.end();
+                 });
+    Start(aNumber, started);
+    mPlan.mHasSlowStarts |= !started.empty();
+    if (!reserved.empty()) {
+      mPlan.mWaitingForPace.push_back(aNumber);
     }
+    return slower;
   }
 
   /** Finds free slots for tasks of a group, unless it is known that none are left. */
@@ -161,25 +193,25 @@
 
   /**
    * Reserves capacity that is being released, then preempts runs for the rest. Returns
-   * whether some tasks have a reservation now.
+   * the tasks that have a reservation now.
    */
-  bool ReserveOrPreempt(size_t aNumber,
-                        const std::vector<uint32_t>& aLeft,
-                        pace_class aMinPace,
-                        bool aHasAlternative)
+  task_slots ReserveOrPreempt(size_t aNumber,
+                              const std::vector<uint32_t>& aLeft,
+                              pace_class aMinPace,
+                              bool aHasAlternative)
   {
     const auto& group = mInput.mGroups[aNumber];
-    const auto reserved =
+    auto reserved =
       mSlots.FindSlots(aNumber, aLeft, slot_supply::kAfterStops, aMinPace);
     Reserve(aNumber, reserved);
     const auto missing = Unplaced(aLeft, reserved);
     if (missing.empty()) {
-      return true;
+      return reserved;
     }
     const auto chosen =
       mPreemptions.Cheapest(group, missing, aMinPace, aHasAlternative);
     if (!chosen) {
-      return !reserved.empty();
+      return reserved;
     }
     for (const auto unit : chosen->mUnits) {
       mPreemptions.MarkStopped(unit);
@@ -189,10 +221,11 @@
         mSlots.AddReleased(worker, resources);
       }
     }
-    Reserve(
-      aNumber,
-      mSlots.FindSlotsOn(aNumber, missing, slot_supply::kAfterStops, chosen->mScope));
-    return true;
+    const auto preempted =
+      mSlots.FindSlotsOn(aNumber, missing, slot_supply::kAfterStops, chosen->mScope);
+    Reserve(aNumber, preempted);
+    reserved.insert(reserved.end(), preempted.begin(), preempted.end());
+    return reserved;
   }
 
   void Reserve(size_t aNumber, const task_slots& aTaskSlots)
--- a/src/planner/TaskPlacement.h
+++ b/src/planner/TaskPlacement.h
@@ -58,6 +58,8 @@
    * quickest that hold it; otherwise it leaves those to others.
    */
   pace_class mMinPace = pace_class::kSlow;
+  /** May leave slower workers unused while room on those is being made for it. */
+  bool mMayWaitForPace = false;
   /** Number of placed tasks of the occurrence, by worker ID. */
   std::map<std::string, uint32_t> mPlacedByWorker;
   /** Workers on which the last round reserved capacity; one entry per task. */
@@ -123,7 +125,9 @@
   std::vector<size_t> mUnitsToStop;   ///< Indices of the units to preempt.
   std::vector<size_t> mUnitsToMove;   ///< Units to stop since a gang needs their rack.
   std::vector<size_t> mWaiting;       ///< Groups with tasks that were not placed.
-  /** Whether a group that may preempt got slower workers than it needs. */
+  /** Groups for which room on workers of their pace is being made. */
+  std::vector<size_t> mWaitingForPace;
+  /** Whether a group that may wait for its pace got slower workers. */
   bool mHasSlowStarts = false;
 
   auto operator<=>(const placement_plan&) const = default;
@@ -141,8 +145,8 @@
  * preempt does not fit, the plan lists the cheapest runs that it may stop and reserves
  * their resources for the group. The next round keeps these reservations. Otherwise
  * small tasks would take the resources and be preempted again one round later. A group
- * that needs workers of some pace gets slower ones only if it cannot get room on others
- * by preemption. Pure and deterministic. Thread-safe.
+ * that needs workers of some pace gets slower ones for the tasks for which no room on
+ * others is being made. Pure and deterministic. Thread-safe.
  */
 placement_plan PlaceTasks(const placement_input& aInput);
 
--- a/src/runs/RunProgress.cpp
+++ b/src/runs/RunProgress.cpp
@@ -28,7 +28,8 @@
 
 void run_progress::Begin(time_point aNow)
 {
-  mWindowStart = { 0, aNow };
+  mBegun = { 0, aNow };
+  mWindowStart = mBegun;
   mNextWindowStart = mWindowStart;
   mLastReport = mWindowStart;
   mChangedAt = aNow;
@@ -43,6 +44,7 @@
   mLastReport = { aPercent, aNow };
   if (mResumes) {
     mResumes = false;
+    mBegun = mLastReport;
     mWindowStart = mLastReport;
     mNextWindowStart = mLastReport;
     return;
@@ -63,6 +65,17 @@
   return std::max(0.0, gained * kMsPerSecond / static_cast<double>(span.count()));
 }
 
+std::optional<double> run_progress::MeanPercentPerSecond(time_point aSince,
+                                                         int64_t aMinPercent) const
+{
+  const auto span = mLastReport.mAt - std::max(aSince, mBegun.mAt);
+  const auto gained = mLastReport.mPercent - mBegun.mPercent;
+  if (span < kMinRateWindow || gained < std::max<int64_t>(1, aMinPercent)) {
+    return std::nullopt;
+  }
+  return static_cast<double>(gained) * kMsPerSecond / static_cast<double>(span.count());
+}
+
 std::optional<duration> run_progress::TimeLeft(time_point aNow) const
 {
   const auto rate = PercentPerSecond();
--- a/src/runs/RunProgress.h
+++ b/src/runs/RunProgress.h
@@ -37,6 +37,14 @@
   /** Returns the recent rate in percent per second; nothing with too few reports. */
   std::optional<double> PercentPerSecond() const;
 
+  /**
+   * Returns the mean rate in percent per second since the later of aSince and the begin
+   * of the measurement; nothing before aMinPercent points of progress. Unlike the
+   * recent rate it gets exact with time, but doesn't follow changes.
+   */
+  std::optional<double> MeanPercentPerSecond(time_point aSince,
+                                             int64_t aMinPercent) const;
+
   /**
    * Returns the time left from aNow at the present rate, at most kMaxTimeLeft; nothing
    * while the rate is unknown.
@@ -59,6 +67,7 @@
 
   duration mMinRateWindow{ 0 };
   bool mResumes = false;   ///< The next report sets the starting percentage.
+  sample mBegun;           ///< When the measurement began.
   sample mWindowStart;     ///< Start of the current rate window.
   sample mNextWindowStart; ///< Start of the next window; used once long enough.
   sample mLastReport;
--- a/src/runs/WorkerRuns.h
+++ b/src/runs/WorkerRuns.h
@@ -50,6 +50,7 @@
   time_point mStopAnsweredAt{ 0 };
   time_point mStopSentAt{ 0 };
   run_progress mProgress;
+  bool mIsMeasured = false; ///< Its pace has been compared with other runs.
 
   auto operator<=>(const run_info&) const = default;
 };
@@ -138,6 +139,9 @@
 
   const std::map<task_ref, run_info>& Runs() const { return mRuns; }
 
+  /** Records that the pace of a run has been measured. */
+  void MarkMeasured(const task_ref& aTask) { mRuns.at(aTask).mIsMeasured = true; }
+
   /** Returns the resources of all runs, including those being stopped. */
   task_resources UsedResources() const;
 
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -73,6 +73,7 @@
                  aPorts.mMetrics,
                  aBounds.mEvacuations,
                  [this] { SchedulePlan(); })
+  , mPaces(aPorts.mLoop, aPorts.mStore, aPorts.mLog, aPorts.mMetrics, mWriter)
 {
 }
 
@@ -120,6 +121,7 @@
   mTakeoverReadAt = mTermBegunAt;
   mInboxMonitor.Begin(mTermBegunAt);
   mEvacuations.Begin();
+  mPaces.Begin();
   Load();
 }
 
@@ -149,7 +151,8 @@
   mHeadroom = capacity_headroom();
   mRackPatience = rack_patience();
   mDurations = duration_model();
-  mPaces.clear();
+  mPaces.End();
+  mPaceWaits.clear();
 }
 
 void fleet_scheduler::HandleInboxRemoval(const std::string& aKey)
@@ -242,9 +245,7 @@
 {
   const auto outcome = aJob.mState.Outcome();
   const auto& job = aJob.mState.Job();
-  for (auto& [pool, paces] : mPaces) {
-    paces.ForgetJob(job.mId);
-  }
+  mPaces.ForgetJob(job.mId);
   aJob.mEndedAt = mPorts.mLoop.Now();
   aJob.mState.SetEndedAtMs(mPorts.mUnixMs());
   mPorts.mLog.Write(log_event("job_ended")
@@ -286,6 +287,9 @@
   if (aKey == store_keys::kIntake) {
     return mIsIntakeClosed ? store_keys::kIntakeClosed : store_keys::kIntakeOpen;
   }
+  if (aKey == store_keys::kPaces) {
+    return mPaces.Encode();
+  }
   if (aKey == store_keys::kImpairedTerm) {
     return EncodeImpairedTerm(
       { mTerm.mFence, mHealth.Current(), ReachOfWorkers(), mTerm.mLease });
@@ -499,6 +503,7 @@
   mInboxMonitor.Check(now);
   ObserveIdleJobs();
   ReportEvacuations();
+  UpdatePaces();
   std::erase_if(mUnmatchedCancels, [now](const auto& aCancel) {
     return now - aCancel.second.mReadAt > kMaxUnmatchedAge;
   });
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -8,7 +8,6 @@
 #include "planner/DurationModel.h"
 #include "planner/RackPatience.h"
 #include "planner/TaskPlacement.h"
-#include "planner/WorkerPace.h"
 #include "runs/EndNotes.h"
 #include "runs/WorkerDirectory.h"
 #include "runs/WorkerHealth.h"
@@ -24,6 +23,7 @@
 #include "scheduler/TermHealth.h"
 #include "scheduler/TermRuns.h"
 #include "scheduler/TermSummary.h"
+#include "scheduler/WorkerPaces.h"
 
 #include <map>
 #include <memory>
@@ -338,14 +338,25 @@
                           const run_info& aRun,
                           time_point aNow);
   void MoveRun(worker_entry& aWorker, const task_ref& aTask, run_verdict aVerdict);
-  /** Learns from the rate of progress of a run that is comparable with others. */
-  void LearnFromRate(const worker_entry& aWorker,
-                     const job_entry& aJob,
-                     const task_ref& aTask,
-                     const run_info& aRun,
-                     double aPercentPerSecond);
-  /** Returns the pace of a worker relative to others of its pool. */
-  double PaceOf(const worker_entry& aWorker) const;
+  /**
+   * Returns when the last member of a gang was confirmed; nothing if some member does
+   * not run.
+   */
+  std::optional<time_point> LastGangStart(const job_entry& aJob,
+                                          const task_ref& aTask) const;
+  /** Compares the pace of a run with others of its step, once it is known. */
+  void MeasurePace(worker_entry& aWorker,
+                   const job_entry& aJob,
+                   const task_ref& aTask,
+                   const run_info& aRun);
+  /** Updates the paces of the workers. */
+  void UpdatePaces();
+  /** Updates what mPaces tells of a worker. */
+  void AdoptPace(worker_entry& aWorker) const;
+  /** Updates mPaceWaits after a planning round. */
+  void ObservePaceWaits(const placement_input& aInput,
+                        const placement_plan& aPlan,
+                        time_point aNow);
   /** Returns the slowest workers on which an occurrence can still be on time. */
   pace_class MinPaceOf(const placement_group& aGroup, const job_state& aState) const;
   /** Returns the run of a placed task on its worker; null if there is none. */
@@ -469,7 +480,9 @@
   capacity_headroom mHeadroom;
   rack_patience mRackPatience;
   duration_model mDurations; ///< Learnt from the runs of this term.
-  std::map<std::string, worker_pace_model> mPaces; ///< By pool.
+  worker_paces mPaces;
+  /** Since when waiting groups have waited for workers of their pace. */
+  std::map<task_ref, time_point> mPaceWaits;
   duration mLastPlanDuration{ 0 }; ///< Duration of the last planning round.
   time_point mCapacityLoggedAt{ 0 };
   /** Accelerators of the open jobs of priority 0, by workspace. */
--- a/src/scheduler/FleetSchedulerInput.cpp
+++ b/src/scheduler/FleetSchedulerInput.cpp
@@ -15,6 +15,11 @@
 constexpr double kResumeLossSeconds = 0.2;
 /** Factor on the pace that a job needs, as its duration is only estimated. */
 constexpr double kPaceMargin = 1.15;
+/**
+ * A group leaves free workers unused for at most so long while room is being made on
+ * quicker ones: a stop takes 0.4 s, and is repeated once within this time.
+ */
+constexpr duration kMaxPaceWait{ 1'200 };
 /** Limit on the waiting steps of one job, over its occurrences, in a round. */
 constexpr size_t kMaxGroupsPerJob = 128;
 constexpr double kMsPerSecond = 1'000.0;
@@ -119,9 +124,7 @@
     candidate.mTotal = listed.mCapacity;
     candidate.mAcceptsTasks = AcceptsStarts(*worker, now);
     candidate.mScorePenalty = worker->mHealth.PlacementPenalty();
-    if (const auto paces = mPaces.find(listed.mPool); paces != mPaces.end()) {
-      candidate.mPace = paces->second.ClassOf(id);
-    }
+    candidate.mPace = worker->mPaceClass;
     aWorkerIds.push_back(id);
     input.mWorkers.push_back(std::move(candidate));
   }
@@ -133,8 +136,8 @@
 pace_class fleet_scheduler::MinPaceOf(const placement_group& aGroup,
                                       const job_state& aState) const
 {
-  const auto paces = mPaces.find(aGroup.mPool);
-  const bool isLimited = paces != mPaces.end() && paces->second.IsUneven() &&
+  const auto* paces = mPaces.Find(aGroup.mPool);
+  const bool isLimited = paces != nullptr && paces->IsUneven() &&
                          aGroup.mForecast == completion_forecast::kOnTime &&
                          !aGroup.mSpec.mLongRunning;
   if (!isLimited) {
@@ -143,8 +146,8 @@
   const auto needed =
     kPaceMargin *
     RequiredPace(aState, aGroup.mOccurrence, mPorts.mUnixMs(), mDurations);
-  return needed > paces->second.TypicalPace(pace_class::kSlow) ? pace_class::kUsual
-                                                               : pace_class::kSlow;
+  return needed > paces->TypicalPace(pace_class::kSlow) ? pace_class::kUsual
+                                                        : pace_class::kSlow;
 }
 
 void fleet_scheduler::AddGroups(job_entry& aJob, std::vector<placement_group>& aGroups)
@@ -181,6 +184,9 @@
       group.mPriority = acceptedJob.mPriority;
       group.mForecast = ForecastCompletion(aJob.mState, occurrence, unixMs, mDurations);
       group.mMinPace = MinPaceOf(group, aJob.mState);
+      const auto paceWait = mPaceWaits.find({ acceptedJob.mId, occurrence, step, 0 });
+      group.mMayWaitForPace =
+        paceWait == mPaceWaits.end() || now - paceWait->second < kMaxPaceWait;
       group.mGuaranteed = IsWithinGuarantee(acceptedJob);
       group.mMayPreempt =
         acceptedJob.mPriority == 0 &&
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -49,6 +49,7 @@
   auto input = BuildInput(workerIds);
   if (input.mGroups.empty()) {
     mReserved.clear();
+    mPaceWaits.clear();
     mRackPatience = rack_patience();
     return;
   }
@@ -64,11 +65,36 @@
     plan = PlaceTasks(input);
   }
   mRackPatience.Observe(input, plan, began);
+  ObservePaceWaits(input, plan, began);
   ExecutePlan(input, plan, workerIds);
   mLastPlanDuration = mPorts.mLoop.Now() - began;
   ReportWaiting(input, plan);
 }
 
+void fleet_scheduler::ObservePaceWaits(const placement_input& aInput,
+                                       const placement_plan& aPlan,
+                                       time_point aNow)
+{
+  if (mPaceWaits.empty() && aPlan.mWaitingForPace.empty()) {
+    return;
+  }
+  const auto keyOf = [&aInput](size_t aGroup) {
+    const auto& group = aInput.mGroups[aGroup];
+    return task_ref{ group.mJob, group.mOccurrence, group.mStep, 0 };
+  };
+  // A group that waited and is placed again later has not waited any less.
+  std::map<task_ref, time_point> waits;
+  for (size_t group = 0; group < aInput.mGroups.size(); ++group) {
+    if (const auto found = mPaceWaits.find(keyOf(group)); found != mPaceWaits.end()) {
+      waits.insert(*found);
+    }
+  }
+  for (const auto group : aPlan.mWaitingForPace) {
+    waits.emplace(keyOf(group), aNow);
+  }
+  mPaceWaits = std::move(waits);
+}
+
 void fleet_scheduler::ReportWaiting(const placement_input& aInput,
                                     const placement_plan& aPlan)
 {
--- a/src/scheduler/FleetSchedulerProgress.cpp
+++ b/src/scheduler/FleetSchedulerProgress.cpp
@@ -28,6 +28,8 @@
 constexpr duration kTwoReportsTime{ 1'500 };
 /** Lowest progress at which the rate of a run updates the duration model. */
 constexpr int64_t kMinPercentForRate = 20;
+/** Lowest progress at which a run's pace is measured; reports are whole percentages. */
+constexpr int64_t kMinPercentForPace = 10;
 constexpr int64_t kCompletePercent = 100;
 constexpr double kMsPerSecond = 1'000.0;
 
@@ -94,40 +96,60 @@
     return run_verdict::kKeepRunning;
   }
   if (*rate > 0.0 && progress.Percent() >= kMinPercentForRate) {
-    LearnFromRate(aWorker, aJob, aTask, aRun, *rate);
+    // What the run would take on a worker of the usual pace.
+    const auto expectedTotal = kCompletePercent * kMsPerSecond / *rate * aWorker.mPace;
+    mDurations.Learn(aJob.mState.Job().mQueue,
+                     duration(std::max(1L, std::lround(expectedTotal))));
   }
+  MeasurePace(aWorker, aJob, aTask, aRun);
   return run_verdict::kKeepRunning;
 }
 
-void fleet_scheduler::LearnFromRate(const worker_entry& aWorker,
-                                    const job_entry& aJob,
-                                    const task_ref& aTask,
-                                    const run_info& aRun,
-                                    double aPercentPerSecond)
+void fleet_scheduler::MeasurePace(worker_entry& aWorker,
+                                  const job_entry& aJob,
+                                  const task_ref& aTask,
+                                  const run_info& aRun)
 {
-  // What the run would take on a worker of the usual pace.
-  const auto expectedTotal =
-    kCompletePercent * kMsPerSecond / aPercentPerSecond * PaceOf(aWorker);
-  mDurations.Learn(aJob.mState.Job().mQueue, duration(std::lround(expectedTotal)));
-  const auto& id = aWorker.mListed.mId;
-  auto& paces = mPaces[aWorker.mListed.mPool];
-  const auto former = paces.ClassOf(id);
-  paces.Observe(
-    aTask, aJob.mState.StepOf(aTask).mGang, aRun.mRun, id, aPercentPerSecond);
-  if (const auto now = paces.ClassOf(id); now != former) {
-    mPorts.mLog.Write(
-      log_event("worker_pace")
-        .Add("worker", id)
-        .Add("class", ToString(now))
-        .Add("former", ToString(former))
-        .Add("percent", std::lround(kCompletePercent * PaceOf(aWorker))));
+  if (aRun.mIsMeasured) {
+    return;
+  }
+  const auto& step = aJob.mState.StepOf(aTask);
+  // The members of a gang make progress from the start of the last one on.
+  const auto since =
+    step.mGang ? LastGangStart(aJob, aTask) : std::optional(aRun.mConfirmedAt);
+  const auto rate = since
+                      ? aRun.mProgress.MeanPercentPerSecond(*since, kMinPercentForPace)
+                      : std::nullopt;
+  if (!rate) {
+    return;
   }
+  aWorker.mRuns.MarkMeasured(aTask);
+  mPaces.Observe(
+    aWorker.mListed.mPool,
+    { aTask, aRun.mRun, step.mGang, step.mCount, aWorker.mListed.mId, *rate });
 }
 
-double fleet_scheduler::PaceOf(const worker_entry& aWorker) const
+void fleet_scheduler::UpdatePaces()
 {
-  const auto paces = mPaces.find(aWorker.mListed.mPool);
-  return paces == mPaces.end() ? 1.0 : paces->second.PaceOf(aWorker.mListed.mId);
+  const bool isMoved =
+    mPaces.Check([this](const std::string& aPool, const std::string& aWorker) {
+      const auto found = mWorkers.find(aWorker);
+      return found != mWorkers.end() && found->second->mIsListed &&
+             found->second->mListed.mPool == aPool;
+    });
+  if (isMoved) {
+    for (auto& [id, worker] : mWorkers) {
+      AdoptPace(*worker);
+    }
+  }
+}
+
+void fleet_scheduler::AdoptPace(worker_entry& aWorker) const
+{
+  const auto* paces = mPaces.Find(aWorker.mListed.mPool);
+  const auto& id = aWorker.mListed.mId;
+  aWorker.mPace = paces == nullptr ? 1.0 : paces->PaceOf(id);
+  aWorker.mPaceClass = paces == nullptr ? pace_class::kUsual : paces->ClassOf(id);
 }
 
 void fleet_scheduler::MoveRun(worker_entry& aWorker,
@@ -172,7 +194,7 @@
   const auto expectedTotal =
     mDurations.ExpectedDuration(state.Job().mQueue, step.mEstimate);
   const auto expectedOn = [&](const std::string& aId) {
-    const auto pace = PaceOf(*mWorkers.at(aId));
+    const auto pace = mWorkers.at(aId)->mPace;
     return duration(std::llround(static_cast<double>(expectedTotal.count()) / pace));
   };
   const auto members = step.mGang ? state.PlacedTasksOf(aTask.mOccurrence, aTask.mStep)
@@ -197,15 +219,23 @@
   if (!aJob.mState.StepOf(aTask).mGang) {
     return true;
   }
-  auto since = aRun.mConfirmedAt;
+  const auto since = LastGangStart(aJob, aTask);
+  return since && (*since - aRun.mConfirmedAt < kGangStartWindow ||
+                   aNow - *since > kTwoReportsTime);
+}
+
+std::optional<time_point> fleet_scheduler::LastGangStart(const job_entry& aJob,
+                                                         const task_ref& aTask) const
+{
+  std::optional<time_point> last;
   for (const auto& member : aJob.mState.PlacedTasksOf(aTask.mOccurrence, aTask.mStep)) {
     const auto* run = FindPlacedRun(aJob.mState, member);
     if (run == nullptr || run->mPhase != run_phase::kConfirmed) {
-      return false;
+      return std::nullopt;
     }
-    since = std::max(since, run->mConfirmedAt);
+    last = std::max(last.value_or(run->mConfirmedAt), run->mConfirmedAt);
   }
-  return since - aRun.mConfirmedAt < kGangStartWindow || aNow - since > kTwoReportsTime;
+  return last;
 }
 
 bool fleet_scheduler::HasCrossRackTraffic(const job_entry& aJob,
--- a/src/scheduler/FleetSchedulerState.h
+++ b/src/scheduler/FleetSchedulerState.h
@@ -70,6 +70,8 @@
   bool mIsListed = false;
   bool mHasRefusedToken = false; ///< It has received a newer fencing token.
   time_point mListedAt{ 0 }; ///< Since when it has been listed, or at a new address.
+  double mPace = 1.0;        ///< As last known, relative to its pool.
+  pace_class mPaceClass = pace_class::kUsual;
   worker_runs mRuns;
   worker_health mHealth;
   /** True while a hold call awaits its answer. */
--- a/src/scheduler/FleetSchedulerWorkers.cpp
+++ b/src/scheduler/FleetSchedulerWorkers.cpp
@@ -114,6 +114,7 @@
     worker.mIsListed = true;
     if (isNew) {
       worker.mListedAt = now;
+      AdoptPace(worker);
     }
     if (beganDraining) {
       CheckProgress(worker, now);
@@ -235,6 +236,7 @@
   aWorker.mDroppedRuns = 0;
   if (aWorker.mRuns.IsOfNewLife(aReply)) {
     LogNewLife(aWorker, "hold", aReply.mStartedAtMs);
+    mPaces.OnNewLife(aWorker.mListed.mPool, aWorker.mListed.mId);
   } else {
     aWorker.mRuns.RecordAckAnswered(aRequest.mAcknowledged);
   }
@@ -304,6 +306,7 @@
   const bool isFirstSign = !aWorker.mRuns.IsLifeUnknown();
   if (isFirstSign) {
     LogNewLife(aWorker, aSource, aStartedAtMs);
+    mPaces.OnNewLife(aWorker.mListed.mPool, aWorker.mListed.mId);
   }
   aWorker.mRuns.SuspectNewLife(mPorts.mLoop.Now());
   if (isFirstSign) {
--- a/src/scheduler/StoreKeys.h
+++ b/src/scheduler/StoreKeys.h
@@ -37,6 +37,10 @@
  */
 inline const std::string kImpairedTerm = kScheduler + "-impaired";
 
+/** What is known of the workers' paces; see worker_paces. Only the scheduler writes it.
+ */
+inline const std::string kPaces = "anvildoor/paces";
+
 /** Returns the part of aKey after aPrefix, or nothing if aKey has another prefix. */
 inline std::optional<std::string> StripPrefix(const std::string& aKey,
                                               const std::string& aPrefix)
