--- a/src/planner/TaskPlacement.cpp
+++ b/src/planner/TaskPlacement.cpp
@@ -71,7 +71,7 @@
   task_slots PlaceOnSlower(size_t aNumber, const std::vector<uint32_t>& aIndices)
   {
     const auto& group = mInput.mGroups[aNumber];
-    const auto slower = FindFree(aNumber, aIndices);
+    auto slower = FindFree(aNumber, aIndices);
     if (slower.empty() || !group.mMayPreempt || !group.mMayWaitForPace) {
       Start(aNumber, slower);
       return slower;
