One limit of unparsed responses, one factor of a stop's cost; a test shows that its fault came

The limit of what is read of a response but not parsed stood in three clients, and the cost of a stop asked twice whether the run is awaited and wrote its factor twice. No behaviour changed.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "http/HttpClient.h"
 
+#include "http/ResponseLimits.h"
+
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -13,9 +15,6 @@
 namespace http = beast::http;
 using tcp = asio::ip::tcp;
 
-/** Limit of what is read but not parsed, such as a header or trailers. */
-constexpr size_t kMaxUnparsedBytes = 131'072;
-
 /**
  * Runs an asynchronous operation to completion. Synchronous operations would ignore the
  * timeout of a tcp_stream.
@@ -64,7 +63,7 @@
   request.prepare_payload();
   const auto sent =
     RunToCompletion(io, [&](auto aDone) { http::async_write(stream, request, aDone); });
-  beast::flat_buffer buffer(kMaxUnparsedBytes);
+  beast::flat_buffer buffer(kMaxUnparsedResponseBytes);
   http::response<http::string_body> response;
   const auto read = RunToCompletion(
     io, [&](auto aDone) { http::async_read(stream, buffer, response, aDone); });
--- a/src/http/HttpPool.cpp
+++ b/src/http/HttpPool.cpp
@@ -1,5 +1,7 @@
 #include "http/HttpPool.h"
 
+#include "http/ResponseLimits.h"
+
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -20,8 +22,6 @@
 
 /** Limit of a response body. A page of a store listing is about 1 MB. */
 constexpr uint64_t kMaxResponseBytes = 8'000'000;
-/** Limit of what is read but not parsed, such as a header or trailers. */
-constexpr size_t kMaxUnparsedBytes = 131'072;
 /** Idle connections kept per address. The one that was idle longest is closed first. */
 constexpr size_t kMaxIdlePerAddress = 8;
 /** Peers may close a connection that has been idle for longer. */
@@ -275,7 +275,7 @@
   std::unique_ptr<beast::tcp_stream> mStream;
   http::request<http::string_body> mRequest;
   std::optional<http::response_parser<http::string_body>> mParser;
-  beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
+  beast::flat_buffer mBuffer{ kMaxUnparsedResponseBytes };
 };
 
 } // namespace
--- a/src/http/HttpUpstreams.cpp
+++ b/src/http/HttpUpstreams.cpp
@@ -1,5 +1,7 @@
 #include "http/HttpUpstreams.h"
 
+#include "http/ResponseLimits.h"
+
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -21,9 +23,6 @@
 constexpr duration kConnectTimeout{ 1'000 };
 constexpr size_t kMaxIdlePerUpstream = 8;
 constexpr size_t kMaxResponseBytes = 1'048'576;
-/** Limit of what is read but not parsed, such as a header or trailers. */
-constexpr size_t kMaxUnparsedBytes = 131'072;
-
 using shared_stream = std::shared_ptr<beast::tcp_stream>;
 
 /** Idle connections by address. Thread-safe. */
@@ -180,7 +179,7 @@
   shared_stream mStream;
   http::request<http::string_body> mRequest;
   http::response_parser<http::string_body> mParser;
-  beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
+  beast::flat_buffer mBuffer{ kMaxUnparsedResponseBytes };
 };
 
 } // namespace
--- a/src/planner/PreemptionSearch.cpp
+++ b/src/planner/PreemptionSearch.cpp
@@ -36,6 +36,11 @@
          static_cast<double>(estimate.count()) / kMsPerSecond;
 }
 
+double CostFactor(const preemption_unit& aUnit)
+{
+  return aUnit.mPriority <= 1 ? kHighPriorityCostFactor : 1.0;
+}
+
 } // namespace
 
 preemption_search::preemption_search(const placement_input& aInput,
@@ -66,22 +71,17 @@
 
 double preemption_search::WorkCost(size_t aUnit, const placement_group& aGroup) const
 {
-  if (IsAwaited(aUnit, aGroup)) {
-    return 0.0;
-  }
   const auto& unit = mInput.mPreemptionUnits[aUnit];
-  return (unit.mLostCoreSeconds + kStopCostCoreSeconds) *
-         (unit.mPriority <= 1 ? kHighPriorityCostFactor : 1.0);
+  return IsAwaited(aUnit, aGroup)
+           ? 0.0
+           : (unit.mLostCoreSeconds + kStopCostCoreSeconds) * CostFactor(unit);
 }
 
 double preemption_search::Cost(size_t aUnit, const placement_group& aGroup) const
 {
-  if (IsAwaited(aUnit, aGroup)) {
-    return 0.0;
-  }
   const auto& unit = mInput.mPreemptionUnits[aUnit];
-  return WorkCost(aUnit, aGroup) +
-         unit.mLateCoreSeconds * (unit.mPriority <= 1 ? kHighPriorityCostFactor : 1.0);
+  const auto late = unit.mLateCoreSeconds * CostFactor(unit);
+  return WorkCost(aUnit, aGroup) + (IsAwaited(aUnit, aGroup) ? 0.0 : late);
 }
 
 std::optional<preemption> preemption_search::Cheapest(
--- a/tests/EvacuationTest.cpp
+++ b/tests/EvacuationTest.cpp
@@ -161,6 +161,7 @@
   site.mStore.Put(kPrefix + kEvacuated, "{}");
   const auto requestedAt = site.mLoop.Now();
   site.mLoop.RunFor(duration(20'000));
+  CHECK(site.mLog.CountLines("event=record_write_failed") > 0);
   for (const auto& trace : site.mTraces) {
     const bool isInside = std::stoul(trace.mWorker.substr(1)) < kWorkersPerRack;
     CHECK_FALSE((isInside && trace.mStartedAt > requestedAt + kBound));
