--- a/review/standin-2/platform_model.py
+++ b/review/standin-2/platform_model.py
@@ -18,6 +18,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -547,6 +548,7 @@
     hold_max_ms = 6000
 
     def __init__(self, record_path, vms=3):
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # end() still runs.
         self.record = Record(record_path)
         self.folder = tempfile.mkdtemp(prefix="review-2-")
         self.store = Store()
