Recognise a job's workspace by its keys when it is cancelled

Callers saw 410, "no such job", for a DELETE with the key that had submitted the job, after a version of the policy had given the workspace another name.

Cause: job_cancellations compared the workspace's present name with the one stored at the submission. The same came about for a job that was submitted on a public route before its key was known, and for a record that the VM couldn't read. Without a key on a public route nothing was compared, so that a DELETE cancelled any workspace's job.

Digests of the workspace's keys are now stored with a job, and job_owners tells by them to whom it belongs in the policy in force. 410 is left for jobs that aren't stored; a caller without the right gets 403, an unreadable record 503. cancel_refused logs what was compared.

Evidence: job_cancel answer=not_found reason="the workspace has no such job" after policy_in_force version=9, with the job in the store.

--- a/bench/support/Samples.cpp
+++ b/bench/support/Samples.cpp
@@ -1,6 +1,7 @@
 #include "support/Samples.h"
 
 #include "base/Hash.h"
+#include "base/Sha256.h"
 
 namespace anvildoor {
 
--- a/src/base/Hash.cpp
+++ b/src/base/Hash.cpp
@@ -1,28 +1,13 @@
 #include "base/Hash.h"
 
+#include "base/Hex.h"
+
 #include <algorithm>
-#include <array>
-#include <openssl/sha.h>
 #include <utility>
 #include <xxhash.h>
 
 namespace anvildoor {
 
-namespace {
-
-std::string ToHex(const unsigned char* aBytes, size_t aCount)
-{
-  static constexpr char kDigits[] = "0123456789abcdef";
-  std::string text;
-  for (size_t i = 0; i < aCount; ++i) {
-    text += kDigits[aBytes[i] >> 4U];
-    text += kDigits[aBytes[i] & 15U];
-  }
-  return text;
-}
-
-} // namespace
-
 uint64_t Hash64(const std::string& aText)
 {
   return XXH3_64bits(aText.data(), aText.size());
@@ -35,14 +20,6 @@
   return ToHex(canonical.digest, sizeof(canonical.digest));
 }
 
-std::string Sha256Hex(const std::string& aText)
-{
-  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-  SHA256(
-    reinterpret_cast<const unsigned char*>(aText.data()), aText.size(), digest.data());
-  return ToHex(digest.data(), digest.size());
-}
-
 namespace {
 
 uint64_t RendezvousWeight(const std::string& aKey, const std::string& aNode)
--- a/src/base/Hash.h
+++ b/src/base/Hash.h
@@ -12,9 +12,6 @@
 /** Returns the 128-bit xxHash of aText as 32 hexadecimal digits. Thread-safe. */
 std::string HexDigest(const std::string& aText);
 
-/** Returns the SHA-256 of aText as 64 hexadecimal digits. Thread-safe. */
-std::string Sha256Hex(const std::string& aText);
-
 /**
  * Returns aNodes ordered by their rendezvous weight for aKey, highest first. Removing a
  * node reassigns only the keys that it owned. Thread-safe.
--- a/src/cli/CliCommands.cpp
+++ b/src/cli/CliCommands.cpp
@@ -4,6 +4,7 @@
 #include "anvildoor/Settings.h"
 #include "base/Hash.h"
 #include "base/JsonText.h"
+#include "base/Sha256.h"
 
 #include <chrono>
 #include <cstdio>
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -43,6 +43,7 @@
             aOptions.mPolicyKey,
             aOptions.mDecodePolicy,
             [this](std::shared_ptr<const fleet_policy> aPolicy) {
+              mOwners = std::make_shared<const job_owners>(aPolicy);
               mScheduler.SetPolicy(aPolicy);
               if (mPolicyListener) {
                 mPolicyListener(std::move(aPolicy));
@@ -109,6 +110,7 @@
         mScheduler,
         mGuard,
         [this] { return mDraining; },
+        [this] { return mOwners; },
         LongestLease(aOptions.mScheduler.mRuns, aOptions.mScheduler.mRuns.mLeaseMax) })
   , mJobs({ aPorts.mLoop,
             aPorts.mStore,
--- a/src/entry/JobCancellations.cpp
+++ b/src/entry/JobCancellations.cpp
@@ -70,7 +70,7 @@
 }
 
 void job_cancellations::Cancel(const std::string& aId,
-                               const std::string& aWorkspace,
+                               const job_caller& aCaller,
                                time_point aDeadline,
                                respond aRespond)
 {
@@ -78,29 +78,51 @@
                         const cancel_outcome& aOutcome) {
     FinishCancel(aId, askedAt, aOutcome, aRespond);
   };
-  CancelStored(aId, aWorkspace, aDeadline, finish);
+  CancelStored(aId, aCaller, aDeadline, finish);
+}
+
+bool job_cancellations::CheckCaller(const accepted_job& aJob,
+                                    const job_caller& aCaller) const
+{
+  const auto owners = mPorts.mOwners();
+  if (owners && owners->MayCancel(aJob, aCaller)) {
+    return true;
+  }
+  const auto* owner = owners ? owners->OwnerOf(aJob) : nullptr;
+  mPorts.mLog.Write(log_event("cancel_refused")
+                      .Add("job", aJob.mId)
+                      .Add("queue", aJob.mQueue)
+                      .Add("called_queue", aCaller.mQueue)
+                      .Add("submitted_by", aJob.mWorkspace)
+                      .Add("owner", owner == nullptr ? "" : owner->mName)
+                      .Add("has_key", aCaller.mKeyDigest.empty() ? 0 : 1));
+  return false;
 }
 
 void job_cancellations::CancelStored(const std::string& aId,
-                                     const std::string& aWorkspace,
+                                     const job_caller& aCaller,
                                      time_point aDeadline,
                                      const finish_cancel& aFinish)
 {
   mPorts.mStore.Get(
     store_keys::kJobs + aId,
-    [this, aId, aWorkspace, aDeadline, finish = aFinish](
+    [this, aId, aCaller, aDeadline, finish = aFinish](
       const result<std::optional<stored_item>>& aItem) {
       if (!aItem) {
         finish({ job_answer::kUnavailable, 0, "the job could not be read" });
         return;
       }
       if (!*aItem) {
-        CancelBeforeSubmission(aId, aWorkspace, aDeadline, finish);
+        CancelBeforeSubmission(aId, aCaller, aDeadline, finish);
         return;
       }
       const auto job = DecodeJob(aId, (*aItem)->mValue);
-      if (!job || (!aWorkspace.empty() && job->mWorkspace != aWorkspace)) {
-        finish({ job_answer::kNotFound, 0, "the workspace has no such job" });
+      if (!job) {
+        finish({ job_answer::kUnavailable, 0, "the stored job is unreadable" });
+        return;
+      }
+      if (!CheckCaller(*job, aCaller)) {
+        finish({ job_answer::kForbidden, 0, "the caller has no right to the job" });
         return;
       }
       // A job's key is written once, so a failed condition means that the job has been
@@ -123,30 +145,30 @@
 }
 
 void job_cancellations::CancelBeforeSubmission(const std::string& aId,
-                                               const std::string& aWorkspace,
+                                               const job_caller& aCaller,
                                                time_point aDeadline,
                                                const finish_cancel& aFinish)
 {
   const auto now = mPorts.mLoop.Now();
   if (mEarlyCancelLease != 0 && now < mEarlyCancelLeaseUsableUntil) {
-    StoreEarlyCancellation(aId, aWorkspace, aDeadline, aFinish);
+    StoreEarlyCancellation(aId, aCaller, aDeadline, aFinish);
     return;
   }
   mPorts.mStore.GrantLease(
     kMaxEarlyCancelTime,
-    [this, aId, aWorkspace, aDeadline, aFinish, now](const result<uint64_t>& aLease) {
+    [this, aId, aCaller, aDeadline, aFinish, now](const result<uint64_t>& aLease) {
       if (!aLease) {
         aFinish({ job_answer::kUnavailable, 0, "the store granted no lease" });
         return;
       }
       mEarlyCancelLease = *aLease;
       mEarlyCancelLeaseUsableUntil = now + kMaxEarlyCancelTime - kMinEarlyCancelTime;
-      StoreEarlyCancellation(aId, aWorkspace, aDeadline, aFinish);
+      StoreEarlyCancellation(aId, aCaller, aDeadline, aFinish);
     });
 }
 
 void job_cancellations::StoreEarlyCancellation(const std::string& aId,
-                                               const std::string& aWorkspace,
+                                               const job_caller& aCaller,
                                                time_point aDeadline,
                                                const finish_cancel& aFinish)
 {
@@ -155,7 +177,7 @@
   change.mPuts.push_back({ store_keys::kCancels + aId, "1", mEarlyCancelLease });
   mPorts.mStore.Commit(
     change,
-    [this, aId, aWorkspace, aDeadline, aFinish](
+    [this, aId, aCaller, aDeadline, aFinish](
       const result<transaction_outcome>& aOutcome) {
       if (!aOutcome) {
         mEarlyCancelLease = 0; // It may have ended.
@@ -165,7 +187,7 @@
           { job_answer::kNotFound, aOutcome->mRevision, "the job is not stored" });
       } else {
         CancelStored(
-          aId, aWorkspace, aDeadline, aFinish); // The job has been stored meanwhile.
+          aId, aCaller, aDeadline, aFinish); // The job has been stored meanwhile.
       }
     });
 }
--- a/src/entry/JobCancellations.h
+++ b/src/entry/JobCancellations.h
@@ -6,6 +6,7 @@
 #include "entry/CancellationGuard.h"
 #include "entry/JobReply.h"
 #include "entry/PeerQuery.h"
+#include "jobs/JobOwners.h"
 #include "scheduler/Election.h"
 #include "scheduler/FleetScheduler.h"
 #include "store/TransactionStore.h"
@@ -40,6 +41,8 @@
     cancellation_guard& mGuard;
     /** Returns whether this VM drains. */
     std::function<bool()> mIsDraining;
+    /** Returns the owners of jobs by the policy in force; null: there is none yet. */
+    std::function<std::shared_ptr<const job_owners>()> mOwners;
     /** How long after the end of a term its runs may go on without a successor. */
     duration mLongestLease{ 0 };
   };
@@ -51,15 +54,15 @@
   }
 
   /**
-   * Records the cancellation of a job. Answers kNotFound unless the job belongs to
-   * aWorkspace; empty: any workspace. Of a job that is not stored an early cancellation
-   * is written, so that a submission that is under way isn't accepted any more.
+   * Records the cancellation of a job. Answers kForbidden if aCaller may not cancel it.
+   * Answers kNotFound only if the job is not stored; an early cancellation is written
+   * then, so that a submission that is under way isn't accepted any more.
    * Answers kAccepted once the workers that may have runs of the job have been told to
    * stop them. By aDeadline, or a limit after the cancellation was stored, it answers
    * kAccepted if the scheduler has applied it, and otherwise kUnconfirmed.
    */
   void Cancel(const std::string& aId,
-              const std::string& aWorkspace,
+              const job_caller& aCaller,
               time_point aDeadline,
               respond aRespond);
 
@@ -97,7 +100,7 @@
   };
 
   void CancelStored(const std::string& aId,
-                    const std::string& aWorkspace,
+                    const job_caller& aCaller,
                     time_point aDeadline,
                     const finish_cancel& aFinish);
   /** Tells of a cancellation that has just been stored, and answers once it settles. */
@@ -121,13 +124,15 @@
    * VM stores the job, whose submission may be under way.
    */
   void CancelBeforeSubmission(const std::string& aId,
-                              const std::string& aWorkspace,
+                              const job_caller& aCaller,
                               time_point aDeadline,
                               const finish_cancel& aFinish);
   void StoreEarlyCancellation(const std::string& aId,
-                              const std::string& aWorkspace,
+                              const job_caller& aCaller,
                               time_point aDeadline,
                               const finish_cancel& aFinish);
+  /** Returns whether the caller may cancel the job; logs who may instead if not. */
+  bool CheckCaller(const accepted_job& aJob, const job_caller& aCaller) const;
   /** Logs and answers a cancellation that was asked for at aAskedAt. */
   void FinishCancel(const std::string& aId,
                     time_point aAskedAt,
--- a/src/entry/JobReply.h
+++ b/src/entry/JobReply.h
@@ -14,6 +14,7 @@
   kOverloaded,  ///< Like kNotAccepted, as too many jobs are open.
   kUnknown,     ///< The store did not answer in time; the job may be stored.
   kNotFound,
+  kForbidden,   ///< The job exists; the caller may not do this to it.
   kUnavailable, ///< The call cannot be answered now.
   kUnconfirmed, ///< The cancellation is stored; it is not known to be applied yet.
 };
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -60,11 +60,11 @@
 
   /** See job_cancellations::Cancel. */
   void Cancel(const std::string& aId,
-              const std::string& aWorkspace,
+              const job_caller& aCaller,
               time_point aDeadline,
               respond aRespond)
   {
-    mPorts.mCancellations.Cancel(aId, aWorkspace, aDeadline, std::move(aRespond));
+    mPorts.mCancellations.Cancel(aId, aCaller, aDeadline, std::move(aRespond));
   }
 
   /** Answers with the state of the job. */
--- a/src/http/ApiSupport.cpp
+++ b/src/http/ApiSupport.cpp
@@ -1,7 +1,7 @@
 #include "http/ApiSupport.h"
 
-#include "base/Hash.h"
 #include "base/JsonText.h"
+#include "base/Sha256.h"
 
 #include <cstdlib>
 #include <nlohmann/json.hpp>
--- a/src/jobs/JobSpec.cpp
+++ b/src/jobs/JobSpec.cpp
@@ -148,6 +148,9 @@
   const auto& spec = aJob.mSpec;
   size_t bytes = kBytesPerJob + spec.mPayload.capacity() + spec.mRepeats / 8 +
                  spec.mSteps.capacity() * kBytesPerStep;
+  for (const auto& digest : aJob.mKeyDigests) {
+    bytes += sizeof(std::string) + digest.capacity();
+  }
   for (const auto& step : spec.mSteps) {
     bytes += step.mRequiredLabel.capacity() + step.mDataRack.capacity() +
              step.mDependsOn.capacity() * sizeof(uint32_t);
@@ -161,20 +164,16 @@
   for (const auto& step : aJob.mSpec.mSteps) {
     steps.push_back(EncodeStep(step));
   }
-  const json text{ { "queue", aJob.mQueue },
-                   { "workspace", aJob.mWorkspace },
-                   { "pool", aJob.mPool },
-                   { "priority", aJob.mPriority },
-                   { "attempts", aJob.mMaxAttempts },
-                   { "stretch", aJob.mStretch },
-                   { "objective", aJob.mObjective.count() },
-                   { "advice", aJob.mNeedsAdvice },
-                   { "accepted", aJob.mAcceptedAtMs },
-                   { "payload", aJob.mSpec.mPayload },
-                   { "repeats", aJob.mSpec.mRepeats },
-                   { "due", aJob.mSpec.mFirstDueMs },
-                   { "interval", aJob.mSpec.mIntervalMs },
-                   { "steps", std::move(steps) } };
+  const json text{
+    { "queue", aJob.mQueue },           { "workspace", aJob.mWorkspace },
+    { "keys", aJob.mKeyDigests },       { "pool", aJob.mPool },
+    { "priority", aJob.mPriority },     { "attempts", aJob.mMaxAttempts },
+    { "stretch", aJob.mStretch },       { "objective", aJob.mObjective.count() },
+    { "advice", aJob.mNeedsAdvice },    { "accepted", aJob.mAcceptedAtMs },
+    { "payload", aJob.mSpec.mPayload }, { "repeats", aJob.mSpec.mRepeats },
+    { "due", aJob.mSpec.mFirstDueMs },  { "interval", aJob.mSpec.mIntervalMs },
+    { "steps", std::move(steps) }
+  };
   return text.dump(-1, ' ', false, kReplaceInvalidUtf8);
 }
 
@@ -186,6 +185,8 @@
     job.mId = aId;
     job.mQueue = text.at("queue").get<std::string>();
     job.mWorkspace = text.at("workspace").get<std::string>();
+    // Jobs that were stored by earlier versions have none.
+    job.mKeyDigests = text.value("keys", std::vector<std::string>());
     job.mPool = text.at("pool").get<std::string>();
     job.mPriority = text.at("priority").get<int64_t>();
     job.mMaxAttempts = text.at("attempts").get<int64_t>();
--- a/src/jobs/JobSpec.h
+++ b/src/jobs/JobSpec.h
@@ -127,7 +127,9 @@
 {
   std::string mId;
   std::string mQueue;
-  std::string mWorkspace;
+  std::string mWorkspace; ///< Its name at the submission; empty: none was known.
+  /** Digests of API keys by which its workspace is recognised; see job_owners. */
+  std::vector<std::string> mKeyDigests;
   std::string mPool;
   int64_t mPriority = 0;
   int64_t mMaxAttempts = 1;
--- a/tests/CancellationCutTest.cpp
+++ b/tests/CancellationCutTest.cpp
@@ -144,7 +144,10 @@
   {
     const auto deadline = mSite.mLoop.Now() + fake_installation::kCallersPatience;
     mSite.Node(aVm).Jobs().Cancel(
-      kJob, "gyms", deadline, [this, aVm](const job_reply& aReply) {
+      kJob,
+      fake_installation::Caller(),
+      deadline,
+      [this, aVm](const job_reply& aReply) {
         if (aReply.mAnswer == job_answer::kAccepted) {
           mAnsweredAt = mSite.mLoop.Now();
         } else {
--- a/tests/DataCentreCutTest.cpp
+++ b/tests/DataCentreCutTest.cpp
@@ -257,7 +257,7 @@
     const auto& vm = vms[(aNumber + aAttempt) % vms.size()];
     mSite.Node(vm).Jobs().Cancel(
       JobName(aNumber),
-      "gyms",
+      fake_installation::Caller(),
       mSite.mLoop.Now() + fake_installation::kCallersPatience,
       [this, aNumber, aAttempt, vm](const job_reply& aReply) {
         if (aReply.mAnswer == job_answer::kAccepted) {
--- a/tests/IdleJobTest.cpp
+++ b/tests/IdleJobTest.cpp
@@ -182,7 +182,7 @@
     }
     mSite.mLoop.RunAfter(duration(Below(4'000)), [this, aJob] {
       mSite.Node(DrawVm()).Jobs().Cancel(aJob.mId,
-                                         aJob.mWorkspace,
+                                         fake_installation::Caller(),
                                          mSite.mLoop.Now() +
                                            fake_installation::kCallersPatience,
                                          [](const job_reply&) {});
--- a/tests/LateOrderTest.cpp
+++ b/tests/LateOrderTest.cpp
@@ -230,7 +230,7 @@
     cancel.mVm = vm;
     cancel.mSentAt = mSite.mLoop.Now();
     mSite.Node(vm).Jobs().Cancel(JobName(aNumber),
-                                 "gyms",
+                                 fake_installation::Caller(),
                                  mSite.mLoop.Now() +
                                    fake_installation::kCallersPatience,
                                  [this, &cancel](const job_reply& aReply) {
--- a/tests/RefusedCallsTest.cpp
+++ b/tests/RefusedCallsTest.cpp
@@ -38,7 +38,7 @@
 {
   aSite.Node(aVm).Jobs().Cancel(
     aJob.mId,
-    "gyms",
+    fake_installation::Caller(),
     aSite.mLoop.Now() + fake_installation::kCallersPatience,
     [&aSite, aVm, &aJob](const job_reply& aReply) {
       if (aReply.mAnswer == job_answer::kAccepted) {
--- a/tests/support/FakeInstallation.cpp
+++ b/tests/support/FakeInstallation.cpp
@@ -19,29 +19,6 @@
 const std::string kPolicyKey = "policy";
 const std::string kWorkersKey = "workers/";
 
-fleet_policy MakePolicy(uint64_t aVersion)
-{
-  fleet_policy policy;
-  policy.mVersion = aVersion;
-  for (const auto& [name, priority] :
-       { std::pair("urgent", 0), std::pair("batch", 1), std::pair("later", 2) }) {
-    queue_rule queue;
-    queue.mName = name;
-    queue.mHost = "jobs.example";
-    queue.mPrefix = std::string("/") + name + "/";
-    queue.mPool = "pool";
-    queue.mPriority = priority;
-    queue.mMaxAttempts = 3;
-    policy.mQueues.push_back(queue);
-  }
-  workspace_rule workspace;
-  workspace.mName = "gyms";
-  workspace.mKeys = { "key" };
-  workspace.mGuaranteedAccelerators = 8;
-  policy.mWorkspaces.push_back(workspace);
-  return policy;
-}
-
 } // namespace
 
 size_t recording_log::CountLines(const std::string& aText) const
@@ -71,8 +48,8 @@
     options.mPolicyKey = kPolicyKey;
     options.mElectionDelay = aDelay;
     options.mScheduler = aSite.Bounds();
-    options.mDecodePolicy = [](const std::string& aValue) -> result<fleet_policy> {
-      return MakePolicy(std::stoull(aValue));
+    options.mDecodePolicy = [this](const std::string& aValue) -> result<fleet_policy> {
+      return mSite.mPolicies.at(std::stoull(aValue));
     };
     const entry_ports ports{ mLoop, *this,      *this,    *this,
                              *this, aSite.mLog, mMetrics, [this] {
@@ -742,9 +719,40 @@
 
 fake_installation::~fake_installation() = default;
 
-void fake_installation::PutPolicy(uint64_t aVersion)
+const std::string fake_installation::kKey = "key";
+
+job_caller fake_installation::Caller()
+{
+  return { "batch", DigestOfKey(kKey) };
+}
+
+fleet_policy fake_installation::MakePolicy(uint64_t aVersion)
+{
+  fleet_policy policy;
+  policy.mVersion = aVersion;
+  for (const auto& [name, priority] :
+       { std::pair("urgent", 0), std::pair("batch", 1), std::pair("later", 2) }) {
+    queue_rule queue;
+    queue.mName = name;
+    queue.mHost = "jobs.example";
+    queue.mPrefix = std::string("/") + name + "/";
+    queue.mPool = "pool";
+    queue.mPriority = priority;
+    queue.mMaxAttempts = 3;
+    policy.mQueues.push_back(queue);
+  }
+  workspace_rule workspace;
+  workspace.mName = "gyms";
+  workspace.mKeys = { kKey };
+  workspace.mGuaranteedAccelerators = 8;
+  policy.mWorkspaces.push_back(workspace);
+  return policy;
+}
+
+void fake_installation::PutPolicy(const fleet_policy& aPolicy)
 {
-  mStore.Put(kPolicyKey, std::to_string(aVersion));
+  mPolicies[aPolicy.mVersion] = aPolicy;
+  mStore.Put(kPolicyKey, std::to_string(aPolicy.mVersion));
 }
 
 void fake_installation::AddWorker(const std::string& aId)
@@ -903,7 +911,7 @@
 {
   const auto answer = std::make_shared<std::optional<job_answer>>();
   mVms.at(aVm)->Node().Jobs().Cancel(
-    aId, "gyms", mLoop.Now() + kCallersPatience, [answer](const job_reply& aReply) {
+    aId, Caller(), mLoop.Now() + kCallersPatience, [answer](const job_reply& aReply) {
       *answer = aReply.mAnswer;
     });
   constexpr duration kAnswerTimeout{ 5'000 };
@@ -917,7 +925,7 @@
   const auto answer = std::make_shared<std::optional<job_answer>>();
   const auto formerlyStored = mStoredCancels[aId];
   mVms.at(aVm)->Node().Jobs().Cancel(aId,
-                                     "gyms",
+                                     Caller(),
                                      mLoop.Now() + kCallersPatience,
                                      [this, aId, answer](const job_reply& aReply) {
                                        *answer = aReply.mAnswer;
--- a/tests/support/FakeInstallation.h
+++ b/tests/support/FakeInstallation.h
@@ -146,6 +146,10 @@
   std::optional<job_answer> Submit(const std::string& aVm,
                                    const accepted_job& aJob,
                                    duration aWithin = duration(3'000));
+  /** The API key of the workspace "gyms". */
+  static const std::string kKey;
+  /** The caller of Cancel. */
+  static job_caller Caller();
   /** How long callers wait for the answer to a cancellation, less the margin. */
   static constexpr duration kCallersPatience{ 2'900 };
   std::optional<job_answer> Cancel(const std::string& aVm, const std::string& aId);
@@ -192,7 +196,13 @@
     return mStartedAtMsByWorker.at(aWorker);
   }
 
-  void PutPolicy(uint64_t aVersion);
+  /**
+   * Returns a policy with the queues "urgent", "batch" and "later", and with the
+   * workspace "gyms", which has kKey and is guaranteed 8 accelerators.
+   */
+  static fleet_policy MakePolicy(uint64_t aVersion);
+  void PutPolicy(uint64_t aVersion) { PutPolicy(MakePolicy(aVersion)); }
+  void PutPolicy(const fleet_policy& aPolicy);
 
   const scheduler_bounds& Bounds() const { return mBounds; }
 
@@ -239,7 +249,8 @@
   int64_t mLastWorkerStartedAtMs = 1'000;
   /** Start time of the last life of each worker, which its entry tells. */
   std::map<std::string, int64_t> mStartedAtMsByWorker;
-  std::map<int64_t, lease> mLeases; ///< By the start time of the life.
+  std::map<int64_t, lease> mLeases;           ///< By the start time of the life.
+  std::map<uint64_t, fleet_policy> mPolicies; ///< By version.
   std::map<std::string, std::unique_ptr<fake_vm>> mVms;
   std::vector<std::unique_ptr<fake_vm>> mStoppedVms;
   std::set<std::string> mFrozenVms;
--- a/tests/support/FakeSite.cpp
+++ b/tests/support/FakeSite.cpp
@@ -1,6 +1,6 @@
 #include "support/FakeSite.h"
 
-#include "base/Hash.h"
+#include "base/Sha256.h"
 #include "support/FakePorts.h"
 
 #include <algorithm>
