Count a job for the guarantee of the workspace that owns it

What callers would have seen: once a version of the policy has given a workspace another name, its open jobs of priority 0 lose their guarantee. Those that wait stop nobody of their priority, and those that run may be stopped for others.

Cause: IsWithinGuarantee looked for the name stored at the submission, as the cancellation did. A workspace that gets the former name had the jobs counted against its own guarantee.

The scheduler now keeps the owner of each open job, by job_owners, and finds it anew when a policy comes into force.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -44,7 +44,7 @@
             aOptions.mDecodePolicy,
             [this](std::shared_ptr<const fleet_policy> aPolicy) {
               mOwners = std::make_shared<const job_owners>(aPolicy);
-              mScheduler.SetPolicy(aPolicy);
+              mScheduler.SetPolicy(mOwners);
               if (mPolicyListener) {
                 mPolicyListener(std::move(aPolicy));
               }
--- a/src/jobs/JobOwners.h
+++ b/src/jobs/JobOwners.h
@@ -41,6 +41,8 @@
   /** aPolicy must not be null. */
   explicit job_owners(std::shared_ptr<const fleet_policy> aPolicy);
 
+  const fleet_policy& Policy() const { return *mPolicy; }
+
   /**
    * Returns the workspace that aJob belongs to, or null if it has none any more: the
    * one that has a key of the submission, preferably under the name of then. If nobody
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -48,7 +48,7 @@
   , mOnIncapable(std::move(aOnIncapable))
   , mOnUnwritable(std::move(aOnUnwritable))
   , mOnImpaired(std::move(aOnImpaired))
-  , mPolicy(std::make_shared<fleet_policy>())
+  , mOwners(std::make_shared<job_owners>(std::make_shared<fleet_policy>()))
   , mWriter(aPorts.mLoop,
             aPorts.mStore,
             aPorts.mLog,
@@ -84,9 +84,13 @@
   mRequestLimits = std::move(aLimits);
 }
 
-void fleet_scheduler::SetPolicy(std::shared_ptr<const fleet_policy> aPolicy)
+void fleet_scheduler::SetPolicy(std::shared_ptr<const job_owners> aOwners)
 {
-  mPolicy = std::move(aPolicy);
+  mOwners = std::move(aOwners);
+  mPriorityZeroDemand.clear(); // Its keys were of the former policy.
+  for (const auto& [id, job] : mJobs) {
+    job->mOwner = mOwners->OwnerOf(job->mState.Job());
+  }
   if (mActive && mLoaded) {
     SchedulePlan();
   }
@@ -194,6 +198,7 @@
 {
   auto entry = std::make_unique<job_entry>(aJob);
   entry->mFirstSeenAt = mPorts.mLoop.Now();
+  entry->mOwner = mOwners->OwnerOf(aJob);
   mJobs[aJob.mId] = std::move(entry);
   if (const auto cancel = mUnmatchedCancels.extract(aJob.mId)) {
     CancelJob(aJob.mId, cancel.mapped().mRevision, aSource);
--- a/src/scheduler/FleetScheduler.h
+++ b/src/scheduler/FleetScheduler.h
@@ -3,7 +3,7 @@
 #include "base/EventLog.h"
 #include "base/EventLoop.h"
 #include "base/Metrics.h"
-#include "config/FleetPolicy.h"
+#include "jobs/JobOwners.h"
 #include "planner/CapacityHeadroom.h"
 #include "planner/DurationModel.h"
 #include "planner/RackPatience.h"
@@ -120,8 +120,8 @@
    */
   size_t CountOverdueRuns() const;
 
-  /** Sets the rules of queues and workspaces. */
-  void SetPolicy(std::shared_ptr<const fleet_policy> aPolicy);
+  /** Sets the rules of queues and workspaces; aOwners must not be null. */
+  void SetPolicy(std::shared_ptr<const job_owners> aOwners);
 
   /** Returns a job's state; nothing if it is unknown or the takeover is not done. */
   std::optional<std::string> StateOf(const std::string& aJob) const;
@@ -426,8 +426,8 @@
    */
   void AddPreemptibleUnits(const std::vector<std::string>& aWorkerIds,
                            placement_input& aInput) const;
-  std::map<std::string, int64_t> DemandByWorkspace() const;
-  bool IsWithinGuarantee(const accepted_job& aJob) const;
+  std::map<const workspace_rule*, int64_t> DemandByWorkspace() const;
+  bool IsWithinGuarantee(const job_entry& aJob) const;
 
   bool MaySendRequests() const;
   /** Returns until when the term's lease lasts for certain, if it has a limit. */
@@ -443,7 +443,7 @@
   std::function<void(const std::string&)> mOnUnwritable;
   std::function<void(bool)> mOnImpaired;
   std::function<request_limits()> mRequestLimits;
-  std::shared_ptr<const fleet_policy> mPolicy;
+  std::shared_ptr<const job_owners> mOwners; ///< By the policy in force.
   record_writer mWriter;
   inbox_monitor mInboxMonitor;
   idle_job_monitor mIdleJobs;
@@ -486,7 +486,7 @@
   duration mLastPlanDuration{ 0 }; ///< Duration of the last planning round.
   time_point mCapacityLoggedAt{ 0 };
   /** Accelerators of the open jobs of priority 0, by workspace. */
-  std::map<std::string, int64_t> mPriorityZeroDemand;
+  std::map<const workspace_rule*, int64_t> mPriorityZeroDemand;
 };
 
 } // namespace anvildoor
--- a/src/scheduler/FleetSchedulerInput.cpp
+++ b/src/scheduler/FleetSchedulerInput.cpp
@@ -39,32 +39,27 @@
 
 } // namespace
 
-std::map<std::string, int64_t> fleet_scheduler::DemandByWorkspace() const
+std::map<const workspace_rule*, int64_t> fleet_scheduler::DemandByWorkspace() const
 {
-  std::map<std::string, int64_t> demand;
+  std::map<const workspace_rule*, int64_t> demand;
   for (const auto& [id, job] : mJobs) {
     const auto& acceptedJob = job->mState.Job();
     if (acceptedJob.mPriority != 0 || job->mState.Outcome() != job_outcome::kOpen) {
       continue;
     }
     for (const auto& step : acceptedJob.mSpec.mSteps) {
-      demand[acceptedJob.mWorkspace] += step.mCount * step.mPerTask.mAccelerators;
+      demand[job->mOwner] += step.mCount * step.mPerTask.mAccelerators;
     }
   }
   return demand;
 }
 
-bool fleet_scheduler::IsWithinGuarantee(const accepted_job& aJob) const
+bool fleet_scheduler::IsWithinGuarantee(const job_entry& aJob) const
 {
-  const auto& workspaces = mPolicy->mWorkspaces;
-  const auto found =
-    std::find_if(workspaces.begin(), workspaces.end(), [&](const auto& aWorkspace) {
-      return aWorkspace.mName == aJob.mWorkspace;
-    });
-  const auto demand = mPriorityZeroDemand.find(aJob.mWorkspace);
-  return found != workspaces.end() && aJob.mPriority == 0 &&
+  const auto demand = mPriorityZeroDemand.find(aJob.mOwner);
+  return aJob.mOwner != nullptr && aJob.mState.Job().mPriority == 0 &&
          demand != mPriorityZeroDemand.end() &&
-         demand->second <= found->mGuaranteedAccelerators;
+         demand->second <= aJob.mOwner->mGuaranteedAccelerators;
 }
 
 task_resources fleet_scheduler::FreeResources(const worker_entry& aWorker)
@@ -160,7 +155,7 @@
   const auto& acceptedJob = aJob.mState.Job();
   const auto now = mPorts.mLoop.Now();
   const auto unixMs = mPorts.mUnixMs();
-  const auto* queue = mPolicy->QueueNamed(acceptedJob.mQueue);
+  const auto* queue = mOwners->Policy().QueueNamed(acceptedJob.mQueue);
   aJob.mMayHaveWaitingTasks = false;
   size_t groupsLeft = kMaxGroupsPerJob;
   for (auto occurrence = aJob.mState.FirstUnfinishedOccurrence();
@@ -194,7 +189,7 @@
       const auto paceWait = mPaceWaits.find({ acceptedJob.mId, occurrence, step, 0 });
       group.mMayWaitForPace =
         paceWait == mPaceWaits.end() || now - paceWait->second < kMaxPaceWait;
-      group.mGuaranteed = IsWithinGuarantee(acceptedJob);
+      group.mGuaranteed = IsWithinGuarantee(aJob);
       group.mMayPreempt =
         acceptedJob.mPriority == 0 &&
         (group.mGuaranteed || group.mForecast == completion_forecast::kOnTime);
@@ -290,7 +285,7 @@
         preemption_unit added;
         added.mTask = task;
         added.mPriority = state.Job().mPriority;
-        added.mGuaranteed = IsWithinGuarantee(state.Job());
+        added.mGuaranteed = IsWithinGuarantee(*found->second);
         added.mMayMove = !step.mGang && !step.mLongRunning;
         if (step.mGang) {
           gangs[first] = units.size();
--- a/src/scheduler/FleetSchedulerState.h
+++ b/src/scheduler/FleetSchedulerState.h
@@ -14,6 +14,8 @@
   }
 
   job_state mState;
+  /** The workspace that it belongs to by the policy in force; null: none. */
+  const workspace_rule* mOwner = nullptr;
   size_t mMemory;        ///< Upper bound in bytes, without its open tasks.
   bool mHasTasks = true; ///< False once the tasks of an ended job have been dropped.
   uint64_t mCancelRevision = 0; ///< Of its cancellation; 0: none in this term.
