Let a guaranteed gang span racks if none can be cleared in time

Cause: preemption_search looks for runs to stop in one rack at a time while a gang that prefers one may not span racks, and each rack held runs of another guarantee.

rack_patience now also keeps how long guaranteed gangs have waited, and lets them span racks after half of the time within which they have to begin (the new [bounds] reclaim_ms, 2,900 ms by default). The first half is spent on a rack, as a gang takes a multiple of its time on several.

tasks_waiting reason=no_clearable_rack tells this wait from a lack of capacity, as which it was logged before; tasks_placed racks= tells on how many racks a job's tasks began.

--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -127,6 +127,7 @@
              sSeconds),
     Duration(
       "bounds", "worker_beat_ms", &entry_settings::mWorkerHeartbeatPeriod, 1.0, sMs),
+    Duration("bounds", "reclaim_ms", &entry_settings::mReclaimBound, 1.0, sMs),
     Duration("bounds", "evacuation_ms", &entry_settings::mEvacuationBound, 1.0, sMs),
     Duration(
       "bounds", "stop_grace_s", &entry_settings::mStopGrace, kMsPerSecond, sSeconds),
--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -25,6 +25,8 @@
   /** How long after a request to evacuate a data centre starts there must have ceased;
    * 0: there are no such requests. */
   duration mEvacuationBound{ 0 };
+  /** Time within which a guaranteed job begins, though others use its accelerators. */
+  duration mReclaimBound{ 2'900 };
   duration mMinStoreLease{ 1'000 }; ///< Shortest lease that the store grants.
   double mCores = 1.0;              ///< Processor share in cores; may be a fraction.
   double mLinkMbps = 1'000;         ///< Bandwidth of this VM's network link.
--- a/src/planner/CapacityReport.cpp
+++ b/src/planner/CapacityReport.cpp
@@ -1,5 +1,7 @@
 #include "planner/CapacityReport.h"
 
+#include "planner/PreemptionSearch.h"
+
 #include <algorithm>
 #include <cassert>
 
@@ -45,6 +47,38 @@
   return std::clamp(1.0 - DominantShare(used, aTotal), 0.0, 1.0);
 }
 
+/**
+ * Returns whether a gang for which no room is being made would have it if it could span
+ * racks: aNeed of aFree and of what stops would release.
+ */
+bool NeedsClearableRack(const placement_input& aInput,
+                        const placement_plan& aPlan,
+                        size_t aGroup,
+                        const task_resources& aNeed,
+                        task_resources aFree)
+{
+  const auto& group = aInput.mGroups[aGroup];
+  const bool hasReservation = std::any_of(
+    aPlan.mReserved.begin(), aPlan.mReserved.end(), [&](const reservation& aReserved) {
+      return aReserved.mGroup == aGroup;
+    });
+  if (!group.mSpec.mGang || !group.mSpec.mSameRack || group.mMaySpanRacks ||
+      hasReservation) {
+    return false;
+  }
+  for (const auto& unit : aInput.mPreemptionUnits) {
+    if (!Outranks(group, unit)) {
+      continue;
+    }
+    for (const auto& [worker, used] : unit.mResourcesByWorker) {
+      if (IsEligible(aInput.mWorkers[worker], group)) {
+        Add(aFree, used);
+      }
+    }
+  }
+  return Fits(aNeed, aFree);
+}
+
 /** Like ExplainWaiting; aFree is the result of FreeAfter. */
 waiting_reason ReasonOf(const placement_input& aInput,
                         const placement_plan& aPlan,
@@ -67,7 +101,9 @@
   task_resources need;
   Add(need, OccupiedBy(group.mSpec), tasks);
   if (!Fits(need, sum)) {
-    return waiting_reason::kCapacity;
+    return NeedsClearableRack(aInput, aPlan, aGroup, need, sum)
+             ? waiting_reason::kNoClearableRack
+             : waiting_reason::kCapacity;
   }
   return aInput.mAllowances.count({ group.mPool, group.mPriority }) != 0
            ? waiting_reason::kHeadroom
@@ -79,7 +115,7 @@
 const char* ToString(waiting_reason aReason)
 {
   static constexpr const char* kNames[] = {
-    "no_eligible_worker", "headroom", "capacity", "fragmentation"
+    "no_eligible_worker", "headroom", "capacity", "fragmentation", "no_clearable_rack"
   };
   return kNames[static_cast<size_t>(aReason)];
 }
--- a/src/planner/CapacityReport.h
+++ b/src/planner/CapacityReport.h
@@ -22,6 +22,7 @@
   kHeadroom,         ///< The capacity is kept for tasks of higher priority.
   kCapacity,         ///< Less is free in sum than the group needs.
   kFragmentation,    ///< Enough is free, but not on suitable workers or in one rack.
+  kNoClearableRack,  ///< Stops could free enough, but not in one rack.
 };
 
 const char* ToString(waiting_reason aReason);
--- a/src/planner/PreemptionSearch.cpp
+++ b/src/planner/PreemptionSearch.cpp
@@ -43,6 +43,14 @@
 
 } // namespace
 
+bool Outranks(const placement_group& aGroup, const preemption_unit& aUnit)
+{
+  const bool hasLowerPriority =
+    aUnit.mPriority > aGroup.mPriority ||
+    (aUnit.mPriority == aGroup.mPriority && aGroup.mGuaranteed && !aUnit.mGuaranteed);
+  return aGroup.mMayPreempt && hasLowerPriority;
+}
+
 preemption_search::preemption_search(const placement_input& aInput,
                                      const slot_search& aSlots)
   : mInput(aInput)
@@ -61,12 +69,9 @@
 bool preemption_search::MayPreempt(size_t aUnit, const placement_group& aGroup) const
 {
   const auto& unit = mInput.mPreemptionUnits[aUnit];
-  const bool hasLowerPriority =
-    unit.mPriority > aGroup.mPriority ||
-    (unit.mPriority == aGroup.mPriority && aGroup.mGuaranteed && !unit.mGuaranteed);
   const bool mayMove =
     aGroup.mMayClearRack && unit.mMayMove && unit.mPriority >= aGroup.mPriority;
-  return !mStopped[aUnit] && ((aGroup.mMayPreempt && hasLowerPriority) || mayMove);
+  return !mStopped[aUnit] && (Outranks(aGroup, unit) || mayMove);
 }
 
 double preemption_search::WorkCost(size_t aUnit, const placement_group& aGroup) const
--- a/src/planner/PreemptionSearch.h
+++ b/src/planner/PreemptionSearch.h
@@ -19,6 +19,12 @@
   auto operator<=>(const preemption&) const = default;
 };
 
+/**
+ * Returns whether a group that may preempt outranks a unit, by priority or guarantee.
+ * Pure; thread-safe.
+ */
+bool Outranks(const placement_group& aGroup, const preemption_unit& aUnit);
+
 /**
  * Chooses the runs that are stopped to make room for a group that may preempt, or that
  * may clear a rack. Keeps which units one round stops. Not thread-safe.
--- a/src/planner/RackPatience.cpp
+++ b/src/planner/RackPatience.cpp
@@ -2,6 +2,7 @@
 
 #include "planner/PoolLoad.h"
 
+#include <optional>
 #include <set>
 
 namespace anvildoor {
@@ -12,6 +13,11 @@
 constexpr duration kClearAfter{ 1'000 };
 /** Stops take up to 0.4 s, and nothing may wait for 3 s while the fleet has room. */
 constexpr duration kSpanAfter{ 2'000 };
+/**
+ * A guaranteed gang waits for one rack for one part in this many of its bound. The rest
+ * is left for stops and starts.
+ */
+constexpr int kBoundDivisor = 2;
 
 /** Share of a pool in use above which gangs keep waiting for a rack. */
 constexpr double kMaxUse = 0.6;
@@ -53,16 +59,29 @@
   return { aGroup.mJob, aGroup.mOccurrence, aGroup.mStep };
 }
 
+void rack_patience::Prolong(waits& aWaits,
+                            const waits& aBefore,
+                            const placement_group& aGroup,
+                            time_point aNow)
+{
+  const auto key = KeyOf(aGroup);
+  const auto before = aBefore.find(key);
+  aWaits[key] = before == aBefore.end() ? aNow : before->second;
+}
+
 void rack_patience::SetRights(placement_input& aInput, time_point aNow) const
 {
+  // A group that has not waited compares as less than any time.
+  const auto waitedIn = [aNow](const waits& aWaits, const group_key& aKey) {
+    const auto found = aWaits.find(aKey);
+    return found == aWaits.end() ? std::optional<duration>() : aNow - found->second;
+  };
   for (auto& group : aInput.mGroups) {
-    const auto found = mWaitingSince.find(KeyOf(group));
-    if (found == mWaitingSince.end()) {
-      continue;
-    }
-    const auto waited = aNow - found->second;
-    group.mMayClearRack = waited >= kClearAfter;
-    group.mMaySpanRacks = group.mMaySpanRacks || waited >= kSpanAfter;
+    const auto key = KeyOf(group);
+    const auto besideRoom = waitedIn(mBesideRoom, key);
+    group.mMayClearRack = besideRoom >= kClearAfter;
+    group.mMaySpanRacks = group.mMaySpanRacks || besideRoom >= kSpanAfter ||
+                          waitedIn(mGuaranteed, key) >= mReclaimBound / kBoundDivisor;
   }
 }
 
@@ -70,20 +89,30 @@
                             const placement_plan& aPlan,
                             time_point aNow)
 {
-  std::map<group_key, time_point> waiting;
+  waits besideRoom;
+  waits guaranteed;
   const auto poolsWithRoom =
     aPlan.mWaiting.empty() ? std::set<std::string>() : PoolsWithRoom(aInput);
   for (const auto number : aPlan.mWaiting) {
     const auto& group = aInput.mGroups[number];
-    if (!group.mSpec.mGang || !group.mSpec.mSameRack ||
-        poolsWithRoom.count(group.mPool) == 0 || !HasRoomInFleet(aInput, group)) {
+    if (!group.mSpec.mGang || !group.mSpec.mSameRack) {
       continue;
     }
-    const auto key = KeyOf(group);
-    const auto before = mWaitingSince.find(key);
-    waiting[key] = before == mWaitingSince.end() ? aNow : before->second;
+    if (group.mGuaranteed) {
+      Prolong(guaranteed, mGuaranteed, group, aNow);
+    }
+    if (poolsWithRoom.count(group.mPool) != 0 && HasRoomInFleet(aInput, group)) {
+      Prolong(besideRoom, mBesideRoom, group, aNow);
+    }
   }
-  mWaitingSince = std::move(waiting);
+  mBesideRoom = std::move(besideRoom);
+  mGuaranteed = std::move(guaranteed);
+}
+
+void rack_patience::Clear()
+{
+  mBesideRoom.clear();
+  mGuaranteed.clear();
 }
 
 } // namespace anvildoor
--- a/src/scheduler/FleetScheduler.cpp
+++ b/src/scheduler/FleetScheduler.cpp
@@ -73,6 +73,7 @@
                  aPorts.mMetrics,
                  aBounds.mEvacuations,
                  [this] { SchedulePlan(); })
+  , mRackPatience(aBounds.mReclaim)
   , mPaces(aPorts.mLoop, aPorts.mStore, aPorts.mLog, aPorts.mMetrics, mWriter)
 {
 }
@@ -153,7 +154,7 @@
   mReserved.clear();
   mHealth.Begin();
   mHeadroom = capacity_headroom();
-  mRackPatience = rack_patience();
+  mRackPatience.Clear();
   mDurations = duration_model();
   mPaces.End();
   mPaceWaits.clear();
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <set>
 
 namespace anvildoor {
 
@@ -51,7 +52,7 @@
   if (input.mGroups.empty()) {
     mReserved.clear();
     mPaceWaits.clear();
-    mRackPatience = rack_patience();
+    mRackPatience.Clear();
     return;
   }
   auto plan = PlaceTasks(input);
@@ -218,16 +219,19 @@
   const std::vector<std::pair<task_ref, uint32_t>>& aRuns) const
 {
   std::string placements;
+  std::set<std::string> racks;
   for (const auto& [task, run] : aRuns) {
     placements += placements.empty() ? "" : ",";
     placements += std::to_string(task.mOccurrence) + "." + std::to_string(task.mStep) +
                   "." + std::to_string(task.mIndex) + "/" + std::to_string(run) + "@" +
                   aJob.mState.Task(task).mWorker;
+    racks.insert(mWorkers.at(aJob.mState.Task(task).mWorker)->mListed.mRack);
   }
   mPorts.mLog.Write(
     log_event("tasks_placed")
       .Add("job", aJob.mState.Job().mId)
       .Add("runs", placements)
+      .Add("racks", static_cast<int64_t>(racks.size()))
       .Add("fence", static_cast<int64_t>(mTerm.mFence))
       .Add("waited_ms", (mPorts.mLoop.Now() - aJob.mFirstSeenAt).count()));
 }
--- a/src/scheduler/SchedulerPorts.h
+++ b/src/scheduler/SchedulerPorts.h
@@ -44,6 +44,8 @@
   /** Minimum time for which outcomes are shown. */
   duration mMinStatusRetention{ 120'000 };
   evacuation_settings mEvacuations;
+  /** Time within which a guaranteed job begins, though others use its accelerators. */
+  duration mReclaim{ 2'900 };
   /** Bound on the memory for jobs, over which no further ones are taken. */
   size_t mMaxJobBytes = 48'000'000;
 
--- a/tests/CapacityReportTest.cpp
+++ b/tests/CapacityReportTest.cpp
@@ -93,3 +93,38 @@
   plan.mReserved = { { 0, 1 } };
   CHECK(ReportCapacity(input, plan).mFree == Approx(2.0));
 }
+
+TEST_CASE("the report tells that no rack can be cleared for a gang", "[placement]")
+{
+  struct row
+  {
+    uint32_t mTasks;
+    bool mGuaranteed;
+    bool mMaySpanRacks;
+    size_t mFirstOfOthers; // Worker of the first run that may be stopped.
+    waiting_reason mReason;
+  };
+  const auto [tasks, guaranteed, maySpanRacks, firstOfOthers, reason] =
+    GENERATE(row{ 2, true, false, 0, waiting_reason::kNoClearableRack },
+             row{ 2, true, true, 0, waiting_reason::kCapacity },
+             row{ 2, false, false, 0, waiting_reason::kCapacity },
+             row{ 2, true, false, 2, waiting_reason::kCapacity },
+             row{ 3, true, false, 0, waiting_reason::kCapacity });
+  CAPTURE(tasks, guaranteed, maySpanRacks, firstOfOthers);
+  auto input = Fleet(0);
+  auto group = Group(tasks, 8, true);
+  group.mPriority = 0;
+  group.mSpec.mSameRack = true;
+  group.mMayPreempt = true;
+  group.mGuaranteed = guaranteed;
+  group.mMaySpanRacks = maySpanRacks;
+  input.mGroups.push_back(group);
+  for (size_t worker = firstOfOthers; worker < 4; worker += 2) {
+    preemption_unit unit;
+    unit.mResourcesByWorker.emplace_back(worker, input.mWorkers[worker].mTotal);
+    input.mPreemptionUnits.push_back(unit); // One in each rack.
+  }
+  const auto plan = PlaceTasks(input);
+  REQUIRE(plan.mWaiting == std::vector<size_t>{ 0 });
+  CHECK(ExplainWaiting(input, plan, 0) == reason);
+}
--- a/tests/EntrySettingsTest.cpp
+++ b/tests/EntrySettingsTest.cpp
@@ -11,7 +11,7 @@
   "[listen]\njobs = 10.1.0.19:8521\nreadiness = 10.1.0.19:8523\n"
   "peers = 10.1.0.19:7000\nmetrics =\n"
   "[store]\naddress = 10.2.0.1:8524\n"
-  "[bounds]\nlease_max_ms = 6000\nstop_grace_s = 6.5\n";
+  "[bounds]\nlease_max_ms = 6000\nstop_grace_s = 6.5\nreclaim_ms = 2700.0\n";
 
 std::string WithReplaced(const std::string& aOld, const std::string& aNew)
 {
@@ -31,6 +31,7 @@
   CHECK(settings->mListenMetrics.empty());
   CHECK(settings->mLeaseMax == duration(6'000));
   CHECK(settings->mStopGrace == duration(6'500));
+  CHECK(settings->mReclaimBound == duration(2'700));
   CHECK(settings->mCores == 0.25);
 }
 
@@ -52,6 +53,8 @@
                   "[bounds] lease_max_ms" },
              row{ WithReplaced("lease_max_ms = 6000", "lease_max_ms = -1"),
                   "[bounds] lease_max_ms" },
+             row{ WithReplaced("reclaim_ms = 2700.0", "reclaim_ms = none"),
+                  "[bounds] reclaim_ms" },
              row{ WithReplaced("cores = 0.25", "cores = 0"), "[vm] cores" },
              row{ WithReplaced("[store]", "[store"), "line" });
   CAPTURE(expectedLabel);
--- a/tests/RackPatienceTest.cpp
+++ b/tests/RackPatienceTest.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr time_point kStart{ 100'000 };
+constexpr duration kReclaimBound{ 2'900 };
 
 /** Returns 2 racks of 4 workers, of which aUsed in all are in use, and a waiting gang.
  */
@@ -62,7 +63,7 @@
              row{ 4, 5, true, 2'000, false, false }, // Too few are free in sum.
              row{ 3, 4, false, 2'000, false, false });
   CAPTURE(used, tasks, sameRack, waitedMs);
-  rack_patience patience;
+  rack_patience patience(kReclaimBound);
   auto input = WaitingGang(used, tasks, sameRack);
   placement_plan plan;
   plan.mWaiting = { 0 };
@@ -79,7 +80,7 @@
           "[placement]")
 {
   const auto isPlaced = GENERATE(true, false);
-  rack_patience patience;
+  rack_patience patience(kReclaimBound);
   placement_plan waiting;
   waiting.mWaiting = { 0 };
   auto input = WaitingGang(3, 4, true);
@@ -98,7 +99,7 @@
 {
   const bool acceptsTasks = GENERATE(true, false);
   CAPTURE(acceptsTasks);
-  rack_patience patience;
+  rack_patience patience(kReclaimBound);
   placement_plan waiting;
   waiting.mWaiting = { 0 };
   auto input = WaitingGang(5, 3, true); // Three workers are free, in two racks.
@@ -109,3 +110,39 @@
   patience.SetRights(input, kStart + duration(2'000));
   CHECK(input.mGroups.front().mMaySpanRacks != acceptsTasks);
 }
+
+// Guards against a guarantee that waits for a rack which nobody can clear.
+TEST_CASE("a guaranteed gang may span racks after half of the bound on a busy fleet",
+          "[placement]")
+{
+  struct row
+  {
+    bool mGuaranteed;
+    bool mSameRack;
+    int64_t mBoundMs;
+    int64_t mWaitedMs;
+    bool mMaySpanRacks;
+  };
+  const auto [guaranteed, sameRack, boundMs, waitedMs, maySpanRacks] =
+    GENERATE(row{ true, true, 2'900, 1'449, false },
+             row{ true, true, 2'900, 1'450, true },
+             row{ true, true, 3'400, 1'699, false },
+             row{ true, true, 3'400, 1'700, true },
+             row{ true, false, 2'900, 10'000, false },
+             row{ false, true, 2'900, 10'000, false });
+  CAPTURE(guaranteed, sameRack, boundMs, waitedMs);
+  rack_patience patience{ duration(boundMs) };
+  auto input = WaitingGang(8, 4, sameRack);
+  input.mGroups.front().mGuaranteed = guaranteed;
+  placement_plan plan;
+  plan.mWaiting = { 0 };
+  patience.Observe(input, plan, kStart);
+  patience.Observe(input, plan, kStart + duration(500));
+  patience.SetRights(input, kStart + duration(waitedMs));
+  CHECK(input.mGroups.front().mMaySpanRacks == maySpanRacks);
+  CHECK_FALSE(input.mGroups.front().mMayClearRack);
+  patience.Clear();
+  input.mGroups.front().mMaySpanRacks = false;
+  patience.SetRights(input, kStart + duration(waitedMs));
+  CHECK_FALSE(input.mGroups.front().mMaySpanRacks);
+}
--- a/tests/ReclaimTest.cpp
+++ b/tests/ReclaimTest.cpp
@@ -14,6 +14,8 @@
 const std::string kBorrower = "00000000000000ab";
 const std::string kJob = "00000000000000ac";
 const std::string kOtherJob = "00000000000000af";
+const std::string kGang = "00000000000000ad";
+const std::string kOtherGang = "00000000000000ae";
 
 /** Returns a job of single tasks that run on for long. */
 accepted_job LongJob(const std::string& aId,
@@ -31,6 +33,17 @@
   return job;
 }
 
+/** Returns a gang that prefers one rack; a task takes four accelerators. */
+accepted_job RackGang(const std::string& aId,
+                      const std::string& aWorkspace,
+                      uint32_t aTasks)
+{
+  auto job = LongJob(aId, aWorkspace, 0, aTasks, 4);
+  job.mSpec.mSteps.front().mGang = true;
+  job.mSpec.mSteps.front().mSameRack = true;
+  return job;
+}
+
 /** Returns the racks of the runs of a job, one entry for each run. */
 std::vector<size_t> RacksOfRuns(const fake_installation& aSite, const std::string& aJob)
 {
@@ -92,3 +105,56 @@
   CHECK(RacksOfRuns(site, kOtherJob).size() == 16);
   CHECK(site.mLog.CountLines("event=run_stop job=" + kJob) == 0);
 }
+
+// Guards against a guarantee that waits while no rack can be cleared for it.
+TEST_CASE("a guaranteed gang that prefers one rack begins within the bound",
+          "[reclaim]")
+{
+  struct row
+  {
+    std::string mName;
+    int64_t mOwn;       // Accelerators of a guaranteed run of t1 in each rack.
+    bool mHasOtherGang; // Whether a guaranteed gang of t4 comes, too.
+    int64_t mReclaimMs;
+    bool mIsInOneRack;
+  };
+  const auto [name, own, hasOtherGang, reclaimMs, isInOneRack] =
+    GENERATE(row{ "a rack can be cleared", 0, false, 2'900, true },
+             row{ "guaranteed runs in each rack", 4, false, 2'900, false },
+             row{ "a shorter bound", 4, false, 2'000, false },
+             row{ "another gang clears a rack", 4, true, 2'900, false });
+  CAPTURE(name);
+  scheduler_bounds bounds;
+  bounds.mReclaim = duration(reclaimMs);
+  fake_installation site(kVms, kWorkers, kWorkersPerRack, bounds);
+  site.mBehaviourByPayload["long"].mDuration = duration(600'000);
+  site.PutPolicy(PolicyWith(2, { { "t2", { "k2" }, 16 }, { "t4", { "k4" }, 8 } }));
+  site.mLoop.RunFor(duration(3'000));
+  for (uint32_t rack = 0; own != 0 && rack < 2; ++rack) {
+    auto job = LongJob("00000000000000a" + std::to_string(rack), "t1", 0, 1, own);
+    job.mSpec.mSteps.front().mDataRack = "r" + std::to_string(rack);
+    REQUIRE(site.Submit("vm0", job) == job_answer::kAccepted);
+  }
+  site.mLoop.RunFor(duration(1'000));
+  const auto borrowed = static_cast<uint32_t>(32 - 2 * own);
+  REQUIRE(site.Submit("vm0", LongJob(kBorrower, "t3", 2, borrowed, 1)) ==
+          job_answer::kAccepted);
+  site.mLoop.RunFor(duration(3'000));
+  REQUIRE(RacksOfRuns(site, kBorrower).size() == borrowed);
+  REQUIRE(site.Submit("vm0", RackGang(kGang, "t2", 4)) == job_answer::kAccepted);
+  const auto until = site.mLoop.Now() + duration(reclaimMs);
+  if (hasOtherGang) {
+    REQUIRE(site.Submit("vm0", RackGang(kOtherGang, "t4", 2)) == job_answer::kAccepted);
+  }
+  site.mLoop.RunUntil([] { return false; }, until - site.mLoop.Now());
+  const auto racks = RacksOfRuns(site, kGang);
+  CHECK(racks.size() == 4);
+  CHECK((std::set(racks.begin(), racks.end()).size() == 1) == isInOneRack);
+  const auto otherRacks = RacksOfRuns(site, kOtherGang);
+  CHECK(otherRacks.size() == (hasOtherGang ? 2 : 0));
+  CHECK(std::set(otherRacks.begin(), otherRacks.end()).size() <= 1);
+  // Nothing gives way beyond what the gangs need.
+  site.mLoop.RunFor(duration(10'000));
+  CHECK(RacksOfRuns(site, kBorrower).size() == borrowed);
+  CHECK(site.mLog.CountLines("event=run_stop ") == (hasOtherGang ? 24 : 16));
+}
