Stop runs that last for a guaranteed job also at 100 percent

Cause: a single run whose time left is at most 0.2 s counts as released instead of as one that may be stopped. A run that lasts has none left from 100 percent on, for a twelfth of its estimate, and doesn't end.

Runs that last are candidates for a stop now, whatever they report.

--- a/src/jobs/JobOwners.cpp
+++ b/src/jobs/JobOwners.cpp
@@ -70,7 +70,7 @@
   return holder != nullptr ? holder : named;
 }
 
-bool job_owners::IsInQueue(const accepted_job& aJob, const std::string& aQueue) const
+bool job_owners::IsReachedBy(const accepted_job& aJob, const std::string& aQueue) const
 {
   return aJob.mQueue == aQueue || mPolicy->QueueNamed(aJob.mQueue) == nullptr;
 }
@@ -88,7 +88,7 @@
     }
   }
   if (aJob.mWorkspace.empty() && owner == nullptr) {
-    return IsInQueue(aJob, aCaller.mQueue);
+    return IsReachedBy(aJob, aCaller.mQueue);
   }
   const auto* queue = mPolicy->QueueNamed(aJob.mQueue);
   return queue != nullptr && queue->mPublic && aJob.mQueue == aCaller.mQueue;
--- a/src/jobs/JobOwners.h
+++ b/src/jobs/JobOwners.h
@@ -59,8 +59,8 @@
 
 private:
   const workspace_rule* HolderOf(const std::string& aKeyDigest) const;
-  /** Returns whether aJob is in the queue, or in none of this policy. */
-  bool IsInQueue(const accepted_job& aJob, const std::string& aQueue) const;
+  /** Returns whether calls to a queue reach aJob: it is the job's, or that is gone. */
+  bool IsReachedBy(const accepted_job& aJob, const std::string& aQueue) const;
 
   std::shared_ptr<const fleet_policy> mPolicy;
   std::map<std::string, const workspace_rule*> mByKeyDigest;
--- a/src/scheduler/FleetSchedulerInput.cpp
+++ b/src/scheduler/FleetSchedulerInput.cpp
@@ -29,7 +29,10 @@
   duration mExpected{ 0 }; ///< Run time of a task.
 };
 
-/** Returns whether a run is expected to end by itself before a stop would end it. */
+/**
+ * Returns whether a run that doesn't last is expected to end by itself before a stop
+ * would end it.
+ */
 bool EndsBeforeStop(const run_info& aRun, time_point aNow)
 {
   constexpr duration kTypicalStopTime{ 200 };
@@ -263,7 +266,7 @@
       }
       const auto& state = found->second->mState;
       const auto& step = state.StepOf(task);
-      if (!step.mGang && EndsBeforeStop(run, now)) {
+      if (!step.mGang && !step.mLongRunning && EndsBeforeStop(run, now)) {
         Add(aInput.mWorkers[number].mReleasedByStops, run.mResources);
         continue;
       }
--- a/tests/ReclaimTest.cpp
+++ b/tests/ReclaimTest.cpp
@@ -106,6 +106,29 @@
   CHECK(site.mLog.CountLines("event=run_stop job=" + kJob) == 0);
 }
 
+// Guards against a guarantee that waits for runs that have come to 100 percent and
+// last.
+TEST_CASE("a guaranteed job begins within the bound beside runs that last", "[reclaim]")
+{
+  constexpr duration kUntilFullPercent{ 20'000 };
+  const auto ranMs = GENERATE(5'000, 20'500, 21'500, 40'000);
+  CAPTURE(ranMs);
+  fake_installation site(kVms, kWorkers, kWorkersPerRack);
+  auto& behaviour = site.mBehaviourByPayload["long"];
+  behaviour.mDuration = kUntilFullPercent;
+  behaviour.mRunsUntilStopped = true;
+  site.PutPolicy(PolicyWith(2, { { "t2", { "k2" }, 16 } }));
+  site.mLoop.RunFor(duration(3'000));
+  auto lasting = LongJob(kBorrower, "t3", 1, 32, 1);
+  lasting.mSpec.mSteps.front().mLongRunning = true;
+  REQUIRE(site.Submit("vm0", lasting) == job_answer::kAccepted);
+  site.mLoop.RunFor(duration(ranMs));
+  REQUIRE(RacksOfRuns(site, kBorrower).size() == 32);
+  REQUIRE(site.Submit("vm0", LongJob(kJob, "t2", 0, 16, 1)) == job_answer::kAccepted);
+  site.mLoop.RunFor(kReclaimBound);
+  CHECK(RacksOfRuns(site, kJob).size() == 16);
+}
+
 // Guards against a guarantee that waits while no rack can be cleared for it.
 TEST_CASE("a guaranteed gang that prefers one rack begins within the bound",
           "[reclaim]")
