--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -61,8 +61,6 @@
   {
     return mPolicy.Current();
   }
-  /** Returns the owners of jobs by Policy(); null if there is none. */
-  const std::shared_ptr<const job_owners>& Owners() const { return mOwners; }
   job_service& Jobs() { return mJobs; }
   const fleet_scheduler& Scheduler() const { return mScheduler; }
 
@@ -122,7 +120,7 @@
   loop_monitor mLoopMonitor;
   policy_watch::listener mPolicyListener;
   policy_watch mPolicy;
-  std::shared_ptr<const job_owners> mOwners;
+  std::shared_ptr<const job_owners> mOwners; ///< By mPolicy; null before the first.
   fleet_scheduler mScheduler;
   cancellation_guard mGuard;
   scheduler_election mElection;
