Look for a clearable rack only for the waiting job that is logged

Nothing that callers see changes. ReportCapacity asked for the reason of each waiting gang and needs only whether it is fragmentation, but since that also went through all runs that may be stopped: waiting gangs times runs, every 2 s on the scheduler's thread. ExplainWaiting alone, which is asked for one group, tells the two lacks of capacity apart now, by the same rule applied to what stops would free.

By reading; no time was measured.

--- a/src/jobs/JobOwners.cpp
+++ b/src/jobs/JobOwners.cpp
@@ -70,11 +70,6 @@
   return holder != nullptr ? holder : named;
 }
 
-bool job_owners::IsReachedBy(const accepted_job& aJob, const std::string& aQueue) const
-{
-  return aJob.mQueue == aQueue || mPolicy->QueueNamed(aJob.mQueue) == nullptr;
-}
-
 bool job_owners::MayCancel(const accepted_job& aJob, const job_caller& aCaller) const
 {
   const auto& digests = aJob.mKeyDigests;
@@ -87,11 +82,12 @@
       return true;
     }
   }
+  const bool isCallOfQueue = aJob.mQueue == aCaller.mQueue;
+  const auto* queue = mPolicy->QueueNamed(aJob.mQueue);
   if (aJob.mWorkspace.empty() && owner == nullptr) {
-    return IsReachedBy(aJob, aCaller.mQueue);
+    return isCallOfQueue || queue == nullptr;
   }
-  const auto* queue = mPolicy->QueueNamed(aJob.mQueue);
-  return queue != nullptr && queue->mPublic && aJob.mQueue == aCaller.mQueue;
+  return isCallOfQueue && queue != nullptr && queue->mPublic;
 }
 
 } // namespace anvildoor
--- a/src/jobs/JobOwners.h
+++ b/src/jobs/JobOwners.h
@@ -53,14 +53,13 @@
   /**
    * Returns whether aCaller may cancel aJob: callers with a key of the submission or of
    * the job's workspace may, as may all callers of the job's queue if that is public,
-   * or if the job was submitted without a workspace and still has none.
+   * or if the job was submitted without a workspace and still has none; all callers may
+   * if such a job's queue is gone.
    */
   bool MayCancel(const accepted_job& aJob, const job_caller& aCaller) const;
 
 private:
   const workspace_rule* HolderOf(const std::string& aKeyDigest) const;
-  /** Returns whether calls to a queue reach aJob: it is the job's, or that is gone. */
-  bool IsReachedBy(const accepted_job& aJob, const std::string& aQueue) const;
 
   std::shared_ptr<const fleet_policy> mPolicy;
   std::map<std::string, const workspace_rule*> mByKeyDigest;
--- a/src/planner/CapacityReport.cpp
+++ b/src/planner/CapacityReport.cpp
@@ -47,39 +47,7 @@
   return std::clamp(1.0 - DominantShare(used, aTotal), 0.0, 1.0);
 }
 
-/**
- * Returns whether a gang for which no room is being made would have it if it could span
- * racks: aNeed of aFree and of what stops would release.
- */
-bool NeedsClearableRack(const placement_input& aInput,
-                        const placement_plan& aPlan,
-                        size_t aGroup,
-                        const task_resources& aNeed,
-                        task_resources aFree)
-{
-  const auto& group = aInput.mGroups[aGroup];
-  const bool hasReservation = std::any_of(
-    aPlan.mReserved.begin(), aPlan.mReserved.end(), [&](const reservation& aReserved) {
-      return aReserved.mGroup == aGroup;
-    });
-  if (!group.mSpec.mGang || !group.mSpec.mSameRack || group.mMaySpanRacks ||
-      hasReservation) {
-    return false;
-  }
-  for (const auto& unit : aInput.mPreemptionUnits) {
-    if (!Outranks(group, unit)) {
-      continue;
-    }
-    for (const auto& [worker, used] : unit.mResourcesByWorker) {
-      if (IsEligible(aInput.mWorkers[worker], group)) {
-        Add(aFree, used);
-      }
-    }
-  }
-  return Fits(aNeed, aFree);
-}
-
-/** Like ExplainWaiting; aFree is the result of FreeAfter. */
+/** Returns why a group waits if aFree is free and nothing can be stopped. */
 waiting_reason ReasonOf(const placement_input& aInput,
                         const placement_plan& aPlan,
                         const std::vector<task_resources>& aFree,
@@ -101,15 +69,41 @@
   task_resources need;
   Add(need, OccupiedBy(group.mSpec), tasks);
   if (!Fits(need, sum)) {
-    return NeedsClearableRack(aInput, aPlan, aGroup, need, sum)
-             ? waiting_reason::kNoClearableRack
-             : waiting_reason::kCapacity;
+    return waiting_reason::kCapacity;
   }
   return aInput.mAllowances.count({ group.mPool, group.mPriority }) != 0
            ? waiting_reason::kHeadroom
            : waiting_reason::kFragmentation;
 }
 
+/** Returns whether a gang waits for one rack, and no room is being made for it. */
+bool NeedsClearableRack(const placement_input& aInput,
+                        const placement_plan& aPlan,
+                        size_t aGroup)
+{
+  const auto& group = aInput.mGroups[aGroup];
+  return group.mSpec.mGang && group.mSpec.mSameRack && !group.mMaySpanRacks &&
+         std::none_of(
+           aPlan.mReserved.begin(),
+           aPlan.mReserved.end(),
+           [&](const reservation& aReserved) { return aReserved.mGroup == aGroup; });
+}
+
+/** Adds to aFree what the units release that the group may have stopped. */
+void AddStoppable(const placement_input& aInput,
+                  const placement_group& aGroup,
+                  std::vector<task_resources>& aFree)
+{
+  for (const auto& unit : aInput.mPreemptionUnits) {
+    if (!Outranks(aGroup, unit)) {
+      continue;
+    }
+    for (const auto& [worker, used] : unit.mResourcesByWorker) {
+      Add(aFree[worker], used);
+    }
+  }
+}
+
 } // namespace
 
 const char* ToString(waiting_reason aReason)
@@ -125,7 +119,16 @@
                               size_t aGroup)
 {
   assert(aGroup < aInput.mGroups.size());
-  return ReasonOf(aInput, aPlan, FreeAfter(aInput, aPlan), aGroup);
+  auto free = FreeAfter(aInput, aPlan);
+  const auto reason = ReasonOf(aInput, aPlan, free, aGroup);
+  if (reason != waiting_reason::kCapacity ||
+      !NeedsClearableRack(aInput, aPlan, aGroup)) {
+    return reason;
+  }
+  AddStoppable(aInput, aInput.mGroups[aGroup], free);
+  return ReasonOf(aInput, aPlan, free, aGroup) == waiting_reason::kCapacity
+           ? waiting_reason::kCapacity
+           : waiting_reason::kNoClearableRack;
 }
 
 capacity_report ReportCapacity(const placement_input& aInput,
--- a/src/scheduler/FleetSchedulerPlanning.cpp
+++ b/src/scheduler/FleetSchedulerPlanning.cpp
@@ -221,11 +221,12 @@
   std::string placements;
   std::set<std::string> racks;
   for (const auto& [task, run] : aRuns) {
+    const auto& worker = aJob.mState.Task(task).mWorker;
     placements += placements.empty() ? "" : ",";
     placements += std::to_string(task.mOccurrence) + "." + std::to_string(task.mStep) +
                   "." + std::to_string(task.mIndex) + "/" + std::to_string(run) + "@" +
-                  aJob.mState.Task(task).mWorker;
-    racks.insert(mWorkers.at(aJob.mState.Task(task).mWorker)->mListed.mRack);
+                  worker;
+    racks.insert(mWorkers.at(worker)->mListed.mRack);
   }
   mPorts.mLog.Write(
     log_event("tasks_placed")
--- a/tests/ReclaimTest.cpp
+++ b/tests/ReclaimTest.cpp
@@ -169,7 +169,7 @@
   if (hasOtherGang) {
     REQUIRE(site.Submit("vm0", RackGang(kOtherGang, "t4", 2)) == job_answer::kAccepted);
   }
-  site.mLoop.RunUntil([] { return false; }, until - site.mLoop.Now());
+  site.mLoop.RunFor(until - site.mLoop.Now());
   const auto racks = RacksOfRuns(site, kGang);
   CHECK(racks.size() == 4);
   CHECK((std::set(racks.begin(), racks.end()).size() == 1) == isInOneRack);
